--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# Targets: build, test, demo, lint, generate.
+
+GO ?= go
+TOOLS := $(CURDIR)/bin/tools
+LINTER := $(TOOLS)/golangci-lint
+LINTER_VERSION := v2.15.0
+
+.PHONY: build test unit lint demo generate
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+# test is what README and CI call: formatter, vet, linter, tests, smoke run.
+test: lint unit demo
+
+unit:
+	./scripts/unit.sh
+
+lint: $(LINTER)
+	./scripts/format-check.sh
+	$(GO) vet ./...
+	$(LINTER) run ./...
+
+$(LINTER):
+	GOBIN=$(TOOLS) $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINTER_VERSION)
+
+demo: build
+	./scripts/demo.sh
+
+# generate needs protoc, protoc-gen-go, protoc-gen-twirp and wire; the output is committed.
+generate:
+	$(GO) generate ./...
