--- a/dispatch/action.go
+++ b/dispatch/action.go
@@ -59,13 +59,13 @@
 type Execution int
 
 const (
-	// ExecutionNotRun: no shard ran any part, and none will.
+	// ExecutionNotRun means that no shard ran any part, and none will.
 	ExecutionNotRun Execution = iota + 1
-	// ExecutionUnknown: a shard may have run a part.
+	// ExecutionUnknown means that a shard may have run a part.
 	ExecutionUnknown
-	// ExecutionPartial: shards ran parts of the request, too few for an answer.
+	// ExecutionPartial means that shards ran parts of the request, too few for an answer.
 	ExecutionPartial
-	// ExecutionDone: the request ran and the outcome holds its results.
+	// ExecutionDone means that the request ran and the outcome holds its results.
 	ExecutionDone
 )
 
