--- /dev/null
+++ b/lab/experiment/cluster/draw.go
@@ -0,0 +1,34 @@
+package cluster
+
+// stream separates the random draws of one purpose from those of another.
+type stream uint64
+
+const (
+	streamArrival stream = iota + 1
+	streamThinning
+	streamNode
+	streamService
+	streamNetwork
+	streamShed
+	streamConfiguration
+)
+
+// draw is a uniform number in [0, 1) that depends only on its arguments. Draws
+// are hashes and not a sequence, so that policies which act in different order
+// still meet the same arrivals and service times.
+func draw(seed uint64, purpose stream, a, b, c uint64) float64 {
+	state := mix(seed ^ mix(uint64(purpose)))
+	state = mix(state ^ a)
+	state = mix(state ^ b)
+	state = mix(state ^ c)
+	const mantissaBits = 53
+	return float64(state>>(64-mantissaBits)) / (1 << mantissaBits)
+}
+
+// mix is the finaliser of the SplitMix64 generator.
+func mix(value uint64) uint64 {
+	value += 0x9e3779b97f4a7c15
+	value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9
+	value = (value ^ (value >> 27)) * 0x94d049bb133111eb
+	return value ^ (value >> 31)
+}
--- /dev/null
+++ b/lab/experiment/cluster/node.go
@@ -0,0 +1,134 @@
+package cluster
+
+import (
+	"time"
+
+	"github.com/banksail/banksail/dispatch"
+)
+
+// node is one simulated node: a machine and its connections.
+type node struct {
+	index   int
+	machine Machine
+	// wakeGeneration tells the latest Wake from those that it replaced.
+	wakeGeneration uint64
+	attempts       map[dispatch.AttemptID]*attempt
+	// idle holds, per server, when each idle connection was last used; the
+	// latest is last.
+	idle [][]time.Duration
+}
+
+// step drives the node's machine with one event and carries out its actions.
+func (r *run) step(at *node, event dispatch.Event) {
+	actions := at.machine.Step(r.now, event)
+	if r.observe != nil {
+		r.observe(at.index, r.now, event, actions)
+	}
+	for _, action := range actions {
+		switch typed := action.(type) {
+		case dispatch.Send:
+			r.sendAttempt(at, typed)
+		case dispatch.Cancel:
+			r.cancelAttempt(at, typed.Attempt)
+		case dispatch.Finish:
+			r.finish(typed)
+		case dispatch.Wake:
+			at.wakeGeneration++
+			due := max(typed.At, r.now)
+			r.events.push(entry{at: due, kind: kindWake, index: at.index, number: at.wakeGeneration})
+		}
+	}
+}
+
+func (r *run) sendAttempt(from *node, send dispatch.Send) {
+	asked := r.queries[send.Query]
+	target := r.serverByID[send.Server]
+	if asked == nil || target == nil {
+		r.result.Faulty++
+		return
+	}
+	sent := &attempt{send: send, node: from, server: target, query: asked, deadline: r.now + send.Remaining}
+	from.attempts[send.Attempt] = sent
+	asked.attempts = append(asked.attempts, sent)
+	r.result.sent(sent)
+	delay := r.delay(asked.id, target, forward)
+	connectTime, ok := r.connect(from, target)
+	if !ok {
+		sent.state = attemptEnded
+		r.fail(sent, dispatch.NotDelivered, "connection limit")
+		return
+	}
+	sent.writtenAt = r.now + connectTime
+	r.events.push(entry{at: sent.writtenAt + delay, kind: kindDeliver, attempt: sent})
+}
+
+// connect takes an idle connection or opens one. It fails at the server's limit.
+func (r *run) connect(from *node, target *server) (time.Duration, bool) {
+	if r.unlimited {
+		return 0, true
+	}
+	idle := from.idle[target.index]
+	if count := len(idle); count > 0 {
+		lastUsed := idle[count-1]
+		if r.now-lastUsed < r.scenario.Network.IdleTimeout {
+			from.idle[target.index] = idle[:count-1]
+			return 0, true
+		}
+		target.connected -= count
+		from.idle[target.index] = idle[:0]
+	}
+	if target.connected >= target.connections {
+		return 0, false
+	}
+	target.connected++
+	return r.scenario.Network.ConnectTime, true
+}
+
+// cancelAttempt closes the attempt's connection.
+func (r *run) cancelAttempt(from *node, id dispatch.AttemptID) {
+	cancelled := from.attempts[id]
+	if cancelled == nil || cancelled.closed {
+		return
+	}
+	delivery := dispatch.DeliveryUnknown
+	if r.now < cancelled.writtenAt {
+		delivery = dispatch.NotDelivered
+	}
+	cancelled.closed = true
+	r.events.push(entry{at: r.now, kind: kindNodeEvent, index: from.index, event: dispatch.Failed{
+		Attempt: id, Delivery: delivery, Reason: "cancelled",
+	}})
+	delete(from.attempts, id)
+	at := r.now + r.delay(cancelled.query.id, cancelled.server, forward)
+	r.events.push(entry{at: at, kind: kindCancel, attempt: cancelled})
+}
+
+// receive gives a node an event; one about a closed attempt is dropped.
+func (r *run) receive(planned entry) {
+	at := r.nodes[planned.index]
+	about := planned.attempt
+	if about != nil {
+		if about.closed {
+			return
+		}
+		about.closed = true
+		delete(at.attempts, about.send.Attempt)
+		if _, failed := planned.event.(dispatch.Failed); !failed {
+			at.idle[about.server.index] = append(at.idle[about.server.index], r.now)
+		} else if about.writtenAt > 0 && about.server.connected > 0 {
+			about.server.connected--
+		}
+	}
+	r.step(at, planned.event)
+}
+
+// finish takes a query's final answer.
+func (r *run) finish(final dispatch.Finish) {
+	answered := r.queries[final.Query]
+	if answered == nil {
+		r.result.Faulty++
+		return
+	}
+	delete(r.queries, final.Query)
+	r.result.finished(answered, final.Outcome, r.now-answered.arrivedAt, r.now)
+}
--- /dev/null
+++ b/lab/experiment/cluster/queue.go
@@ -0,0 +1,79 @@
+package cluster
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/banksail/banksail/dispatch"
+)
+
+// kind tells what an entry of the event queue does.
+type kind uint8
+
+const (
+	kindArrival kind = iota + 1
+	kindDeliver
+	kindComplete
+	kindCancel
+	kindNodeEvent
+	kindWake
+	kindReport
+	kindFault
+	kindConnectionClosed
+)
+
+// entry is one planned event. Entries at the same time run in the order in
+// which they were planned.
+type entry struct {
+	at       time.Duration
+	sequence uint64
+	kind     kind
+	// index is a class, node, server or fault, by kind.
+	index int
+	// number is an arrival's number within its class, a wake's generation, or
+	// whether a fault ends.
+	number  uint64
+	attempt *attempt
+	event   dispatch.Event
+}
+
+// eventQueue orders entries by time, then by sequence.
+type eventQueue struct {
+	entries  []entry
+	sequence uint64
+}
+
+func (q *eventQueue) push(planned entry) {
+	q.sequence++
+	planned.sequence = q.sequence
+	heap.Push((*entryHeap)(&q.entries), planned)
+}
+
+func (q *eventQueue) pop() entry {
+	return heap.Pop((*entryHeap)(&q.entries)).(entry)
+}
+
+func (q *eventQueue) empty() bool { return len(q.entries) == 0 }
+
+type entryHeap []entry
+
+func (h entryHeap) Len() int { return len(h) }
+
+func (h entryHeap) Less(i, j int) bool {
+	if h[i].at != h[j].at {
+		return h[i].at < h[j].at
+	}
+	return h[i].sequence < h[j].sequence
+}
+
+func (h entryHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+func (h *entryHeap) Push(value any) { *h = append(*h, value.(entry)) }
+
+func (h *entryHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	old[len(old)-1] = entry{}
+	*h = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/lab/experiment/cluster/result.go
@@ -0,0 +1,194 @@
+package cluster
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/banksail/banksail/dispatch"
+)
+
+// Bounds of the latency histograms, in microseconds.
+const (
+	leastLatency      = 1
+	greatestLatency   = 600_000_000
+	significantDigits = 3
+)
+
+// CoverageBucket is the width of the buckets of coverage against time.
+const CoverageBucket = 500 * time.Millisecond
+
+// ClassResult measures one class in one run. Latency and coverage are taken
+// over the queries that were not refused.
+type ClassResult struct {
+	Name string
+	// Latency holds microseconds.
+	Latency *hdrhistogram.Histogram
+	// Arrived counts the queries that came in.
+	Arrived int
+	// Ran counts the queries that were not refused as not run.
+	Ran int
+	// Useful counts the answers with at least the class's minimum coverage.
+	Useful        int
+	coverageSum   float64
+	WorstCoverage float64
+	// Refused counts the queries that were refused as not run, by reason.
+	Refused map[dispatch.Reason]int
+	// Timeline is the coverage by time of arrival, in buckets of CoverageBucket.
+	Timeline []TimePoint
+	minimum  float64
+}
+
+// TimePoint sums the coverage of the queries of one bucket. A refused query
+// counts as no coverage.
+type TimePoint struct {
+	Queries  int
+	Coverage float64
+}
+
+// MeanCoverage is the mean coverage of the queries that ran.
+func (c *ClassResult) MeanCoverage() float64 {
+	if c.Ran == 0 {
+		return 0
+	}
+	return c.coverageSum / float64(c.Ran)
+}
+
+// BelowMinimumShare is the share of the queries that ran whose answer covers
+// less than the class's minimum.
+func (c *ClassResult) BelowMinimumShare() float64 {
+	if c.Ran == 0 {
+		return 0
+	}
+	return float64(c.Ran-c.Useful) / float64(c.Ran)
+}
+
+// Result measures one run.
+type Result struct {
+	Classes []*ClassResult
+	// FirstSends, HedgeSends and RetrySends count sub-requests.
+	FirstSends, HedgeSends, RetrySends int
+	// FirstWork and ExtraWork are the times that servers spent on first sends
+	// and on hedges and retries.
+	FirstWork, ExtraWork time.Duration
+	// UsefulWork is the part of it that went into answers with at least the
+	// minimum coverage.
+	UsefulWork time.Duration
+	// Capacity is the time that all slots offered.
+	Capacity time.Duration
+	// Unanswered counts queries without a final answer; it should be zero.
+	Unanswered int
+	// Faulty counts actions that name unknown queries or servers; it should be zero.
+	Faulty int
+}
+
+func newResult(scenario *Scenario) *Result {
+	window := scenario.Duration - scenario.Warmup
+	result := &Result{Capacity: window * time.Duration(scenario.slots())}
+	buckets := int(scenario.Duration/CoverageBucket) + 1
+	for _, class := range scenario.Classes {
+		result.Classes = append(result.Classes, &ClassResult{
+			Name:          class.Name,
+			Latency:       hdrhistogram.New(leastLatency, greatestLatency, significantDigits),
+			WorstCoverage: 1,
+			Refused:       make(map[dispatch.Reason]int),
+			Timeline:      make([]TimePoint, buckets),
+			minimum:       class.MinimumCoverage,
+		})
+	}
+	return result
+}
+
+// ExtraSendShare is hedges and retries over first sends.
+func (r *Result) ExtraSendShare() float64 {
+	return share(float64(r.HedgeSends+r.RetrySends), float64(r.FirstSends))
+}
+
+// ExtraWorkShare is the work on hedges and retries over the work on first sends.
+func (r *Result) ExtraWorkShare() float64 {
+	return share(float64(r.ExtraWork), float64(r.FirstWork))
+}
+
+// WastedWorkShare is the part of all work that no useful answer holds.
+func (r *Result) WastedWorkShare() float64 {
+	all := float64(r.FirstWork + r.ExtraWork)
+	return share(all-float64(r.UsefulWork), all)
+}
+
+// UsefulThroughput is the useful work over the capacity.
+func (r *Result) UsefulThroughput() float64 {
+	return share(float64(r.UsefulWork), float64(r.Capacity))
+}
+
+func share(part, whole float64) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return part / whole
+}
+
+func (r *Result) arrived(fresh *query) {
+	if fresh.measured {
+		r.Classes[fresh.class].Arrived++
+	}
+}
+
+func (r *Result) sent(sent *attempt) {
+	if !sent.query.measured {
+		return
+	}
+	switch sent.send.Kind {
+	case dispatch.HedgeSend:
+		r.HedgeSends++
+	case dispatch.RetrySend:
+		r.RetrySends++
+	default:
+		r.FirstSends++
+	}
+}
+
+func (r *Result) executed(ended *attempt) {
+	if !ended.query.measured {
+		return
+	}
+	if ended.send.Kind == dispatch.FirstSend {
+		r.FirstWork += ended.executed
+	} else {
+		r.ExtraWork += ended.executed
+	}
+}
+
+func (r *Result) finished(answered *query, outcome dispatch.Outcome, took, now time.Duration) {
+	class := r.Classes[answered.class]
+	bucket := min(int(answered.arrivedAt/CoverageBucket), len(class.Timeline)-1)
+	class.Timeline[bucket].Queries++
+	class.Timeline[bucket].Coverage += outcome.Coverage
+	if !answered.measured {
+		return
+	}
+	if outcome.Execution == dispatch.ExecutionNotRun {
+		class.Refused[outcome.Reason]++
+		return
+	}
+	class.Ran++
+	class.coverageSum += outcome.Coverage
+	class.WorstCoverage = min(class.WorstCoverage, outcome.Coverage)
+	_ = class.Latency.RecordValue(min(max(took.Microseconds(), leastLatency), greatestLatency))
+	if outcome.Execution != dispatch.ExecutionDone || outcome.Coverage < class.minimum {
+		return
+	}
+	class.Useful++
+	for _, part := range outcome.Parts {
+		r.UsefulWork += answered.workOf(part)
+	}
+}
+
+// workOf is the time that a server spent on a part of the answer.
+func (q *query) workOf(part dispatch.Part) time.Duration {
+	for _, candidate := range q.attempts {
+		if candidate.executed > 0 && candidate.server.id == part.Server && candidate.send.Range == part.Range {
+			return candidate.executed
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/lab/experiment/cluster/run.go
@@ -0,0 +1,206 @@
+package cluster
+
+import (
+	"time"
+
+	"github.com/banksail/banksail/coverage"
+	"github.com/banksail/banksail/dispatch"
+	"github.com/banksail/banksail/policy"
+)
+
+// drainTime is how long a run goes on after the last deadline.
+const drainTime = time.Second
+
+// unlimitedSlots stands for no limit on a server's slots.
+const unlimitedSlots = 1 << 30
+
+// neverAnswers is what foresight tells of a server that will not answer.
+const neverAnswers = time.Hour
+
+// Foresight tells how long a sub-request would take from being sent now until
+// its reply, on a connection that is open, when it need not wait for a slot.
+type Foresight func(id dispatch.QueryID, part coverage.Range, server string) time.Duration
+
+// Observer is told each event that a node's machine got and the actions it gave.
+type Observer func(node int, now time.Duration, event dispatch.Event, actions []dispatch.Action)
+
+// run is one simulated run.
+type run struct {
+	scenario   *Scenario
+	seed       uint64
+	unlimited  bool
+	observe    Observer
+	now        time.Duration
+	events     eventQueue
+	nodes      []*node
+	servers    []*server
+	serverByID map[string]*server
+	queries    map[dispatch.QueryID]*query
+	arrivals   []arrivalStream
+	result     *Result
+}
+
+// Run simulates a scenario under a policy and a seed. The observer may be nil.
+func Run(scenario *Scenario, decided Policy, seed uint64, observe Observer) *Result {
+	r := &run{
+		scenario:   scenario,
+		seed:       seed,
+		unlimited:  decided.Unlimited,
+		observe:    observe,
+		serverByID: make(map[string]*server),
+		queries:    make(map[dispatch.QueryID]*query),
+		result:     newResult(scenario),
+	}
+	r.addServers()
+	r.addNodes(decided)
+	r.planReports()
+	r.planFaults()
+	r.planArrivals()
+	r.loop()
+	r.result.Unanswered = len(r.queries)
+	return r.result
+}
+
+func (r *run) loop() {
+	end := r.end()
+	for !r.events.empty() {
+		next := r.events.pop()
+		if next.at > end {
+			return
+		}
+		r.now = next.at
+		r.handle(next)
+	}
+}
+
+// end is when the last query must long have had its answer.
+func (r *run) end() time.Duration {
+	longest := time.Duration(0)
+	for _, class := range r.scenario.Classes {
+		longest = max(longest, class.Deadline.Duration())
+	}
+	return r.scenario.Duration + longest + drainTime
+}
+
+func (r *run) handle(next entry) {
+	switch next.kind {
+	case kindArrival:
+		r.arrive(next)
+	case kindDeliver:
+		r.deliver(next.attempt)
+	case kindComplete:
+		r.complete(next.attempt)
+	case kindCancel:
+		r.cancelAtServer(next.attempt)
+	case kindNodeEvent:
+		r.receive(next)
+	case kindWake:
+		r.wake(next)
+	case kindReport:
+		r.sendReport(next)
+	case kindFault:
+		r.switchFault(next.index, next.number == faultEnds)
+	}
+}
+
+func (r *run) wake(due entry) {
+	woken := r.nodes[due.index]
+	if woken.wakeGeneration == due.number {
+		r.step(woken, dispatch.Woken{})
+	}
+}
+
+func (r *run) addServers() {
+	for groupIndex, group := range r.scenario.Service.Groups {
+		for replica, configured := range group.Servers {
+			added := &server{
+				index:       len(r.servers),
+				id:          configured.ID,
+				group:       groupIndex,
+				replica:     replica,
+				slots:       configured.Slots,
+				queueLimit:  int(float64(configured.Slots) * r.scenario.QueuePerSlot),
+				connections: configured.Connections,
+				owned:       group.Range,
+			}
+			if r.unlimited {
+				added.slots = unlimitedSlots
+			}
+			r.servers = append(r.servers, added)
+			r.serverByID[added.id] = added
+		}
+	}
+}
+
+func (r *run) addNodes(decided Policy) {
+	for index := range r.scenario.Nodes {
+		described := Node{
+			Index:     index,
+			Nodes:     r.scenario.Nodes,
+			Zone:      r.scenario.Zones[index%len(r.scenario.Zones)],
+			Seed:      mix(r.seed + uint64(index)),
+			Foresight: r.foresee,
+		}
+		added := &node{
+			index:    index,
+			machine:  decided.New(described),
+			attempts: make(map[dispatch.AttemptID]*attempt),
+			idle:     make([][]time.Duration, len(r.servers)),
+		}
+		r.nodes = append(r.nodes, added)
+		r.introduce(added)
+	}
+}
+
+// introduce tells a node what it learns on its start.
+func (r *run) introduce(fresh *node) {
+	r.plan(0, fresh, r.configured(1, r.scenario.Service))
+	for _, known := range r.servers {
+		r.plan(0, fresh, dispatch.ServerChanged{Server: known.id, State: dispatch.ServerLive})
+		r.plan(0, fresh, r.observed(known))
+	}
+}
+
+func (r *run) configured(revision policy.Revision, service policy.Service) dispatch.Configured {
+	classes := make([]policy.Class, 0, len(r.scenario.Classes))
+	for _, class := range r.scenario.Classes {
+		classes = append(classes, class.Class)
+	}
+	return dispatch.Configured{Revision: revision, Service: service, Classes: classes}
+}
+
+func (r *run) observed(told *server) dispatch.Observed {
+	return dispatch.Observed{
+		Server:    told.id,
+		Snapshots: []dispatch.SnapshotID{firstSnapshot},
+		Load:      told.load(r.now, r.scenario.Reports.Lag),
+	}
+}
+
+// plan gives a node an event at a later time.
+func (r *run) plan(at time.Duration, to *node, event dispatch.Event) {
+	r.events.push(entry{at: at, kind: kindNodeEvent, index: to.index, event: event})
+}
+
+func (r *run) planReports() {
+	period := r.scenario.Reports.Period
+	if period == 0 {
+		return
+	}
+	for index := range r.servers {
+		first := period * time.Duration(index+1) / time.Duration(len(r.servers))
+		r.events.push(entry{at: first, kind: kindReport, index: index})
+	}
+}
+
+func (r *run) sendReport(due entry) {
+	told := r.servers[due.index]
+	if !told.lost {
+		for _, reader := range r.nodes {
+			r.plan(r.now+r.scenario.Network.Delay, reader, r.observed(told))
+		}
+	}
+	if next := r.now + r.scenario.Reports.Period; next <= r.scenario.Duration {
+		r.events.push(entry{at: next, kind: kindReport, index: due.index})
+	}
+}
--- /dev/null
+++ b/lab/experiment/cluster/server.go
@@ -0,0 +1,221 @@
+package cluster
+
+import (
+	"time"
+
+	"github.com/banksail/banksail/coverage"
+	"github.com/banksail/banksail/dispatch"
+)
+
+// firstSnapshot is the snapshot that all servers hold.
+const firstSnapshot dispatch.SnapshotID = 1
+
+// server is one simulated replica: slots, a bounded first-come queue, then shed.
+type server struct {
+	index       int
+	id          string
+	group       int
+	replica     int
+	slots       int
+	queueLimit  int
+	connections int
+	connected   int
+	owned       coverage.Range
+	lost        bool
+	draining    bool
+	lying       bool
+	running     []*attempt
+	queue       []*attempt
+	report      delayedLoad
+}
+
+// delayedLoad holds the last two samples of a load, so that a reader gets one
+// that is at least the lag old.
+type delayedLoad struct {
+	sampledAt time.Duration
+	sampled   dispatch.Load
+	told      dispatch.Load
+}
+
+// load is what the server tells of itself.
+func (s *server) load(now, lag time.Duration) dispatch.Load {
+	if s.lying {
+		return dispatch.Load{}
+	}
+	current := dispatch.Load{InFlight: len(s.running), Queued: len(s.queue)}
+	if lag == 0 {
+		return current
+	}
+	if now-s.report.sampledAt >= lag {
+		s.report.told = s.report.sampled
+		s.report.sampled = current
+		s.report.sampledAt = now
+	}
+	return s.report.told
+}
+
+// refusal is the status with which the server turns down an attempt, if it does.
+func (s *server) refusal(wanted *attempt) (dispatch.ReplyStatus, bool) {
+	switch {
+	case s.draining:
+		return dispatch.ReplyDraining, true
+	case wanted.send.Snapshot != firstSnapshot:
+		return dispatch.ReplyUnknownSnapshot, true
+	case !s.owned.Contains(wanted.send.Range):
+		return dispatch.ReplyNotOwner, true
+	case len(s.running) >= s.slots && len(s.queue) >= s.queueLimit:
+		return dispatch.ReplyShed, true
+	}
+	return 0, false
+}
+
+// remove takes an attempt out of a list and tells whether it was there.
+func remove(list []*attempt, gone *attempt) ([]*attempt, bool) {
+	for index, listed := range list {
+		if listed == gone {
+			return append(list[:index], list[index+1:]...), true
+		}
+	}
+	return list, false
+}
+
+// attemptState is where an attempt is at its server.
+type attemptState uint8
+
+const (
+	attemptOnTheWay attemptState = iota
+	attemptQueued
+	attemptRunning
+	attemptEnded
+)
+
+// attempt is one sub-request.
+type attempt struct {
+	send   dispatch.Send
+	node   *node
+	server *server
+	query  *query
+	state  attemptState
+	// closed says that the node has had its event for the attempt.
+	closed bool
+	// writtenAt is when the first byte is written, after connecting.
+	writtenAt time.Duration
+	deadline  time.Duration
+	startedAt time.Duration
+	executed  time.Duration
+}
+
+// query is what the run remembers of a query that has no final answer yet.
+type query struct {
+	id        dispatch.QueryID
+	class     int
+	arrivedAt time.Duration
+	measured  bool
+	attempts  []*attempt
+}
+
+// deliver brings an attempt to its server.
+func (r *run) deliver(arrived *attempt) {
+	if arrived.closed {
+		arrived.state = attemptEnded
+		return
+	}
+	target := arrived.server
+	if target.lost {
+		arrived.state = attemptEnded
+		r.fail(arrived, dispatch.NotDelivered, "connection refused")
+		return
+	}
+	if status, refused := target.refusal(arrived); refused {
+		arrived.state = attemptEnded
+		r.reply(arrived, status)
+		return
+	}
+	if len(target.running) < target.slots {
+		r.start(arrived)
+		return
+	}
+	arrived.state = attemptQueued
+	target.queue = append(target.queue, arrived)
+}
+
+func (r *run) start(next *attempt) {
+	next.state = attemptRunning
+	next.startedAt = r.now
+	next.server.running = append(next.server.running, next)
+	took := r.serviceTime(next.query, next.send.Range, next.server)
+	r.events.push(entry{at: r.now + took, kind: kindComplete, attempt: next})
+}
+
+// startQueued fills the free slots of a server. Work whose deadline has passed
+// is turned down without being run.
+func (r *run) startQueued(free *server) {
+	for len(free.running) < free.slots && len(free.queue) > 0 {
+		next := free.queue[0]
+		free.queue = free.queue[1:]
+		if r.now >= next.deadline {
+			next.state = attemptEnded
+			r.reply(next, dispatch.ReplyShed)
+			continue
+		}
+		r.start(next)
+	}
+}
+
+func (r *run) complete(finished *attempt) {
+	if finished.state != attemptRunning {
+		return
+	}
+	r.endExecution(finished)
+	r.reply(finished, dispatch.ReplyDone)
+	r.startQueued(finished.server)
+}
+
+// endExecution frees the slot of a running attempt and accounts for its work.
+func (r *run) endExecution(ended *attempt) {
+	ended.state = attemptEnded
+	ended.executed = r.now - ended.startedAt
+	ended.server.running, _ = remove(ended.server.running, ended)
+	r.result.executed(ended)
+}
+
+// cancelAtServer ends an attempt whose connection the node has closed.
+func (r *run) cancelAtServer(cancelled *attempt) {
+	target := cancelled.server
+	if target.connected > 0 {
+		target.connected--
+	}
+	switch cancelled.state {
+	case attemptQueued:
+		target.queue, _ = remove(target.queue, cancelled)
+		cancelled.state = attemptEnded
+	case attemptRunning:
+		r.endExecution(cancelled)
+		r.startQueued(target)
+	}
+}
+
+func (r *run) reply(answered *attempt, status dispatch.ReplyStatus) {
+	target := answered.server
+	reply := dispatch.Reply{
+		Status:    status,
+		Snapshot:  answered.send.Snapshot,
+		Range:     answered.send.Range,
+		Snapshots: []dispatch.SnapshotID{firstSnapshot},
+		Load:      target.load(r.now, r.scenario.Reports.Lag),
+	}
+	if status == dispatch.ReplyShed {
+		reply.RetryAfter = r.scenario.ServiceTime.Mean
+	}
+	r.toNode(answered, dispatch.Replied{Attempt: answered.send.Attempt, Reply: reply})
+}
+
+func (r *run) fail(failed *attempt, delivery dispatch.Delivery, reason string) {
+	r.toNode(failed, dispatch.Failed{Attempt: failed.send.Attempt, Delivery: delivery, Reason: reason})
+}
+
+// toNode carries an event from a server to the node that sent the attempt.
+func (r *run) toNode(about *attempt, event dispatch.Event) {
+	at := r.now + r.delay(about.query.id, about.server, reverse)
+	r.events.push(entry{at: at, kind: kindNodeEvent, index: about.node.index, attempt: about, event: event})
+}
