--- /dev/null
+++ b/lab/experiment/policies.go
@@ -0,0 +1,67 @@
+package experiment
+
+import (
+	"math"
+	"time"
+
+	"github.com/banksail/banksail/dispatch"
+	"github.com/banksail/banksail/lab/experiment/baseline"
+	"github.com/banksail/banksail/lab/experiment/cluster"
+)
+
+// Kinds of policies.
+const (
+	KindNaive          = "naive"
+	KindFixedHedge     = "fixed-hedge"
+	KindStrictPriority = "strict-priority"
+	KindOracle         = "oracle"
+	KindBanksail       = "banksail"
+)
+
+const (
+	hedgeQuantile          = 0.98
+	defaultInFlightPerSlot = 2
+	baselineQueueLimit     = 1000
+)
+
+// build makes the policy for a scenario.
+func (p Policy) build(scenario *cluster.Scenario) cluster.Policy {
+	return cluster.Policy{
+		Name:      p.Name,
+		Unlimited: p.Kind == KindOracle,
+		New:       func(node cluster.Node) cluster.Machine { return p.machine(scenario, node) },
+	}
+}
+
+func (p Policy) machine(scenario *cluster.Scenario, node cluster.Node) cluster.Machine {
+	options := baseline.Options{FirstServer: node.Index}
+	switch p.Kind {
+	case KindBanksail:
+		return dispatch.New(dispatch.Options{Seed: node.Seed, Zone: node.Zone})
+	case KindFixedHedge:
+		options.HedgeDelay = p.hedgeDelay(scenario)
+	case KindStrictPriority:
+		options.InFlightLimit = p.inFlightLimit(scenario)
+		options.QueueLimit = baselineQueueLimit
+	case KindOracle:
+		options.Foresight = baseline.Foresight(node.Foresight)
+	}
+	return baseline.New(options)
+}
+
+func (p Policy) hedgeDelay(scenario *cluster.Scenario) time.Duration {
+	if p.HedgeDelayMS > 0 {
+		return milliseconds(p.HedgeDelayMS)
+	}
+	return scenario.ServiceTime.Quantile(hedgeQuantile) + 2*scenario.Network.Delay
+}
+
+// inFlightLimit is an even share of what a server may have in flight.
+func (p Policy) inFlightLimit(scenario *cluster.Scenario) int {
+	perSlot := p.InFlightPerSlot
+	if perSlot == 0 {
+		perSlot = defaultInFlightPerSlot
+	}
+	slots := scenario.Service.Groups[0].Servers[0].Slots
+	return int(math.Ceil(perSlot * float64(slots) / float64(scenario.Nodes)))
+}
--- /dev/null
+++ b/lab/experiment/summary.go
@@ -0,0 +1,154 @@
+package experiment
+
+import (
+	"math"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/gonum/stat/distuv"
+
+	"github.com/banksail/banksail/dispatch"
+	"github.com/banksail/banksail/lab/experiment/cluster"
+)
+
+// tailPercentile is the percentile whose differences are reported.
+const tailPercentile = 99
+
+// confidence is the level of the intervals.
+const confidence = 0.95
+
+// microsecondsPerMillisecond converts what the histograms hold.
+const microsecondsPerMillisecond = 1000
+
+// Summary sums up one cell over its seeds.
+type Summary struct {
+	Classes []ClassSummary
+	// Extra sends and work, wasted work and useful throughput are means over
+	// the seeds of the shares that cluster.Result describes.
+	ExtraSendShare, ExtraWorkShare, WastedWorkShare, UsefulThroughput float64
+	// Unanswered and Faulty must be zero.
+	Unanswered, Faulty int
+}
+
+// ClassSummary sums up one class over the seeds.
+type ClassSummary struct {
+	Name string
+	// Latency holds microseconds over all seeds.
+	Latency *hdrhistogram.Histogram
+	// Tail is each seed's 99th percentile, in milliseconds.
+	Tail []float64
+	// Coverage is each seed's mean coverage of the queries that ran.
+	Coverage        []float64
+	WorstCoverage   float64
+	Arrived         int
+	Ran             int
+	Useful          int
+	Refused         map[dispatch.Reason]int
+	Timeline        []cluster.TimePoint
+	BelowMinimum    float64
+	coverageOverall float64
+}
+
+// Quantile is a latency percentile over all seeds, in milliseconds.
+func (c *ClassSummary) Quantile(percentile float64) float64 {
+	return float64(c.Latency.ValueAtPercentile(percentile)) / microsecondsPerMillisecond
+}
+
+// MeanCoverage is the mean coverage over the seeds.
+func (c *ClassSummary) MeanCoverage() float64 { return c.coverageOverall }
+
+// RefusedShare is the share of arrivals that were refused as not run.
+func (c *ClassSummary) RefusedShare() float64 {
+	refused := 0
+	for _, count := range c.Refused {
+		refused += count
+	}
+	if c.Arrived == 0 {
+		return 0
+	}
+	return float64(refused) / float64(c.Arrived)
+}
+
+func summarise(results []*cluster.Result) *Summary {
+	summary := &Summary{}
+	var sends, work, wasted, throughput []float64
+	for _, result := range results {
+		sends = append(sends, result.ExtraSendShare())
+		work = append(work, result.ExtraWorkShare())
+		wasted = append(wasted, result.WastedWorkShare())
+		throughput = append(throughput, result.UsefulThroughput())
+		summary.Unanswered += result.Unanswered
+		summary.Faulty += result.Faulty
+	}
+	summary.ExtraSendShare = stat.Mean(sends, nil)
+	summary.ExtraWorkShare = stat.Mean(work, nil)
+	summary.WastedWorkShare = stat.Mean(wasted, nil)
+	summary.UsefulThroughput = stat.Mean(throughput, nil)
+	for index := range results[0].Classes {
+		summary.Classes = append(summary.Classes, summariseClass(results, index))
+	}
+	return summary
+}
+
+func summariseClass(results []*cluster.Result, index int) ClassSummary {
+	first := results[0].Classes[index]
+	class := ClassSummary{
+		Name:          first.Name,
+		Latency:       hdrhistogram.Import(first.Latency.Export()),
+		WorstCoverage: 1,
+		Refused:       make(map[dispatch.Reason]int),
+		Timeline:      make([]cluster.TimePoint, len(first.Timeline)),
+	}
+	for number, result := range results {
+		seed := result.Classes[index]
+		if number > 0 {
+			class.Latency.Merge(seed.Latency)
+		}
+		tail := float64(seed.Latency.ValueAtPercentile(tailPercentile)) / microsecondsPerMillisecond
+		class.Tail = append(class.Tail, tail)
+		class.Coverage = append(class.Coverage, seed.MeanCoverage())
+		class.WorstCoverage = min(class.WorstCoverage, seed.WorstCoverage)
+		class.Arrived += seed.Arrived
+		class.Ran += seed.Ran
+		class.Useful += seed.Useful
+		for reason, count := range seed.Refused {
+			class.Refused[reason] += count
+		}
+		for bucket, point := range seed.Timeline {
+			class.Timeline[bucket].Queries += point.Queries
+			class.Timeline[bucket].Coverage += point.Coverage
+		}
+	}
+	class.coverageOverall = stat.Mean(class.Coverage, nil)
+	if class.Ran > 0 {
+		class.BelowMinimum = float64(class.Ran-class.Useful) / float64(class.Ran)
+	}
+	return class
+}
+
+// Difference is the mean of paired differences and half the width of its
+// confidence interval.
+type Difference struct {
+	Mean      float64
+	HalfWidth float64
+}
+
+// Clear tells whether the interval leaves out zero.
+func (d Difference) Clear() bool { return math.Abs(d.Mean) > d.HalfWidth }
+
+// pairedDifference compares two policies over the same seeds, with Student's
+// distribution at 95%.
+func pairedDifference(values, reference []float64) Difference {
+	differences := make([]float64, len(values))
+	for index := range values {
+		differences[index] = values[index] - reference[index]
+	}
+	mean, deviation := stat.MeanStdDev(differences, nil)
+	count := float64(len(differences))
+	if len(differences) < 2 {
+		return Difference{Mean: mean, HalfWidth: math.Inf(1)}
+	}
+	student := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: count - 1}
+	factor := student.Quantile(1 - (1-confidence)/2)
+	return Difference{Mean: mean, HalfWidth: factor * deviation / math.Sqrt(count)}
+}
