--- /dev/null
+++ b/dispatch/dispatcher_test.go
@@ -0,0 +1,147 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/banksail/banksail/coverage"
+	"github.com/banksail/banksail/policy"
+)
+
+const keysPerGroup = 100
+
+// configuration returns a service of groups with replicas each, named "g/r".
+func configuration(groups, replicas int) Configured {
+	service := policy.Service{Name: "search", KeySpace: coverage.Range{End: uint64(groups * keysPerGroup)}}
+	for g := range groups {
+		start := uint64(g * keysPerGroup)
+		group := policy.Group{Name: fmt.Sprint(g), Range: coverage.Range{Start: start, End: start + keysPerGroup}}
+		for r := range replicas {
+			id := fmt.Sprintf("%d/%d", g, r)
+			group.Servers = append(group.Servers, policy.Server{ID: id, Address: "127.0.0.1:1", Slots: 5, Connections: 70})
+		}
+		service.Groups = append(service.Groups, group)
+	}
+	return Configured{Revision: 1, Service: service, Classes: []policy.Class{
+		{Name: "urgent", Order: 1, LongestWait: 50, Deadline: 200, HedgeShare: 0.5, Headroom: 0.2},
+		{Name: "batch", Order: 2, LongestWait: 1000, Deadline: 5000, MinimumCoverage: 0.9, HedgeShare: 0.02},
+	}}
+}
+
+// started returns a configured dispatcher whose servers all hold snapshot 7.
+func started(options Options, groups, replicas int) *Dispatcher {
+	d := New(options)
+	c := configuration(groups, replicas)
+	d.Step(0, c)
+	for _, g := range c.Service.Groups {
+		for _, s := range g.Servers {
+			d.Step(0, Observed{Server: s.ID, Snapshots: []SnapshotID{7}})
+		}
+	}
+	return d
+}
+
+func ask(id QueryID) Arrived {
+	return Arrived{Query: Query{ID: id, Class: "urgent", Remaining: 100 * time.Millisecond, Repeatable: true}}
+}
+
+func sends(actions []Action) []Send {
+	var found []Send
+	for _, a := range actions {
+		if s, ok := a.(Send); ok {
+			found = append(found, s)
+		}
+	}
+	return found
+}
+
+func finishes(actions []Action) []Finish {
+	var found []Finish
+	for _, a := range actions {
+		if f, ok := a.(Finish); ok {
+			found = append(found, f)
+		}
+	}
+	return found
+}
+
+func done(s Send) Replied {
+	return Replied{Attempt: s.Attempt, Reply: Reply{Status: ReplyDone, Snapshot: s.Snapshot, Range: s.Range}}
+}
+
+func TestQueryOverEveryGroupIsComplete(t *testing.T) {
+	d := started(Options{}, 8, 2)
+	sent := sends(d.Step(time.Millisecond, ask(1)))
+	if len(sent) != 8 {
+		t.Fatalf("sent %d sub-requests, want 8", len(sent))
+	}
+	for i, s := range sent {
+		ended := finishes(d.Step(2*time.Millisecond, done(s)))
+		if (i == 7) != (len(ended) == 1) {
+			t.Fatalf("reply %d gave %d final answers", i, len(ended))
+		}
+		if len(ended) == 1 && (!ended[0].Outcome.Complete || ended[0].Outcome.Execution != ExecutionDone || ended[0].Outcome.Snapshot != 7) {
+			t.Fatalf("outcome %+v", ended[0].Outcome)
+		}
+	}
+}
+
+func TestRefusedWithoutConfiguration(t *testing.T) {
+	d := New(Options{})
+	ended := finishes(d.Step(0, ask(1)))
+	if len(ended) != 1 || ended[0].Outcome.Reason != ReasonNoConfiguration || ended[0].Outcome.RetryAfter <= 0 {
+		t.Fatalf("got %+v", ended)
+	}
+}
+
+func TestRefusedWithoutSnapshot(t *testing.T) {
+	d := New(Options{})
+	d.Step(0, configuration(2, 2))
+	ended := finishes(d.Step(0, ask(1)))
+	if len(ended) != 1 || ended[0].Outcome.Reason != ReasonNoSnapshot || ended[0].Outcome.Execution != ExecutionNotRun {
+		t.Fatalf("got %+v", ended)
+	}
+}
+
+func TestDeadlineEndsTheQuery(t *testing.T) {
+	d := started(Options{}, 2, 2)
+	sent := sends(d.Step(0, ask(1)))
+	d.Step(time.Millisecond, done(sent[0]))
+	ended := finishes(d.Step(100*time.Millisecond, Woken{}))
+	if len(ended) != 1 || ended[0].Outcome.Reason != ReasonDeadline || ended[0].Outcome.Coverage != 0.5 {
+		t.Fatalf("got %+v", ended)
+	}
+}
+
+func TestNotExecutedRepliesAreTriedElsewhere(t *testing.T) {
+	for _, status := range []ReplyStatus{ReplyShed, ReplyUnknownSnapshot, ReplyDraining} {
+		d := started(Options{}, 1, 2)
+		q := ask(1)
+		q.Query.Repeatable = false
+		first := sends(d.Step(0, q))
+		second := sends(d.Step(0, Replied{Attempt: first[0].Attempt, Reply: Reply{Status: status}}))
+		if len(second) != 1 || second[0].Server == first[0].Server {
+			t.Fatalf("status %d: retried at %+v", status, second)
+		}
+		last := finishes(d.Step(0, Replied{Attempt: second[0].Attempt, Reply: Reply{Status: status}}))
+		if len(last) != 1 || last[0].Outcome.Execution != ExecutionNotRun {
+			t.Fatalf("status %d: got %+v", status, last)
+		}
+	}
+}
+
+func TestNotRepeatableIsNotSentAgainAfterAnUnknownFate(t *testing.T) {
+	d := started(Options{}, 1, 2)
+	q := ask(1)
+	q.Query.Repeatable = false
+	first := sends(d.Step(0, q))
+	actions := d.Step(0, Failed{Attempt: first[0].Attempt, Delivery: DeliveryUnknown})
+	if len(sends(actions)) != 0 {
+		t.Fatal("sent again")
+	}
+	ended := finishes(actions)
+	if len(ended) != 1 || ended[0].Outcome.Execution != ExecutionUnknown || ended[0].Outcome.Reason != ReasonOutcomeUnknown {
+		t.Fatalf("got %+v", ended)
+	}
+}
