--- a/lab/experiment/config.go
+++ b/lab/experiment/config.go
@@ -65,21 +65,26 @@
 
 // Workload is the load on one service.
 type Workload struct {
-	Name string `yaml:"name" validate:"required,max=64"`
+	Name       string     `yaml:"name" validate:"required,max=64"`
+	Deployment Deployment `yaml:"deployment"`
+	// Load is the offered work over the capacity.
+	Load   float64 `yaml:"load" validate:"gt=0,max=10"`
+	Bursts []Burst `yaml:"bursts" validate:"max=64,dive"`
+	// Faults names the fault sets to run under; all when empty.
+	Faults []string `yaml:"faults" validate:"max=64,unique"`
+}
+
+// Deployment is a service with the nodes that use it.
+type Deployment struct {
 	// Service names one of the firms' services.
 	Service string `yaml:"service" validate:"required"`
 	// Nodes is the number of nodes that callers use.
-	Nodes int `yaml:"nodes" validate:"min=1,max=1000"`
-	// Load is the offered work over the capacity.
-	Load         float64     `yaml:"load" validate:"gt=0,max=10"`
+	Nodes        int         `yaml:"nodes" validate:"min=1,max=1000"`
 	ServiceTime  ServiceTime `yaml:"service_time"`
 	QueuePerSlot float64     `yaml:"queue_per_slot" validate:"min=0,max=1000"`
-	Bursts       []Burst     `yaml:"bursts" validate:"max=64,dive"`
 	ReportLagMS  float64     `yaml:"report_lag_ms" validate:"min=0,max=600000"`
 	// ReportPeriodMS is the time between polls of a server's load; 0 means none.
 	ReportPeriodMS float64 `yaml:"report_period_ms" validate:"min=0,max=600000"`
-	// Faults names the fault sets to run under; all when empty.
-	Faults []string `yaml:"faults" validate:"max=64,unique"`
 }
 
 // ServiceTime is the distribution of the time that a sub-request takes.
@@ -175,8 +180,8 @@
 	}
 	for index, workload := range f.Workloads {
 		field := fmt.Sprintf("workloads[%d]", index)
-		if _, known := services[workload.Service]; !known {
-			return fmt.Errorf("%w: %s.service: no service is named %q", ErrInvalidFile, field, workload.Service)
+		if _, known := services[workload.Deployment.Service]; !known {
+			return fmt.Errorf("%w: %s.deployment.service: no service is named %q", ErrInvalidFile, field, workload.Deployment.Service)
 		}
 		for _, name := range workload.Faults {
 			if !faults[name] {
@@ -211,3 +216,14 @@
 		DetectionLag: milliseconds(f.DetectionLagMS),
 	}
 }
+
+// KeepWorkload drops all workloads but the named one.
+func (f *File) KeepWorkload(name string) error {
+	for _, workload := range f.Workloads {
+		if workload.Name == name {
+			f.Workloads = []Workload{workload}
+			return nil
+		}
+	}
+	return fmt.Errorf("%w: workloads: none is named %q", ErrInvalidFile, name)
+}
--- /dev/null
+++ b/lab/experiment/plots.go
@@ -0,0 +1,155 @@
+package experiment
+
+import (
+	"fmt"
+	"path/filepath"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"github.com/banksail/banksail/lab/experiment/cluster"
+)
+
+const (
+	plotWidth  = 8 * vg.Inch
+	plotHeight = 5 * vg.Inch
+	barWidth   = 12 * vg.Millimeter
+	// leastTailShare ends the latency curves at the share of 1 in 10,000.
+	leastTailShare = 1e-4
+)
+
+// WritePlots writes the plots of all cells into a directory: latency curves and
+// coverage against time by class, and the extra load.
+func WritePlots(directory string, cells []*Cell) error {
+	for _, block := range blocks(cells) {
+		prefix := filepath.Join(directory, block[0].Workload+"-"+block[0].Fault)
+		for index, class := range block[0].Summary.Classes {
+			if err := plotLatency(block, index, prefix+"-latency-"+class.Name+".png"); err != nil {
+				return err
+			}
+			if err := plotCoverage(block, index, prefix+"-coverage-"+class.Name+".png"); err != nil {
+				return err
+			}
+		}
+		if err := plotExtraLoad(block, prefix+"-extra-load.png"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func save(drawn *plot.Plot, path string) error {
+	if err := drawn.Save(plotWidth, plotHeight, path); err != nil {
+		return fmt.Errorf("experiment: plot %s: %w", path, err)
+	}
+	return nil
+}
+
+func newPlot(block []*Cell, what, x, y string) *plot.Plot {
+	drawn := plot.New()
+	drawn.Title.Text = fmt.Sprintf("%s / %s: %s", block[0].Workload, block[0].Fault, what)
+	drawn.X.Label.Text = x
+	drawn.Y.Label.Text = y
+	drawn.Legend.Top = true
+	drawn.Add(plotter.NewGrid())
+	return drawn
+}
+
+// plotLatency draws the share of queries that took longer than each latency.
+func plotLatency(block []*Cell, class int, path string) error {
+	drawn := newPlot(block, block[0].Summary.Classes[class].Name, "latency [ms]", "share of queries above")
+	drawn.Y.Scale = plot.LogScale{}
+	drawn.Y.Tick.Marker = plot.LogTicks{Prec: -1}
+	drawn.Y.Min, drawn.Y.Max = leastTailShare, 1
+	for index, cell := range block {
+		points := tailCurve(&cell.Summary.Classes[class])
+		if len(points) == 0 {
+			continue
+		}
+		if err := addLine(drawn, cell.Policy, index, points); err != nil {
+			return err
+		}
+	}
+	return save(drawn, path)
+}
+
+func tailCurve(class *ClassSummary) plotter.XYs {
+	if class.Latency.TotalCount() == 0 {
+		return nil
+	}
+	const pointsPerHalving = 4
+	var points plotter.XYs
+	for share, step := 1.0, 0; share > leastTailShare; step++ {
+		share = 1
+		for range step / pointsPerHalving {
+			share /= 2
+		}
+		share *= 1 - float64(step%pointsPerHalving)/(2*pointsPerHalving)
+		points = append(points, plotter.XY{X: class.Quantile(percent * (1 - share)), Y: max(share, leastTailShare)})
+	}
+	return points
+}
+
+func addLine(drawn *plot.Plot, name string, index int, points plotter.XYs) error {
+	line, err := plotter.NewLine(points)
+	if err != nil {
+		return fmt.Errorf("experiment: plot line: %w", err)
+	}
+	line.Color = plotutil.Color(index)
+	line.Dashes = plotutil.Dashes(index)
+	drawn.Add(line)
+	drawn.Legend.Add(name, line)
+	return nil
+}
+
+// plotCoverage draws the mean coverage of the queries by their time of arrival.
+func plotCoverage(block []*Cell, class int, path string) error {
+	what := block[0].Summary.Classes[class].Name + " (refused queries count as 0)"
+	drawn := newPlot(block, what, "time [s]", "mean coverage")
+	drawn.Y.Min, drawn.Y.Max = 0, 1.05
+	for index, cell := range block {
+		var points plotter.XYs
+		for bucket, point := range cell.Summary.Classes[class].Timeline {
+			if point.Queries == 0 {
+				continue
+			}
+			at := float64(bucket) * cluster.CoverageBucket.Seconds()
+			points = append(points, plotter.XY{X: at, Y: point.Coverage / float64(point.Queries)})
+		}
+		if len(points) == 0 {
+			continue
+		}
+		if err := addLine(drawn, cell.Policy, index, points); err != nil {
+			return err
+		}
+	}
+	return save(drawn, path)
+}
+
+func plotExtraLoad(block []*Cell, path string) error {
+	drawn := newPlot(block, "extra load", "", "% of first sends or first work")
+	var sends, work plotter.Values
+	var names []string
+	for _, cell := range block {
+		sends = append(sends, percent*cell.Summary.ExtraSendShare)
+		work = append(work, percent*cell.Summary.ExtraWorkShare)
+		names = append(names, cell.Policy)
+	}
+	for index, bars := range []struct {
+		name   string
+		values plotter.Values
+	}{{"sends", sends}, {"work", work}} {
+		chart, err := plotter.NewBarChart(bars.values, barWidth)
+		if err != nil {
+			return fmt.Errorf("experiment: bar chart: %w", err)
+		}
+		chart.Color = plotutil.Color(index)
+		chart.Offset = barWidth * vg.Length(2*index-1) / 2
+		drawn.Add(chart)
+		drawn.Legend.Add(bars.name, chart)
+	}
+	drawn.NominalX(names...)
+	return save(drawn, path)
+}
--- a/lab/experiment/services.go
+++ b/lab/experiment/services.go
@@ -81,11 +81,12 @@
 
 // scenario builds what the simulation runs.
 func (f *File) scenario(workload Workload, faults FaultSet) *cluster.Scenario {
-	size := services[workload.Service]
+	deployment := workload.Deployment
+	size := services[deployment.Service]
 	built := &cluster.Scenario{
 		Name:    workload.Name + "/" + faults.Name,
-		Service: size.build(workload.Service),
-		Nodes:   workload.Nodes,
+		Service: size.build(deployment.Service),
+		Nodes:   deployment.Nodes,
 		Zones:   size.firm.zones,
 		Network: cluster.Network{
 			Delay:       size.firm.delay,
@@ -94,16 +95,16 @@
 			IdleTimeout: idleTimeout,
 		},
 		Reports: cluster.Reports{
-			Lag:    milliseconds(workload.ReportLagMS),
-			Period: milliseconds(workload.ReportPeriodMS),
+			Lag:    milliseconds(deployment.ReportLagMS),
+			Period: milliseconds(deployment.ReportPeriodMS),
 		},
 		ServiceTime: cluster.Distribution{
-			Name:  workload.ServiceTime.Distribution,
-			Mean:  milliseconds(workload.ServiceTime.MeanMS),
-			Sigma: workload.ServiceTime.Sigma,
-			Shape: workload.ServiceTime.Shape,
+			Name:  deployment.ServiceTime.Distribution,
+			Mean:  milliseconds(deployment.ServiceTime.MeanMS),
+			Sigma: deployment.ServiceTime.Sigma,
+			Shape: deployment.ServiceTime.Shape,
 		},
-		QueuePerSlot: workload.QueuePerSlot,
+		QueuePerSlot: deployment.QueuePerSlot,
 		Load:         workload.Load,
 		Duration:     milliseconds(f.DurationMS),
 		Warmup:       milliseconds(f.WarmupMS),
--- /dev/null
+++ b/lab/experiment/table.go
@@ -0,0 +1,164 @@
+package experiment
+
+import (
+	"encoding/csv"
+	"fmt"
+	"io"
+	"sort"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+)
+
+const percent = 100
+
+// WriteTable writes the results for readers: one table per workload and fault
+// set, and the differences from the reference.
+func WriteTable(out io.Writer, file *File, cells []*Cell) error {
+	for _, block := range blocks(cells) {
+		if err := writeBlock(out, file, block); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// blocks groups cells of the same workload and fault set.
+func blocks(cells []*Cell) [][]*Cell {
+	var grouped [][]*Cell
+	for _, cell := range cells {
+		last := len(grouped) - 1
+		if last >= 0 && grouped[last][0].Workload == cell.Workload && grouped[last][0].Fault == cell.Fault {
+			grouped[last] = append(grouped[last], cell)
+			continue
+		}
+		grouped = append(grouped, []*Cell{cell})
+	}
+	return grouped
+}
+
+func writeBlock(out io.Writer, file *File, block []*Cell) error {
+	fmt.Fprintf(out, "\n%s / %s   (%d seeds from %d; latency in ms, shares in %%)\n",
+		block[0].Workload, block[0].Fault, file.Seeds.Count, file.Seeds.First)
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "policy\tclass\tp50\tp90\tp99\tp99.9\tp99 least\tp99 most\tcoverage\tworst\tbelow min\trefused\tp99 - "+
+		file.Reference+" (95%)\t")
+	reference := find(block, file.Reference)
+	for _, cell := range block {
+		for index := range cell.Summary.Classes {
+			writeClass(table, cell, reference, index)
+		}
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	return writeLoads(out, block)
+}
+
+func find(block []*Cell, policy string) *Cell {
+	for _, cell := range block {
+		if cell.Policy == policy {
+			return cell
+		}
+	}
+	return nil
+}
+
+func writeClass(table io.Writer, cell, reference *Cell, index int) {
+	class := &cell.Summary.Classes[index]
+	least, most := extremes(class.Tail)
+	fmt.Fprintf(table, "%s\t%s\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.3f\t%.3f\t%.2f\t%s\t%s\t\n",
+		cell.Policy, class.Name,
+		class.Quantile(50), class.Quantile(90), class.Quantile(tailPercentile), class.Quantile(99.9),
+		least, most, percent*class.MeanCoverage(), percent*class.WorstCoverage,
+		percent*class.BelowMinimum, refusals(class), difference(cell, reference, index))
+}
+
+func extremes(values []float64) (least, most float64) {
+	least, most = values[0], values[0]
+	for _, value := range values {
+		least, most = min(least, value), max(most, value)
+	}
+	return least, most
+}
+
+// refusals formats the share of refused queries, and each reason's.
+func refusals(class *ClassSummary) string {
+	if class.RefusedShare() == 0 {
+		return "0"
+	}
+	var reasons []string
+	for reason, count := range class.Refused {
+		reasons = append(reasons, fmt.Sprintf("%s %.2f", reason, percent*float64(count)/float64(class.Arrived)))
+	}
+	sort.Strings(reasons)
+	return strings.Join(reasons, ", ")
+}
+
+func difference(cell, reference *Cell, index int) string {
+	if cell == reference {
+		return "-"
+	}
+	paired := pairedDifference(cell.Summary.Classes[index].Tail, reference.Summary.Classes[index].Tail)
+	return fmt.Sprintf("%+.2f ± %.2f", paired.Mean, paired.HalfWidth)
+}
+
+func writeLoads(out io.Writer, block []*Cell) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "policy\textra sends\textra work\twasted work\tuseful throughput\tunanswered\tfaulty\t")
+	for _, cell := range block {
+		summary := cell.Summary
+		fmt.Fprintf(table, "%s\t%.2f\t%.2f\t%.2f\t%.1f\t%d\t%d\t\n", cell.Policy,
+			percent*summary.ExtraSendShare, percent*summary.ExtraWorkShare, percent*summary.WastedWorkShare,
+			percent*summary.UsefulThroughput, summary.Unanswered, summary.Faulty)
+	}
+	return table.Flush()
+}
+
+var csvHeader = []string{
+	"workload", "fault", "policy", "class", "arrived", "ran", "useful", "refused",
+	"p50_ms", "p90_ms", "p99_ms", "p99_9_ms", "p99_least_ms", "p99_most_ms",
+	"p99_difference_ms", "p99_difference_half_width_ms",
+	"coverage_mean", "coverage_worst", "below_minimum_share",
+	"extra_send_share", "extra_work_share", "wasted_work_share", "useful_throughput",
+}
+
+// WriteCSV writes one row per cell and class.
+func WriteCSV(out io.Writer, file *File, cells []*Cell) error {
+	writer := csv.NewWriter(out)
+	if err := writer.Write(csvHeader); err != nil {
+		return err
+	}
+	for _, block := range blocks(cells) {
+		reference := find(block, file.Reference)
+		for _, cell := range block {
+			for index := range cell.Summary.Classes {
+				if err := writer.Write(csvRow(cell, reference, index)); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	writer.Flush()
+	return writer.Error()
+}
+
+func csvRow(cell, reference *Cell, index int) []string {
+	class, summary := &cell.Summary.Classes[index], cell.Summary
+	least, most := extremes(class.Tail)
+	paired := pairedDifference(class.Tail, reference.Summary.Classes[index].Tail)
+	refused := int(class.RefusedShare()*float64(class.Arrived) + 0.5)
+	row := []string{
+		cell.Workload, cell.Fault, cell.Policy, class.Name,
+		strconv.Itoa(class.Arrived), strconv.Itoa(class.Ran), strconv.Itoa(class.Useful), strconv.Itoa(refused),
+	}
+	for _, value := range []float64{
+		class.Quantile(50), class.Quantile(90), class.Quantile(tailPercentile), class.Quantile(99.9), least, most,
+		paired.Mean, paired.HalfWidth,
+		class.MeanCoverage(), class.WorstCoverage, class.BelowMinimum,
+		summary.ExtraSendShare, summary.ExtraWorkShare, summary.WastedWorkShare, summary.UsefulThroughput,
+	} {
+		row = append(row, strconv.FormatFloat(value, 'g', 6, 64))
+	}
+	return row
+}
