--- /dev/null
+++ b/backend/decode.go
@@ -0,0 +1,145 @@
+package backend
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/banksail/banksail/internal/strictjson"
+)
+
+// MaximumSnapshots bounds the snapshots that a server may list.
+const MaximumSnapshots = 1024
+
+// statusCodes gives the HTTP status code that carries each Status.
+var statusCodes = map[Status]int{
+	StatusDone:            http.StatusOK,
+	StatusShed:            http.StatusServiceUnavailable,
+	StatusDraining:        http.StatusServiceUnavailable,
+	StatusUnknownSnapshot: http.StatusConflict,
+	StatusNotOwner:        http.StatusConflict,
+	StatusInvalid:         http.StatusBadRequest,
+	StatusError:           http.StatusInternalServerError,
+}
+
+// HTTPCode returns the HTTP status code that carries the status; zero for an
+// unknown one.
+func (s Status) HTTPCode() int {
+	return statusCodes[s]
+}
+
+// Executed reports whether a reply with this status leaves open that the
+// sub-request was executed.
+func (s Status) Executed() bool {
+	return s == StatusDone || s == StatusError
+}
+
+// decodeReply checks that data is a whole reply to the request.
+func decodeReply(data []byte, code int, request *Request) (*Reply, error) {
+	reply := &Reply{}
+	if err := strictjson.Unmarshal(data, reply); err != nil {
+		return nil, fmt.Errorf("%w: HTTP status %d: %w", ErrMalformed, code, err)
+	}
+	if err := reply.validate(code); err != nil {
+		return nil, err
+	}
+	if reply.AttemptID != request.AttemptID {
+		return nil, fmt.Errorf("%w: it is for attempt %q, not %q", ErrMalformed, reply.AttemptID, request.AttemptID)
+	}
+	if reply.Status != StatusDone {
+		return reply, nil
+	}
+	if *reply.Snapshot != request.Snapshot {
+		return nil, fmt.Errorf("%w: its snapshot is %d, not %d", ErrMalformed, *reply.Snapshot, request.Snapshot)
+	}
+	if *reply.Range != request.Range {
+		return nil, fmt.Errorf("%w: its range is %s, not %s", ErrMalformed, *reply.Range, request.Range)
+	}
+	return reply, nil
+}
+
+// validate checks the reply by itself, without the request it is for.
+func (r *Reply) validate(code int) error {
+	expected := r.Status.HTTPCode()
+	switch {
+	case expected == 0:
+		return fmt.Errorf("%w: unknown status %q", ErrMalformed, r.Status)
+	case expected != code:
+		return fmt.Errorf("%w: status %q under HTTP status %d", ErrMalformed, r.Status, code)
+	case r.AttemptID == "":
+		return fmt.Errorf("%w: attempt_id is missing", ErrMalformed)
+	case r.RetryAfterMilliseconds < 0:
+		return fmt.Errorf("%w: retry_after_ms is negative", ErrMalformed)
+	case len(r.Snapshots) > MaximumSnapshots:
+		return fmt.Errorf("%w: over %d snapshots", ErrMalformed, MaximumSnapshots)
+	}
+	if r.Load != nil {
+		if err := r.Load.validate(); err != nil {
+			return err
+		}
+	}
+	if r.Status != StatusDone {
+		return nil
+	}
+	return r.validateResult()
+}
+
+// validateResult checks the fields that a reply with StatusDone must have.
+func (r *Reply) validateResult() error {
+	switch {
+	case r.Snapshot == nil:
+		return fmt.Errorf("%w: snapshot is missing", ErrMalformed)
+	case r.Range == nil:
+		return fmt.Errorf("%w: range is missing", ErrMalformed)
+	case len(r.Body) == 0:
+		return fmt.Errorf("%w: body is missing", ErrMalformed)
+	}
+	if err := r.Range.Validate(); err != nil {
+		return fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	return nil
+}
+
+func (l *Load) validate() error {
+	switch {
+	case l.InFlight < 0:
+		return fmt.Errorf("%w: load.in_flight is negative", ErrMalformed)
+	case l.Queued < 0:
+		return fmt.Errorf("%w: load.queued is negative", ErrMalformed)
+	case len(l.Snapshots) > MaximumSnapshots:
+		return fmt.Errorf("%w: over %d snapshots", ErrMalformed, MaximumSnapshots)
+	}
+	return nil
+}
+
+func decodeHealth(data []byte, code int) (*Health, error) {
+	if code != http.StatusOK {
+		return nil, fmt.Errorf("%w: HTTP status %d", ErrMalformed, code)
+	}
+	health := &Health{}
+	if err := strictjson.Unmarshal(data, health); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	switch health.State {
+	case HealthStarting, HealthReady, HealthDraining:
+	default:
+		return nil, fmt.Errorf("%w: unknown state %q", ErrMalformed, health.State)
+	}
+	if len(health.Snapshots) > MaximumSnapshots {
+		return nil, fmt.Errorf("%w: over %d snapshots", ErrMalformed, MaximumSnapshots)
+	}
+	return health, nil
+}
+
+func decodeLoad(data []byte, code int) (*Load, error) {
+	if code != http.StatusOK {
+		return nil, fmt.Errorf("%w: HTTP status %d", ErrMalformed, code)
+	}
+	load := &Load{}
+	if err := strictjson.Unmarshal(data, load); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	if err := load.validate(); err != nil {
+		return nil, err
+	}
+	return load, nil
+}
--- /dev/null
+++ b/backend/pool.go
@@ -0,0 +1,79 @@
+package backend
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/banksail/banksail/internal/delivery"
+)
+
+// pool holds the connections to one server under one bound.
+type pool struct {
+	transport *http.Transport
+	bound     int
+
+	// mutex guards the fields below. Invariant: a retired pool takes no new
+	// request, and its connections close as its requests end.
+	mutex    sync.Mutex
+	inFlight int
+	retired  bool
+}
+
+// acquire returns the server's pool, replacing it when its bound changed. The
+// caller must release it.
+func (c *Client) acquire(address string) *pool {
+	bound := max(1, c.options.ConnectionsPerServer(address))
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	open, ok := c.pools[address]
+	if ok && open.bound != bound {
+		open.retire()
+		ok = false
+	}
+	if !ok {
+		open = c.newPool(bound)
+		c.pools[address] = open
+	}
+	open.mutex.Lock()
+	defer open.mutex.Unlock()
+	open.inFlight++
+	return open
+}
+
+func (c *Client) newPool(bound int) *pool {
+	return &pool{
+		bound: bound,
+		transport: &http.Transport{
+			DialContext:            delivery.WrapDial(c.dial),
+			MaxConnsPerHost:        bound,
+			MaxIdleConnsPerHost:    bound,
+			IdleConnTimeout:        c.options.IdleTimeout,
+			MaxResponseHeaderBytes: maximumHeaderBytes,
+			DisableCompression:     true,
+		},
+	}
+}
+
+func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.options.DialTimeout)
+	defer cancel()
+	return c.options.Dial(ctx, network, address)
+}
+
+func (p *pool) release() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.inFlight--
+	if p.retired {
+		p.transport.CloseIdleConnections()
+	}
+}
+
+func (p *pool) retire() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.retired = true
+	p.transport.CloseIdleConnections()
+}
--- /dev/null
+++ b/cmd/banksail-lab/backends.go
@@ -0,0 +1,164 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net"
+	"path"
+	"strconv"
+	"time"
+
+	"github.com/google/subcommands"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/banksail/banksail/coverage"
+	"github.com/banksail/banksail/lab/emulator"
+	"github.com/banksail/banksail/lab/profile"
+	"github.com/banksail/banksail/policy"
+)
+
+// backendsCommand serves the back ends of a profile in one process.
+type backendsCommand struct {
+	placement   placementFlags
+	only        string
+	seed        uint64
+	snapshots   int
+	serviceMean float64
+}
+
+// Name returns the subcommand's name.
+func (*backendsCommand) Name() string { return "backends" }
+
+// Synopsis returns one line of help.
+func (*backendsCommand) Synopsis() string { return "serve the back ends of a profile" }
+
+// Usage returns the help.
+func (*backendsCommand) Usage() string {
+	return `backends [flags]:
+  Serve the back ends of a profile in one process, one port each, until a signal.
+  Each takes fault switches at POST /v1/faults and shows its execution history
+  at GET /v1/executions.
+
+  Example: banksail-lab backends --profile small --base-port 21000
+
+`
+}
+
+// SetFlags declares the flags.
+func (c *backendsCommand) SetFlags(flags *flag.FlagSet) {
+	c.placement.register(flags)
+	flags.StringVar(&c.only, "only", "*", "pattern of the server IDs to serve, as in path.Match")
+	flags.Uint64Var(&c.seed, "seed", 1, "seed of service times and faults")
+	flags.IntVar(&c.snapshots, "snapshots", 1, "number of snapshots held: 1 to this")
+	flags.Float64Var(&c.serviceMean, "service-ms", 0, "mean service time in milliseconds; 0 keeps the profile's")
+}
+
+// Execute runs the subcommand.
+func (c *backendsCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := noArguments(flags); err != nil {
+		return finish(err)
+	}
+	return finish(c.run(ctx))
+}
+
+func (c *backendsCommand) run(ctx context.Context) error {
+	chosen, config, err := c.placement.load()
+	if err != nil {
+		return err
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	count := 0
+	for _, service := range config.Services {
+		tier, _ := chosen.Tier(service.Name)
+		started, err := c.startService(ctx, group, chosen, tier, service)
+		if err != nil {
+			return err
+		}
+		count += started
+	}
+	fmt.Printf("serving %d back ends of profile %s\n", count, chosen.Name)
+	return group.Wait()
+}
+
+// startService starts the chosen servers of one service.
+func (c *backendsCommand) startService(
+	ctx context.Context, group *errgroup.Group, chosen profile.Profile, tier profile.Tier, service policy.Service,
+) (int, error) {
+	count := 0
+	for _, shard := range service.Groups {
+		for _, member := range shard.Servers {
+			matched, err := path.Match(c.only, member.ID)
+			if err != nil {
+				return 0, fmt.Errorf("--only: %w", err)
+			}
+			if !matched {
+				continue
+			}
+			options := c.serverOptions(chosen, tier, shard, member)
+			options.Service = service.Name
+			if err := startServer(ctx, group, member.Address, options); err != nil {
+				return 0, err
+			}
+			count++
+		}
+	}
+	return count, nil
+}
+
+func (c *backendsCommand) serverOptions(
+	chosen profile.Profile, tier profile.Tier, shard policy.Group, member policy.Server,
+) emulator.ServerOptions {
+	serviceTime := tier.ServiceTime
+	if c.serviceMean > 0 {
+		serviceTime.Mean = policy.Milliseconds(c.serviceMean)
+		serviceTime.Maximum = 0
+	}
+	return emulator.ServerOptions{
+		ID:              member.ID,
+		Ranges:          []coverage.Range{shard.Range},
+		Snapshots:       snapshotsUpTo(c.snapshots),
+		Slots:           member.Slots,
+		Connections:     member.Connections,
+		ConnectionSetup: chosen.Network.NewConnection,
+		ServiceTime:     serviceTime,
+		Incarnation:     strconv.FormatInt(time.Now().UnixNano(), 36),
+		Seed:            c.seed + hashID(member.ID),
+	}
+}
+
+func startServer(ctx context.Context, group *errgroup.Group, address string, options emulator.ServerOptions) error {
+	server, err := emulator.NewServer(options)
+	if err != nil {
+		return err
+	}
+	return serve(ctx, group, address, server)
+}
+
+// standIn is what the stand-ins have in common.
+type standIn interface {
+	Serve(listener net.Listener) error
+	Close() error
+}
+
+// serve listens at the address and serves until the context ends.
+func serve(ctx context.Context, group *errgroup.Group, address string, server standIn) error {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	group.Go(func() error { return server.Serve(listener) })
+	group.Go(func() error {
+		<-ctx.Done()
+		return server.Close()
+	})
+	return nil
+}
+
+func snapshotsUpTo(count int) []uint64 {
+	snapshots := make([]uint64, 0, max(1, count))
+	for index := range max(1, count) {
+		snapshots = append(snapshots, uint64(index+1))
+	}
+	return snapshots
+}
--- /dev/null
+++ b/cmd/banksail-lab/common.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/google/subcommands"
+
+	"github.com/banksail/banksail/lab/profile"
+	"github.com/banksail/banksail/policy"
+)
+
+// errUnexpectedArgument: a subcommand was given something that is no flag.
+var errUnexpectedArgument = errors.New("unexpected argument")
+
+// placementFlags are the flags that pick a profile and its addresses.
+type placementFlags struct {
+	name     string
+	host     string
+	basePort int
+}
+
+func (f *placementFlags) register(flags *flag.FlagSet) {
+	flags.StringVar(&f.name, "profile", profile.Small, "profile: "+strings.Join(profile.Names(), ", "))
+	flags.StringVar(&f.host, "host", profile.DefaultHost, "IP number of the back ends")
+	flags.IntVar(&f.basePort, "base-port", profile.DefaultBasePort, "port of the first back end; the others follow")
+}
+
+// load returns the profile and its configuration.
+func (f *placementFlags) load() (profile.Profile, policy.Config, error) {
+	chosen, err := profile.Get(f.name)
+	if err != nil {
+		return profile.Profile{}, policy.Config{}, err
+	}
+	config, err := chosen.Config(profile.Placement{Host: f.host, BasePort: f.basePort})
+	return chosen, config, err
+}
+
+// finish prints an error and returns the command's exit status.
+func finish(err error) subcommands.ExitStatus {
+	if err == nil {
+		return subcommands.ExitSuccess
+	}
+	fmt.Fprintln(os.Stderr, "banksail-lab:", err)
+	if errors.Is(err, errUnexpectedArgument) {
+		return subcommands.ExitUsageError
+	}
+	return subcommands.ExitFailure
+}
+
+// noArguments refuses arguments that are no flags.
+func noArguments(flags *flag.FlagSet) error {
+	if flags.NArg() == 0 {
+		return nil
+	}
+	return fmt.Errorf("%w: %q", errUnexpectedArgument, flags.Arg(0))
+}
+
+// stringList is a flag that may be given several times.
+type stringList []string
+
+// String joins the values.
+func (l *stringList) String() string {
+	return strings.Join(*l, ",")
+}
+
+// Set adds a value.
+func (l *stringList) Set(value string) error {
+	*l = append(*l, value)
+	return nil
+}
--- /dev/null
+++ b/cmd/banksail-lab/machines.go
@@ -0,0 +1,120 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"net"
+	"strings"
+
+	"github.com/google/subcommands"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/banksail/banksail/lab/emulator"
+	"github.com/banksail/banksail/machinelist"
+	"github.com/banksail/banksail/policy"
+)
+
+// errInvalidNode: a --node that is not ID=ADDRESS or ID=ADDRESS@ZONE.
+var errInvalidNode = errors.New("--node must be ID=IP:PORT or ID=IP:PORT@ZONE")
+
+// machinesCommand serves the machine list.
+type machinesCommand struct {
+	placement placementFlags
+	address   string
+	nodes     stringList
+	empty     bool
+}
+
+// Name returns the subcommand's name.
+func (*machinesCommand) Name() string { return "machines" }
+
+// Synopsis returns one line of help.
+func (*machinesCommand) Synopsis() string { return "serve the machine list" }
+
+// Usage returns the help.
+func (*machinesCommand) Usage() string {
+	return `machines [flags]:
+  Serve the machine list, with the servers of a profile and the given nodes,
+  until a signal. PUT and DELETE of /v1/machines/{id} change it.
+
+  Example: banksail-lab machines --address 127.0.0.1:20002 --profile small \
+             --node n1=127.0.0.1:20103@zone-a --node n2=127.0.0.1:20203@zone-b
+
+`
+}
+
+// SetFlags declares the flags.
+func (c *machinesCommand) SetFlags(flags *flag.FlagSet) {
+	c.placement.register(flags)
+	flags.StringVar(&c.address, "address", "127.0.0.1:20002", "IP number and port to listen on")
+	flags.Var(&c.nodes, "node", "a node as ID=IP:PORT@ZONE; may be given several times")
+	flags.BoolVar(&c.empty, "no-servers", false, "leave the profile's servers out")
+}
+
+// Execute runs the subcommand.
+func (c *machinesCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := noArguments(flags); err != nil {
+		return finish(err)
+	}
+	machines, err := c.machines()
+	if err != nil {
+		return finish(err)
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	if err := serve(ctx, group, c.address, emulator.NewMachineListServer(machines...)); err != nil {
+		return finish(err)
+	}
+	fmt.Printf("serving a list of %d machines at %s\n", len(machines), c.address)
+	return finish(group.Wait())
+}
+
+func (c *machinesCommand) machines() ([]machinelist.Machine, error) {
+	var machines []machinelist.Machine
+	for _, text := range c.nodes {
+		node, err := parseNode(text)
+		if err != nil {
+			return nil, err
+		}
+		machines = append(machines, node)
+	}
+	if c.empty {
+		return machines, nil
+	}
+	_, config, err := c.placement.load()
+	if err != nil {
+		return nil, err
+	}
+	return append(machines, serverMachines(config)...), nil
+}
+
+// serverMachines lists the servers of a configuration.
+func serverMachines(config policy.Config) []machinelist.Machine {
+	var machines []machinelist.Machine
+	for _, service := range config.Services {
+		for _, group := range service.Groups {
+			for _, server := range group.Servers {
+				machines = append(machines, machinelist.Machine{
+					ID: server.ID, Address: server.Address, Zone: server.Zone,
+					Role: machinelist.RoleServer, State: machinelist.StateLive,
+				})
+			}
+		}
+	}
+	return machines
+}
+
+func parseNode(text string) (machinelist.Machine, error) {
+	id, rest, ok := strings.Cut(text, "=")
+	if !ok || id == "" {
+		return machinelist.Machine{}, fmt.Errorf("%w: %q", errInvalidNode, text)
+	}
+	address, zone, _ := strings.Cut(rest, "@")
+	if _, _, err := net.SplitHostPort(address); err != nil {
+		return machinelist.Machine{}, fmt.Errorf("%w: %q: %w", errInvalidNode, text, err)
+	}
+	return machinelist.Machine{
+		ID: id, Address: address, Zone: zone, Role: machinelist.RoleNode, State: machinelist.StateLive,
+	}, nil
+}
--- /dev/null
+++ b/cmd/banksail-lab/main.go
@@ -0,0 +1,34 @@
+// Command banksail-lab runs stand-ins for the peers of a node, experiments and
+// traces.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+	"os/signal"
+	"path"
+	"syscall"
+
+	"github.com/google/subcommands"
+)
+
+func main() {
+	commander := subcommands.NewCommander(flag.CommandLine, path.Base(os.Args[0]))
+	register(commander)
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	status := commander.Execute(ctx)
+	stop()
+	os.Exit(int(status))
+}
+
+func register(commander *subcommands.Commander) {
+	commander.Register(commander.HelpCommand(), "")
+	commander.Register(commander.FlagsCommand(), "")
+	commander.Register(commander.CommandsCommand(), "")
+	commander.Register(&backendsCommand{}, "stand-ins")
+	commander.Register(&storeCommand{}, "stand-ins")
+	commander.Register(&machinesCommand{}, "stand-ins")
+	commander.Register(&profileCommand{}, "stand-ins")
+}
--- /dev/null
+++ b/cmd/banksail-lab/store.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+
+	"github.com/google/subcommands"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/banksail/banksail/lab/emulator"
+	"github.com/banksail/banksail/store"
+)
+
+// storeCommand serves a key-value service in memory.
+type storeCommand struct {
+	address string
+	rate    float64
+}
+
+// Name returns the subcommand's name.
+func (*storeCommand) Name() string { return "store" }
+
+// Synopsis returns one line of help.
+func (*storeCommand) Synopsis() string { return "serve the key-value service" }
+
+// Usage returns the help.
+func (*storeCommand) Usage() string {
+	return `store [flags]:
+  Serve the key-value service, in memory, until a signal.
+
+  Example: banksail-lab store --address 127.0.0.1:20001
+
+`
+}
+
+// SetFlags declares the flags.
+func (c *storeCommand) SetFlags(flags *flag.FlagSet) {
+	flags.StringVar(&c.address, "address", "127.0.0.1:20001", "IP number and port to listen on")
+	flags.Float64Var(&c.rate, "rate", 0, "calls a second that are served; 0 means no bound")
+}
+
+// Execute runs the subcommand.
+func (c *storeCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := noArguments(flags); err != nil {
+		return finish(err)
+	}
+	memory := store.NewMemory(store.MemoryOptions{})
+	memory.SetFaults(store.MemoryFaults{CallsPerSecond: c.rate})
+	group, ctx := errgroup.WithContext(ctx)
+	if err := serve(ctx, group, c.address, emulator.NewStoreServer(memory)); err != nil {
+		return finish(err)
+	}
+	fmt.Printf("serving the key-value service at %s\n", c.address)
+	return finish(group.Wait())
+}
--- /dev/null
+++ b/lab/emulator/items.go
@@ -0,0 +1,47 @@
+package emulator
+
+import (
+	"encoding/json"
+
+	"github.com/banksail/banksail/coverage"
+)
+
+// DefaultItemStride is the distance of the keys that hold an item.
+const DefaultItemStride = 1024
+
+// maximumItems bounds the items of one result.
+const maximumItems = 4096
+
+// Item is one entry of a result. Its snapshot lets a checker see that all
+// parts of an answer come from one snapshot.
+type Item struct {
+	Key      uint64 `json:"key"`
+	Snapshot uint64 `json:"snapshot"`
+}
+
+// Result is the body of a reply to a query.
+type Result struct {
+	RequestID string `json:"request_id"`
+	Server    string `json:"server"`
+	Items     []Item `json:"items"`
+}
+
+// Items lists what a range holds in a snapshot: an item at each multiple of
+// the stride. The union of the items of adjacent ranges is the items of their
+// union.
+func Items(keys coverage.Range, snapshot, stride uint64) []Item {
+	items := []Item{}
+	first := keys.Start + (stride-keys.Start%stride)%stride
+	for key := first; key >= keys.Start && key < keys.End && len(items) < maximumItems; key += stride {
+		items = append(items, Item{Key: key, Snapshot: snapshot})
+	}
+	return items
+}
+
+func encodeResult(result Result) json.RawMessage {
+	data, err := json.Marshal(result)
+	if err != nil {
+		return json.RawMessage(`null`)
+	}
+	return data
+}
--- /dev/null
+++ b/lab/emulator/listener.go
@@ -0,0 +1,136 @@
+package emulator
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Timeouts of the stand-ins' HTTP servers.
+const (
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+)
+
+// limitedListener closes connections above a limit at once and delays the
+// first read of the others.
+type limitedListener struct {
+	net.Listener
+	limit int
+	setup time.Duration
+
+	// mutex guards open, the number of connections accepted and not closed.
+	mutex sync.Mutex
+	open  int
+}
+
+func newLimitedListener(inner net.Listener, limit int, setup time.Duration) *limitedListener {
+	return &limitedListener{Listener: inner, limit: limit, setup: setup}
+}
+
+// Accept returns the next connection within the limit.
+func (l *limitedListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.enter() {
+			return &limitedConn{Conn: conn, listener: l}, nil
+		}
+		_ = conn.Close()
+	}
+}
+
+func (l *limitedListener) enter() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.limit > 0 && l.open >= l.limit {
+		return false
+	}
+	l.open++
+	return true
+}
+
+func (l *limitedListener) leave() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.open--
+}
+
+// limitedConn is one accepted connection.
+type limitedConn struct {
+	net.Conn
+	listener *limitedListener
+	first    sync.Once
+	closed   sync.Once
+}
+
+// Read delays the first read by the setup time.
+func (c *limitedConn) Read(buffer []byte) (int, error) {
+	c.first.Do(func() {
+		if c.listener.setup > 0 {
+			time.Sleep(c.listener.setup)
+		}
+	})
+	return c.Conn.Read(buffer)
+}
+
+// Close frees the connection's place.
+func (c *limitedConn) Close() error {
+	c.closed.Do(c.listener.leave)
+	return c.Conn.Close()
+}
+
+// lifetime owns the HTTP servers of a stand-in.
+type lifetime struct {
+	// mutex guards the fields below. Invariant: after closed is set, no server
+	// is added.
+	mutex   sync.Mutex
+	closed  bool
+	servers []*http.Server
+}
+
+func newLifetime() *lifetime {
+	return &lifetime{}
+}
+
+// serve serves the listener until close; it returns nil then.
+func (l *lifetime) serve(handler http.Handler, listener net.Listener) error {
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+	}
+	if !l.add(server) {
+		return listener.Close()
+	}
+	err := server.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func (l *lifetime) add(server *http.Server) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.closed {
+		return false
+	}
+	l.servers = append(l.servers, server)
+	return true
+}
+
+func (l *lifetime) close() error {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.closed = true
+	var problems []error
+	for _, server := range l.servers {
+		problems = append(problems, server.Close())
+	}
+	return errors.Join(problems...)
+}
--- /dev/null
+++ b/lab/emulator/load.go
@@ -0,0 +1,95 @@
+package emulator
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/banksail/banksail/backend"
+)
+
+// maximumLoadSamples bounds what is kept for lagging reports.
+const maximumLoadSamples = 4096
+
+// loadHistory keeps earlier loads, so that reports can lag.
+type loadHistory struct {
+	// mutex guards samples, which are in the order of their times.
+	mutex   sync.Mutex
+	samples []loadSample
+}
+
+type loadSample struct {
+	at   time.Time
+	load backend.Load
+}
+
+func (h *loadHistory) add(at time.Time, load backend.Load) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.samples = append(h.samples, loadSample{at: at, load: load})
+	if len(h.samples) > maximumLoadSamples {
+		h.samples = append([]loadSample(nil), h.samples[maximumLoadSamples/2:]...)
+	}
+}
+
+// before returns the newest load that is not younger than the given time; a
+// server without one was idle.
+func (h *loadHistory) before(at time.Time) backend.Load {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	for index := len(h.samples) - 1; index >= 0; index-- {
+		if !h.samples[index].at.After(at) {
+			return h.samples[index].load
+		}
+	}
+	return backend.Load{}
+}
+
+// reportedLoad is the server's account of its load, with lag and lie.
+func (s *Server) reportedLoad(faults ServerFaults) *backend.Load {
+	running, queued := s.slots.counts()
+	now := time.Now()
+	load := backend.Load{InFlight: running, Queued: queued}
+	s.loads.add(now, load)
+	if faults.LoadLagMilliseconds > 0 {
+		load = s.loads.before(now.Add(-durationOf(faults.LoadLagMilliseconds)))
+	}
+	if faults.LoadFactor > 0 {
+		load.InFlight = int(float64(load.InFlight) * faults.LoadFactor)
+		load.Queued = int(float64(load.Queued) * faults.LoadFactor)
+	}
+	load.Snapshots = s.snapshots(faults)
+	return &load
+}
+
+func (s *Server) serveLoad(writer http.ResponseWriter, request *http.Request) {
+	if err := s.waitThawed(request.Context()); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(writer, http.StatusOK, s.reportedLoad(s.Faults()))
+}
+
+func (s *Server) serveHealth(writer http.ResponseWriter, request *http.Request) {
+	if err := s.waitThawed(request.Context()); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	faults := s.Faults()
+	writeJSON(writer, http.StatusOK, backend.Health{
+		State:       s.healthState(faults),
+		Incarnation: s.options.Incarnation,
+		Snapshots:   s.snapshots(faults),
+	})
+}
+
+func (s *Server) healthState(faults ServerFaults) backend.HealthState {
+	switch {
+	case faults.HealthState != "":
+		return faults.HealthState
+	case faults.Draining:
+		return backend.HealthDraining
+	case time.Since(s.started) < s.options.ColdStart:
+		return backend.HealthStarting
+	default:
+		return backend.HealthReady
+	}
+}
--- /dev/null
+++ b/lab/emulator/machines.go
@@ -0,0 +1,278 @@
+package emulator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+
+	"github.com/banksail/banksail/internal/strictjson"
+	"github.com/banksail/banksail/machinelist"
+)
+
+const maximumMachineBytes = 4 << 10
+
+// MachineListFaults switches faults of a machine list. The zero value has none.
+type MachineListFaults struct {
+	// Down makes reads fail with 503.
+	Down bool `json:"down"`
+	// LagMilliseconds makes what reads show that old.
+	LagMilliseconds float64 `json:"lag_ms" validate:"min=0,max=600000"`
+	// KeepGone goes on naming machines as live after they were removed.
+	KeepGone bool `json:"keep_gone"`
+	// Empty answers with no machines.
+	Empty bool `json:"empty"`
+}
+
+// MachineListServer is the machine list's stand-in. PUT and DELETE of
+// /v1/machines/{id} change it.
+type MachineListServer struct {
+	mux      *http.ServeMux
+	ended    *lifetime
+	validate *validator.Validate
+
+	// mutex guards the fields below. Invariant: versions are in order, each
+	// newer than the one before, and changed is closed and replaced with each
+	// change of versions or faults.
+	mutex    sync.Mutex
+	versions []listVersion
+	faults   MachineListFaults
+	changed  chan struct{}
+}
+
+// listVersion is the list as it was from a time on.
+type listVersion struct {
+	since time.Time
+	list  machinelist.List
+}
+
+// maximumVersions bounds the old versions kept for lagging reads.
+const maximumVersions = 1024
+
+// NewMachineListServer returns a list of the given machines.
+func NewMachineListServer(machines ...machinelist.Machine) *MachineListServer {
+	if machines == nil {
+		machines = []machinelist.Machine{}
+	}
+	server := &MachineListServer{
+		mux:      http.NewServeMux(),
+		ended:    newLifetime(),
+		validate: newValidator(),
+		changed:  make(chan struct{}),
+		versions: []listVersion{{list: machinelist.List{Version: 1, Machines: slices.Clone(machines)}}},
+	}
+	server.mux.HandleFunc("GET "+machinelist.Path, server.getList)
+	server.mux.HandleFunc("PUT "+machinelist.Path+"/{id}", server.putMachine)
+	server.mux.HandleFunc("DELETE "+machinelist.Path+"/{id}", server.deleteMachine)
+	server.mux.Handle(FaultsPath, faultsHandler[MachineListFaults]{
+		validate: newValidator(), get: server.Faults, set: server.SetFaults,
+	})
+	return server
+}
+
+// ServeHTTP serves the list's protocol, its changes and the fault switches.
+func (s *MachineListServer) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	s.mux.ServeHTTP(writer, request)
+}
+
+// Serve serves connections of the listener until the server is closed.
+func (s *MachineListServer) Serve(listener net.Listener) error {
+	return s.ended.serve(s, listener)
+}
+
+// Close ends Serve and cuts its connections.
+func (s *MachineListServer) Close() error {
+	return s.ended.close()
+}
+
+// Faults returns the fault switches.
+func (s *MachineListServer) Faults() MachineListFaults {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.faults
+}
+
+// SetFaults replaces the fault switches.
+func (s *MachineListServer) SetFaults(faults MachineListFaults) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.faults = faults
+	s.notify()
+}
+
+// Upsert adds a machine or replaces the one with its ID.
+func (s *MachineListServer) Upsert(machine machinelist.Machine) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	machines := slices.Clone(s.newest().Machines)
+	index := slices.IndexFunc(machines, func(known machinelist.Machine) bool { return known.ID == machine.ID })
+	if index < 0 {
+		machines = append(machines, machine)
+	} else {
+		machines[index] = machine
+	}
+	s.advance(machines)
+}
+
+// Remove takes a machine out; it reports whether the list had it. With the
+// KeepGone fault the list goes on naming it.
+func (s *MachineListServer) Remove(id string) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	machines := slices.Clone(s.newest().Machines)
+	kept := slices.DeleteFunc(machines, func(known machinelist.Machine) bool { return known.ID == id })
+	if len(kept) == len(s.newest().Machines) {
+		return false
+	}
+	if !s.faults.KeepGone {
+		s.advance(kept)
+	}
+	return true
+}
+
+func (s *MachineListServer) newest() machinelist.List {
+	return s.versions[len(s.versions)-1].list
+}
+
+// advance appends a version; mutex is held.
+func (s *MachineListServer) advance(machines []machinelist.Machine) {
+	list := machinelist.List{Version: s.newest().Version + 1, Machines: machines}
+	s.versions = append(s.versions, listVersion{since: time.Now(), list: list})
+	if excess := len(s.versions) - maximumVersions; excess > 0 {
+		s.versions = slices.Clone(s.versions[excess:])
+	}
+	s.notify()
+}
+
+func (s *MachineListServer) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// visible is what a read shows now: the list, the channel that tells of a
+// change, and the time until a lagging change shows; zero when none waits.
+func (s *MachineListServer) visible() (machinelist.List, <-chan struct{}, time.Duration, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.faults.Down {
+		return machinelist.List{}, nil, 0, machinelist.ErrUnavailable
+	}
+	lag := durationOf(s.faults.LagMilliseconds)
+	shown := s.versions[0]
+	next := time.Duration(0)
+	for _, version := range s.versions[1:] {
+		if left := lag - time.Since(version.since); left > 0 {
+			next = left
+			break
+		}
+		shown = version
+	}
+	list := shown.list
+	if s.faults.Empty {
+		list.Machines = []machinelist.Machine{}
+	}
+	return list, s.changed, next, nil
+}
+
+func (s *MachineListServer) getList(writer http.ResponseWriter, request *http.Request) {
+	list, err := s.readList(request)
+	switch {
+	case err == nil:
+		writeJSON(writer, http.StatusOK, list)
+	case errors.Is(err, machinelist.ErrUnchanged):
+		writer.WriteHeader(http.StatusNotModified)
+	case errors.Is(err, errInvalidRequest):
+		writeProblem(writer, http.StatusBadRequest, err)
+	case errors.Is(err, machinelist.ErrUnavailable):
+		writeProblem(writer, http.StatusServiceUnavailable, err)
+	default:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (s *MachineListServer) readList(request *http.Request) (machinelist.List, error) {
+	query := request.URL.Query()
+	if !query.Has(machinelist.AfterParameter) {
+		list, _, _, err := s.visible()
+		return list, err
+	}
+	after, wait, err := parseWatch(query, machinelist.AfterParameter, machinelist.WaitParameter, machinelist.MaximumWait)
+	if err != nil {
+		return machinelist.List{}, err
+	}
+	return s.watch(request.Context(), after, wait)
+}
+
+// watch waits until a version greater than after shows, at most wait.
+func (s *MachineListServer) watch(ctx context.Context, after uint64, wait time.Duration) (machinelist.List, error) {
+	ended := time.NewTimer(wait)
+	defer ended.Stop()
+	for {
+		list, changed, next, err := s.visible()
+		if err != nil || list.Version > after {
+			return list, err
+		}
+		if err := awaitChange(ctx, changed, next, ended.C); err != nil {
+			return machinelist.List{}, err
+		}
+	}
+}
+
+// awaitChange returns nil when it is time to look again.
+func awaitChange(ctx context.Context, changed <-chan struct{}, next time.Duration, ended <-chan time.Time) error {
+	var lagged <-chan time.Time
+	if next > 0 {
+		timer := time.NewTimer(next)
+		defer timer.Stop()
+		lagged = timer.C
+	}
+	select {
+	case <-changed:
+		return nil
+	case <-lagged:
+		return nil
+	case <-ended:
+		return machinelist.ErrUnchanged
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (s *MachineListServer) putMachine(writer http.ResponseWriter, request *http.Request) {
+	machine, err := s.decodeMachine(request)
+	if err != nil {
+		writeProblem(writer, http.StatusBadRequest, err)
+		return
+	}
+	s.Upsert(machine)
+	writeJSON(writer, http.StatusOK, machine)
+}
+
+func (s *MachineListServer) decodeMachine(request *http.Request) (machinelist.Machine, error) {
+	machine := machinelist.Machine{}
+	if err := strictjson.Decode(request.Body, maximumMachineBytes, &machine); err != nil {
+		return machine, fmt.Errorf("%w: %w", errInvalidRequest, err)
+	}
+	if err := s.validate.Struct(machine); err != nil {
+		return machine, fmt.Errorf("%w: %w", errInvalidRequest, err)
+	}
+	if machine.ID != request.PathValue("id") {
+		return machine, invalid("id", "is not the one in the path")
+	}
+	return machine, nil
+}
+
+func (s *MachineListServer) deleteMachine(writer http.ResponseWriter, request *http.Request) {
+	id := request.PathValue("id")
+	if !s.Remove(id) {
+		writeProblem(writer, http.StatusNotFound, fmt.Errorf("%w: no machine %q", errInvalidRequest, id))
+		return
+	}
+	writer.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/lab/profile/profile.go
@@ -0,0 +1,172 @@
+// Package profile describes the deployments that banksail is measured on: the
+// services with their servers, the priority classes, the network's delays and
+// the mix of queries.
+package profile
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/banksail/banksail/coverage"
+	"github.com/banksail/banksail/lab/emulator"
+	"github.com/banksail/banksail/policy"
+)
+
+// ErrUnknownProfile is returned when no profile has the name.
+var ErrUnknownProfile = errors.New("profile: unknown profile")
+
+// ErrInvalidPorts is returned when the profile's servers don't fit in the ports above the base.
+var ErrInvalidPorts = errors.New("profile: invalid base port")
+
+// Names of the profiles.
+const (
+	Small     = "small"
+	BlueMahoe = "bluemahoe"
+	Thibodeau = "thibodeau"
+)
+
+// Defaults of addresses.
+const (
+	DefaultHost     = "127.0.0.1"
+	DefaultBasePort = 21000
+
+	keySpaceEnd = 1 << 16
+	maximumPort = 65535
+)
+
+// Profile is one deployment.
+type Profile struct {
+	Name    string
+	Zones   []string
+	Network Network
+	Classes []policy.Class
+	Tiers   []Tier
+	Mix     []Share
+}
+
+// Network holds the delays of a deployment, one way.
+type Network struct {
+	SameZone      time.Duration
+	BetweenZones  time.Duration
+	Client        time.Duration
+	NewConnection time.Duration
+}
+
+// Tier is a service as a number of equal groups of equal servers.
+type Tier struct {
+	Service         string
+	Groups          int
+	ServersPerGroup int
+	Slots           int
+	Connections     int
+	ServiceTime     emulator.Distribution
+}
+
+// Share is one kind of query in the mix.
+type Share struct {
+	Service string
+	Class   string
+	// Fraction is the share of all queries.
+	Fraction   float64
+	Repeatable bool
+}
+
+// Placement gives the addresses of a profile's servers: consecutive ports from
+// a base, in the order of the configuration.
+type Placement struct {
+	Host     string
+	BasePort int
+}
+
+// Names lists the profiles.
+func Names() []string {
+	return []string{Small, BlueMahoe, Thibodeau}
+}
+
+// Get returns a profile by its name.
+func Get(name string) (Profile, error) {
+	switch name {
+	case Small:
+		return small(), nil
+	case BlueMahoe:
+		return blueMahoe(), nil
+	case Thibodeau:
+		return thibodeau(), nil
+	default:
+		return Profile{}, fmt.Errorf("%w: %q; there are %v", ErrUnknownProfile, name, Names())
+	}
+}
+
+// Config returns the profile's configuration with the placement's addresses.
+func (p Profile) Config(placement Placement) (policy.Config, error) {
+	if placement.Host == "" {
+		placement.Host = DefaultHost
+	}
+	if placement.BasePort == 0 {
+		placement.BasePort = DefaultBasePort
+	}
+	if placement.BasePort < 1 || placement.BasePort+p.ServerCount()-1 > maximumPort {
+		return policy.Config{}, fmt.Errorf("%w: %d with %d servers", ErrInvalidPorts, placement.BasePort, p.ServerCount())
+	}
+	config := policy.Config{Classes: slices.Clone(p.Classes)}
+	port := placement.BasePort
+	for _, tier := range p.Tiers {
+		config.Services = append(config.Services, p.service(tier, placement.Host, port))
+		port += tier.Groups * tier.ServersPerGroup
+	}
+	return config, nil
+}
+
+// ServerCount is the number of servers of all services.
+func (p Profile) ServerCount() int {
+	count := 0
+	for _, tier := range p.Tiers {
+		count += tier.Groups * tier.ServersPerGroup
+	}
+	return count
+}
+
+// Tier returns the tier of a service.
+func (p Profile) Tier(service string) (Tier, bool) {
+	index := slices.IndexFunc(p.Tiers, func(tier Tier) bool { return tier.Service == service })
+	if index < 0 {
+		return Tier{}, false
+	}
+	return p.Tiers[index], true
+}
+
+func (p Profile) service(tier Tier, host string, port int) policy.Service {
+	space := coverage.Range{Start: 0, End: keySpaceEnd}
+	service := policy.Service{Name: tier.Service, KeySpace: space}
+	for index := range tier.Groups {
+		group := policy.Group{
+			Name:  fmt.Sprintf("g%02d", index),
+			Range: part(space, index, tier.Groups),
+		}
+		for replica := range tier.ServersPerGroup {
+			group.Servers = append(group.Servers, policy.Server{
+				ID:          fmt.Sprintf("%s-%s-r%02d", tier.Service, group.Name, replica),
+				Address:     net.JoinHostPort(host, strconv.Itoa(port)),
+				Zone:        p.Zones[(index+replica)%len(p.Zones)],
+				Slots:       tier.Slots,
+				Connections: tier.Connections,
+			})
+			port++
+		}
+		service.Groups = append(service.Groups, group)
+	}
+	return service
+}
+
+// part is one of count near-equal parts of a range.
+func part(whole coverage.Range, index, count int) coverage.Range {
+	size := whole.Size()
+	return coverage.Range{
+		Start: whole.Start + size*uint64(index)/uint64(count),
+		End:   whole.Start + size*uint64(index+1)/uint64(count),
+	}
+}
--- /dev/null
+++ b/machinelist/http.go
@@ -0,0 +1,146 @@
+package machinelist
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+
+	"github.com/banksail/banksail/internal/strictjson"
+)
+
+// The HTTP protocol of the machine list.
+const (
+	Path           = "/v1/machines"
+	AfterParameter = "after"
+	WaitParameter  = "wait_ms"
+
+	// MaximumListBytes bounds what is read of one reply.
+	MaximumListBytes = 16 << 20
+	// MaximumWait bounds one long poll.
+	MaximumWait = time.Minute
+)
+
+// Defaults of HTTPOptions.
+const (
+	DefaultTimeout = 5 * time.Second
+
+	connections        = 2
+	idleTimeout        = 90 * time.Second
+	maximumHeaderBytes = 64 << 10
+)
+
+// HTTPOptions configures a connection over HTTP. Zero fields get defaults.
+type HTTPOptions struct {
+	// Address is the machine list's IP number and port.
+	Address string
+	// Dial opens connections; the default is the operating system's TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Timeout bounds each call, for a watch in addition to its wait.
+	Timeout time.Duration
+}
+
+type httpConn struct {
+	address   string
+	timeout   time.Duration
+	transport *http.Transport
+	validate  *validator.Validate
+}
+
+// NewHTTP returns a connection to the machine list at an address.
+func NewHTTP(options HTTPOptions) Conn {
+	if options.Dial == nil {
+		options.Dial = (&net.Dialer{}).DialContext
+	}
+	if options.Timeout == 0 {
+		options.Timeout = DefaultTimeout
+	}
+	return &httpConn{
+		address: options.Address,
+		timeout: options.Timeout,
+		transport: &http.Transport{
+			DialContext:            options.Dial,
+			MaxConnsPerHost:        connections,
+			MaxIdleConnsPerHost:    connections,
+			IdleConnTimeout:        idleTimeout,
+			MaxResponseHeaderBytes: maximumHeaderBytes,
+			DisableCompression:     true,
+		},
+		validate: validator.New(validator.WithRequiredStructEnabled()),
+	}
+}
+
+func (c *httpConn) Get(ctx context.Context) (List, error) {
+	return c.read(ctx, nil, c.timeout)
+}
+
+func (c *httpConn) Watch(ctx context.Context, after uint64, wait time.Duration) (List, error) {
+	wait = min(max(wait, 0), MaximumWait)
+	query := url.Values{}
+	query.Set(AfterParameter, strconv.FormatUint(after, 10))
+	query.Set(WaitParameter, strconv.FormatInt(wait.Milliseconds(), 10))
+	list, err := c.read(ctx, query, c.timeout+wait)
+	if err != nil {
+		return List{}, err
+	}
+	if list.Version <= after {
+		return List{}, fmt.Errorf("%w: watch after version %d gave %d", ErrMalformed, after, list.Version)
+	}
+	return list, nil
+}
+
+func (c *httpConn) read(ctx context.Context, query url.Values, timeout time.Duration) (List, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	target := url.URL{Scheme: "http", Host: c.address, Path: Path, RawQuery: query.Encode()}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
+	if err != nil {
+		return List{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	response, err := c.transport.RoundTrip(request)
+	if err != nil {
+		return List{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := strictjson.Read(response.Body, MaximumListBytes)
+	if err != nil {
+		return List{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	return c.decode(data, response.StatusCode)
+}
+
+// decode checks a whole reply.
+func (c *httpConn) decode(data []byte, code int) (List, error) {
+	switch code {
+	case http.StatusOK:
+	case http.StatusNotModified:
+		return List{}, ErrUnchanged
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return List{}, fmt.Errorf("%w: HTTP status %d", ErrUnavailable, code)
+	default:
+		return List{}, fmt.Errorf("%w: HTTP status %d", ErrMalformed, code)
+	}
+	reply := reply{}
+	if err := strictjson.Unmarshal(data, &reply); err != nil {
+		return List{}, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	if reply.Version == nil || reply.Machines == nil {
+		return List{}, fmt.Errorf("%w: version or machines is missing", ErrMalformed)
+	}
+	list := List{Version: *reply.Version, Machines: *reply.Machines}
+	if err := c.validate.Struct(list); err != nil {
+		return List{}, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	return list, nil
+}
+
+// reply tells missing fields of a List from empty ones.
+type reply struct {
+	Version  *uint64    `json:"version"`
+	Machines *[]Machine `json:"machines"`
+}
--- /dev/null
+++ b/store/decode.go
@@ -0,0 +1,60 @@
+package store
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/banksail/banksail/internal/strictjson"
+)
+
+// decodeRecord reads the reply to a GET of a record.
+func decodeRecord(reply result) (Record, error) {
+	switch reply.code {
+	case http.StatusOK:
+	case http.StatusNotModified:
+		return Record{}, ErrUnchanged
+	case http.StatusNotFound:
+		return Record{}, ErrNotFound
+	case http.StatusTooManyRequests:
+		return Record{}, ErrRateLimited
+	case http.StatusServiceUnavailable:
+		return Record{}, fmt.Errorf("%w: HTTP status %d", ErrUnavailable, reply.code)
+	default:
+		return Record{}, fmt.Errorf("%w: HTTP status %d", ErrMalformed, reply.code)
+	}
+	revision, err := ParseETag(reply.header.Get("ETag"))
+	if err != nil {
+		return Record{}, err
+	}
+	return Record{Value: reply.body, Revision: revision}, nil
+}
+
+// changeError classes the HTTP status of a reply to a change; nil is success.
+// A status that the protocol does not name leaves the outcome unknown.
+func changeError(code int) error {
+	switch code {
+	case http.StatusOK, http.StatusCreated, http.StatusNoContent:
+		return nil
+	case http.StatusNotFound:
+		return ErrNotFound
+	case http.StatusConflict, http.StatusPreconditionFailed:
+		return ErrConflict
+	case http.StatusTooManyRequests:
+		return ErrRateLimited
+	case http.StatusServiceUnavailable:
+		return fmt.Errorf("%w: HTTP status %d", ErrUnavailable, code)
+	default:
+		return fmt.Errorf("%w: %w: HTTP status %d", ErrOutcomeUnknown, ErrMalformed, code)
+	}
+}
+
+func decodeGrant(body []byte) (LeaseID, error) {
+	reply := GrantReply{}
+	if err := strictjson.Unmarshal(body, &reply); err != nil {
+		return "", fmt.Errorf("%w: %w: %w", ErrOutcomeUnknown, ErrMalformed, err)
+	}
+	if err := ValidateKey(string(reply.Lease)); err != nil {
+		return "", fmt.Errorf("%w: %w: %w", ErrOutcomeUnknown, ErrMalformed, err)
+	}
+	return reply.Lease, nil
+}
--- /dev/null
+++ b/store/http.go
@@ -0,0 +1,259 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/banksail/banksail/internal/delivery"
+	"github.com/banksail/banksail/internal/strictjson"
+)
+
+// Defaults of HTTPOptions.
+const (
+	DefaultTimeout     = 5 * time.Second
+	DefaultConnections = 4
+
+	idleTimeout        = 90 * time.Second
+	maximumHeaderBytes = 64 << 10
+	millisecondsPerSec = 1000
+)
+
+// HTTPOptions configures a connection over HTTP. Zero fields get defaults.
+type HTTPOptions struct {
+	// Address is the service's IP number and port.
+	Address string
+	// Dial opens connections; the default is the operating system's TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Timeout bounds each call, for a watch in addition to its wait.
+	Timeout time.Duration
+	// Connections bounds the open connections.
+	Connections int
+}
+
+type httpConn struct {
+	address   string
+	timeout   time.Duration
+	transport *http.Transport
+}
+
+// NewHTTP returns a connection to the service at an address. It never sends a
+// change twice.
+func NewHTTP(options HTTPOptions) Conn {
+	if options.Dial == nil {
+		options.Dial = (&net.Dialer{}).DialContext
+	}
+	if options.Timeout == 0 {
+		options.Timeout = DefaultTimeout
+	}
+	if options.Connections == 0 {
+		options.Connections = DefaultConnections
+	}
+	return &httpConn{
+		address: options.Address,
+		timeout: options.Timeout,
+		transport: &http.Transport{
+			DialContext:            delivery.WrapDial(options.Dial),
+			MaxConnsPerHost:        options.Connections,
+			MaxIdleConnsPerHost:    options.Connections,
+			IdleConnTimeout:        idleTimeout,
+			MaxResponseHeaderBytes: maximumHeaderBytes,
+			DisableCompression:     true,
+		},
+	}
+}
+
+// call is one exchange with the service.
+type call struct {
+	method string
+	path   string
+	query  url.Values
+	header http.Header
+	body   []byte
+	limit  int64
+	// extra is the time that the service may hold the call back.
+	extra time.Duration
+}
+
+// result is the service's whole reply.
+type result struct {
+	code   int
+	header http.Header
+	body   []byte
+}
+
+func (c *httpConn) Get(ctx context.Context, key string) (Record, error) {
+	if err := ValidateKey(key); err != nil {
+		return Record{}, err
+	}
+	reply, err := c.do(ctx, call{method: http.MethodGet, path: RecordsPath + key, limit: MaximumValueBytes})
+	if err != nil {
+		return Record{}, readError(err)
+	}
+	return decodeRecord(reply)
+}
+
+func (c *httpConn) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (Record, error) {
+	if err := ValidateKey(key); err != nil {
+		return Record{}, err
+	}
+	wait = min(max(wait, 0), MaximumWait)
+	query := url.Values{}
+	query.Set(AfterParameter, strconv.FormatUint(after, 10))
+	query.Set(WaitParameter, strconv.FormatInt(wait.Milliseconds(), 10))
+	reply, err := c.do(ctx, call{
+		method: http.MethodGet, path: RecordsPath + key, query: query, limit: MaximumValueBytes, extra: wait,
+	})
+	if err != nil {
+		return Record{}, readError(err)
+	}
+	record, err := decodeRecord(reply)
+	if err != nil {
+		return Record{}, err
+	}
+	if record.Revision <= after {
+		return Record{}, fmt.Errorf("%w: watch after revision %d gave %d", ErrMalformed, after, record.Revision)
+	}
+	return record, nil
+}
+
+func (c *httpConn) Put(ctx context.Context, key string, value []byte, base uint64, lease LeaseID) (Record, error) {
+	if err := ValidateKey(key); err != nil {
+		return Record{}, err
+	}
+	if len(value) > MaximumValueBytes {
+		return Record{}, fmt.Errorf("%w: value over %d bytes", ErrInvalidKey, MaximumValueBytes)
+	}
+	header := http.Header{}
+	if base == 0 {
+		header.Set("If-None-Match", "*")
+	} else {
+		header.Set("If-Match", FormatETag(base))
+	}
+	query := url.Values{}
+	if lease != "" {
+		query.Set(LeaseParameter, string(lease))
+	}
+	reply, err := c.do(ctx, call{
+		method: http.MethodPut, path: RecordsPath + key, query: query, header: header, body: value, limit: MaximumLeaseBytes,
+	})
+	if err != nil {
+		return Record{}, err
+	}
+	if err := changeError(reply.code); err != nil {
+		return Record{}, err
+	}
+	revision, err := ParseETag(reply.header.Get("ETag"))
+	if err != nil {
+		return Record{}, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+	}
+	if revision <= base {
+		return Record{}, fmt.Errorf("%w: %w: swap of revision %d gave %d", ErrOutcomeUnknown, ErrMalformed, base, revision)
+	}
+	return Record{Value: value, Revision: revision}, nil
+}
+
+func (c *httpConn) Grant(ctx context.Context, timeToLive time.Duration) (LeaseID, error) {
+	body, err := json.Marshal(GrantRequest{
+		TimeToLiveMilliseconds: timeToLive.Seconds() * millisecondsPerSec,
+	})
+	if err != nil {
+		return "", fmt.Errorf("store: encoding the grant: %w", err)
+	}
+	reply, err := c.do(ctx, call{method: http.MethodPost, path: LeasesPath, body: body, limit: MaximumLeaseBytes})
+	if err != nil {
+		return "", err
+	}
+	if err := changeError(reply.code); err != nil {
+		return "", err
+	}
+	return decodeGrant(reply.body)
+}
+
+func (c *httpConn) KeepAlive(ctx context.Context, lease LeaseID) error {
+	return c.changeLease(ctx, http.MethodPut, lease)
+}
+
+func (c *httpConn) Revoke(ctx context.Context, lease LeaseID) error {
+	return c.changeLease(ctx, http.MethodDelete, lease)
+}
+
+func (c *httpConn) changeLease(ctx context.Context, method string, lease LeaseID) error {
+	if err := ValidateKey(string(lease)); err != nil {
+		return err
+	}
+	reply, err := c.do(ctx, call{method: method, path: LeasesPath + "/" + string(lease), limit: MaximumLeaseBytes})
+	if err != nil {
+		return err
+	}
+	return changeError(reply.code)
+}
+
+// do sends one call. Without a whole reply its error is ErrUnavailable when no
+// byte was written, else ErrOutcomeUnknown.
+func (c *httpConn) do(ctx context.Context, exchange call) (result, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout+exchange.extra)
+	defer cancel()
+	ctx, tracker := delivery.Track(ctx)
+	request, err := c.newRequest(ctx, exchange)
+	if err != nil {
+		return result{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	response, err := c.transport.RoundTrip(request)
+	if err != nil {
+		return result{}, unansweredError(tracker, err)
+	}
+	body, err := strictjson.Read(response.Body, exchange.limit)
+	_ = response.Body.Close()
+	if err != nil {
+		return result{}, unansweredError(tracker, err)
+	}
+	return result{code: response.StatusCode, header: response.Header, body: body}, nil
+}
+
+func (c *httpConn) newRequest(ctx context.Context, exchange call) (*http.Request, error) {
+	target := url.URL{Scheme: "http", Host: c.address, Path: exchange.path, RawQuery: exchange.query.Encode()}
+	var body io.Reader
+	if exchange.body != nil {
+		body = bytes.NewReader(exchange.body)
+	}
+	request, err := http.NewRequestWithContext(ctx, exchange.method, target.String(), body)
+	if err != nil {
+		return nil, err
+	}
+	request.GetBody = nil
+	if exchange.header != nil {
+		request.Header = exchange.header
+	}
+	return request, nil
+}
+
+func unansweredError(tracker *delivery.Tracker, err error) error {
+	if errors.Is(err, strictjson.ErrTooLarge) {
+		err = fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	if tracker.Seal() {
+		return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+	}
+	return fmt.Errorf("%w: %w", ErrUnavailable, err)
+}
+
+// readError turns the outcome of a call that changes nothing: a lost reply is
+// no more than an unavailable service.
+func readError(err error) error {
+	if errors.Is(err, ErrMalformed) {
+		return fmt.Errorf("%w: %s", ErrMalformed, err.Error())
+	}
+	if errors.Is(err, ErrOutcomeUnknown) {
+		return fmt.Errorf("%w: %s", ErrUnavailable, err.Error())
+	}
+	return err
+}
--- /dev/null
+++ b/store/memory.go
@@ -0,0 +1,322 @@
+package store
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// MemoryOptions configures a Memory. Zero fields get defaults.
+type MemoryOptions struct {
+	// Now is the clock that leases and the rate limit go by.
+	Now func() time.Time
+}
+
+// MemoryFaults switches faults of a Memory. The zero value has none.
+type MemoryFaults struct {
+	// Down makes each call fail with ErrUnavailable; nothing changes.
+	Down bool `json:"down"`
+	// DelayMilliseconds slows each call.
+	DelayMilliseconds float64 `json:"delay_ms" validate:"min=0,max=600000"`
+	// LoseReplies lets that many changes take effect with their reply lost.
+	LoseReplies int `json:"lose_replies" validate:"min=0,max=1000000"`
+	// StaleRevisions makes reads answer with the value that many revisions
+	// before the newest.
+	StaleRevisions int `json:"stale_revisions" validate:"min=0,max=16"`
+	// CallsPerSecond bounds the rate of calls, with a burst of one second; zero
+	// means no bound.
+	CallsPerSecond float64 `json:"calls_per_second" validate:"min=0,max=1000000"`
+}
+
+// historyLength is the number of old values kept of each record, for stale reads.
+const historyLength = 16
+
+// Memory is an in-memory key-value service. Its methods may be called from
+// several goroutines.
+type Memory struct {
+	now func() time.Time
+
+	// mutex guards the fields below. Invariant: revision is at least that of
+	// every record ever stored, and changed is closed and replaced with each
+	// change of a record.
+	mutex    sync.Mutex
+	revision uint64
+	records  map[string]*memoryRecord
+	leases   map[LeaseID]*memoryLease
+	leaseSeq uint64
+	changed  chan struct{}
+	faults   MemoryFaults
+	limiter  *rate.Limiter
+}
+
+type memoryRecord struct {
+	// history holds the newest value last.
+	history []Record
+	lease   LeaseID
+}
+
+type memoryLease struct {
+	timeToLive time.Duration
+	expires    time.Time
+}
+
+var _ Conn = (*Memory)(nil)
+
+// NewMemory returns an empty service.
+func NewMemory(options MemoryOptions) *Memory {
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	return &Memory{
+		now:     options.Now,
+		records: make(map[string]*memoryRecord),
+		leases:  make(map[LeaseID]*memoryLease),
+		changed: make(chan struct{}),
+	}
+}
+
+// SetFaults replaces the fault switches.
+func (m *Memory) SetFaults(faults MemoryFaults) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if faults.CallsPerSecond != m.faults.CallsPerSecond {
+		m.limiter = newLimiter(faults.CallsPerSecond)
+	}
+	m.faults = faults
+}
+
+func newLimiter(callsPerSecond float64) *rate.Limiter {
+	if callsPerSecond == 0 {
+		return nil
+	}
+	return rate.NewLimiter(rate.Limit(callsPerSecond), max(1, int(callsPerSecond)))
+}
+
+// Faults returns the fault switches.
+func (m *Memory) Faults() MemoryFaults {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.faults
+}
+
+// Get reads a record.
+func (m *Memory) Get(ctx context.Context, key string) (Record, error) {
+	if err := m.enter(ctx); err != nil {
+		return Record{}, err
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	record, ok := m.read(key)
+	if !ok {
+		return Record{}, fmt.Errorf("%w: record %q", ErrNotFound, key)
+	}
+	return record, nil
+}
+
+// Put swaps a record whose revision is base; base zero creates it.
+func (m *Memory) Put(ctx context.Context, key string, value []byte, base uint64, lease LeaseID) (Record, error) {
+	if err := m.enter(ctx); err != nil {
+		return Record{}, err
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.expire()
+	if lease != "" && m.leases[lease] == nil {
+		return Record{}, fmt.Errorf("%w: lease %q", ErrNotFound, lease)
+	}
+	if current := m.currentRevision(key); current != base {
+		return Record{}, fmt.Errorf("%w: record %q is at revision %d, not %d", ErrConflict, key, current, base)
+	}
+	record := m.write(key, value, lease)
+	return record, m.loseReply()
+}
+
+// Watch waits until the record's revision is greater than after, at most wait.
+func (m *Memory) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (Record, error) {
+	if err := m.enter(ctx); err != nil {
+		return Record{}, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		record, changed, err := m.poll(key)
+		if err != nil {
+			return Record{}, err
+		}
+		if record.Revision > after {
+			return record, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return Record{}, fmt.Errorf("%w: record %q after revision %d", ErrUnchanged, key, after)
+		case <-ctx.Done():
+			return Record{}, fmt.Errorf("%w: %w", ErrUnavailable, ctx.Err())
+		}
+	}
+}
+
+// poll reads a record and the channel that tells of the next change.
+func (m *Memory) poll(key string) (Record, <-chan struct{}, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.faults.Down {
+		return Record{}, nil, fmt.Errorf("%w: switched down", ErrUnavailable)
+	}
+	record, _ := m.read(key)
+	return record, m.changed, nil
+}
+
+// Grant creates a lease.
+func (m *Memory) Grant(ctx context.Context, timeToLive time.Duration) (LeaseID, error) {
+	if err := m.enter(ctx); err != nil {
+		return "", err
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.leaseSeq++
+	id := LeaseID(fmt.Sprintf("lease-%d", m.leaseSeq))
+	m.leases[id] = &memoryLease{timeToLive: timeToLive, expires: m.now().Add(timeToLive)}
+	return id, m.loseReply()
+}
+
+// KeepAlive renews a lease.
+func (m *Memory) KeepAlive(ctx context.Context, lease LeaseID) error {
+	if err := m.enter(ctx); err != nil {
+		return err
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.expire()
+	held, ok := m.leases[lease]
+	if !ok {
+		return fmt.Errorf("%w: lease %q", ErrNotFound, lease)
+	}
+	held.expires = m.now().Add(held.timeToLive)
+	return m.loseReply()
+}
+
+// Revoke ends a lease; its records go away.
+func (m *Memory) Revoke(ctx context.Context, lease LeaseID) error {
+	if err := m.enter(ctx); err != nil {
+		return err
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.expire()
+	if _, ok := m.leases[lease]; !ok {
+		return fmt.Errorf("%w: lease %q", ErrNotFound, lease)
+	}
+	m.drop(lease)
+	return m.loseReply()
+}
+
+// enter applies the faults that act before a call takes effect.
+func (m *Memory) enter(ctx context.Context) error {
+	m.mutex.Lock()
+	faults := m.faults
+	limiter := m.limiter
+	m.mutex.Unlock()
+	if err := sleep(ctx, milliseconds(faults.DelayMilliseconds)); err != nil {
+		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	if faults.Down {
+		return fmt.Errorf("%w: switched down", ErrUnavailable)
+	}
+	if limiter != nil && !limiter.AllowN(m.now(), 1) {
+		return ErrRateLimited
+	}
+	return nil
+}
+
+// loseReply applies the loss of a reply after the change; mutex is held.
+func (m *Memory) loseReply() error {
+	if m.faults.LoseReplies == 0 {
+		return nil
+	}
+	m.faults.LoseReplies--
+	return fmt.Errorf("%w: the reply was lost", ErrOutcomeUnknown)
+}
+
+// read returns what a read sees under the stale fault; mutex is held.
+func (m *Memory) read(key string) (Record, bool) {
+	m.expire()
+	stored, ok := m.records[key]
+	if !ok {
+		return Record{}, false
+	}
+	newest := len(stored.history) - 1
+	return stored.history[max(0, newest-m.faults.StaleRevisions)], true
+}
+
+func (m *Memory) currentRevision(key string) uint64 {
+	stored, ok := m.records[key]
+	if !ok {
+		return 0
+	}
+	return stored.history[len(stored.history)-1].Revision
+}
+
+func (m *Memory) write(key string, value []byte, lease LeaseID) Record {
+	m.revision++
+	record := Record{Value: append([]byte(nil), value...), Revision: m.revision}
+	stored := m.records[key]
+	if stored == nil {
+		stored = &memoryRecord{}
+		m.records[key] = stored
+	}
+	stored.history = append(stored.history, record)
+	if excess := len(stored.history) - historyLength - 1; excess > 0 {
+		stored.history = stored.history[excess:]
+	}
+	stored.lease = lease
+	m.notify()
+	return record
+}
+
+// expire drops the leases whose time has come; mutex is held.
+func (m *Memory) expire() {
+	now := m.now()
+	for id, lease := range m.leases {
+		if !now.Before(lease.expires) {
+			m.drop(id)
+		}
+	}
+}
+
+// drop ends a lease and removes its records; mutex is held.
+func (m *Memory) drop(id LeaseID) {
+	delete(m.leases, id)
+	for key, stored := range m.records {
+		if stored.lease == id {
+			delete(m.records, key)
+			m.notify()
+		}
+	}
+}
+
+func (m *Memory) notify() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+func milliseconds(count float64) time.Duration {
+	return time.Duration(count * float64(time.Millisecond))
+}
+
+func sleep(ctx context.Context, duration time.Duration) error {
+	if duration <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
