--- a/lab/experiment/config.go
+++ b/lab/experiment/config.go
@@ -138,14 +138,14 @@
 func Load(path string) (*File, error) {
 	info, err := os.Stat(path)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %v", ErrUnreadableFile, err)
+		return nil, fmt.Errorf("%w: %w", ErrUnreadableFile, err)
 	}
 	if info.Size() > maximumFileBytes {
 		return nil, fmt.Errorf("%w: %s is larger than %d bytes", ErrInvalidFile, path, maximumFileBytes)
 	}
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %v", ErrUnreadableFile, err)
+		return nil, fmt.Errorf("%w: %w", ErrUnreadableFile, err)
 	}
 	return Parse(text)
 }
@@ -155,7 +155,7 @@
 	file := &File{}
 	options := []yaml.DecodeOption{yaml.Strict(), yaml.Validator(validator.New())}
 	if err := yaml.UnmarshalWithOptions(text, file, options...); err != nil {
-		return nil, fmt.Errorf("%w: %v", ErrInvalidFile, err)
+		return nil, fmt.Errorf("%w: %w", ErrInvalidFile, err)
 	}
 	if err := file.checkNames(); err != nil {
 		return nil, err
@@ -180,7 +180,7 @@
 	}
 	for index, workload := range f.Workloads {
 		field := fmt.Sprintf("workloads[%d]", index)
-		if _, known := services[workload.Deployment.Service]; !known {
+		if _, known := findService(workload.Deployment.Service); !known {
 			return fmt.Errorf("%w: %s.deployment.service: no service is named %q", ErrInvalidFile, field, workload.Deployment.Service)
 		}
 		for _, name := range workload.Faults {
--- a/lab/experiment/progress.go
+++ b/lab/experiment/progress.go
@@ -14,9 +14,10 @@
 	return func(done, all int) {
 		filled := progressWidth * done / all
 		bar := strings.Repeat("#", filled) + strings.Repeat("-", progressWidth-filled)
-		fmt.Fprintf(out, "\r[%s] %d/%d runs", bar, done, all)
+		end := ""
 		if done == all {
-			fmt.Fprintln(out)
+			end = "\n"
 		}
+		_, _ = fmt.Fprintf(out, "\r[%s] %d/%d runs%s", bar, done, all, end)
 	}
 }
--- a/lab/experiment/services.go
+++ b/lab/experiment/services.go
@@ -1,97 +1,58 @@
 package experiment
 
 import (
-	"fmt"
 	"time"
 
-	"github.com/banksail/banksail/coverage"
 	"github.com/banksail/banksail/lab/experiment/cluster"
+	"github.com/banksail/banksail/lab/profile"
 	"github.com/banksail/banksail/policy"
 )
 
-// keysPerGroup is the size of each group's key range.
-const keysPerGroup = 1 << 20
+// deployed is a firm's service at today's size.
+type deployed struct {
+	firm    profile.Profile
+	service policy.Service
+}
 
 const (
-	connectTime = time.Millisecond
 	idleTimeout = 30 * time.Second
 	jitterShare = 0.1
 )
 
-// serviceSize gives the size of a firm's service today.
-type serviceSize struct {
-	groups, replicas, slots, connections int
-	firm                                 firm
-}
-
-// firm gives the zones of a firm and the one-way delay to its clients, beside
-// whom the nodes run.
-type firm struct {
-	zones []string
-	delay time.Duration
-}
-
-var (
-	blueMahoe = firm{
-		zones: []string{"kingston-a", "kingston-b", "kingston-c", "kingston-d"},
-		delay: time.Millisecond,
-	}
-	thibodeau = firm{
-		zones: []string{"new-england-a", "new-england-b", "new-england-c"},
-		delay: 3 * time.Millisecond,
-	}
-)
-
-// services lists the firms' services at today's sizes.
-var services = map[string]serviceSize{
-	"route-desk":          {groups: 8, replicas: 2, slots: 5, connections: 70, firm: blueMahoe},
-	"hotel-portal":        {groups: 12, replicas: 2, slots: 5, connections: 70, firm: blueMahoe},
-	"member-ledger":       {groups: 1, replicas: 20, slots: 2, connections: 110, firm: blueMahoe},
-	"stain-log":           {groups: 1, replicas: 10, slots: 2, connections: 110, firm: blueMahoe},
-	"solicitation-search": {groups: 8, replicas: 2, slots: 2, connections: 70, firm: thibodeau},
-	"fee-ledger":          {groups: 12, replicas: 2, slots: 2, connections: 70, firm: thibodeau},
-	"notice-tool":         {groups: 1, replicas: 5, slots: 3, connections: 110, firm: thibodeau},
-	"mailroom":            {groups: 1, replicas: 3, slots: 3, connections: 110, firm: thibodeau},
-}
-
-func (s serviceSize) build(name string) policy.Service {
-	built := policy.Service{
-		Name:     name,
-		KeySpace: coverage.Range{Start: 0, End: uint64(s.groups) * keysPerGroup},
-	}
-	for group := range s.groups {
-		start := uint64(group) * keysPerGroup
-		added := policy.Group{
-			Name:  fmt.Sprintf("group-%d", group),
-			Range: coverage.Range{Start: start, End: start + keysPerGroup},
+// findService looks a service up in the firms' profiles.
+func findService(name string) (deployed, bool) {
+	for _, firmName := range []string{profile.BlueMahoe, profile.Thibodeau} {
+		firm, err := profile.Get(firmName)
+		if err != nil {
+			continue
+		}
+		config, err := firm.Config(profile.Placement{})
+		if err != nil {
+			continue
 		}
-		for replica := range s.replicas {
-			added.Servers = append(added.Servers, policy.Server{
-				ID:          fmt.Sprintf("%s-%d-%d", name, group, replica),
-				Address:     fmt.Sprintf("127.0.0.1:%d", 10000+group*s.replicas+replica),
-				Zone:        s.firm.zones[(group+replica)%len(s.firm.zones)],
-				Slots:       s.slots,
-				Connections: s.connections,
-			})
+		for _, service := range config.Services {
+			if service.Name == name {
+				return deployed{firm: firm, service: service}, true
+			}
 		}
-		built.Groups = append(built.Groups, added)
 	}
-	return built
+	return deployed{}, false
 }
 
-// scenario builds what the simulation runs.
+// scenario builds what the simulation runs. Nodes run beside the clients, so
+// every server is the clients' delay away.
 func (f *File) scenario(workload Workload, faults FaultSet) *cluster.Scenario {
 	deployment := workload.Deployment
-	size := services[deployment.Service]
+	found, _ := findService(deployment.Service)
 	built := &cluster.Scenario{
 		Name:    workload.Name + "/" + faults.Name,
-		Service: size.build(deployment.Service),
+		Service: found.service,
 		Nodes:   deployment.Nodes,
-		Zones:   size.firm.zones,
+		Zones:   found.firm.Zones,
 		Network: cluster.Network{
-			Delay:       size.firm.delay,
+			Delay:       found.firm.Network.Client,
 			JitterShare: jitterShare,
-			ConnectTime: connectTime,
+			ConnectTime: found.firm.Network.NewConnection,
 			IdleTimeout: idleTimeout,
 		},
 		Reports: cluster.Reports{
--- a/lab/experiment/table.go
+++ b/lab/experiment/table.go
@@ -37,22 +37,50 @@
 	return grouped
 }
 
+// printer keeps the first error of what it writes.
+type printer struct {
+	out io.Writer
+	err error
+}
+
+func (p *printer) printf(format string, values ...any) {
+	if p.err == nil {
+		_, p.err = fmt.Fprintf(p.out, format, values...)
+	}
+}
+
+// tabulate writes aligned columns.
+func tabulate(out io.Writer, write func(table *printer)) error {
+	columns := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	table := &printer{out: columns}
+	write(table)
+	if table.err != nil {
+		return table.err
+	}
+	return columns.Flush()
+}
+
 func writeBlock(out io.Writer, file *File, block []*Cell) error {
-	fmt.Fprintf(out, "\n%s / %s   (%d seeds from %d; latency in ms, shares in %%)\n",
+	heading := &printer{out: out}
+	heading.printf("\n%s / %s   (%d seeds from %d; latency in ms, shares in %%)\n",
 		block[0].Workload, block[0].Fault, file.Seeds.Count, file.Seeds.First)
-	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "policy\tclass\tp50\tp90\tp99\tp99.9\tp99 least\tp99 most\tcoverage\tworst\tbelow min\trefused\tp99 - "+
-		file.Reference+" (95%)\t")
-	reference := find(block, file.Reference)
-	for _, cell := range block {
-		for index := range cell.Summary.Classes {
-			writeClass(table, cell, reference, index)
-		}
+	if heading.err != nil {
+		return heading.err
 	}
-	if err := table.Flush(); err != nil {
+	err := tabulate(out, func(table *printer) {
+		table.printf("policy\tclass\tp50\tp90\tp99\tp99.9\tp99 least\tp99 most\t"+
+			"coverage\tworst\tbelow min\trefused\tp99 - %s (95%%)\t\n", file.Reference)
+		reference := find(block, file.Reference)
+		for _, cell := range block {
+			for index := range cell.Summary.Classes {
+				writeClass(table, cell, reference, index)
+			}
+		}
+	})
+	if err != nil {
 		return err
 	}
-	return writeLoads(out, block)
+	return tabulate(out, func(table *printer) { writeLoads(table, block) })
 }
 
 func find(block []*Cell, policy string) *Cell {
@@ -64,10 +92,10 @@
 	return nil
 }
 
-func writeClass(table io.Writer, cell, reference *Cell, index int) {
+func writeClass(table *printer, cell, reference *Cell, index int) {
 	class := &cell.Summary.Classes[index]
 	least, most := extremes(class.Tail)
-	fmt.Fprintf(table, "%s\t%s\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.3f\t%.3f\t%.2f\t%s\t%s\t\n",
+	table.printf("%s\t%s\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.3f\t%.3f\t%.2f\t%s\t%s\t\n",
 		cell.Policy, class.Name,
 		class.Quantile(50), class.Quantile(90), class.Quantile(tailPercentile), class.Quantile(99.9),
 		least, most, percent*class.MeanCoverage(), percent*class.WorstCoverage,
@@ -103,16 +131,14 @@
 	return fmt.Sprintf("%+.2f ± %.2f", paired.Mean, paired.HalfWidth)
 }
 
-func writeLoads(out io.Writer, block []*Cell) error {
-	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "policy\textra sends\textra work\twasted work\tuseful throughput\tunanswered\tfaulty\t")
+func writeLoads(table *printer, block []*Cell) {
+	table.printf("policy\textra sends\textra work\twasted work\tuseful throughput\tunanswered\tfaulty\t\n")
 	for _, cell := range block {
 		summary := cell.Summary
-		fmt.Fprintf(table, "%s\t%.2f\t%.2f\t%.2f\t%.1f\t%d\t%d\t\n", cell.Policy,
+		table.printf("%s\t%.2f\t%.2f\t%.2f\t%.1f\t%d\t%d\t\n", cell.Policy,
 			percent*summary.ExtraSendShare, percent*summary.ExtraWorkShare, percent*summary.WastedWorkShare,
 			percent*summary.UsefulThroughput, summary.Unanswered, summary.Faulty)
 	}
-	return table.Flush()
 }
 
 var csvHeader = []string{
