--- a/coverage/range.go
+++ b/coverage/range.go
@@ -1,7 +1,3 @@
-// Package coverage holds key ranges and their union, from which the true
-// fraction of a key space that an answer covers is computed.
-//
-// The package has no I/O and no clock. It may be embedded on its own.
 package coverage
 
 import (
--- /dev/null
+++ b/limit/limiter.go
@@ -0,0 +1,227 @@
+package limit
+
+import (
+	"math"
+	"time"
+)
+
+// Policy tells how a Limiter finds its limit.
+type Policy int
+
+const (
+	// Adaptive learns from latencies and shed replies. It is the default.
+	Adaptive Policy = iota
+	// Fixed keeps the limit at the server's slots.
+	Fixed
+	// Unlimited sets no limit.
+	Unlimited
+)
+
+// Options sets up a Limiter. The zero value of a field stands for its default.
+type Options struct {
+	Policy Policy
+	// Minimum is the least limit; default 1.
+	Minimum int
+	// Growth bounds the limit as a multiple of the server's slots; default 1.2.
+	// Above 1 it makes up for the time that replies spend on the network.
+	Growth float64
+	// Tolerance is the ratio of a window's mean latency to the baseline above
+	// which the server counts as congested; default 1.5.
+	Tolerance float64
+	// LatencyBackoff multiplies the limit of a congested server; default 0.9.
+	LatencyBackoff float64
+	// ShedBackoff multiplies the limit after a shed reply; default 0.75.
+	ShedBackoff float64
+	// WindowSamples is the number of answers that make a window; default 20.
+	WindowSamples int
+}
+
+// Defaults of Options.
+const (
+	DefaultMinimum        = 1
+	DefaultGrowth         = 1.2
+	DefaultTolerance      = 1.5
+	DefaultLatencyBackoff = 0.9
+	DefaultShedBackoff    = 0.75
+	DefaultWindowSamples  = 20
+)
+
+// Rates at which the baseline follows a window's mean: quickly down, slowly up,
+// so that a lasting queue isn't taken for the server's own latency.
+const (
+	baselineFall = 0.3
+	baselineRise = 0.02
+)
+
+func (o Options) withDefaults() Options {
+	if o.Minimum <= 0 {
+		o.Minimum = DefaultMinimum
+	}
+	if o.Growth <= 0 {
+		o.Growth = DefaultGrowth
+	}
+	if o.Tolerance <= 0 {
+		o.Tolerance = DefaultTolerance
+	}
+	if o.LatencyBackoff <= 0 {
+		o.LatencyBackoff = DefaultLatencyBackoff
+	}
+	if o.ShedBackoff <= 0 {
+		o.ShedBackoff = DefaultShedBackoff
+	}
+	if o.WindowSamples <= 0 {
+		o.WindowSamples = DefaultWindowSamples
+	}
+	return o
+}
+
+// Outcome is how a request ended.
+type Outcome int
+
+const (
+	// Answered requests ran; their latency is a sample.
+	Answered Outcome = iota
+	// Shed requests were turned away by a server that was too busy.
+	Shed
+	// Ignored requests say nothing about the server's load.
+	Ignored
+)
+
+// Limiter holds one client's limit for one server.
+type Limiter struct {
+	options  Options
+	slots    int
+	ceiling  int // by connections; zero is none
+	limit    float64
+	inFlight int
+	baseline float64
+	window   window
+	// loweredAt is when the limit was last lowered; requests that started
+	// before then say nothing about the lower limit.
+	loweredAt time.Duration
+	lowered   bool
+}
+
+// window gathers samples until they make a verdict.
+type window struct {
+	samples int
+	sum     float64
+	peak    int
+}
+
+// New returns a Limiter for a server with the given slots.
+func New(slots int, options Options) *Limiter {
+	l := &Limiter{options: options.withDefaults()}
+	l.slots = max(slots, 1)
+	l.limit = float64(l.slots)
+	return l
+}
+
+// SetSlots changes the hint; the learned limit stays, within its new bounds.
+func (l *Limiter) SetSlots(slots int) {
+	l.slots = max(slots, 1)
+	l.clamp()
+}
+
+// SetCeiling bounds the limit by the client's share of the server's
+// connections; zero or less sets no bound.
+func (l *Limiter) SetCeiling(connections int) {
+	l.ceiling = max(connections, 0)
+	l.clamp()
+}
+
+// Limit is the number of requests that may be in flight.
+func (l *Limiter) Limit() int {
+	switch l.options.Policy {
+	case Unlimited:
+		return math.MaxInt32
+	case Fixed:
+		return l.bounded(l.slots)
+	default:
+		return l.bounded(int(math.Round(l.limit)))
+	}
+}
+
+func (l *Limiter) bounded(limit int) int {
+	if l.ceiling > 0 {
+		limit = min(limit, l.ceiling)
+	}
+	return max(limit, 1)
+}
+
+// InFlight is the number of requests in flight.
+func (l *Limiter) InFlight() int { return l.inFlight }
+
+// Free reports whether one more request may start.
+func (l *Limiter) Free() bool { return l.inFlight < l.Limit() }
+
+// Start notes that a request started. It may exceed the limit: the caller asks
+// Free before.
+func (l *Limiter) Start() {
+	l.inFlight++
+	l.window.peak = max(l.window.peak, l.inFlight)
+}
+
+// End notes that a request ended at now, latency after it started.
+func (l *Limiter) End(now, latency time.Duration, outcome Outcome) {
+	l.inFlight--
+	if l.options.Policy != Adaptive {
+		return
+	}
+	switch outcome {
+	case Shed:
+		l.lower(now, latency, l.options.ShedBackoff)
+	case Answered:
+		l.sample(now, latency)
+	case Ignored:
+	}
+}
+
+// sample adds an answer to the window and judges a full window.
+func (l *Limiter) sample(now, latency time.Duration) {
+	l.window.samples++
+	l.window.sum += latency.Seconds()
+	if l.window.samples < l.options.WindowSamples {
+		return
+	}
+	mean := l.window.sum / float64(l.window.samples)
+	used := l.window.peak >= l.Limit()
+	l.window = window{peak: l.inFlight}
+	congested := l.baseline > 0 && mean > l.baseline*l.options.Tolerance
+	l.follow(mean)
+	switch {
+	case congested:
+		l.lower(now, latency, l.options.LatencyBackoff)
+	case used:
+		l.limit++
+		l.clamp()
+	}
+}
+
+// follow moves the baseline towards a window's mean.
+func (l *Limiter) follow(mean float64) {
+	switch {
+	case l.baseline == 0:
+		l.baseline = mean
+	case mean < l.baseline:
+		l.baseline += (mean - l.baseline) * baselineFall
+	default:
+		l.baseline += (mean - l.baseline) * baselineRise
+	}
+}
+
+// lower multiplies the limit, once per generation of requests.
+func (l *Limiter) lower(now, latency time.Duration, factor float64) {
+	if l.lowered && now-latency < l.loweredAt {
+		return
+	}
+	l.lowered = true
+	l.loweredAt = now
+	l.limit *= factor
+	l.clamp()
+}
+
+func (l *Limiter) clamp() {
+	highest := math.Max(float64(l.slots)*l.options.Growth, float64(l.options.Minimum))
+	l.limit = math.Min(math.Max(l.limit, float64(l.options.Minimum)), highest)
+}
--- /dev/null
+++ b/limit/limiter_test.go
@@ -0,0 +1,146 @@
+package limit_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/banksail/banksail/limit"
+)
+
+const service = 10 * time.Millisecond
+
+// run lets full windows of requests end with the given latency.
+func run(l *limit.Limiter, now time.Duration, windows int, latency time.Duration) time.Duration {
+	for range windows * limit.DefaultWindowSamples {
+		for l.Free() {
+			l.Start()
+		}
+		now += latency
+		l.End(now, latency, limit.Answered)
+	}
+	return now
+}
+
+func TestLimitStartsFromTheSlots(t *testing.T) {
+	if got := limit.New(5, limit.Options{}).Limit(); got != 5 {
+		t.Fatalf("limit %d, want 5", got)
+	}
+}
+
+func TestLatencyAboveTheBaselineLowersTheLimit(t *testing.T) {
+	l := limit.New(10, limit.Options{})
+	now := run(l, 0, 5, service)
+	before := l.Limit()
+	run(l, now, 5, 3*service)
+	if l.Limit() >= before {
+		t.Fatalf("limit %d, was %d", l.Limit(), before)
+	}
+}
+
+func TestLimitRecoversWhenLatencyDoes(t *testing.T) {
+	l := limit.New(10, limit.Options{})
+	now := run(l, 0, 5, service)
+	now = run(l, now, 10, 3*service)
+	low := l.Limit()
+	run(l, now, 30, service)
+	if l.Limit() < 10 {
+		t.Fatalf("limit %d, was %d under congestion", l.Limit(), low)
+	}
+}
+
+func TestLimitGrowsOnlyWhenItIsReached(t *testing.T) {
+	l := limit.New(10, limit.Options{})
+	for i := range 200 {
+		l.Start()
+		l.End(time.Duration(i)*service, service, limit.Answered)
+	}
+	if l.Limit() != 10 {
+		t.Fatalf("limit %d grew while idle", l.Limit())
+	}
+}
+
+func TestOneGenerationOfShedRepliesLowersTheLimitOnce(t *testing.T) {
+	l := limit.New(8, limit.Options{})
+	for range 8 {
+		l.Start()
+	}
+	for range 8 {
+		l.End(service, service, limit.Shed)
+	}
+	if l.Limit() != 6 {
+		t.Fatalf("limit %d, want 6", l.Limit())
+	}
+}
+
+func TestConnectionShareBoundsTheLimit(t *testing.T) {
+	l := limit.New(5, limit.Options{})
+	l.SetCeiling(2)
+	if l.Limit() != 2 {
+		t.Fatalf("limit %d, want 2", l.Limit())
+	}
+}
+
+func TestFixedPolicyKeepsTheSlots(t *testing.T) {
+	l := limit.New(5, limit.Options{Policy: limit.Fixed})
+	l.Start()
+	l.End(service, service, limit.Shed)
+	run(l, service, 5, 9*service)
+	if l.Limit() != 5 {
+		t.Fatalf("limit %d, want 5", l.Limit())
+	}
+}
+
+func TestHeadroom(t *testing.T) {
+	got := limit.Headroom([]float64{0.2, 0.1, 0.9, 0}, 0.1)
+	want := []float64{1, 0.8, 0.7, 0.1}
+	for i := range want {
+		if limit.Allowed(1000, got[i]) != limit.Allowed(1000, want[i]) {
+			t.Fatalf("shares %v, want %v", got, want)
+		}
+	}
+	if !slices.IsSortedFunc(got, func(a, b float64) int { return int(1000 * (b - a)) }) {
+		t.Fatal("a later class has a larger share")
+	}
+}
+
+func TestConnectionShare(t *testing.T) {
+	tests := []struct {
+		name                 string
+		connections, clients int
+		want                 int
+	}{
+		{"one client", 70, 1, 63},
+		{"four clients", 70, 4, 15},
+		{"more clients than connections", 70, 1400, 0},
+		{"no client known", 70, 0, 63},
+	}
+	for _, test := range tests {
+		if got := limit.ConnectionShare(test.connections, test.clients, limit.DefaultSpareConnections); got != test.want {
+			t.Errorf("%s: %d, want %d", test.name, got, test.want)
+		}
+	}
+}
+
+// Whatever is reported, the limit stays between one and the growth bound.
+func TestLimitStaysWithinItsBounds(t *testing.T) {
+	properties := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(1))
+	properties.Property("bounds", prop.ForAll(func(slots int, ends []uint16) bool {
+		l := limit.New(slots, limit.Options{})
+		now := time.Duration(0)
+		for _, end := range ends {
+			l.Start()
+			now += time.Duration(end) * time.Microsecond
+			l.End(now, time.Duration(end)*time.Microsecond, limit.Outcome(end%3))
+			if l.Limit() < 1 || float64(l.Limit()) > float64(slots)*limit.DefaultGrowth+0.5 {
+				return false
+			}
+		}
+		return l.InFlight() == 0
+	}, gen.IntRange(1, 50), gen.SliceOfN(500, gen.UInt16())))
+	properties.TestingRun(t)
+}
--- /dev/null
+++ b/limit/share.go
@@ -0,0 +1,35 @@
+package limit
+
+// Headroom returns, for classes listed from the most urgent to the least, the
+// share of a limit that each may use. headroom[i] is the share that is kept for
+// class i and those before it: later classes can't use it. No share falls
+// below least.
+func Headroom(headroom []float64, least float64) []float64 {
+	shares := make([]float64, len(headroom))
+	left := 1.0
+	for i, kept := range headroom {
+		shares[i] = max(left, least)
+		left -= min(max(kept, 0), 1)
+	}
+	return shares
+}
+
+// Allowed is the number of requests that a class with the given share of a
+// limit may have in flight; at least one, so that no class is shut out.
+func Allowed(limit int, share float64) int {
+	const rounding = 1e-9 // 10 * 0.7 must allow 7
+	return max(int(float64(limit)*share+rounding), 1)
+}
+
+// DefaultSpareConnections is the share of a server's connections that is left
+// for clients that just came, health checks and others.
+const DefaultSpareConnections = 0.1
+
+// ConnectionShare is the number of connections that each of the live clients
+// may hold to a server that accepts connections in all, when the share spare
+// of them is left free. It is zero when there are more clients than
+// connections: then not every client can have one of its own.
+func ConnectionShare(connections, clients int, spare float64) int {
+	usable := int(float64(connections) * (1 - min(max(spare, 0), 1)))
+	return usable / max(clients, 1)
+}
--- /dev/null
+++ b/retry/example_test.go
@@ -0,0 +1,36 @@
+package retry_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/banksail/banksail/retry"
+)
+
+func ExampleBudget() {
+	budget := retry.NewBudget(1, retry.BudgetOptions{})
+	budget.Credit(0, 50, 0.02) // a fiftieth of fifty first sends
+	fmt.Println(budget.SpendHedge(0, 1), budget.SpendHedge(0, 1))
+	// Output: true false
+}
+
+func ExampleShareHedge() {
+	var latencies retry.Sketch
+	for i := range 100 {
+		latencies.Add(time.Duration(i+1) * time.Millisecond)
+	}
+	situation := retry.HedgeSituation{Share: 0.1, Service: &latencies}
+	delay, ok := retry.ShareHedge{}.Delay(situation)
+	fmt.Println(delay.Round(10*time.Millisecond), ok)
+	// Output: 90ms true
+}
+
+func ExampleGuard() {
+	guard := retry.NewGuard(retry.GuardOptions{})
+	digest := retry.Digest{0x2a}
+	first, _ := guard.Begin(0, "return-17", digest)
+	guard.Complete(time.Second, "return-17", "entered")
+	again, outcome := guard.Begin(2*time.Second, "return-17", digest)
+	fmt.Println(first == retry.New, again == retry.Recorded, outcome)
+	// Output: true true entered
+}
--- /dev/null
+++ b/retry/guard_test.go
@@ -0,0 +1,117 @@
+package retry_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/banksail/banksail/retry"
+)
+
+func TestGuard(t *testing.T) {
+	one, other := retry.Digest{1}, retry.Digest{2}
+	options := retry.GuardOptions{Window: time.Minute, Maximum: 2}
+	type step struct {
+		name    string
+		at      time.Duration
+		do      func(g *retry.Guard, now time.Duration)
+		id      string
+		digest  retry.Digest
+		want    retry.Verdict
+		outcome any
+	}
+	complete := func(id string) func(*retry.Guard, time.Duration) {
+		return func(g *retry.Guard, now time.Duration) { g.Complete(now, id, "ran") }
+	}
+	abandon := func(id string) func(*retry.Guard, time.Duration) {
+		return func(g *retry.Guard, _ time.Duration) { g.Abandon(id) }
+	}
+	tests := []struct {
+		name  string
+		steps []step
+	}{
+		{"recorded outcome", []step{
+			{name: "first", id: "a", digest: one, want: retry.New},
+			{name: "while it runs", id: "a", digest: one, want: retry.InProgress},
+			{name: "another body while it runs", id: "a", digest: other, want: retry.Conflict},
+			{name: "after it ended", do: complete("a"), id: "a", digest: one, want: retry.Recorded, outcome: "ran"},
+			{name: "another body after it ended", id: "a", digest: other, want: retry.Conflict},
+			{name: "at the end of the window", at: time.Minute - 1, id: "a", digest: one, want: retry.Recorded, outcome: "ran"},
+			{name: "after the window", at: time.Minute, id: "a", digest: other, want: retry.New},
+		}},
+		{"not run", []step{
+			{name: "first", id: "a", digest: one, want: retry.New},
+			{name: "abandoned", do: abandon("a"), id: "a", digest: other, want: retry.New},
+		}},
+		{"an ended request can't be abandoned", []step{
+			{name: "first", id: "a", digest: one, want: retry.New},
+			{name: "ended", do: complete("a"), id: "a", digest: one, want: retry.Recorded, outcome: "ran"},
+			{name: "abandoned", do: abandon("a"), id: "a", digest: one, want: retry.Recorded, outcome: "ran"},
+		}},
+		{"full", []step{
+			{name: "first", id: "a", digest: one, want: retry.New},
+			{name: "second", id: "b", digest: one, want: retry.New},
+			{name: "third", id: "c", digest: one, want: retry.Full},
+			{name: "ended ones count", do: complete("a"), id: "c", digest: one, want: retry.Full},
+			{name: "known ones are still known", id: "b", digest: one, want: retry.InProgress},
+			{name: "room after the window", at: time.Minute, id: "c", digest: one, want: retry.New},
+			{name: "in progress never expires", at: time.Hour, id: "b", digest: one, want: retry.InProgress},
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := retry.NewGuard(options)
+			for _, s := range test.steps {
+				if s.do != nil {
+					s.do(g, s.at)
+				}
+				verdict, outcome := g.Begin(s.at, s.id, s.digest)
+				if verdict != s.want || outcome != s.outcome {
+					t.Fatalf("%s: %d %v, want %d %v", s.name, verdict, outcome, s.want, s.outcome)
+				}
+			}
+		})
+	}
+}
+
+// Within the window an ID is never New again once it has run, and the guard
+// never remembers more than it may.
+func TestGuardRunsAnIDAtMostOnce(t *testing.T) {
+	const maximum, window = 4, 50
+	properties := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(1))
+	properties.Property("at most once", prop.ForAll(func(steps []uint8) bool {
+		g := retry.NewGuard(retry.GuardOptions{Window: window, Maximum: maximum})
+		running := make(map[string]bool)
+		ended := make(map[string]time.Duration)
+		for i, step := range steps {
+			now := time.Duration(i)
+			id := fmt.Sprint(step >> 4)
+			switch step & 3 {
+			case 0:
+				if running[id] {
+					g.Complete(now, id, nil)
+					ended[id] = now
+					delete(running, id)
+				}
+			default:
+				verdict, _ := g.Begin(now, id, retry.Digest{})
+				if verdict != retry.New {
+					continue
+				}
+				if at, ran := ended[id]; running[id] || ran && now-at < window {
+					return false
+				}
+				running[id] = true
+			}
+			if g.Len() > maximum {
+				return false
+			}
+		}
+		return true
+	}, gen.SliceOfN(300, gen.UInt8())))
+	properties.TestingRun(t)
+}
--- /dev/null
+++ b/retry/hedge.go
@@ -0,0 +1,89 @@
+package retry
+
+import "time"
+
+// HedgeSituation is what a HedgePolicy decides on.
+type HedgeSituation struct {
+	// Share is the part of the class's first sends that may be sent again.
+	Share float64
+	// Group holds recent latencies of the servers that could answer.
+	Group *Sketch
+	// Service holds recent latencies of the whole service.
+	Service *Sketch
+}
+
+// latencies returns the group's samples, or the service's while the group has few.
+func (s HedgeSituation) latencies() (*Sketch, bool) {
+	if s.Group != nil && s.Group.Count() >= enoughSamples {
+		return s.Group, true
+	}
+	return s.Service, s.Service != nil && s.Service.Count() >= enoughSamples
+}
+
+// enoughSamples is the weight of samples below which a quantile says little.
+const enoughSamples = 20
+
+// HedgePolicy decides how long a request may be awaited before another server
+// is asked beside the first. ok is false when no hedge is worth its price.
+type HedgePolicy interface {
+	Delay(situation HedgeSituation) (delay time.Duration, ok bool)
+}
+
+// NoHedge never hedges.
+type NoHedge struct{}
+
+// Delay implements HedgePolicy.
+func (NoHedge) Delay(HedgeSituation) (time.Duration, bool) { return 0, false }
+
+// FixedHedge hedges after a fixed time.
+type FixedHedge struct{ After time.Duration }
+
+// Delay implements HedgePolicy.
+func (p FixedHedge) Delay(HedgeSituation) (time.Duration, bool) { return p.After, true }
+
+// QuantileHedge hedges at a quantile of recent latencies.
+type QuantileHedge struct {
+	// Quantile is a share of requests, such as 0.95.
+	Quantile float64
+	// Least bounds the delay from below.
+	Least time.Duration
+}
+
+// Delay implements HedgePolicy.
+func (p QuantileHedge) Delay(situation HedgeSituation) (time.Duration, bool) {
+	sketch, known := situation.latencies()
+	if !known {
+		return 0, false
+	}
+	return max(sketch.Quantile(p.Quantile), p.Least), true
+}
+
+// ShareHedge hedges at the quantile that spends the class's share: a class that
+// may send a tenth of its requests again hedges at the 90th percentile. A class
+// with no share never hedges.
+type ShareHedge struct {
+	// Factor multiplies the share; zero stands for 1. Above 1 it hedges earlier
+	// than the share alone pays for, and the budget cuts the rest.
+	Factor float64
+	// Lowest bounds the quantile from below; zero stands for 0.5.
+	Lowest float64
+	// Least bounds the delay from below.
+	Least time.Duration
+}
+
+// Delay implements HedgePolicy.
+func (p ShareHedge) Delay(situation HedgeSituation) (time.Duration, bool) {
+	if situation.Share <= 0 {
+		return 0, false
+	}
+	factor := p.Factor
+	if factor <= 0 {
+		factor = 1
+	}
+	lowest := p.Lowest
+	if lowest <= 0 {
+		lowest = 0.5
+	}
+	quantile := max(1-situation.Share*factor, lowest)
+	return QuantileHedge{Quantile: quantile, Least: p.Least}.Delay(situation)
+}
--- /dev/null
+++ b/retry/hedge_test.go
@@ -0,0 +1,89 @@
+package retry_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/banksail/banksail/retry"
+)
+
+func filled(samples int, latency func(i int) time.Duration) *retry.Sketch {
+	var s retry.Sketch
+	for i := range samples {
+		s.Add(latency(i))
+	}
+	return &s
+}
+
+func TestSketchQuantilesOfExponentialLatencies(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	s := retry.Sketch{Memory: 100_000}
+	for range 100_000 {
+		s.Add(time.Duration(random.ExpFloat64() * float64(10*time.Millisecond)))
+	}
+	for _, quantile := range []float64{0.5, 0.9, 0.99} {
+		want := -math.Log(1-quantile) * float64(10*time.Millisecond)
+		if got := float64(s.Quantile(quantile)); math.Abs(got-want) > 0.1*want {
+			t.Errorf("quantile %v: %v, want %v", quantile, time.Duration(got), time.Duration(want))
+		}
+	}
+}
+
+func TestSketchForgetsOldLatencies(t *testing.T) {
+	s := filled(5000, func(i int) time.Duration {
+		if i < 2500 {
+			return time.Second
+		}
+		return time.Millisecond
+	})
+	if got := s.Quantile(0.9); got > 2*time.Millisecond {
+		t.Fatalf("old latencies still count: %v", got)
+	}
+}
+
+func TestSketchTakesAnyDuration(t *testing.T) {
+	var s retry.Sketch
+	for _, latency := range []time.Duration{math.MinInt64, -1, 0, 1, math.MaxInt64} {
+		s.Add(latency)
+	}
+	if s.Count() != 5 {
+		t.Fatalf("%v samples, want 5", s.Count())
+	}
+}
+
+func TestHedgePolicies(t *testing.T) {
+	ramp := func(i int) time.Duration { return time.Duration(i+1) * time.Millisecond }
+	service := filled(100, ramp)
+	slow := filled(100, func(i int) time.Duration { return 10 * ramp(i) })
+	few := filled(3, ramp)
+	tests := []struct {
+		name      string
+		policy    retry.HedgePolicy
+		situation retry.HedgeSituation
+		want      time.Duration // within a tenth; zero is no hedge
+	}{
+		{"never", retry.NoHedge{}, retry.HedgeSituation{Share: 1, Service: service}, 0},
+		{"fixed", retry.FixedHedge{After: time.Second}, retry.HedgeSituation{}, time.Second},
+		{"quantile of the service", retry.QuantileHedge{Quantile: 0.9}, retry.HedgeSituation{Service: service}, 90 * time.Millisecond},
+		{"quantile of the group", retry.QuantileHedge{Quantile: 0.9}, retry.HedgeSituation{Service: service, Group: slow}, 900 * time.Millisecond},
+		{"few samples of the group", retry.QuantileHedge{Quantile: 0.9}, retry.HedgeSituation{Service: service, Group: few}, 90 * time.Millisecond},
+		{"no samples", retry.QuantileHedge{Quantile: 0.9}, retry.HedgeSituation{Service: few}, 0},
+		{"share of a tenth", retry.ShareHedge{}, retry.HedgeSituation{Share: 0.1, Service: service}, 90 * time.Millisecond},
+		{"no share", retry.ShareHedge{}, retry.HedgeSituation{Service: service}, 0},
+		{"whole share", retry.ShareHedge{}, retry.HedgeSituation{Share: 1, Service: service}, 50 * time.Millisecond},
+		{"least delay", retry.QuantileHedge{Quantile: 0.5, Least: time.Second}, retry.HedgeSituation{Service: service}, time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			got, ok := test.policy.Delay(test.situation)
+			if ok != (test.want > 0) {
+				t.Fatalf("hedge %t", ok)
+			}
+			if ok && math.Abs(float64(got-test.want)) > 0.1*float64(test.want) {
+				t.Fatalf("delay %v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/snapshot/catalog_test.go
@@ -0,0 +1,160 @@
+package snapshot_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/banksail/banksail/snapshot"
+)
+
+func twoGroups() *snapshot.Catalog {
+	c := snapshot.NewCatalog()
+	c.Configure([]snapshot.Group{
+		{Keys: 10, Servers: []string{"a1", "a2"}},
+		{Keys: 30, Servers: []string{"b1", "b2"}},
+	})
+	return c
+}
+
+func TestChoose(t *testing.T) {
+	type ids = []snapshot.ID
+	tests := []struct {
+		name        string
+		held        map[string]ids
+		unavailable []string
+		except      ids
+		want        snapshot.Choice
+		none        bool
+	}{
+		{name: "nothing observed", none: true},
+		{
+			name: "newest that every group can serve",
+			held: map[string]ids{"a1": {7, 8}, "a2": {7}, "b1": {7}, "b2": {8, 7}},
+			want: snapshot.Choice{ID: 8, Keys: 40, Complete: true},
+		},
+		{
+			name: "newer one that a group lacks",
+			held: map[string]ids{"a1": {7, 8}, "b1": {7}},
+			want: snapshot.Choice{ID: 7, Keys: 40, Complete: true},
+		},
+		{
+			name:        "newer one whose only holder left",
+			held:        map[string]ids{"a1": {7, 8}, "b1": {7}, "b2": {8}},
+			unavailable: []string{"b2"},
+			want:        snapshot.Choice{ID: 7, Keys: 40, Complete: true},
+		},
+		{
+			name: "most keys when none serves every group",
+			held: map[string]ids{"a1": {9}, "b1": {7}},
+			want: snapshot.Choice{ID: 7, Keys: 30},
+		},
+		{
+			name:   "excepted one",
+			held:   map[string]ids{"a1": {7, 8}, "b1": {7, 8}},
+			except: ids{8},
+			want:   snapshot.Choice{ID: 7, Keys: 40, Complete: true},
+		},
+		{name: "zero is no snapshot", held: map[string]ids{"a1": {0}, "b1": {0}}, none: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := twoGroups()
+			for server, held := range test.held {
+				c.Holder(server).Observe(held)
+			}
+			for _, server := range test.unavailable {
+				c.Holder(server).SetAvailable(false)
+			}
+			got, ok := c.Choose(test.except...)
+			if ok == test.none || got != test.want {
+				t.Fatalf("got %+v, %t; want %+v", got, ok, test.want)
+			}
+		})
+	}
+}
+
+func TestLackedSnapshotIsKnownAgainOnceTheServerSaysSo(t *testing.T) {
+	c := twoGroups()
+	c.Holder("a1").Observe([]snapshot.ID{7})
+	c.Holder("a1").Lacks(7)
+	if c.Holder("a1").Holds(7) {
+		t.Fatal("holds a snapshot that it lacks")
+	}
+	c.Holder("a1").Observe([]snapshot.ID{7})
+	if !c.Holder("a1").Holds(7) {
+		t.Fatal("the same account as before was passed over")
+	}
+}
+
+func TestConfigureKeepsKnowledgeOfServersThatRemain(t *testing.T) {
+	c := twoGroups()
+	c.Holder("a1").Observe([]snapshot.ID{7})
+	c.Configure([]snapshot.Group{{Keys: 5, Servers: []string{"a1", "c1"}}})
+	choice, ok := c.Choose()
+	if !ok || choice != (snapshot.Choice{ID: 7, Keys: 5, Complete: true}) {
+		t.Fatalf("got %+v, %t", choice, ok)
+	}
+	if c.Holder("b1") != nil {
+		t.Fatal("a server in no group is still known")
+	}
+}
+
+// The counts kept as knowledge changes agree with counting afresh.
+func TestChoiceEqualsCountingAfresh(t *testing.T) {
+	const groups, replicas = 4, 3
+	name := func(i int) string { return fmt.Sprint(i) }
+	properties := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(1))
+	properties.Property("newest of the most keys", prop.ForAll(func(changes []uint16) bool {
+		c := snapshot.NewCatalog()
+		var configured []snapshot.Group
+		for g := range groups {
+			group := snapshot.Group{Keys: uint64(g + 1)}
+			for r := range replicas {
+				group.Servers = append(group.Servers, name(g*replicas+r))
+			}
+			configured = append(configured, group)
+		}
+		c.Configure(configured)
+		held := make([][]snapshot.ID, groups*replicas)
+		away := make([]bool, groups*replicas)
+		for _, change := range changes {
+			server := int(change>>8) % len(held)
+			holder := c.Holder(name(server))
+			switch change & 3 {
+			case 0, 1:
+				held[server] = []snapshot.ID{snapshot.ID(change>>2&3) + 1, snapshot.ID(change>>4&3) + 1}
+				holder.Observe(held[server])
+			case 2:
+				lacked := snapshot.ID(change>>2&3) + 1
+				held[server] = slices.DeleteFunc(slices.Clone(held[server]), func(id snapshot.ID) bool { return id == lacked })
+				holder.Lacks(lacked)
+			default:
+				away[server] = !away[server]
+				holder.SetAvailable(!away[server])
+			}
+		}
+		var want snapshot.Choice
+		for id := snapshot.ID(4); id > 0; id-- {
+			var keys uint64
+			for g := range groups {
+				for r := range replicas {
+					if s := g*replicas + r; !away[s] && slices.Contains(held[s], id) {
+						keys += uint64(g + 1)
+						break
+					}
+				}
+			}
+			if keys > want.Keys {
+				want = snapshot.Choice{ID: id, Keys: keys, Complete: keys == 10}
+			}
+		}
+		got, _ := c.Choose()
+		return got == want
+	}, gen.SliceOf(gen.UInt16())))
+	properties.TestingRun(t)
+}
