Admission queue: run now, wait within the class's bound, or refuse at once

The queue orders by class, arrival or boosted arrival, estimates from its own drain rate whether a query could start in time, and refuses at once with the time to come back when it could not.

--- /dev/null
+++ b/admission/queue.go
@@ -0,0 +1,241 @@
+package admission
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+	"time"
+)
+
+// Options sets up a Queue. The zero value of a field stands for its default.
+type Options struct {
+	// Order ranks the queries that wait; default StrictClass.
+	Order QueueOrder
+	// MaximumQueued bounds the queries that wait, per class; default 1,000.
+	MaximumQueued int
+	// LeastRetryAfter and MostRetryAfter bound what refused callers are told;
+	// default 50 ms and 30 s.
+	LeastRetryAfter time.Duration
+	MostRetryAfter  time.Duration
+}
+
+// Defaults of Options.
+const (
+	DefaultMaximumQueued   = 1000
+	DefaultLeastRetryAfter = 50 * time.Millisecond
+	DefaultMostRetryAfter  = 30 * time.Second
+)
+
+// Verdict is the decision on a query.
+type Verdict int
+
+const (
+	// Run means that the query runs now.
+	Run Verdict = iota + 1
+	// Queued means that it waits.
+	Queued
+	// RefusedFull means that too many of its class wait already.
+	RefusedFull
+	// RefusedWait means that it would not start within its class's bound.
+	RefusedWait
+	// RefusedDeadline means that it would not start early enough for its deadline.
+	RefusedDeadline
+)
+
+// Decision is a verdict; RetryAfter is set on every refusal.
+type Decision struct {
+	Verdict    Verdict
+	RetryAfter time.Duration
+}
+
+// Room reports whether a query of the given rank may run now.
+type Room func(rank int) bool
+
+// Queue holds the queries that wait.
+type Queue struct {
+	options Options
+	classes []classQueue // by rank
+	expiry  expiryHeap
+	waiting map[uint64]*waiting
+	last    uint64
+	drain   drainEstimate
+}
+
+// waiting is a query in the queue.
+type waiting struct {
+	item     Item
+	key      Key
+	sequence uint64
+	expires  time.Duration
+	// Places in the two heaps.
+	place       int
+	expiryPlace int
+}
+
+// NewQueue returns an empty Queue.
+func NewQueue(options Options) *Queue {
+	if options.Order == nil {
+		options.Order = StrictClass{}
+	}
+	if options.MaximumQueued <= 0 {
+		options.MaximumQueued = DefaultMaximumQueued
+	}
+	if options.LeastRetryAfter <= 0 {
+		options.LeastRetryAfter = DefaultLeastRetryAfter
+	}
+	if options.MostRetryAfter <= 0 {
+		options.MostRetryAfter = DefaultMostRetryAfter
+	}
+	return &Queue{options: options, waiting: make(map[uint64]*waiting)}
+}
+
+// Offer decides on a query. When the verdict is Queued, the query leaves the
+// queue by Next, Remove, Expire or Drain.
+func (q *Queue) Offer(now time.Duration, item Item, room Room) Decision {
+	key := q.options.Order.Key(item)
+	if room(item.Rank) && !q.anyBefore(key, room) {
+		return Decision{Verdict: Run}
+	}
+	expected := q.drain.wait(now, q.ahead(item, key)+1)
+	switch {
+	case q.classLen(item.Rank) >= q.options.MaximumQueued:
+		return q.refuse(RefusedFull, expected)
+	case now+expected > item.Arrived+item.LongestWait || item.LongestWait <= 0:
+		return q.refuse(RefusedWait, expected-item.LongestWait)
+	case now+expected+item.RunTime > item.Deadline:
+		return q.refuse(RefusedDeadline, expected)
+	}
+	q.push(item, key)
+	return Decision{Verdict: Queued}
+}
+
+// Requeue puts back a query that was queued before, without a new decision.
+func (q *Queue) Requeue(item Item) {
+	q.push(item, q.options.Order.Key(item))
+}
+
+func (q *Queue) refuse(verdict Verdict, after time.Duration) Decision {
+	after = min(max(after, q.options.LeastRetryAfter), q.options.MostRetryAfter)
+	return Decision{Verdict: verdict, RetryAfter: after}
+}
+
+// anyBefore reports whether a query that waits could run and goes before key.
+func (q *Queue) anyBefore(key Key, room Room) bool {
+	for rank := range q.classes {
+		class := q.classes[rank]
+		if len(class) > 0 && !key.Less(class[0].key) && room(rank) {
+			return true
+		}
+	}
+	return false
+}
+
+// ahead estimates how many queries go before the given one: all of each class
+// of which a query that came now would not go after it.
+func (q *Queue) ahead(item Item, key Key) int {
+	count := 0
+	for rank := range q.classes {
+		peer := item
+		peer.Rank = rank
+		if !key.Less(q.options.Order.Key(peer)) {
+			count += len(q.classes[rank])
+		}
+	}
+	return count
+}
+
+func (q *Queue) classLen(rank int) int {
+	if rank >= len(q.classes) {
+		return 0
+	}
+	return len(q.classes[rank])
+}
+
+func (q *Queue) push(item Item, key Key) {
+	for len(q.classes) <= item.Rank {
+		q.classes = append(q.classes, nil)
+	}
+	q.last++
+	w := &waiting{item: item, key: key, sequence: q.last, expires: item.expires()}
+	q.waiting[item.ID] = w
+	heap.Push(&q.classes[item.Rank], w)
+	heap.Push(&q.expiry, w)
+}
+
+// Next takes out the first query that has room; ok is false when none has.
+func (q *Queue) Next(now time.Duration, room Room) (item Item, ok bool) {
+	var first *waiting
+	for rank := range q.classes {
+		class := q.classes[rank]
+		if len(class) == 0 || first != nil && !class[0].before(first) || !room(rank) {
+			continue
+		}
+		first = class[0]
+	}
+	if first == nil {
+		return Item{}, false
+	}
+	q.remove(first)
+	q.drain.popped(now, len(q.waiting) > 0)
+	return first.item, true
+}
+
+// Remove takes out a query, whose caller has gone for example. It reports
+// whether the query was queued.
+func (q *Queue) Remove(id uint64) bool {
+	w := q.waiting[id]
+	if w == nil {
+		return false
+	}
+	q.remove(w)
+	return true
+}
+
+func (q *Queue) remove(w *waiting) {
+	delete(q.waiting, w.item.ID)
+	heap.Remove(&q.classes[w.item.Rank], w.place)
+	heap.Remove(&q.expiry, w.expiryPlace)
+}
+
+// Expire takes out the queries that can no longer start in time.
+func (q *Queue) Expire(now time.Duration) []Item {
+	var expired []Item
+	for len(q.expiry) > 0 && q.expiry[0].expires <= now {
+		w := q.expiry[0]
+		q.remove(w)
+		expired = append(expired, w.item)
+	}
+	return expired
+}
+
+// NextExpiry is the time at which Expire has something to do; ok is false when
+// nothing waits.
+func (q *Queue) NextExpiry() (at time.Duration, ok bool) {
+	if len(q.expiry) == 0 {
+		return 0, false
+	}
+	return q.expiry[0].expires, true
+}
+
+// Drain takes out all queries, in the order in which they came.
+func (q *Queue) Drain() []Item {
+	entries := append([]*waiting(nil), q.expiry...)
+	slices.SortFunc(entries, func(a, b *waiting) int { return cmp.Compare(a.sequence, b.sequence) })
+	items := make([]Item, 0, len(entries))
+	for _, w := range entries {
+		items = append(items, w.item)
+	}
+	q.classes = nil
+	q.expiry = nil
+	clear(q.waiting)
+	return items
+}
+
+// Len is the number of queries that wait.
+func (q *Queue) Len() int { return len(q.waiting) }
+
+// ExpectedWait estimates how long the last of the queue will wait; use it as
+// the time after which to come back.
+func (q *Queue) ExpectedWait(now time.Duration) time.Duration {
+	return max(q.drain.wait(now, len(q.waiting)), q.options.LeastRetryAfter)
+}
