--- a/coverage/set.go
+++ b/coverage/set.go
@@ -78,15 +78,20 @@
 // Fraction is the share of space that is in the set. It is 1 exactly when all
 // of space is in the set, and 0 for an empty space.
 func (s *Set) Fraction(space Range) float64 {
-	size := space.Size()
-	if size == 0 {
+	return Fraction(s.Covered(space), space.Size())
+}
+
+// Fraction is part divided by whole. It is 1 exactly when part reaches whole,
+// and 0 for an empty whole.
+func Fraction(part, whole uint64) float64 {
+	switch {
+	case whole == 0:
 		return 0
-	}
-	covered := s.Covered(space)
-	if covered == size {
+	case part >= whole:
 		return 1
+	default:
+		return min(float64(part)/float64(whole), largestPartial)
 	}
-	return min(float64(covered)/float64(size), largestPartial)
 }
 
 // largestPartial is the greatest float64 below 1: a partial fraction of a large
--- /dev/null
+++ b/dispatch/configure.go
@@ -0,0 +1,230 @@
+package dispatch
+
+import (
+	"cmp"
+	"reflect"
+	"slices"
+
+	"github.com/banksail/banksail/limit"
+	"github.com/banksail/banksail/policy"
+	"github.com/banksail/banksail/retry"
+	"github.com/banksail/banksail/snapshot"
+)
+
+// class is a priority class as it is in force.
+type class struct {
+	policy.Class
+	// rank is the position by order, zero for the most urgent.
+	rank int
+	// share is the part of each limit that the class may use.
+	share float64
+}
+
+// configure takes the service and classes now in force.
+func (d *Dispatcher) configure(event Configured) {
+	d.known = !event.Removed
+	if event.Removed {
+		for _, item := range d.queue.Drain() {
+			d.dequeue(QueryID(item.ID), ReasonNoConfiguration)
+		}
+		return
+	}
+	d.configureClasses(event.Classes)
+	repartitioned := d.configureGroups(event.Service)
+	d.relevel()
+	d.requeue()
+	if repartitioned {
+		d.reroute()
+	}
+}
+
+// configureClasses ranks the classes. Queries in flight keep a class that was
+// removed, as the least urgent.
+func (d *Dispatcher) configureClasses(classes []policy.Class) {
+	sorted := slices.Clone(classes)
+	slices.SortStableFunc(sorted, func(a, b policy.Class) int { return cmp.Compare(a.Order, b.Order) })
+	kept := make([]float64, len(sorted))
+	for i := range sorted {
+		kept[i] = sorted[i].Headroom
+	}
+	shares := limit.Headroom(kept, d.options.LeastClassShare)
+	for _, old := range d.ranked {
+		old.rank = max(len(sorted)-1, 0)
+	}
+	before := d.classes
+	d.classes = make(map[string]*class, len(sorted))
+	d.ranked = d.ranked[:0:0]
+	for rank, settings := range sorted {
+		c := before[settings.Name]
+		if c == nil {
+			c = new(class)
+		}
+		*c = class{Class: settings, rank: rank, share: shares[rank]}
+		d.classes[settings.Name] = c
+		d.ranked = append(d.ranked, c)
+	}
+	d.budget.SetClasses(len(sorted))
+}
+
+// configureGroups takes the service's groups; it reports whether they changed.
+func (d *Dispatcher) configureGroups(service policy.Service) bool {
+	if d.generation > 0 && reflect.DeepEqual(d.service, service) {
+		return false
+	}
+	d.service = service
+	d.space = service.KeySpace
+	d.generation++
+	latencies := make(map[string]*retry.Sketch, len(d.groups))
+	for _, old := range d.groups {
+		latencies[old.name] = old.latencies
+	}
+	before := d.servers
+	d.servers = make(map[string]*server, len(before))
+	d.groups = make([]*group, 0, len(service.Groups))
+	catalogued := make([]snapshot.Group, 0, len(service.Groups))
+	sorted := slices.Clone(service.Groups)
+	slices.SortFunc(sorted, func(a, b policy.Group) int { return cmp.Compare(a.Range.Start, b.Range.Start) })
+	for _, settings := range sorted {
+		g := &group{name: settings.Name, span: settings.Range, latencies: latencies[settings.Name]}
+		if g.latencies == nil {
+			g.latencies = new(retry.Sketch)
+		}
+		shard := snapshot.Group{Keys: settings.Range.Size()}
+		for _, replica := range settings.Servers {
+			g.servers = append(g.servers, d.configureServer(g, replica, before))
+			shard.Servers = append(shard.Servers, replica.ID)
+		}
+		d.groups = append(d.groups, g)
+		catalogued = append(catalogued, shard)
+	}
+	d.catalog.Configure(catalogued)
+	d.forgetServers(before)
+	d.adoptServers()
+	d.budget.SetBurst(max(d.options.Budget.Burst, retry.DefaultBurst, float64(len(d.groups))))
+	return true
+}
+
+// configureServer returns the state of a server in the group; what was learned
+// of a server that was configured before is kept.
+func (d *Dispatcher) configureServer(g *group, settings policy.Server, before map[string]*server) *server {
+	s := d.servers[settings.ID]
+	if s == nil {
+		s = before[settings.ID]
+		if s == nil {
+			s = &server{state: d.states[settings.ID], limiter: limit.New(settings.Slots, d.options.LimitPolicy)}
+			delete(d.states, settings.ID)
+		}
+		s.groups = nil
+		s.counted = contribution{}
+		s.Server = settings
+		s.limiter.SetSlots(settings.Slots)
+		d.servers[settings.ID] = s
+	}
+	s.groups = append(s.groups, g)
+	return s
+}
+
+// forgetServers drops the servers that are in no group any more, but keeps that
+// they are leaving, in case they come back into one.
+func (d *Dispatcher) forgetServers(before map[string]*server) {
+	for id, s := range before {
+		if d.servers[id] != nil {
+			continue
+		}
+		s.groups = nil
+		switch {
+		case s.state == ServerGone:
+		case s.leaving():
+			d.states[id] = ServerLeaving
+		case s.state != ServerLive:
+			d.states[id] = s.state
+		}
+	}
+}
+
+// adoptServers ties each server to the catalog and to the connection share.
+func (d *Dispatcher) adoptServers() {
+	for _, g := range d.groups {
+		for _, s := range g.servers {
+			s.holder = d.catalog.Holder(s.ID)
+			s.holder.SetAvailable(!s.leaving())
+			s.limiter.SetCeiling(d.ceiling(s))
+		}
+	}
+}
+
+// relevel counts the sums of all groups anew.
+func (d *Dispatcher) relevel() {
+	d.blocked = make([]int, len(d.ranked))
+	for _, g := range d.groups {
+		g.contribution = contribution{}
+		g.level = len(d.ranked)
+		for _, s := range g.servers {
+			s.counted = contribution{}
+		}
+	}
+	for _, g := range d.groups {
+		d.level(g)
+	}
+	for _, g := range d.groups {
+		for _, s := range g.servers {
+			d.account(s)
+		}
+	}
+}
+
+// requeue ranks the waiting queries by the classes now in force.
+func (d *Dispatcher) requeue() {
+	for _, item := range d.queue.Drain() {
+		id := QueryID(item.ID)
+		c := d.classes[d.asked[id].Class]
+		if c == nil {
+			d.dequeue(id, ReasonUnknownClass)
+			continue
+		}
+		item.Rank = c.rank
+		d.queue.Requeue(item)
+	}
+}
+
+// reroute lets the queries that run follow a repartition.
+func (d *Dispatcher) reroute() {
+	for _, r := range d.runningInOrder() {
+		if r.query != nil {
+			r.query.Reroute(d.now)
+			d.schedule(r)
+		}
+	}
+}
+
+// runningInOrder lists the queries that run by ID.
+func (d *Dispatcher) runningInOrder() []*running {
+	list := make([]*running, 0, len(d.running))
+	for _, r := range d.running {
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(a, b *running) int { return cmp.Compare(a.asked.ID, b.asked.ID) })
+	return list
+}
+
+// nodesChanged shares out the servers' connections anew.
+func (d *Dispatcher) nodesChanged(live int) {
+	if live == d.nodes {
+		return
+	}
+	d.nodes = live
+	for _, g := range d.groups {
+		for _, s := range g.servers {
+			s.limiter.SetCeiling(d.ceiling(s))
+			d.account(s)
+		}
+	}
+}
+
+// ceiling is the node's share of the server's connections; zero while unknown.
+func (d *Dispatcher) ceiling(s *server) int {
+	if d.nodes <= 0 {
+		return 0
+	}
+	return max(limit.ConnectionShare(s.Connections, d.nodes, d.options.SpareConnections), 1)
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -4,62 +4,81 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/banksail/banksail/admission"
 	"github.com/banksail/banksail/coverage"
+	"github.com/banksail/banksail/gather"
 	"github.com/banksail/banksail/policy"
+	"github.com/banksail/banksail/retry"
+	"github.com/banksail/banksail/snapshot"
 )
 
-// Options sets up a Dispatcher. The zero value of a field stands for its default.
-type Options struct {
-	// Seed makes random choices repeatable.
-	Seed uint64
-	// Zone is the node's own zone; servers there are preferred when otherwise equal.
-	Zone string
-	// RetryAfter is told to refused callers when nothing better is known.
-	RetryAfter time.Duration
-}
-
-// DefaultRetryAfter is told to refused callers when nothing better is known.
-const DefaultRetryAfter = time.Second
-
 // Dispatcher carries the queries of one service. It is not safe for concurrent
 // use: its owner serialises calls to Step.
 type Dispatcher struct {
-	options  Options
-	random   *rand.Rand
-	now      time.Duration
-	actions  []Action
-	service  policy.Service
-	known    bool
-	stopping bool
-	classes  map[string]policy.Class
-	groups   []group
-	servers  map[string]*server
-	queries  map[QueryID]*query
-	attempts map[AttemptID]*attempt
-	timers   timers
-	wakeAt   time.Duration
+	options Options
+	random  *rand.Rand
+	now     time.Duration
+	actions []Action
+
+	// The configuration in force.
+	known      bool
+	stopping   bool
+	nodes      int
+	service    policy.Service
+	space      coverage.Range
+	classes    map[string]*class
+	ranked     []*class // by rank
+	groups     []*group // by range
+	generation uint64   // of groups
+	servers    map[string]*server
+	states     map[string]ServerState // of servers that are not configured
+
+	// What is learned.
+	catalog   *snapshot.Catalog
+	budget    *retry.Budget
+	latencies retry.Sketch
+
+	// What runs and waits. blocked counts, by rank, the groups without room.
+	queue    *admission.Queue
+	asked    map[QueryID]Query // that wait in the queue
+	running  map[QueryID]*running
+	attempts map[AttemptID]*gather.Attempt
+	blocked  []int
 	last     AttemptID
-}
 
-type group struct {
-	span    coverage.Range
-	servers []*server
+	// roomy lists the groups in which something that waits may find room. pumped
+	// is the group whose waiting segments are being tried; those that
+	// still find no room gather in passed until the end.
+	roomy  []*group
+	pumped *group
+	passed []waiter
+
+	timers   timers
+	sequence uint64
+	wakeAt   time.Duration
 }
 
 // New returns a Dispatcher that refuses every query until it is configured.
 func New(options Options) *Dispatcher {
-	if options.RetryAfter <= 0 {
-		options.RetryAfter = DefaultRetryAfter
-	}
-	return &Dispatcher{
+	options = options.withDefaults()
+	d := &Dispatcher{
 		options:  options,
 		random:   rand.New(rand.NewPCG(options.Seed, 0)),
-		classes:  make(map[string]policy.Class),
+		classes:  make(map[string]*class),
 		servers:  make(map[string]*server),
-		queries:  make(map[QueryID]*query),
-		attempts: make(map[AttemptID]*attempt),
+		states:   make(map[string]ServerState),
+		catalog:  snapshot.NewCatalog(),
+		budget:   retry.NewBudget(0, options.Budget),
+		asked:    make(map[QueryID]Query),
+		running:  make(map[QueryID]*running),
+		attempts: make(map[AttemptID]*gather.Attempt),
 		wakeAt:   never,
 	}
+	d.queue = admission.NewQueue(admission.Options{
+		Order:         options.QueueOrder,
+		MaximumQueued: options.MaximumQueued,
+	})
+	return d
 }
 
 // Step takes one event at the given time and returns the actions to carry out,
@@ -67,6 +86,15 @@
 func (d *Dispatcher) Step(now time.Duration, event Event) []Action {
 	d.now = max(d.now, now)
 	d.actions = nil
+	d.take(event)
+	d.expire()
+	d.pump()
+	d.admit()
+	d.wake()
+	return d.actions
+}
+
+func (d *Dispatcher) take(event Event) {
 	switch event := event.(type) {
 	case Arrived:
 		d.arrive(event.Query)
@@ -83,13 +111,12 @@
 	case ServerChanged:
 		d.serverChanged(event)
 	case Observed:
-		d.observe(event.Server, event.Snapshots, event.Load)
+		d.observed(event)
+	case NodesChanged:
+		d.nodesChanged(event.Live)
 	case Stopping:
-		d.stopping = true
+		d.stop()
 	}
-	d.expire()
-	d.wake()
-	return d.actions
 }
 
 func (d *Dispatcher) emit(action Action) {
--- /dev/null
+++ b/dispatch/environment.go
@@ -0,0 +1,127 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/banksail/banksail/coverage"
+	"github.com/banksail/banksail/gather"
+	"github.com/banksail/banksail/retry"
+	"github.com/banksail/banksail/snapshot"
+)
+
+// environment is what a query sees of its dispatcher; it implements
+// gather.Environment.
+type environment Dispatcher
+
+// Generation implements gather.Environment.
+func (e *environment) Generation() uint64 { return e.generation }
+
+// Targets implements gather.Environment.
+func (e *environment) Targets(r coverage.Range) []gather.Target {
+	return (*Dispatcher)(e).groupsOf(r)
+}
+
+// Place implements gather.Environment.
+func (e *environment) Place(s *gather.Segment, kind SendKind) (gather.Server, gather.Placement) {
+	d := (*Dispatcher)(e)
+	g := s.Group.(*group)
+	chosen, placement := d.choose(g, s, kind)
+	if placement == gather.Placed {
+		return chosen, placement
+	}
+	if placement == gather.Busy && kind != HedgeSend {
+		d.enqueue(g, s)
+	}
+	return nil, placement
+}
+
+// HedgeDelay implements gather.Environment.
+func (e *environment) HedgeDelay(s *gather.Segment) (time.Duration, bool) {
+	g := s.Group.(*group)
+	if len(g.servers) < 2 {
+		return 0, false
+	}
+	return e.options.HedgePolicy.Delay(retry.HedgeSituation{
+		Share:   owner(s.Query()).class.HedgeShare,
+		Group:   g.latencies,
+		Service: &e.latencies,
+	})
+}
+
+// SpendHedge implements gather.Environment.
+func (e *environment) SpendHedge(q *gather.Query, price float64) bool {
+	return e.budget.SpendHedge(owner(q).class.rank, price)
+}
+
+// SpendRetry implements gather.Environment.
+func (e *environment) SpendRetry(q *gather.Query, price float64) bool {
+	return e.budget.SpendRetry(owner(q).class.rank, price)
+}
+
+// NextSnapshot implements gather.Environment.
+func (e *environment) NextSnapshot(tried []snapshot.ID, keys uint64) (snapshot.ID, bool) {
+	choice, ok := e.catalog.Choose(tried...)
+	return choice.ID, ok && choice.Keys > keys
+}
+
+// Typical implements gather.Environment.
+func (e *environment) Typical() time.Duration {
+	return e.latencies.Quantile(e.options.TypicalQuantile)
+}
+
+// leastBackoff is the time before the first round of asking tried servers anew;
+// it doubles with each.
+const leastBackoff = 10 * time.Millisecond
+
+// Backoff implements gather.Environment.
+func (e *environment) Backoff(round int) time.Duration {
+	backoff := leastBackoff << min(round, mostDoublings)
+	return backoff + time.Duration(e.random.Float64()*float64(backoff)/2)
+}
+
+// NextAttempt implements gather.Environment.
+func (e *environment) NextAttempt() AttemptID {
+	e.last++
+	return e.last
+}
+
+// Send implements gather.Environment.
+func (e *environment) Send(a *gather.Attempt) {
+	d := (*Dispatcher)(e)
+	q := a.Query()
+	r := owner(q)
+	s := a.Server.(*server)
+	d.attempts[a.ID] = a
+	s.limiter.Start()
+	if a.Kind == FirstSend {
+		d.budget.Credit(r.class.rank, 1, r.class.HedgeShare)
+	}
+	d.emit(Send{
+		Attempt:   a.ID,
+		Query:     r.asked.ID,
+		Server:    s.ID,
+		Address:   s.Address,
+		Range:     a.Range,
+		Snapshot:  a.Snapshot,
+		Remaining: q.Deadline() - d.now,
+		Kind:      a.Kind,
+	})
+	d.account(s)
+}
+
+// Cancel implements gather.Environment.
+func (e *environment) Cancel(a *gather.Attempt) {
+	(*Dispatcher)(e).emit(Cancel{Attempt: a.ID})
+}
+
+// Finish implements gather.Environment.
+func (e *environment) Finish(q *gather.Query, outcome Outcome) {
+	d := (*Dispatcher)(e)
+	r := owner(q)
+	r.query = nil
+	delete(d.running, r.asked.ID)
+	if outcome.Execution != ExecutionDone {
+		outcome.RetryAfter = d.options.RetryAfter
+	}
+	d.emit(Finish{Query: r.asked.ID, Outcome: outcome})
+}
--- /dev/null
+++ b/dispatch/group.go
@@ -0,0 +1,172 @@
+package dispatch
+
+import (
+	"container/heap"
+	"sort"
+
+	"github.com/banksail/banksail/admission"
+	"github.com/banksail/banksail/coverage"
+	"github.com/banksail/banksail/gather"
+	"github.com/banksail/banksail/limit"
+	"github.com/banksail/banksail/retry"
+)
+
+// group is a shard with the sums over its servers that leave none out.
+type group struct {
+	name      string
+	span      coverage.Range
+	servers   []*server
+	latencies *retry.Sketch
+	contribution
+	// level is the number of classes that have room, the most urgent first.
+	level   int
+	waiting waiters
+	roomy   bool // is listed in the dispatcher's roomy groups
+}
+
+// room reports whether the class with the given rank may have one more request
+// in flight. Headroom is kept over the group, so that small limits don't round
+// it away.
+func (g *group) room(rank int, share float64) bool {
+	if g.free == 0 {
+		return false
+	}
+	return rank == 0 || g.inFlight < limit.Allowed(g.limit, share)
+}
+
+// level brings the group's level, and the counts of blocked groups, up to date.
+// A group without usable servers blocks no query: its range can't be served.
+func (d *Dispatcher) level(g *group) {
+	level := 0
+	for level < len(d.ranked) && (g.usable == 0 || g.room(level, d.ranked[level].share)) {
+		level++
+	}
+	for rank := level; rank < g.level; rank++ {
+		d.blocked[rank]++
+	}
+	for rank := g.level; rank < level; rank++ {
+		d.blocked[rank]--
+	}
+	g.level = level
+}
+
+// hasRoom reports whether a query of the given rank may start now.
+func (d *Dispatcher) hasRoom(rank int) bool {
+	if len(d.running) >= d.options.MaximumRunning {
+		return false
+	}
+	allowed := int(d.options.BlockedShare * float64(len(d.groups)))
+	return d.blocked[rank] <= allowed
+}
+
+// waiter is a segment that waits for room in a group.
+type waiter struct {
+	key      admission.Key
+	sequence uint64
+	segment  *gather.Segment
+	running  *running
+}
+
+// waiters is a heap of segments, the next to send first.
+type waiters []waiter
+
+// Len implements heap.Interface.
+func (w waiters) Len() int { return len(w) }
+
+// Less implements heap.Interface.
+func (w waiters) Less(i, j int) bool {
+	if w[i].key != w[j].key {
+		return w[i].key.Less(w[j].key)
+	}
+	return w[i].sequence < w[j].sequence
+}
+
+// Swap implements heap.Interface.
+func (w waiters) Swap(i, j int) { w[i], w[j] = w[j], w[i] }
+
+// Push implements heap.Interface.
+func (w *waiters) Push(x any) { *w = append(*w, x.(waiter)) }
+
+// Pop implements heap.Interface.
+func (w *waiters) Pop() any {
+	old := *w
+	x := old[len(old)-1]
+	old[len(old)-1] = waiter{}
+	*w = old[:len(old)-1]
+	return x
+}
+
+// enqueue lets the segment wait for room in its group.
+func (d *Dispatcher) enqueue(g *group, s *gather.Segment) {
+	d.sequence++
+	r := owner(s.Query())
+	w := waiter{key: r.key, sequence: d.sequence, segment: s, running: r}
+	if d.pumped == g {
+		d.passed = append(d.passed, w)
+		return
+	}
+	heap.Push(&g.waiting, w)
+}
+
+// markRoomy lists the groups, to be pumped once the query at hand is done with.
+func (d *Dispatcher) markRoomy(groups []*group) {
+	for _, g := range groups {
+		if len(g.waiting) > 0 && !g.roomy {
+			g.roomy = true
+			d.roomy = append(d.roomy, g)
+		}
+	}
+}
+
+// pump sends what waits in the groups that may have room now.
+func (d *Dispatcher) pump() {
+	for i := 0; i < len(d.roomy); i++ {
+		d.roomy[i].roomy = false
+		d.pumpGroup(d.roomy[i])
+	}
+	clear(d.roomy)
+	d.roomy = d.roomy[:0]
+}
+
+// maximumPassed bounds the segments that are passed over to find one that can
+// be sent: one whose class has no room, or whose only untried server has none.
+const maximumPassed = 8
+
+// pumpGroup tries the segments that wait, the first ones first.
+func (d *Dispatcher) pumpGroup(g *group) {
+	d.pumped = g
+	for len(g.waiting) > 0 && len(d.passed) < maximumPassed && (g.usable == 0 || g.level > 0) {
+		first := heap.Pop(&g.waiting).(waiter)
+		switch {
+		case first.running.query == nil || !first.segment.Waiting():
+		case g.usable > 0 && g.level <= first.running.class.rank:
+			d.passed = append(d.passed, first)
+		default:
+			first.running.query.Resume(d.now, first.segment)
+			d.schedule(first.running)
+		}
+	}
+	for _, w := range d.passed {
+		heap.Push(&g.waiting, w)
+	}
+	clear(d.passed)
+	d.passed = d.passed[:0]
+	d.pumped = nil
+}
+
+// groupsOf divides the range among the groups that hold it.
+func (d *Dispatcher) groupsOf(r coverage.Range) []gather.Target {
+	first := sort.Search(len(d.groups), func(i int) bool { return d.groups[i].span.End > r.Start })
+	var targets []gather.Target
+	if r == d.space {
+		targets = make([]gather.Target, 0, len(d.groups))
+	}
+	for _, g := range d.groups[first:] {
+		shared, ok := g.span.Intersect(r)
+		if !ok {
+			break
+		}
+		targets = append(targets, gather.Target{Range: shared, Group: g})
+	}
+	return targets
+}
--- /dev/null
+++ b/dispatch/options.go
@@ -0,0 +1,122 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/banksail/banksail/admission"
+	"github.com/banksail/banksail/gather"
+	"github.com/banksail/banksail/limit"
+	"github.com/banksail/banksail/retry"
+)
+
+// Options sets up a Dispatcher. The zero value of a field stands for its default.
+type Options struct {
+	// Seed makes random choices repeatable.
+	Seed uint64
+	// Zone is the node's own zone; servers there are preferred when otherwise equal.
+	Zone string
+	// RetryAfter is told to refused callers when nothing better is known;
+	// default one second.
+	RetryAfter time.Duration
+
+	// QueueOrder ranks queries that wait for room; default admission.StrictClass.
+	QueueOrder admission.QueueOrder
+	// MaximumQueued bounds the queries that wait, per class; default 1,000.
+	MaximumQueued int
+	// MaximumRunning bounds the queries that run; default 10,000.
+	MaximumRunning int
+	// BlockedShare is the share of groups that may be without room when a query
+	// starts; its sub-requests there wait for room. Default 0.5; negative is none.
+	BlockedShare float64
+	// LeastClassShare bounds from below the share of a limit that headroom leaves
+	// to any class; default 0.1.
+	LeastClassShare float64
+
+	// LimitPolicy sets how the limit of requests in flight is found, per server.
+	LimitPolicy limit.Options
+	// SpareConnections is the share of each server's connections that is left
+	// free; default limit.DefaultSpareConnections.
+	SpareConnections float64
+
+	// ReplicaPolicy chooses among the servers of a group; default PowerOfTwo.
+	ReplicaPolicy ReplicaPolicy
+	// LoadWeight is the weight of a load just reported by a server beside the
+	// node's own requests in flight; default 0.5; negative is none.
+	LoadWeight float64
+	// LoadHalfLife is the time in which a reported load loses half its weight;
+	// default 20 ms.
+	LoadHalfLife time.Duration
+	// LatencyHalfLife is the time in which a server's observed latency loses half
+	// its weight against that of the service, so that a server that was slow is
+	// tried again; default 2 s.
+	LatencyHalfLife time.Duration
+
+	// HedgePolicy decides when to ask a second server; default retry.ShareHedge.
+	HedgePolicy retry.HedgePolicy
+	// Budget bounds hedges and retries. Its burst is raised to the number of groups.
+	Budget retry.BudgetOptions
+
+	// StopPolicy decides how long to wait for the rest; default gather.StopWhenSlow.
+	StopPolicy gather.StopPolicy
+	// TypicalQuantile is the quantile of the service's latencies that the stop
+	// policy takes as typical; default 0.8.
+	TypicalQuantile float64
+	// MaximumRestarts bounds how often a query starts over on another snapshot;
+	// default 1; negative is never.
+	MaximumRestarts int
+	// MaximumRounds bounds how often a query asks servers anew that were all
+	// tried; default 3; negative is never.
+	MaximumRounds int
+	// MaximumSteps bounds the explanation of a query; default 256; negative gives none.
+	MaximumSteps int
+}
+
+// Defaults of Options.
+const (
+	DefaultRetryAfter      = time.Second
+	DefaultMaximumRunning  = 10_000
+	DefaultBlockedShare    = 0.5
+	DefaultLeastClassShare = 0.1
+	DefaultLoadWeight      = 0.5
+	DefaultLoadHalfLife    = 20 * time.Millisecond
+	DefaultLatencyHalfLife = 2 * time.Second
+	DefaultTypicalQuantile = 0.8
+	DefaultMaximumRestarts = 1
+	DefaultMaximumRounds   = 3
+	DefaultMaximumSteps    = 256
+)
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.RetryAfter, DefaultRetryAfter)
+	setDefault(&o.MaximumRunning, DefaultMaximumRunning)
+	setDefault(&o.BlockedShare, DefaultBlockedShare)
+	setDefault(&o.LeastClassShare, DefaultLeastClassShare)
+	setDefault(&o.SpareConnections, limit.DefaultSpareConnections)
+	setDefault(&o.LoadWeight, DefaultLoadWeight)
+	setDefault(&o.LoadHalfLife, DefaultLoadHalfLife)
+	setDefault(&o.LatencyHalfLife, DefaultLatencyHalfLife)
+	setDefault(&o.TypicalQuantile, DefaultTypicalQuantile)
+	setDefault(&o.MaximumRestarts, DefaultMaximumRestarts)
+	setDefault(&o.MaximumRounds, DefaultMaximumRounds)
+	setDefault(&o.MaximumSteps, DefaultMaximumSteps)
+	if o.QueueOrder == nil {
+		o.QueueOrder = admission.StrictClass{}
+	}
+	if o.HedgePolicy == nil {
+		o.HedgePolicy = retry.ShareHedge{}
+	}
+	if o.StopPolicy == nil {
+		o.StopPolicy = gather.StopWhenSlow{}
+	}
+	return o
+}
+
+// setDefault sets a field that is zero, and makes a negative one zero.
+func setDefault[T int | float64 | time.Duration](field *T, value T) {
+	switch {
+	case *field == 0:
+		*field = value
+	case *field < 0:
+		*field = 0
+	}
+}
--- /dev/null
+++ b/dispatch/replica.go
@@ -0,0 +1,170 @@
+package dispatch
+
+import (
+	"github.com/banksail/banksail/gather"
+)
+
+// ReplicaPolicy names a way to choose among the servers of a group.
+type ReplicaPolicy int
+
+const (
+	// PowerOfTwo compares two random servers by their expected delay. It is the default.
+	PowerOfTwo ReplicaPolicy = iota
+	// LeastDelay takes the server with the least expected delay of all.
+	LeastDelay
+	// RandomReplica takes any.
+	RandomReplica
+)
+
+// standing ranks servers that could take a sub-request; the lowest are
+// preferred, whatever their delay.
+type standing int
+
+const (
+	standingGood standing = iota
+	standingOutlier
+	standingSuspect
+	standingUnobserved // not known to hold the snapshot
+)
+
+// candidate is a server that could take a sub-request now.
+type candidate struct {
+	server   *server
+	standing standing
+}
+
+// maximumCandidates bounds the candidates that are weighed.
+const maximumCandidates = 256
+
+// choose picks a server of the segment's group.
+func (d *Dispatcher) choose(g *group, s *gather.Segment, kind SendKind) (*server, gather.Placement) {
+	var buffer [8]candidate
+	candidates := buffer[:0]
+	usable, untried := false, false
+	best := standingUnobserved
+	avoid := d.mayAvoid(g)
+	id := s.Query().Snapshot()
+	for _, replica := range g.servers {
+		if replica.leaving() || !replica.mayHold(id) {
+			continue
+		}
+		usable = true
+		if s.Tried(replica) {
+			continue
+		}
+		untried = true
+		if !replica.free(d.now) || len(candidates) == maximumCandidates {
+			continue
+		}
+		rank := d.standing(replica, id, avoid)
+		if kind == HedgeSend && rank != standingGood {
+			continue
+		}
+		best = min(best, rank)
+		candidates = append(candidates, candidate{server: replica, standing: rank})
+	}
+	switch {
+	case !usable:
+		return nil, gather.Unservable
+	case !untried:
+		return nil, gather.Tried
+	}
+	c := owner(s.Query()).class
+	if len(candidates) == 0 || !g.room(c.rank, c.share) {
+		return nil, gather.Busy
+	}
+	return d.pick(candidates, best), gather.Placed
+}
+
+func (d *Dispatcher) standing(s *server, id SnapshotID, avoid bool) standing {
+	switch {
+	case !s.holder.Holds(id):
+		return standingUnobserved
+	case s.state == ServerSuspect:
+		return standingSuspect
+	case avoid && s.avoidUntil > d.now:
+		return standingOutlier
+	default:
+		return standingGood
+	}
+}
+
+// mayAvoid reports whether outliers of the group may be avoided. When most of a
+// group looks bad, the detector is wrong.
+func (d *Dispatcher) mayAvoid(g *group) bool {
+	outliers, usable := 0, 0
+	for _, s := range g.servers {
+		if s.leaving() {
+			continue
+		}
+		usable++
+		if s.avoidUntil > d.now {
+			outliers++
+		}
+	}
+	return 2*outliers <= usable
+}
+
+// pick chooses among the candidates of the best standing.
+func (d *Dispatcher) pick(candidates []candidate, best standing) *server {
+	equals := candidates[:0]
+	for _, c := range candidates {
+		if c.standing == best {
+			equals = append(equals, c)
+		}
+	}
+	switch {
+	case len(equals) == 1:
+		return equals[0].server
+	case d.options.ReplicaPolicy == RandomReplica:
+		return equals[d.random.IntN(len(equals))].server
+	case d.options.ReplicaPolicy == LeastDelay:
+		return d.leastDelay(equals)
+	default:
+		first := d.random.IntN(len(equals))
+		second := d.random.IntN(len(equals) - 1)
+		if second >= first {
+			second++
+		}
+		return d.better(equals[first].server, equals[second].server)
+	}
+}
+
+func (d *Dispatcher) leastDelay(candidates []candidate) *server {
+	best := candidates[0].server
+	for _, c := range candidates[1:] {
+		best = d.better(best, c.server)
+	}
+	return best
+}
+
+// nearlyEqual is the ratio of delays below which the zone decides.
+const nearlyEqual = 1.1
+
+// better returns the server with the lower expected delay; of nearly equal ones
+// the one in the node's zone, then the first.
+func (d *Dispatcher) better(a, b *server) *server {
+	delayA, delayB := d.expectedDelay(a), d.expectedDelay(b)
+	switch {
+	case delayA*nearlyEqual < delayB:
+		return a
+	case delayB*nearlyEqual < delayA:
+		return b
+	case b.Zone == d.options.Zone && a.Zone != d.options.Zone:
+		return b
+	default:
+		return a
+	}
+}
+
+// expectedDelay weighs a server's observed latency with the work that it has:
+// the node's own requests, and what it reported of others', the less the older.
+func (d *Dispatcher) expectedDelay(s *server) float64 {
+	usual := float64(d.latencies.Quantile(medianQuantile))
+	latency := s.expectedLatency(d.now, usual, d.options.LatencyHalfLife)
+	work := float64(s.limiter.InFlight()) + 1
+	if s.load > 0 {
+		work += s.load * d.options.LoadWeight * faded(d.now-s.loadAt, d.options.LoadHalfLife)
+	}
+	return latency * work / float64(max(s.Slots, 1))
+}
--- /dev/null
+++ b/gather/query.go
@@ -0,0 +1,273 @@
+package gather
+
+import (
+	"slices"
+	"time"
+
+	"github.com/banksail/banksail/coverage"
+	"github.com/banksail/banksail/snapshot"
+)
+
+// Options sets up a Query.
+type Options struct {
+	// Owner is the owner's own reference; the query doesn't use it.
+	Owner any
+	// Space is the whole key space, over which coverage is counted.
+	Space coverage.Range
+	// Snapshot is the snapshot that the query pins.
+	Snapshot snapshot.ID
+	// Arrived is when the query came, from which the explanation counts.
+	Arrived time.Duration
+	// Deadline is when the caller stops waiting.
+	Deadline time.Duration
+	// Minimum is the least coverage that makes an answer.
+	Minimum float64
+	// Repeatable says that sub-requests may run more than once.
+	Repeatable bool
+	// Stop decides when to stop waiting; nil stands for StopAtDeadline.
+	Stop StopPolicy
+	// MaximumRestarts bounds how often the query starts over on another snapshot.
+	MaximumRestarts int
+	// MaximumRounds bounds how often servers that were all tried are asked anew.
+	MaximumRounds int
+	// MaximumSteps bounds the explanation; zero gives none.
+	MaximumSteps int
+}
+
+// Query is one query that runs.
+type Query struct {
+	options     Options
+	environment Environment
+	now         time.Duration
+	started     time.Duration
+	nextAt      time.Duration
+	snapshot    snapshot.ID
+	dropped     []snapshot.ID // snapshots on which the query gave up
+	segments    []*Segment
+	open        []*Segment // awaited, waiting or resting
+	due         []*Segment // scratch of Tick
+	covered     uint64     // keys of answered segments
+	lost        uint64     // keys of segments given up
+	restarts    int
+	// ran says that a server certainly ran a sub-request.
+	ran bool
+	// unknown says that a server may have run one whose fate isn't known.
+	unknown  bool
+	finished bool
+	failure  Reason // of the first segment given up
+	steps    []Step
+}
+
+// New returns a Query that has not started.
+func New(options Options, environment Environment) *Query {
+	if options.Stop == nil {
+		options.Stop = StopAtDeadline{}
+	}
+	return &Query{options: options, environment: environment, snapshot: options.Snapshot}
+}
+
+// Owner is the reference given in Options.
+func (q *Query) Owner() any { return q.options.Owner }
+
+// Snapshot is the snapshot that the query pins now.
+func (q *Query) Snapshot() snapshot.ID { return q.snapshot }
+
+// Deadline is when the caller stops waiting.
+func (q *Query) Deadline() time.Duration { return q.options.Deadline }
+
+// Repeatable reports whether sub-requests may run more than once.
+func (q *Query) Repeatable() bool { return q.options.Repeatable }
+
+// Finished reports whether the final answer was given.
+func (q *Query) Finished() bool { return q.finished }
+
+// NextAt is when Tick must be called next, at the latest.
+func (q *Query) NextAt() time.Duration { return q.nextAt }
+
+// Start sends a sub-request for each part of the key space.
+func (q *Query) Start(now time.Duration) {
+	q.now = now
+	q.started = now
+	q.nextAt = q.options.Deadline
+	q.begin(FirstSend)
+}
+
+// begin divides the key space and sends the sub-requests.
+func (q *Query) begin(kind SendKind) {
+	targets := q.environment.Targets(q.options.Space)
+	generation := q.environment.Generation()
+	slab := make([]Segment, len(targets))
+	q.segments = make([]*Segment, 0, len(targets))
+	q.open = make([]*Segment, 0, len(targets))
+	if q.options.MaximumSteps > 0 && q.steps == nil {
+		q.steps = make([]Step, 0, min(2*len(targets)+1, q.options.MaximumSteps))
+	}
+	unheld := q.options.Space.Size()
+	for i, target := range targets {
+		slab[i].init(q, target, generation)
+		q.add(&slab[i])
+		unheld -= target.Range.Size()
+	}
+	q.lost = unheld
+	q.placeAll(slices.Clone(q.open), kind)
+	q.conclude()
+}
+
+// add makes the segment one that is still awaited.
+func (q *Query) add(s *Segment) {
+	s.place = len(q.open)
+	q.open = append(q.open, s)
+	q.segments = append(q.segments, s)
+}
+
+// remove takes the segment off those still awaited.
+func (q *Query) remove(s *Segment, state segmentState) {
+	s.state = state
+	s.hedgeAt, s.retryAt = 0, 0
+	last := len(q.open) - 1
+	q.open[s.place] = q.open[last]
+	q.open[s.place].place = s.place
+	q.open[last] = nil
+	q.open = q.open[:last]
+}
+
+func (s *Segment) isOpen() bool { return s.state < answered }
+
+// placeAll sends a sub-request for each segment that is still open.
+func (q *Query) placeAll(segments []*Segment, kind SendKind) {
+	for _, s := range segments {
+		if q.finished {
+			return
+		}
+		if s.isOpen() {
+			q.place(s, kind)
+		}
+	}
+}
+
+// Tick does what is due by now: the deadline, hedges, another round, stopping.
+func (q *Query) Tick(now time.Duration) {
+	if q.finished {
+		return
+	}
+	q.now = now
+	if now >= q.options.Deadline {
+		q.finish(ReasonDeadline)
+		return
+	}
+	q.nextAt = q.options.Deadline
+	q.due = q.due[:0]
+	for _, s := range q.open {
+		if s.isDue(now) {
+			q.due = append(q.due, s)
+			continue
+		}
+		q.wakeFor(s)
+	}
+	for _, s := range q.due {
+		if q.finished {
+			return
+		}
+		q.tickSegment(s)
+	}
+	q.conclude()
+}
+
+// hedgeSlack lets hedges that are due soon go together: a query then wakes few times.
+const hedgeSlack = 100 * time.Microsecond
+
+func (s *Segment) isDue(now time.Duration) bool {
+	return s.hedgeAt > 0 && s.hedgeAt <= now+hedgeSlack || s.retryAt > 0 && s.retryAt <= now
+}
+
+func (q *Query) tickSegment(s *Segment) {
+	switch {
+	case s.state == resting && s.retryAt <= q.now:
+		s.retryAt = 0
+		s.tried = s.tried[:0]
+		q.place(s, s.kind)
+	case s.state == awaited && s.hedgeAt > 0:
+		q.hedge(s)
+	}
+}
+
+// wakeFor makes the query wake for the segment's next time.
+func (q *Query) wakeFor(s *Segment) {
+	if s.hedgeAt > 0 {
+		q.nextAt = min(q.nextAt, s.hedgeAt)
+	}
+	if s.retryAt > 0 {
+		q.nextAt = min(q.nextAt, s.retryAt)
+	}
+}
+
+// Abandon ends the query because its caller has gone.
+func (q *Query) Abandon(now time.Duration) {
+	if q.finished {
+		return
+	}
+	q.now = now
+	q.finish(ReasonCallerGone)
+}
+
+// conclude finishes the query when nothing is left to wait for, or when waiting
+// on is not worth while.
+func (q *Query) conclude() {
+	switch {
+	case q.finished:
+	case q.covered == q.options.Space.Size() && q.covered > 0:
+		q.finish(ReasonComplete)
+	case len(q.open) == 0:
+		q.finish(q.failureReason())
+	case q.hopeless():
+		q.finish(q.failureReason())
+	default:
+		q.considerStop()
+	}
+}
+
+// hopeless reports that the minimum can't be reached any more. A query that is
+// not repeatable waits on, to know what ran.
+func (q *Query) hopeless() bool {
+	if q.lost == 0 || !q.options.Repeatable {
+		return false
+	}
+	return q.fraction(q.options.Space.Size()-q.lost) < q.options.Minimum
+}
+
+func (q *Query) failureReason() Reason {
+	switch {
+	case q.unknown && !q.options.Repeatable:
+		return ReasonOutcomeUnknown
+	case q.failure != "":
+		return q.failure
+	default:
+		return ReasonExhausted
+	}
+}
+
+// considerStop asks the stop policy once the minimum is there.
+func (q *Query) considerStop() {
+	fraction := q.fraction(q.covered)
+	if q.covered == 0 || fraction < q.options.Minimum || !q.options.Repeatable {
+		return
+	}
+	after, ok := q.options.Stop.StopAfter(Progress{
+		Coverage: fraction,
+		Minimum:  q.options.Minimum,
+		Open:     len(q.open),
+		Typical:  q.environment.Typical(),
+		Budget:   q.options.Deadline - q.started,
+	})
+	switch {
+	case !ok:
+	case q.now >= q.started+after:
+		q.finish(ReasonEnoughCoverage)
+	default:
+		q.nextAt = min(q.nextAt, q.started+after)
+	}
+}
+
+func (q *Query) fraction(keys uint64) float64 {
+	return coverage.Fraction(keys, q.options.Space.Size())
+}
--- /dev/null
+++ b/gather/segment.go
@@ -0,0 +1,102 @@
+package gather
+
+import (
+	"slices"
+	"time"
+
+	"github.com/banksail/banksail/coverage"
+	"github.com/banksail/banksail/snapshot"
+)
+
+// segmentState is how far a segment got.
+type segmentState int
+
+const (
+	awaited  segmentState = iota // an attempt is in flight, or about to be
+	waiting                      // no server had room
+	resting                      // every server was tried; another round follows
+	answered                     // the reply was taken
+	closed                       // given up, or divided
+)
+
+// replicasInline is the number of attempts per segment that need no allocation
+// of their own list.
+const replicasInline = 2
+
+// Segment is a range of the key space that one sub-request answers.
+type Segment struct {
+	// Range is the segment's part of the key space.
+	Range coverage.Range
+	// Group holds the range as of the generation in which it was routed.
+	Group Group
+
+	query      *Query
+	generation uint64
+	state      segmentState
+	kind       SendKind // of the sub-request that waits or rests
+	place      int      // in the query's open segments
+	live       []*Attempt
+	tried      []Server
+	rounds     int
+	hedgeAt    time.Duration // zero is never
+	retryAt    time.Duration // zero is never
+	server     Server
+	body       any
+	first      Attempt
+	liveInline [replicasInline]*Attempt
+	tryInline  [replicasInline]Server
+}
+
+// Attempt is one sub-request.
+type Attempt struct {
+	ID       AttemptID
+	Segment  *Segment
+	Server   Server
+	Kind     SendKind
+	Range    coverage.Range
+	Snapshot snapshot.ID
+	// SentAt is when the sub-request was sent.
+	SentAt time.Duration
+
+	live bool
+}
+
+// Query is the query to which the attempt belongs.
+func (a *Attempt) Query() *Query { return a.Segment.query }
+
+// Live reports whether the attempt's reply is still wanted.
+func (a *Attempt) Live() bool { return a.live }
+
+// Query is the query to which the segment belongs.
+func (s *Segment) Query() *Query { return s.query }
+
+// Tried reports whether the server was asked for the segment in this round.
+func (s *Segment) Tried(server Server) bool { return slices.Contains(s.tried, server) }
+
+// Waiting reports whether the segment waits for room.
+func (s *Segment) Waiting() bool { return s.state == waiting }
+
+func (s *Segment) init(q *Query, target Target, generation uint64) {
+	s.Range = target.Range
+	s.Group = target.Group
+	s.query = q
+	s.generation = generation
+	s.live = s.liveInline[:0]
+	s.tried = s.tryInline[:0]
+}
+
+// attempt returns a new attempt; the first one needs no allocation.
+func (s *Segment) attempt() *Attempt {
+	if s.first.Segment == nil {
+		return &s.first
+	}
+	return new(Attempt)
+}
+
+// detach takes a live attempt off the segment.
+func (s *Segment) detach(a *Attempt) {
+	a.live = false
+	if i := slices.Index(s.live, a); i >= 0 {
+		s.live = slices.Delete(s.live, i, i+1)
+	}
+}
--- /dev/null
+++ b/gather/stop.go
@@ -0,0 +1,61 @@
+package gather
+
+import "time"
+
+// Progress is what a StopPolicy decides on.
+type Progress struct {
+	// Coverage is the fraction of the key space that was replied.
+	Coverage float64
+	// Minimum is the least fraction that makes an answer.
+	Minimum float64
+	// Open is the number of segments still awaited.
+	Open int
+	// Typical is the latency that most sub-requests stay below; zero when unknown.
+	Typical time.Duration
+	// Budget is the time from the query's start to its deadline.
+	Budget time.Duration
+}
+
+// StopPolicy decides how long a query that has its minimum coverage waits for
+// the rest: until after has passed since its start. Without ok it waits until
+// its deadline.
+type StopPolicy interface {
+	StopAfter(progress Progress) (after time.Duration, ok bool)
+}
+
+// StopAtDeadline waits for full coverage until the deadline.
+type StopAtDeadline struct{}
+
+// StopAfter implements StopPolicy.
+func (StopAtDeadline) StopAfter(Progress) (time.Duration, bool) { return 0, false }
+
+// StopWhenSlow stops once the rest takes much longer than is typical, so that
+// little can be expected of it.
+type StopWhenSlow struct {
+	// Patience is a multiple of the typical latency; zero stands for DefaultPatience.
+	Patience float64
+	// Least is the coverage below which it never stops early, also when the
+	// caller accepts less; zero stands for DefaultLeastCoverage.
+	Least float64
+}
+
+// Defaults of StopWhenSlow.
+const (
+	DefaultPatience      = 4.0
+	DefaultLeastCoverage = 0.8
+)
+
+// StopAfter implements StopPolicy.
+func (p StopWhenSlow) StopAfter(progress Progress) (time.Duration, bool) {
+	patience, least := p.Patience, p.Least
+	if patience <= 0 {
+		patience = DefaultPatience
+	}
+	if least <= 0 {
+		least = DefaultLeastCoverage
+	}
+	if progress.Typical <= 0 || progress.Coverage < least {
+		return 0, false
+	}
+	return time.Duration(float64(progress.Typical) * patience), true
+}
