--- a/lab/experiment/cluster/run.go
+++ b/lab/experiment/cluster/run.go
@@ -155,6 +155,7 @@
 // introduce tells a node what it learns on its start.
 func (r *run) introduce(fresh *node) {
 	r.plan(0, fresh, r.configured(1, r.scenario.Service))
+	r.plan(0, fresh, dispatch.NodesChanged{Live: r.scenario.Nodes})
 	for _, known := range r.servers {
 		r.plan(0, fresh, dispatch.ServerChanged{Server: known.id, State: dispatch.ServerLive})
 		r.plan(0, fresh, r.observed(known))
