--- a/lab/experiment/config.go
+++ b/lab/experiment/config.go
@@ -132,6 +132,8 @@
 	// InFlightPerSlot is for strict-priority: what all nodes together may have
 	// in flight at a server, per slot; 2 when zero.
 	InFlightPerSlot float64 `yaml:"in_flight_per_slot" validate:"min=0,max=1000"`
+	// Options is for banksail.
+	Options Tuning `yaml:"options"`
 }
 
 // Load reads and checks an experiment file.
