Thin membership and peer agent

Nodes had no way to know each other, the state of servers or each other's configuration revision. Pure cores for nodes (SWIM-style), servers and connection shares, and an agent that drives them over twirp and reads the machine list. ListMembers compares tables by digests of buckets, so that its replies stay bounded.

--- /dev/null
+++ b/membership/apply.go
@@ -0,0 +1,145 @@
+package membership
+
+import (
+	"slices"
+	"time"
+)
+
+// source tells how an update came, which decides how far it is trusted and
+// whether it is passed on.
+type source int
+
+const (
+	// fromGossip updates rode on a message and are passed on.
+	fromGossip source = iota
+	// fromSender entries are a node's own account of itself.
+	fromSender
+	// fromSync entries came in a table comparison; they are not passed on, as
+	// others compare as well.
+	fromSync
+	// fromDetector updates are this node's own findings.
+	fromDetector
+)
+
+// Receive takes in another node's message and returns the own entry and the
+// updates for the reply.
+func (n *Nodes) Receive(now time.Duration, sender Member, updates []Member) (Member, []Member) {
+	n.takeIn(now, sender, updates, fromGossip)
+	return n.self, n.payload(sender.ID)
+}
+
+// takeIn applies a node's entry and the updates that came with it.
+func (n *Nodes) takeIn(now time.Duration, sender Member, updates []Member, from source) {
+	n.apply(now, sender, fromSender)
+	for _, update := range updates[:min(len(updates), MaximumSyncMembers)] {
+		n.apply(now, update, from)
+	}
+}
+
+// apply merges one update into the table.
+func (n *Nodes) apply(now time.Duration, update Member, from source) {
+	if !update.Valid() {
+		return
+	}
+	if update.ID == n.self.ID {
+		n.refute(update)
+		return
+	}
+	known, ok := n.entries[update.ID]
+	if !ok {
+		n.insert(now, update, from)
+		return
+	}
+	if from == fromSync {
+		update = softened(known.member, update)
+	}
+	if !update.Supersedes(known.member) {
+		return
+	}
+	before := known.member
+	known.member = merge(before, update)
+	n.changed(now, known, before, from)
+}
+
+// softened turns a death that is only known from a table comparison into a
+// suspicion, so that two halves of a parted region that come together do not
+// bury each other's members before these could refute.
+func softened(known, update Member) Member {
+	if update.State == Gone && known.State == Live {
+		update.State = Suspect
+	}
+	return update
+}
+
+// insert adds a member that was not known.
+func (n *Nodes) insert(now time.Duration, update Member, from source) {
+	if len(n.ids) >= MaximumMembers {
+		return
+	}
+	known := &entry{member: update}
+	if candidate, listed := n.candidates[update.ID]; listed {
+		known.listed = true
+		delete(n.candidates, candidate.ID)
+	}
+	n.entries[update.ID] = known
+	at, _ := slices.BinarySearch(n.ids, update.ID)
+	n.ids = slices.Insert(n.ids, at, update.ID)
+	n.changed(now, known, Member{}, from)
+}
+
+// changed sets the deadline that goes with a new state and queues the update.
+func (n *Nodes) changed(now time.Duration, known *entry, before Member, from source) {
+	member := known.member
+	known.deadline = n.deadlineOf(now, member.State)
+	n.nextExpiry = min(n.nextExpiry, known.deadline)
+	n.changes = append(n.changes, member)
+	kind := stateUpdate
+	if before.Incarnation == member.Incarnation && before.State == member.State {
+		kind = revisionUpdate
+	} else {
+		n.version++
+	}
+	if from != fromSync {
+		n.updates.add(member.ID, kind)
+	}
+}
+
+func (n *Nodes) deadlineOf(now time.Duration, state State) time.Duration {
+	switch state {
+	case Suspect:
+		return now + n.suspicionTime()
+	case Leaving:
+		return now + n.options.LeavingTime
+	case Gone:
+		return now + n.options.TombstoneTime
+	default:
+		return never
+	}
+}
+
+// refute answers an update about the node itself. Anything that would win over
+// the own entry and differs from it is beaten by a higher incarnation.
+func (n *Nodes) refute(update Member) {
+	if update.Incarnation < n.self.Incarnation {
+		return
+	}
+	same := update.State == n.self.State && update.Address == n.self.Address
+	if update.Incarnation == n.self.Incarnation && (same || update.State < n.self.State) {
+		return
+	}
+	if n.self.State == Gone {
+		return
+	}
+	n.self.Incarnation = min(update.Incarnation+1, MaximumIncarnation)
+	n.updates.add(n.self.ID, stateUpdate)
+	n.version++
+}
+
+// remove forgets a member.
+func (n *Nodes) remove(id string) {
+	delete(n.entries, id)
+	if at, found := slices.BinarySearch(n.ids, id); found {
+		n.ids = slices.Delete(n.ids, at, at+1)
+	}
+	n.version++
+}
--- /dev/null
+++ b/membership/connections.go
@@ -0,0 +1,125 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// reservedShare is the part of a server's connection limit that is not
+	// shared out: it takes up what nodes with differing member tables open.
+	reservedShare = 0.1
+	// OwnersPerServer is the number of nodes that connect to a server when
+	// there are more nodes than connections.
+	OwnersPerServer = 8
+	// warmShare is the part of a node's share that stays open while idle.
+	warmShare = 0.25
+)
+
+// Share is a node's part of a server's connections.
+type Share struct {
+	// Maximum is the greatest number of connections that the node may open.
+	Maximum int
+	// Warm is the number of connections that the node keeps open while idle.
+	Warm int
+}
+
+// ShareableConnections is the number of connections that are shared out of a
+// server's limit; the rest is reserved.
+func ShareableConnections(limit int) int {
+	reserved := max(1, int(float64(limit)*reservedShare))
+	if limit <= 1 {
+		return max(0, limit)
+	}
+	return limit - reserved
+}
+
+// ServerPlace names a server whose connections are shared out.
+type ServerPlace struct {
+	ID   string
+	Zone string
+	// Limit is the number of connections that the server accepts in all.
+	Limit int
+}
+
+// ConnectionShare returns the share that a node has of a server's connections,
+// given the nodes that are neither leaving nor gone.
+//
+// Nodes that see the same members never hold more than the limit together. When
+// a member leaves, no other node's share falls, and what the others gain is
+// what it held. Nodes whose views differ may exceed the shared-out part; each
+// holds at most ShareableConnections divided by the size of its own view,
+// rounded up, so with N nodes that each miss at most M others the sum is at
+// most N times that quotient at N-M.
+func ConnectionShare(self string, server ServerPlace, nodes []Member) Share {
+	for _, owner := range Owners(server, nodes) {
+		if owner.ID == self {
+			return owner.Share
+		}
+	}
+	return Share{}
+}
+
+// Owner is a node that connects to a server.
+type Owner struct {
+	ID    string
+	Share Share
+}
+
+// Owners returns the nodes that hold connections to a server with their
+// shares, in rendezvous order. All nodes do while the connections suffice;
+// otherwise a few do, those in the server's zone first.
+func Owners(server ServerPlace, nodes []Member) []Owner {
+	shared := ShareableConnections(server.Limit)
+	if shared == 0 || len(nodes) == 0 {
+		return nil
+	}
+	ranked := rank(server, nodes, len(nodes) > shared)
+	if len(nodes) > shared {
+		ranked = ranked[:min(OwnersPerServer, shared)]
+	}
+	owners := make([]Owner, 0, len(ranked))
+	for position, id := range ranked {
+		maximum := shared / len(ranked)
+		if position < shared%len(ranked) {
+			maximum++
+		}
+		warm := max(1, int(float64(maximum)*warmShare))
+		owners = append(owners, Owner{ID: id, Share: Share{Maximum: maximum, Warm: warm}})
+	}
+	return owners
+}
+
+// rank orders nodes by their rendezvous weight for the server, if asked with
+// those of the server's zone first.
+func rank(server ServerPlace, nodes []Member, zoneFirst bool) []string {
+	type weighted struct {
+		id     string
+		remote bool
+		weight uint64
+	}
+	candidates := make([]weighted, 0, len(nodes))
+	for _, node := range nodes {
+		candidates = append(candidates, weighted{
+			id:     node.ID,
+			remote: zoneFirst && node.Zone != server.Zone,
+			weight: xxhash.Sum64String(server.ID + "\x00" + node.ID),
+		})
+	}
+	slices.SortFunc(candidates, func(x, y weighted) int {
+		if x.remote != y.remote {
+			if x.remote {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Or(cmp.Compare(y.weight, x.weight), cmp.Compare(x.id, y.id))
+	})
+	ids := make([]string, 0, len(candidates))
+	for _, candidate := range candidates {
+		ids = append(ids, candidate.id)
+	}
+	return ids
+}
--- /dev/null
+++ b/membership/nodes.go
@@ -0,0 +1,224 @@
+package membership
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/banksail/banksail/policy"
+)
+
+// entry is what a node knows of another one.
+type entry struct {
+	member Member
+	// deadline ends a suspicion, a leaving or a tombstone; it is not used for
+	// live members.
+	deadline time.Duration
+	// listed says that the machine list names the member as live.
+	listed bool
+}
+
+// Nodes is the failure detector and member table of one node.
+//
+// The owner calls Tick no later than Next says, sends the requests that it
+// gets, and hands in results and what other nodes send.
+type Nodes struct {
+	options NodesOptions
+	random  *rand.Rand
+	self    Member
+
+	// entries holds every known member but the node itself.
+	entries map[string]*entry
+	// ids holds the keys of entries, sorted, so that no choice depends on the
+	// order of a map.
+	ids []string
+	// candidates holds nodes that only the machine list names.
+	candidates map[string]Member
+	updates    broadcasts
+
+	// probeOrder is the rest of the current round of probes.
+	probeOrder []string
+	pending    map[RequestID]pendingRequest
+	// indirect counts the indirect probes of a target that are still out.
+	indirect    map[string]int
+	lastRequest RequestID
+
+	lastTick      time.Duration
+	nextProbe     time.Duration
+	nextReconnect time.Duration
+	nextSync      time.Duration
+	nextExpiry    time.Duration
+	syncBucket    int
+	joined        bool
+	started       bool
+
+	version uint64
+	changes []Member
+}
+
+// NewNodes returns a table that holds the node itself only.
+func NewNodes(options NodesOptions) *Nodes {
+	options = options.withDefaults()
+	self := options.Self
+	self.State = Live
+	nodes := &Nodes{
+		options:    options,
+		random:     rand.New(rand.NewPCG(options.Seed, seedStream)),
+		self:       self,
+		entries:    make(map[string]*entry),
+		candidates: make(map[string]Member),
+		pending:    make(map[RequestID]pendingRequest),
+		indirect:   make(map[string]int),
+		nextExpiry: never,
+		version:    1,
+	}
+	nodes.updates.add(self.ID, stateUpdate)
+	return nodes
+}
+
+const (
+	// seedStream keeps the table's random numbers apart from other users of
+	// the same seed.
+	seedStream = 0x6d656d62657273
+	never      = time.Duration(math.MaxInt64)
+)
+
+// Self returns the node's own entry.
+func (n *Nodes) Self() Member { return n.self }
+
+// Version grows whenever a member appears, disappears, or changes its state,
+// address or incarnation. It does not grow for a revision.
+func (n *Nodes) Version() uint64 { return n.version }
+
+// Members returns the node itself and every member that is not gone, sorted by ID.
+func (n *Nodes) Members() []Member {
+	members := n.Table()
+	return slices.DeleteFunc(members, func(m Member) bool { return m.State == Gone })
+}
+
+// Table returns every known member, tombstones and the node itself among them,
+// sorted by ID.
+func (n *Nodes) Table() []Member {
+	members := make([]Member, 0, len(n.ids)+1)
+	at, _ := slices.BinarySearch(n.ids, n.self.ID)
+	for i, id := range n.ids {
+		if i == at {
+			members = append(members, n.self)
+		}
+		members = append(members, n.entries[id].member)
+	}
+	if at == len(n.ids) {
+		members = append(members, n.self)
+	}
+	return members
+}
+
+// Lookup returns what is known of a member.
+func (n *Nodes) Lookup(id string) (Member, bool) {
+	if id == n.self.ID {
+		return n.self, true
+	}
+	known, ok := n.entries[id]
+	if !ok {
+		return Member{}, false
+	}
+	return known.member, true
+}
+
+// TakeChanges returns the entries that changed since the last call, in order.
+func (n *Nodes) TakeChanges() []Member {
+	changes := n.changes
+	n.changes = nil
+	return changes
+}
+
+// SetRevision records the configuration in force at the node itself.
+func (n *Nodes) SetRevision(revision policy.Revision) {
+	if revision <= n.self.Revision {
+		return
+	}
+	n.self.Revision = revision
+	n.updates.add(n.self.ID, revisionUpdate)
+}
+
+// Leave marks the node as leaving and returns announcements to a few members.
+func (n *Nodes) Leave() []Request {
+	if n.self.State == Leaving {
+		return nil
+	}
+	n.self.State = Leaving
+	n.updates.add(n.self.ID, stateUpdate)
+	n.version++
+	return n.announce()
+}
+
+// Depart marks the node as gone, once its work has ended, and returns
+// announcements to a few members.
+func (n *Nodes) Depart() []Request {
+	n.self.State = Gone
+	n.updates.add(n.self.ID, stateUpdate)
+	n.version++
+	return n.announce()
+}
+
+// announcementTargets is the number of members that are told of a leaving at
+// once; the rest learn from them.
+const announcementTargets = 5
+
+func (n *Nodes) announce() []Request {
+	targets := n.pick(announcementTargets, func(m Member) bool { return m.State == Live })
+	requests := make([]Request, 0, len(targets))
+	for _, target := range targets {
+		request := n.newRequest(Announcement, target)
+		request.Updates = n.payload(target.ID)
+		requests = append(requests, request)
+	}
+	return requests
+}
+
+// size is the number of members that are not gone, the node itself among them.
+func (n *Nodes) size() int {
+	count := 1
+	for _, id := range n.ids {
+		if n.entries[id].member.State != Gone {
+			count++
+		}
+	}
+	return count
+}
+
+func (n *Nodes) transmissionLimit() int {
+	return n.options.TransmissionFactor * logarithm(n.size())
+}
+
+func (n *Nodes) suspicionTime() time.Duration {
+	return n.options.ProbeInterval * time.Duration(n.options.SuspicionFactor*logarithm(n.size()))
+}
+
+// logarithm is the decimal logarithm of the size plus one, rounded up, at least one.
+func logarithm(size int) int {
+	return max(1, int(math.Ceil(math.Log10(float64(size+1)))))
+}
+
+// payload picks the updates for a message to a member. What is known of that
+// member itself goes along unless it is plainly live, so that it can refute.
+func (n *Nodes) payload(to string) []Member {
+	updates := n.updates.take(to, n.transmissionLimit(), n.Lookup)
+	if known, ok := n.entries[to]; ok && known.member.State != Live {
+		updates = append(updates, known.member)
+	}
+	return updates
+}
+
+// pick returns up to count members that fit, at random.
+func (n *Nodes) pick(count int, fits func(Member) bool) []Member {
+	fitting := make([]Member, 0, len(n.ids))
+	for _, id := range n.ids {
+		if member := n.entries[id].member; fits(member) {
+			fitting = append(fitting, member)
+		}
+	}
+	n.random.Shuffle(len(fitting), func(i, j int) { fitting[i], fitting[j] = fitting[j], fitting[i] })
+	return fitting[:min(count, len(fitting))]
+}
--- /dev/null
+++ b/membership/servers.go
@@ -0,0 +1,302 @@
+package membership
+
+import (
+	"slices"
+	"time"
+)
+
+// Defaults of ServersOptions.
+const (
+	DefaultSuspectFailures = 3
+	DefaultGoneAfter       = 30 * time.Second
+	DefaultAbandonAfter    = 10 * time.Minute
+	DefaultServerLeaving   = time.Minute
+)
+
+// Bounds of the table of servers.
+const (
+	// MaximumServers bounds the table.
+	MaximumServers = 20000
+	// rememberedIncarnations is the number of earlier incarnations of a server
+	// whose late reports are ignored.
+	rememberedIncarnations = 4
+)
+
+// ServersOptions configure Servers. Zero fields take the defaults.
+type ServersOptions struct {
+	// SuspectFailures is the number of connect failures in a row that make a
+	// server suspect.
+	SuspectFailures int
+	// GoneAfter is how long a server that the machine list doesn't name may
+	// be unreachable before it counts as gone.
+	GoneAfter time.Duration
+	// AbandonAfter is the same bound for a server that the list still names.
+	AbandonAfter time.Duration
+	// LeavingTime is how long a leaving server keeps work in flight.
+	LeavingTime time.Duration
+}
+
+func (o ServersOptions) withDefaults() ServersOptions {
+	setDefault(&o.SuspectFailures, DefaultSuspectFailures)
+	setDefault(&o.GoneAfter, DefaultGoneAfter)
+	setDefault(&o.AbandonAfter, DefaultAbandonAfter)
+	setDefault(&o.LeavingTime, DefaultServerLeaving)
+	return o
+}
+
+// ServerSource is where a report on a server comes from.
+type ServerSource int
+
+const (
+	// FromReply reports rode on a reply to a sub-request.
+	FromReply ServerSource = iota + 1
+	// FromHealth reports came from the server's health endpoint.
+	FromHealth
+	// FromConnect reports are failures to connect.
+	FromConnect
+)
+
+// ServerCondition is what a report says.
+type ServerCondition int
+
+const (
+	// ServerAnswered: the server replied and did not say that it is leaving.
+	ServerAnswered ServerCondition = iota + 1
+	// ServerDraining: the server said that it is leaving.
+	ServerDraining
+	// ServerUnreachable: no connection could be made.
+	ServerUnreachable
+)
+
+// ServerReport is one observation of a server.
+type ServerReport struct {
+	Source    ServerSource
+	Condition ServerCondition
+	// Incarnation is the server's own account of it; empty when it gave none.
+	Incarnation string
+	// Age is the time since the request was sent that led to the report. A
+	// report that is older than the server's current incarnation is ignored.
+	Age time.Duration
+}
+
+// ServerChange is a new state of a server.
+type ServerChange struct {
+	ID    string
+	State State
+}
+
+// serverEntry is what is known of one server.
+type serverEntry struct {
+	state State
+	// incarnation is the one that the state belongs to; direct tells that the
+	// server gave it itself.
+	incarnation string
+	direct      bool
+	since       time.Duration
+	past        []string
+	// failures counts connect failures in a row, the first at failingSince.
+	failures     int
+	failingSince time.Duration
+	// deadline ends a leaving.
+	deadline time.Duration
+	listed   bool
+}
+
+// Servers merges what several sources say of the back-end servers.
+//
+// Whichever source says first that a server is leaving wins, and the state
+// sticks until the server has a new incarnation. Failures to connect make a
+// server suspect, never leaving; it is gone only after a bound. The machine
+// list never removes a server that answers.
+type Servers struct {
+	options ServersOptions
+	entries map[string]*serverEntry
+	ids     []string
+	changes []ServerChange
+}
+
+// NewServers returns an empty table; a server that it doesn't hold is live.
+func NewServers(options ServersOptions) *Servers {
+	return &Servers{options: options.withDefaults(), entries: make(map[string]*serverEntry)}
+}
+
+// State returns what is known of a server; one that was never heard of is live.
+func (s *Servers) State(id string) State {
+	known, ok := s.entries[id]
+	if !ok {
+		return Live
+	}
+	return known.state
+}
+
+// States returns every state that the table holds, sorted by ID.
+func (s *Servers) States() []ServerChange {
+	states := make([]ServerChange, 0, len(s.ids))
+	for _, id := range s.ids {
+		states = append(states, ServerChange{ID: id, State: s.entries[id].state})
+	}
+	return states
+}
+
+// TakeChanges returns the changes of state since the last call, in order.
+func (s *Servers) TakeChanges() []ServerChange {
+	changes := s.changes
+	s.changes = nil
+	return changes
+}
+
+func (s *Servers) ensure(id string) *serverEntry {
+	known, ok := s.entries[id]
+	if ok {
+		return known
+	}
+	if len(s.ids) >= MaximumServers || id == "" || len(id) > MaximumIDBytes {
+		return nil
+	}
+	known = &serverEntry{state: Live, since: -never}
+	s.entries[id] = known
+	at, _ := slices.BinarySearch(s.ids, id)
+	s.ids = slices.Insert(s.ids, at, id)
+	return known
+}
+
+func (s *Servers) set(now time.Duration, id string, known *serverEntry, state State) {
+	if known.state == state {
+		return
+	}
+	known.state = state
+	if state == Leaving {
+		known.deadline = now + s.options.LeavingTime
+	}
+	s.changes = append(s.changes, ServerChange{ID: id, State: state})
+}
+
+// Report takes in one observation.
+func (s *Servers) Report(now time.Duration, id string, report ServerReport) {
+	known := s.ensure(id)
+	if known == nil || slices.Contains(known.past, report.Incarnation) {
+		return
+	}
+	if report.Condition == ServerUnreachable {
+		s.failed(now, id, known)
+		return
+	}
+	if now-report.Age < known.since {
+		return
+	}
+	s.renew(now, id, known, report)
+	known.failures = 0
+	switch {
+	case report.Condition == ServerDraining:
+		if known.state != Gone {
+			s.set(now, id, known, Leaving)
+		}
+	case known.state == Suspect, known.state == Gone && known.deadline == 0:
+		s.set(now, id, known, Live)
+	}
+}
+
+// renew starts the entry afresh when the server itself tells a new incarnation.
+func (s *Servers) renew(now time.Duration, id string, known *serverEntry, report ServerReport) {
+	if report.Incarnation == "" {
+		return
+	}
+	if report.Incarnation == known.incarnation {
+		known.direct = true
+		return
+	}
+	first := known.incarnation == ""
+	if !first {
+		known.past = append(known.past, known.incarnation)
+		known.past = known.past[max(0, len(known.past)-rememberedIncarnations):]
+	}
+	known.incarnation = report.Incarnation
+	known.direct = true
+	if first {
+		return
+	}
+	known.since = now
+	known.deadline = 0
+	s.set(now, id, known, Live)
+}
+
+// failed counts a failure to connect.
+func (s *Servers) failed(now time.Duration, id string, known *serverEntry) {
+	if known.failures == 0 {
+		known.failingSince = now
+	}
+	known.failures++
+	switch {
+	case known.state == Live && known.failures >= s.options.SuspectFailures:
+		s.set(now, id, known, Suspect)
+	case known.state == Leaving && known.failures >= s.options.SuspectFailures:
+		s.set(now, id, known, Gone)
+	}
+}
+
+// ListedServer is a server that the machine list names.
+type ListedServer struct {
+	ID          string
+	Leaving     bool
+	Incarnation string
+}
+
+// ObserveList takes in what the machine list says. Its silence on a server
+// tells nothing, and an empty list tells nothing at all.
+func (s *Servers) ObserveList(now time.Duration, servers []ListedServer) {
+	if len(servers) == 0 {
+		return
+	}
+	for _, id := range s.ids {
+		s.entries[id].listed = false
+	}
+	for _, server := range servers {
+		s.observe(now, server)
+	}
+}
+
+func (s *Servers) observe(now time.Duration, server ListedServer) {
+	known := s.ensure(server.ID)
+	if known == nil || slices.Contains(known.past, server.Incarnation) {
+		return
+	}
+	if known.direct && server.Incarnation != "" && server.Incarnation != known.incarnation {
+		return
+	}
+	s.observeIncarnation(now, server, known)
+	known.listed = !server.Leaving
+	if server.Leaving && known.state != Gone {
+		s.set(now, server.ID, known, Leaving)
+	}
+}
+
+// observeIncarnation takes the list's word for the incarnation of a server that
+// has not told its own.
+func (s *Servers) observeIncarnation(now time.Duration, server ListedServer, known *serverEntry) {
+	if server.Incarnation == "" || server.Incarnation == known.incarnation {
+		return
+	}
+	report := ServerReport{Condition: ServerAnswered, Incarnation: server.Incarnation}
+	s.renew(now, server.ID, known, report)
+	known.direct = false
+}
+
+// Tick ends suspicions and leavings whose time has come.
+func (s *Servers) Tick(now time.Duration) {
+	for _, id := range s.ids {
+		known := s.entries[id]
+		switch {
+		case known.state == Leaving && now >= known.deadline:
+			s.set(now, id, known, Gone)
+		case known.state == Suspect && now-known.failingSince >= s.patience(known):
+			s.set(now, id, known, Gone)
+		}
+	}
+}
+
+func (s *Servers) patience(known *serverEntry) time.Duration {
+	if known.listed {
+		return s.options.AbandonAfter
+	}
+	return s.options.GoneAfter
+}
--- /dev/null
+++ b/membership/sync.go
@@ -0,0 +1,205 @@
+package membership
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// compare asks a random live member for the entries that differ.
+func (n *Nodes) compare() []Request {
+	targets := n.pick(1, func(m Member) bool { return m.State == Live })
+	if len(targets) == 0 {
+		return nil
+	}
+	return []Request{n.newSync(targets[0], n.syncBucket)}
+}
+
+// syncTimeoutFactor is how many times longer a sync may take than a probe.
+const syncTimeoutFactor = 4
+
+func (n *Nodes) newSync(to Member, firstBucket int) Request {
+	request := n.newRequest(Sync, to)
+	request.Timeout = syncTimeoutFactor * n.options.ProbeTimeout
+	request.Digests = n.digests()
+	request.FirstBucket = firstBucket
+	return request
+}
+
+// digests summarises the table, one number a bucket of IDs.
+func (n *Nodes) digests() []uint64 {
+	digests := make([]uint64, DigestBuckets)
+	for _, member := range n.Table() {
+		digests[bucketOf(member.ID)] += digest(member)
+	}
+	return digests
+}
+
+func bucketOf(id string) int {
+	return int(xxhash.Sum64String(id) % DigestBuckets)
+}
+
+// digest condenses what two tables must agree on.
+func digest(member Member) uint64 {
+	buffer := make([]byte, 0, MaximumIDBytes)
+	buffer = append(buffer, member.ID...)
+	buffer = binary.BigEndian.AppendUint64(buffer, member.Incarnation)
+	buffer = binary.BigEndian.AppendUint64(buffer, uint64(member.State))
+	buffer = binary.BigEndian.AppendUint64(buffer, uint64(member.Revision))
+	return xxhash.Sum64(buffer)
+}
+
+// ReceiveSync answers another node's Sync with the entries of the buckets that
+// differ, at most MaximumSyncMembers.
+func (n *Nodes) ReceiveSync(now time.Duration, sender Member, digests []uint64, firstBucket int) SyncReply {
+	n.apply(now, sender, fromSender)
+	reply := SyncReply{Responder: n.self}
+	buckets := n.differing(digests)
+	for offset := range DigestBuckets {
+		bucket := (max(0, firstBucket) + offset) % DigestBuckets
+		members := buckets[bucket]
+		if len(reply.Members) > 0 && len(reply.Members)+len(members) > MaximumSyncMembers {
+			reply.More = true
+			reply.NextBucket = bucket
+			break
+		}
+		reply.Members = append(reply.Members, members[:min(len(members), MaximumSyncMembers)]...)
+	}
+	return reply
+}
+
+// differing returns the entries of each bucket that differs from the digests.
+func (n *Nodes) differing(digests []uint64) [DigestBuckets][]Member {
+	var buckets [DigestBuckets][]Member
+	for _, member := range n.Table() {
+		bucket := bucketOf(member.ID)
+		buckets[bucket] = append(buckets[bucket], member)
+	}
+	if len(digests) != DigestBuckets {
+		return buckets
+	}
+	own := n.digests()
+	for bucket := range buckets {
+		if own[bucket] == digests[bucket] {
+			buckets[bucket] = nil
+		}
+	}
+	return buckets
+}
+
+// completeSync takes in the entries, and goes on while the node joins.
+func (n *Nodes) completeSync(now time.Duration, pending pendingRequest, result Result) []Request {
+	if result.Failed {
+		return nil
+	}
+	n.takeIn(now, result.Responder, result.Updates, fromSync)
+	n.syncBucket = result.NextBucket
+	if !result.More {
+		n.joined = true
+		return nil
+	}
+	if n.joined || result.Responder.ID != pending.to {
+		return nil
+	}
+	return []Request{n.newSync(result.Responder, result.NextBucket)}
+}
+
+// afterContact compares tables with a first contact, until one comparison has ended.
+func (n *Nodes) afterContact() []Request {
+	if n.joined || n.syncing() {
+		return nil
+	}
+	return n.compare()
+}
+
+func (n *Nodes) syncing() bool {
+	for _, pending := range n.pending {
+		if pending.kind == Sync {
+			return true
+		}
+	}
+	return false
+}
+
+// ListedNode is a node that the machine list names.
+type ListedNode struct {
+	ID      string
+	Address string
+	Zone    string
+}
+
+// ObserveList takes in the live nodes that the machine list names. The list is
+// a hint: it may lag, name dead nodes and lack new ones. So it neither adds nor
+// removes a member; it only tells whom to contact. An empty list tells nothing.
+func (n *Nodes) ObserveList(nodes []ListedNode) {
+	if len(nodes) == 0 {
+		return
+	}
+	listed := make(map[string]ListedNode, len(nodes))
+	for _, node := range nodes {
+		listed[node.ID] = node
+	}
+	for _, id := range n.ids {
+		_, ok := listed[id]
+		n.entries[id].listed = ok
+	}
+	clear(n.candidates)
+	for _, node := range nodes[:min(len(nodes), MaximumCandidates)] {
+		if _, known := n.entries[node.ID]; known || node.ID == n.self.ID {
+			continue
+		}
+		candidate := Member{ID: node.ID, Address: node.Address, Zone: node.Zone, State: Live}
+		if candidate.Valid() {
+			n.candidates[node.ID] = candidate
+		}
+	}
+}
+
+// joinContacts is the number of listed nodes that a joining node contacts at once.
+const joinContacts = 3
+
+// reconnectInterval is short until a first comparison has ended.
+func (n *Nodes) reconnectInterval() time.Duration {
+	if n.joined {
+		return n.options.ReconnectInterval
+	}
+	return n.options.ProbeInterval
+}
+
+// reconnect probes nodes that only the list names, and gone members that it
+// still names.
+func (n *Nodes) reconnect() []Request {
+	targets := n.reconnectTargets()
+	count := 1
+	if !n.joined {
+		count = joinContacts
+	}
+	n.random.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	var requests []Request
+	for _, target := range targets[:min(count, len(targets))] {
+		request := n.newRequest(ReconnectProbe, target)
+		request.Updates = n.payload(target.ID)
+		requests = append(requests, request)
+	}
+	return requests
+}
+
+func (n *Nodes) reconnectTargets() []Member {
+	var targets []Member
+	for _, id := range n.ids {
+		if known := n.entries[id]; known.member.State == Gone && known.listed {
+			targets = append(targets, known.member)
+		}
+	}
+	candidates := make([]string, 0, len(n.candidates))
+	for id := range n.candidates {
+		candidates = append(candidates, id)
+	}
+	slices.Sort(candidates)
+	for _, id := range candidates {
+		targets = append(targets, n.candidates[id])
+	}
+	return targets
+}
--- /dev/null
+++ b/membership/tick.go
@@ -0,0 +1,256 @@
+package membership
+
+import (
+	"time"
+)
+
+// pendingRequest is a request without a result.
+type pendingRequest struct {
+	kind   RequestKind
+	to     string
+	target string
+	// incarnation is that of the member whose answer is awaited.
+	incarnation uint64
+}
+
+// pauseIntervals is the number of probe intervals after which a gap between
+// two ticks is taken for a pause of the process itself.
+const pauseIntervals = 3
+
+// Next tells when Tick must be called at the latest.
+func (n *Nodes) Next() time.Duration {
+	return min(n.nextProbe, n.nextReconnect, n.nextSync, n.nextExpiry)
+}
+
+// Tick advances to the given time and returns the requests that are due.
+func (n *Nodes) Tick(now time.Duration) []Request {
+	n.start(now)
+	n.excusePause(now)
+	n.lastTick = now
+	n.expire(now)
+	var requests []Request
+	if now >= n.nextProbe {
+		n.nextProbe = now + n.jittered(n.options.ProbeInterval)
+		requests = append(requests, n.probe()...)
+	}
+	if now >= n.nextReconnect {
+		n.nextReconnect = now + n.jittered(n.reconnectInterval())
+		requests = append(requests, n.reconnect()...)
+	}
+	if now >= n.nextSync {
+		n.nextSync = now + n.jittered(n.options.SyncInterval)
+		requests = append(requests, n.compare()...)
+	}
+	return requests
+}
+
+// start spreads the first probes of nodes that start at the same moment.
+func (n *Nodes) start(now time.Duration) {
+	if n.started {
+		return
+	}
+	n.started = true
+	n.lastTick = now
+	n.nextProbe = now + time.Duration(n.random.Int64N(int64(n.options.ProbeInterval)))
+	n.nextReconnect = now
+	n.nextSync = now + time.Duration(n.random.Int64N(int64(n.options.SyncInterval)))
+}
+
+// jitterShare is the share by which an interval varies to either side.
+const jitterShare = 0.1
+
+func (n *Nodes) jittered(interval time.Duration) time.Duration {
+	factor := 1 + jitterShare*(2*n.random.Float64()-1)
+	return time.Duration(float64(interval) * factor)
+}
+
+// excusePause handles a pause of the process itself: probes that were out have
+// failed for that reason, and suspects had no chance to be heard.
+func (n *Nodes) excusePause(now time.Duration) {
+	gap := now - n.lastTick
+	if gap <= pauseIntervals*n.options.ProbeInterval {
+		return
+	}
+	clear(n.pending)
+	clear(n.indirect)
+	for _, id := range n.ids {
+		if known := n.entries[id]; known.member.State == Suspect {
+			known.deadline += gap
+		}
+	}
+}
+
+// expire ends suspicions, leavings and tombstones whose time has come.
+func (n *Nodes) expire(now time.Duration) {
+	if now < n.nextExpiry {
+		return
+	}
+	n.nextExpiry = never
+	for _, id := range append([]string(nil), n.ids...) {
+		known := n.entries[id]
+		if known.deadline <= now {
+			n.expireEntry(now, id, known)
+		}
+		if known.member.State != Live {
+			n.nextExpiry = min(n.nextExpiry, known.deadline)
+		}
+	}
+}
+
+func (n *Nodes) expireEntry(now time.Duration, id string, known *entry) {
+	if known.member.State != Gone {
+		n.setState(now, known, Gone)
+		return
+	}
+	if known.listed {
+		known.deadline = now + n.options.TombstoneTime
+		return
+	}
+	known.deadline = never
+	n.remove(id)
+}
+
+// setState records this node's own finding on a member.
+func (n *Nodes) setState(now time.Duration, known *entry, state State) {
+	update := known.member
+	update.State = state
+	n.apply(now, update, fromDetector)
+}
+
+func (n *Nodes) newRequest(kind RequestKind, to Member) Request {
+	n.lastRequest++
+	request := Request{
+		ID:      n.lastRequest,
+		Kind:    kind,
+		To:      to,
+		Timeout: n.options.ProbeTimeout,
+		Sender:  n.self,
+	}
+	n.pending[request.ID] = pendingRequest{kind: kind, to: to.ID, target: to.ID, incarnation: to.Incarnation}
+	return request
+}
+
+// probe asks the next member of the round.
+func (n *Nodes) probe() []Request {
+	target, ok := n.nextTarget()
+	if !ok {
+		return nil
+	}
+	request := n.newRequest(DirectProbe, target)
+	request.Updates = n.payload(target.ID)
+	return []Request{request}
+}
+
+// nextTarget walks through all members in an order that is shuffled anew for
+// each round.
+func (n *Nodes) nextTarget() (Member, bool) {
+	for range 2 {
+		for len(n.probeOrder) > 0 {
+			id := n.probeOrder[0]
+			n.probeOrder = n.probeOrder[1:]
+			if known, ok := n.entries[id]; ok && known.member.State != Gone {
+				return known.member, true
+			}
+		}
+		n.probeOrder = append([]string(nil), n.ids...)
+		n.random.Shuffle(len(n.probeOrder), func(i, j int) {
+			n.probeOrder[i], n.probeOrder[j] = n.probeOrder[j], n.probeOrder[i]
+		})
+	}
+	return Member{}, false
+}
+
+// Complete takes in what became of a request and returns those that follow.
+func (n *Nodes) Complete(now time.Duration, result Result) []Request {
+	pending, ok := n.pending[result.ID]
+	if !ok {
+		return nil
+	}
+	delete(n.pending, result.ID)
+	switch pending.kind {
+	case DirectProbe, ReconnectProbe:
+		return n.completeProbe(now, pending, result)
+	case IndirectProbe:
+		n.completeIndirect(now, pending, result)
+	case Sync:
+		return n.completeSync(now, pending, result)
+	case Announcement:
+		if !result.Failed {
+			n.takeIn(now, result.Responder, result.Updates, fromGossip)
+		}
+	}
+	return nil
+}
+
+// completeProbe asks others when a direct probe failed. A reply of a node that
+// has taken over the address counts as a failure of the member.
+func (n *Nodes) completeProbe(now time.Duration, pending pendingRequest, result Result) []Request {
+	if !result.Failed {
+		n.takeIn(now, result.Responder, result.Updates, fromGossip)
+	}
+	if !result.Failed && result.Responder.ID == pending.to {
+		return n.afterContact()
+	}
+	if pending.kind == ReconnectProbe {
+		return nil
+	}
+	known, ok := n.entries[pending.to]
+	if !ok || known.member.State == Gone || known.member.Incarnation != pending.incarnation {
+		return nil
+	}
+	return n.askOthers(now, known)
+}
+
+func (n *Nodes) askOthers(now time.Duration, known *entry) []Request {
+	target := known.member
+	helpers := n.pick(n.options.IndirectProbes, func(m Member) bool {
+		return m.State == Live && m.ID != target.ID
+	})
+	if len(helpers) == 0 {
+		n.suspect(now, known)
+		return nil
+	}
+	var requests []Request
+	for _, helper := range helpers {
+		request := n.newRequest(IndirectProbe, helper)
+		request.Target = target
+		request.Timeout = 2 * n.options.ProbeTimeout
+		n.pending[request.ID] = pendingRequest{
+			kind: IndirectProbe, to: helper.ID, target: target.ID, incarnation: target.Incarnation,
+		}
+		requests = append(requests, request)
+	}
+	n.indirect[target.ID] = len(requests)
+	return requests
+}
+
+func (n *Nodes) completeIndirect(now time.Duration, pending pendingRequest, result Result) {
+	if !result.Failed && result.Reached && result.Responder.ID == pending.target {
+		delete(n.indirect, pending.target)
+		n.apply(now, result.Responder, fromSender)
+		return
+	}
+	if _, waiting := n.indirect[pending.target]; !waiting {
+		return
+	}
+	n.indirect[pending.target]--
+	if n.indirect[pending.target] > 0 {
+		return
+	}
+	delete(n.indirect, pending.target)
+	known, ok := n.entries[pending.target]
+	if ok && known.member.Incarnation == pending.incarnation {
+		n.suspect(now, known)
+	}
+}
+
+// suspect records that a member answers neither this node nor others.
+func (n *Nodes) suspect(now time.Duration, known *entry) {
+	switch known.member.State {
+	case Live:
+		n.setState(now, known, Suspect)
+	case Leaving:
+		n.setState(now, known, Gone)
+	case Suspect, Gone:
+	}
+}
--- /dev/null
+++ b/peer/client.go
@@ -0,0 +1,175 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/banksail/banksail/membership"
+	"github.com/banksail/banksail/policy"
+)
+
+// boundedClient returns a client that reads no more of a reply than
+// maximumReplyBytes.
+func boundedClient(client *http.Client) *http.Client {
+	if client == nil {
+		client = http.DefaultClient
+	}
+	bounded := *client
+	bounded.Transport = boundedTransport{next: client.Transport}
+	return &bounded
+}
+
+// boundedTransport bounds the bodies of replies.
+type boundedTransport struct{ next http.RoundTripper }
+
+func (t boundedTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	next := t.next
+	if next == nil {
+		next = http.DefaultTransport
+	}
+	response, err := next.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	response.Body = boundedBody{Reader: io.LimitReader(response.Body, maximumReplyBytes), Closer: response.Body}
+	return response, nil
+}
+
+type boundedBody struct {
+	io.Reader
+	io.Closer
+}
+
+// stub returns the twirp client of a peer.
+func (a *Agent) stub(address string) Peer {
+	return NewPeerProtobufClient("http://"+address, a.client)
+}
+
+// exchange carries out one request of the core.
+func (a *Agent) exchange(ctx context.Context, request membership.Request) (membership.Result, error) {
+	switch request.Kind {
+	case membership.IndirectProbe:
+		return a.probeThrough(ctx, request)
+	case membership.Sync:
+		return a.sync(ctx, request)
+	default:
+		return a.gossip(ctx, request)
+	}
+}
+
+func (a *Agent) gossip(ctx context.Context, request membership.Request) (membership.Result, error) {
+	reply, err := a.stub(request.To.Address).Gossip(ctx, &GossipRequest{
+		Sender:  toWire(request.Sender),
+		Updates: allToWire(request.Updates),
+	})
+	if err != nil {
+		return membership.Result{}, unreachable(err)
+	}
+	responder, ok := fromWire(reply.GetResponder())
+	if !ok {
+		return membership.Result{}, fmt.Errorf("%w: responder", ErrMalformed)
+	}
+	updates := allFromWire(reply.GetUpdates(), membership.MaximumUpdates)
+	return membership.Result{Responder: responder, Updates: updates}, nil
+}
+
+func (a *Agent) probeThrough(ctx context.Context, request membership.Request) (membership.Result, error) {
+	reply, err := a.stub(request.To.Address).ProbeIndirect(ctx, &ProbeIndirectRequest{
+		Target:    toWire(request.Target),
+		TimeoutMs: uint32(request.Timeout.Milliseconds() / 2),
+	})
+	if err != nil {
+		return membership.Result{}, unreachable(err)
+	}
+	if !reply.GetReached() {
+		return membership.Result{}, nil
+	}
+	target, ok := fromWire(reply.GetTarget())
+	if !ok {
+		return membership.Result{}, fmt.Errorf("%w: target", ErrMalformed)
+	}
+	return membership.Result{Responder: target, Reached: true}, nil
+}
+
+func (a *Agent) sync(ctx context.Context, request membership.Request) (membership.Result, error) {
+	reply, err := a.stub(request.To.Address).ListMembers(ctx, &ListMembersRequest{
+		Sender:      toWire(request.Sender),
+		Digests:     request.Digests,
+		FirstBucket: uint32(request.FirstBucket),
+	})
+	if err != nil {
+		return membership.Result{}, unreachable(err)
+	}
+	responder, ok := fromWire(reply.GetResponder())
+	if !ok {
+		return membership.Result{}, fmt.Errorf("%w: responder", ErrMalformed)
+	}
+	return membership.Result{
+		Responder:  responder,
+		Updates:    allFromWire(reply.GetMembers(), membership.MaximumSyncMembers),
+		More:       reply.GetMore(),
+		NextBucket: int(reply.GetNextBucket() % membership.DigestBuckets),
+	}, nil
+}
+
+// Fetch asks a member for the configuration in force there. The revision is
+// zero when it is not greater than above. Errors are ErrUnknownMember,
+// ErrUnreachable and ErrMalformed.
+func (a *Agent) Fetch(ctx context.Context, member string, above policy.Revision) (policy.Revision, []byte, error) {
+	address, err := a.address(member)
+	if err != nil {
+		return 0, nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, configurationTimeout)
+	defer cancel()
+	reply, err := a.stub(address).FetchConfiguration(ctx, &FetchConfigurationRequest{Above: uint64(above)})
+	if err != nil {
+		return 0, nil, unreachable(err)
+	}
+	revision := policy.Revision(reply.GetRevision())
+	if revision <= above {
+		return 0, nil, nil
+	}
+	if len(reply.GetRecord()) == 0 || len(reply.GetRecord()) > MaximumConfigurationBytes {
+		return 0, nil, fmt.Errorf("%w: configuration of %d bytes", ErrMalformed, len(reply.GetRecord()))
+	}
+	return revision, reply.GetRecord(), nil
+}
+
+// Push offers a configuration to a member and returns the revision that is in
+// force there afterwards. Errors are ErrUnknownMember, ErrUnreachable and
+// ErrTooLarge.
+func (a *Agent) Push(ctx context.Context, member string, revision policy.Revision, record []byte) (policy.Revision, error) {
+	if len(record) > MaximumConfigurationBytes {
+		return 0, fmt.Errorf("%w: %d bytes", ErrTooLarge, len(record))
+	}
+	address, err := a.address(member)
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, configurationTimeout)
+	defer cancel()
+	reply, err := a.stub(address).PushConfiguration(ctx, &Configuration{Revision: uint64(revision), Record: record})
+	if err != nil {
+		return 0, unreachable(err)
+	}
+	return policy.Revision(reply.GetRevision()), nil
+}
+
+func (a *Agent) address(id string) (string, error) {
+	a.nodes.mutex.Lock()
+	defer a.nodes.mutex.Unlock()
+	member, ok := a.nodes.core.Lookup(id)
+	if !ok || member.State == membership.Gone {
+		return "", fmt.Errorf("%w: %q", ErrUnknownMember, id)
+	}
+	return member.Address, nil
+}
+
+// unreachable turns an error of the transport into the agent's own.
+func unreachable(err error) error {
+	return errors.Join(ErrUnreachable, err)
+}
--- /dev/null
+++ b/peer/handler.go
@@ -0,0 +1,112 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/banksail/banksail/membership"
+	"github.com/banksail/banksail/policy"
+)
+
+// service implements the generated Peer interface for an agent.
+type service struct{ agent *Agent }
+
+var _ Peer = service{}
+
+// newHandler returns the twirp server with bounded bodies.
+func newHandler(agent *Agent) http.Handler {
+	server := NewPeerServer(service{agent: agent})
+	configurations := http.MaxBytesHandler(server, maximumRequestBytes)
+	others := http.MaxBytesHandler(server, maximumGossipBytes)
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if strings.HasSuffix(request.URL.Path, "/PushConfiguration") {
+			configurations.ServeHTTP(writer, request)
+			return
+		}
+		others.ServeHTTP(writer, request)
+	})
+}
+
+// Gossip implements Peer.
+func (s service) Gossip(_ context.Context, request *GossipRequest) (*GossipResponse, error) {
+	sender, ok := fromWire(request.GetSender())
+	if !ok {
+		return nil, twirp.InvalidArgumentError("sender", "is missing or out of bounds")
+	}
+	updates := allFromWire(request.GetUpdates(), membership.MaximumUpdates)
+	table := &s.agent.nodes
+	table.mutex.Lock()
+	self, reply := table.core.Receive(s.agent.now(), sender, updates)
+	table.mutex.Unlock()
+	return &GossipResponse{Responder: toWire(self), Updates: allToWire(reply)}, nil
+}
+
+// ProbeIndirect implements Peer.
+func (s service) ProbeIndirect(ctx context.Context, request *ProbeIndirectRequest) (*ProbeIndirectResponse, error) {
+	target, ok := fromWire(request.GetTarget())
+	if !ok {
+		return nil, twirp.InvalidArgumentError("target", "is missing or out of bounds")
+	}
+	timeout := time.Duration(request.GetTimeoutMs()) * time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, min(timeout, MaximumProbeTimeout))
+	defer cancel()
+	reply, err := s.agent.stub(target.Address).Gossip(ctx, &GossipRequest{
+		Sender:  toWire(s.agent.Self()),
+		Updates: []*Member{request.GetTarget()},
+	})
+	if err != nil {
+		return &ProbeIndirectResponse{}, nil
+	}
+	responder, ok := fromWire(reply.GetResponder())
+	if !ok || responder.ID != target.ID {
+		return &ProbeIndirectResponse{}, nil
+	}
+	return &ProbeIndirectResponse{Reached: true, Target: toWire(responder)}, nil
+}
+
+// FetchConfiguration implements Peer.
+func (s service) FetchConfiguration(_ context.Context, request *FetchConfigurationRequest) (*Configuration, error) {
+	if s.agent.configurations == nil {
+		return &Configuration{}, nil
+	}
+	revision, record := s.agent.configurations.Record()
+	if uint64(revision) <= request.GetAbove() {
+		return &Configuration{}, nil
+	}
+	return &Configuration{Revision: uint64(revision), Record: record}, nil
+}
+
+// PushConfiguration implements Peer.
+func (s service) PushConfiguration(_ context.Context, request *Configuration) (*PushConfigurationResponse, error) {
+	if s.agent.configurations == nil {
+		return nil, twirp.NewError(twirp.FailedPrecondition, "the node keeps no configuration")
+	}
+	revision := policy.Revision(request.GetRevision())
+	if err := s.agent.configurations.Offer(revision, request.GetRecord()); err != nil {
+		return nil, twirp.InvalidArgumentError("record", err.Error())
+	}
+	return &PushConfigurationResponse{Revision: uint64(s.agent.configurations.Revision())}, nil
+}
+
+// ListMembers implements Peer.
+func (s service) ListMembers(_ context.Context, request *ListMembersRequest) (*ListMembersResponse, error) {
+	sender, ok := fromWire(request.GetSender())
+	if !ok {
+		return nil, twirp.InvalidArgumentError("sender", "is missing or out of bounds")
+	}
+	firstBucket := int(request.GetFirstBucket() % membership.DigestBuckets)
+	table := &s.agent.nodes
+	table.mutex.Lock()
+	reply := table.core.ReceiveSync(s.agent.now(), sender, request.GetDigests(), firstBucket)
+	table.mutex.Unlock()
+	return &ListMembersResponse{
+		Members:    allToWire(reply.Members),
+		Responder:  toWire(reply.Responder),
+		More:       reply.More,
+		NextBucket: uint32(reply.NextBucket),
+	}, nil
+}
--- /dev/null
+++ b/peer/list.go
@@ -0,0 +1,85 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/banksail/banksail/machinelist"
+	"github.com/banksail/banksail/membership"
+)
+
+// listStream keeps the random numbers of the list's reader apart from other
+// users of the same seed.
+const listStream = 0x6c697374
+
+// listLoop follows the machine list.
+func (a *Agent) listLoop(ctx context.Context) {
+	random := rand.New(rand.NewPCG(a.seed, listStream))
+	var version uint64
+	delay := listRetryBase
+	for ctx.Err() == nil {
+		list, err := a.readList(ctx, version)
+		switch {
+		case err == nil:
+			version = list.Version
+			delay = listRetryBase
+			a.observeList(list)
+			sleep(ctx, jitter(random, listRetryBase))
+		case errors.Is(err, machinelist.ErrUnchanged):
+			delay = listRetryBase
+			sleep(ctx, jitter(random, listRetryBase))
+		default:
+			a.logger.Debug().Err(err).Msg("machine list not read")
+			version = 0
+			sleep(ctx, jitter(random, delay))
+			delay = min(2*delay, listRetryMaximum)
+		}
+	}
+}
+
+// readList reads the list at once when no version of it is known, and waits
+// for a newer one otherwise.
+func (a *Agent) readList(ctx context.Context, version uint64) (machinelist.List, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	if version == 0 {
+		return a.machineList.Get(ctx)
+	}
+	return a.machineList.Watch(ctx, version, listWait)
+}
+
+// observeList hands the list to both tables. A list without machines tells
+// nothing.
+func (a *Agent) observeList(list machinelist.List) {
+	var nodes []membership.ListedNode
+	var servers []membership.ListedServer
+	for _, machine := range list.Machines {
+		switch machine.Role {
+		case machinelist.RoleNode:
+			if machine.State == machinelist.StateLive {
+				nodes = append(nodes, membership.ListedNode{ID: machine.ID, Address: machine.Address, Zone: machine.Zone})
+			}
+		case machinelist.RoleServer:
+			servers = append(servers, membership.ListedServer{
+				ID:          machine.ID,
+				Leaving:     machine.State == machinelist.StateLeaving,
+				Incarnation: machine.Incarnation,
+			})
+		}
+	}
+	a.nodes.mutex.Lock()
+	a.nodes.core.ObserveList(nodes)
+	a.nodes.mutex.Unlock()
+	a.servers.update(func(core *membership.Servers) { core.ObserveList(a.now(), servers) })
+}
+
+func sleep(ctx context.Context, delay time.Duration) {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
