--- /dev/null
+++ b/membership/connections_test.go
@@ -0,0 +1,146 @@
+package membership_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/banksail/banksail/membership"
+)
+
+func nodesNamed(count int) []membership.Member {
+	nodes := make([]membership.Member, 0, count)
+	for i := range count {
+		nodes = append(nodes, membership.Member{ID: nodeID(i), Zone: zoneOf(i), State: membership.Live})
+	}
+	return nodes
+}
+
+func shares(place membership.ServerPlace, nodes []membership.Member) map[string]int {
+	held := make(map[string]int)
+	for _, node := range nodes {
+		held[node.ID] = membership.ConnectionShare(node.ID, place, nodes).Maximum
+	}
+	return held
+}
+
+func sum(held map[string]int) int {
+	total := 0
+	for _, share := range held {
+		total += share
+	}
+	return total
+}
+
+func place(server, limit int) membership.ServerPlace {
+	return membership.ServerPlace{ID: fmt.Sprintf("server-%d", server), Zone: zoneOf(server), Limit: limit}
+}
+
+func TestConnectionShareProperties(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(1)
+	properties := gopter.NewProperties(parameters)
+	serverNumber, limits, counts := gen.IntRange(0, 10000), gen.IntRange(0, 200), gen.IntRange(1, 150)
+
+	properties.Property("nodes with one view never exceed the limit and use what is shared out", prop.ForAll(
+		func(server, limit, count int) bool {
+			total := sum(shares(place(server, limit), nodesNamed(count)))
+			return total == membership.ShareableConnections(limit) && total <= limit
+		}, serverNumber, limits, counts))
+
+	properties.Property("when a node leaves, no other one's share falls", prop.ForAll(
+		func(server, limit, count, leaver int) bool {
+			nodes := nodesNamed(count + 1)
+			shared := membership.ShareableConnections(limit)
+			if count+1 > shared {
+				return true // other owners are chosen: see the next property
+			}
+			before := shares(place(server, limit), nodes)
+			leaver %= len(nodes)
+			rest := append(nodes[:leaver:leaver], nodes[leaver+1:]...)
+			after := shares(place(server, limit), rest)
+			for id, share := range after {
+				if share < before[id] {
+					return false
+				}
+			}
+			return true
+		}, serverNumber, limits, counts, counts))
+
+	properties.Property("when a node leaves and nodes outnumber connections, at most one owner is new", prop.ForAll(
+		func(server, leaver int) bool {
+			nodes := nodesNamed(151)
+			before := shares(place(server, 70), nodes)
+			leaver %= len(nodes)
+			after := shares(place(server, 70), append(nodes[:leaver:leaver], nodes[leaver+1:]...))
+			fresh := 0
+			for id, share := range after {
+				if share > 0 && before[id] == 0 {
+					fresh++
+				}
+			}
+			return fresh <= 1
+		}, serverNumber, counts))
+
+	properties.Property("the sum stays within the stated bound while views differ", prop.ForAll(
+		func(server, limit, count, missing int) bool {
+			nodes := nodesNamed(count)
+			missing %= count
+			total := 0
+			for i, node := range nodes {
+				view := []membership.Member{node}
+				for j := range nodes {
+					hidden := (j-i+count)%count <= missing
+					if !hidden {
+						view = append(view, nodes[j])
+					}
+				}
+				total += membership.ConnectionShare(node.ID, place(server, limit), view).Maximum
+			}
+			shared := membership.ShareableConnections(limit)
+			if count > shared {
+				return true // the bound is stated for views in which all nodes own
+			}
+			return total <= count*((shared+count-missing-1)/(count-missing))
+		}, serverNumber, limits, counts, counts))
+
+	properties.TestingRun(t)
+}
+
+func TestOwnersAreInTheZoneOfTheServer(t *testing.T) {
+	owners := membership.Owners(place(1, 70), nodesNamed(400))
+	if len(owners) != membership.OwnersPerServer {
+		t.Fatalf("%d owners, want %d", len(owners), membership.OwnersPerServer)
+	}
+	zones := make(map[string]string)
+	for _, node := range nodesNamed(400) {
+		zones[node.ID] = node.Zone
+	}
+	for _, owner := range owners {
+		if zones[owner.ID] != zoneOf(1) {
+			t.Fatalf("%s owns connections from %s", owner.ID, zones[owner.ID])
+		}
+		if owner.Share.Warm < 1 || owner.Share.Warm > owner.Share.Maximum {
+			t.Fatalf("%s keeps %d of %d connections warm", owner.ID, owner.Share.Warm, owner.Share.Maximum)
+		}
+	}
+}
+
+func TestOwnershipIsSpreadEvenly(t *testing.T) {
+	const servers, count = 1000, 100
+	nodes := nodesNamed(count)
+	owned := make(map[string]int)
+	for server := range servers {
+		for _, owner := range membership.Owners(place(server, 70), nodes) {
+			owned[owner.ID]++
+		}
+	}
+	mean := servers * membership.OwnersPerServer / count
+	for id, number := range owned {
+		if number < mean/2 || number > 2*mean {
+			t.Fatalf("%s owns connections to %d servers, the mean is %d", id, number, mean)
+		}
+	}
+}
--- a/membership/nodes.go
+++ b/membership/nodes.go
@@ -54,6 +54,8 @@
 	started       bool
 
 	version uint64
+	// news counts all changes of entries.
+	news    uint64
 	changes []Member
 }
 
--- a/membership/servers.go
+++ b/membership/servers.go
@@ -10,7 +10,7 @@
 	DefaultSuspectFailures = 3
 	DefaultGoneAfter       = 30 * time.Second
 	DefaultAbandonAfter    = 10 * time.Minute
-	DefaultServerLeaving   = time.Minute
+	DefaultServerLeaving   = 11 * time.Minute
 )
 
 // Bounds of the table of servers.
@@ -32,7 +32,10 @@
 	GoneAfter time.Duration
 	// AbandonAfter is the same bound for a server that the list still names.
 	AbandonAfter time.Duration
-	// LeavingTime is how long a leaving server keeps work in flight.
+	// LeavingTime is how long a leaving server may take to end its work in
+	// flight; it must exceed the longest deadline of a request. Until then not
+	// even a failure to connect makes it gone, as a server that ends its work
+	// may take no new connections.
 	LeavingTime time.Duration
 }
 
@@ -60,11 +63,11 @@
 type ServerCondition int
 
 const (
-	// ServerAnswered: the server replied and did not say that it is leaving.
+	// ServerAnswered means that the server replied and did not say that it is leaving.
 	ServerAnswered ServerCondition = iota + 1
-	// ServerDraining: the server said that it is leaving.
+	// ServerDraining means that the server said that it is leaving.
 	ServerDraining
-	// ServerUnreachable: no connection could be made.
+	// ServerUnreachable means that no connection could be made.
 	ServerUnreachable
 )
 
@@ -99,7 +102,10 @@
 	failingSince time.Duration
 	// deadline ends a leaving.
 	deadline time.Duration
-	listed   bool
+	// sticky says that the server was leaving in the current incarnation for
+	// certain, as it was known when the leaving was told.
+	sticky bool
+	listed bool
 }
 
 // Servers merges what several sources say of the back-end servers.
@@ -160,14 +166,11 @@
 	return known
 }
 
-func (s *Servers) set(now time.Duration, id string, known *serverEntry, state State) {
+func (s *Servers) set(id string, known *serverEntry, state State) {
 	if known.state == state {
 		return
 	}
 	known.state = state
-	if state == Leaving {
-		known.deadline = now + s.options.LeavingTime
-	}
 	s.changes = append(s.changes, ServerChange{ID: id, State: state})
 }
 
@@ -188,11 +191,9 @@
 	known.failures = 0
 	switch {
 	case report.Condition == ServerDraining:
-		if known.state != Gone {
-			s.set(now, id, known, Leaving)
-		}
-	case known.state == Suspect, known.state == Gone && known.deadline == 0:
-		s.set(now, id, known, Live)
+		s.leave(now, id, known)
+	case known.state == Suspect, known.state == Gone && !known.sticky:
+		s.set(id, known, Live)
 	}
 }
 
@@ -216,8 +217,8 @@
 		return
 	}
 	known.since = now
-	known.deadline = 0
-	s.set(now, id, known, Live)
+	known.sticky = false
+	s.set(id, known, Live)
 }
 
 // failed counts a failure to connect.
@@ -226,11 +227,8 @@
 		known.failingSince = now
 	}
 	known.failures++
-	switch {
-	case known.state == Live && known.failures >= s.options.SuspectFailures:
-		s.set(now, id, known, Suspect)
-	case known.state == Leaving && known.failures >= s.options.SuspectFailures:
-		s.set(now, id, known, Gone)
+	if known.state == Live && known.failures >= s.options.SuspectFailures {
+		s.set(id, known, Suspect)
 	}
 }
 
@@ -265,9 +263,18 @@
 	}
 	s.observeIncarnation(now, server, known)
 	known.listed = !server.Leaving
-	if server.Leaving && known.state != Gone {
-		s.set(now, server.ID, known, Leaving)
+	if server.Leaving {
+		s.leave(now, server.ID, known)
+	}
+}
+
+func (s *Servers) leave(now time.Duration, id string, known *serverEntry) {
+	if known.state == Leaving || known.state == Gone {
+		return
 	}
+	known.sticky = known.incarnation != ""
+	known.deadline = now + s.options.LeavingTime
+	s.set(id, known, Leaving)
 }
 
 // observeIncarnation takes the list's word for the incarnation of a server that
@@ -281,17 +288,30 @@
 	known.direct = false
 }
 
-// Tick ends suspicions and leavings whose time has come.
+// Tick ends suspicions and leavings whose time has come. While more than half
+// of the servers can't be reached, the fault is taken to be this node's, and no
+// suspect becomes gone.
 func (s *Servers) Tick(now time.Duration) {
+	isolated := s.mostlySuspect()
 	for _, id := range s.ids {
 		known := s.entries[id]
 		switch {
 		case known.state == Leaving && now >= known.deadline:
-			s.set(now, id, known, Gone)
-		case known.state == Suspect && now-known.failingSince >= s.patience(known):
-			s.set(now, id, known, Gone)
+			s.set(id, known, Gone)
+		case known.state == Suspect && !isolated && now-known.failingSince >= s.patience(known):
+			s.set(id, known, Gone)
+		}
+	}
+}
+
+func (s *Servers) mostlySuspect() bool {
+	suspects := 0
+	for _, id := range s.ids {
+		if s.entries[id].state == Suspect {
+			suspects++
 		}
 	}
+	return 2*suspects > len(s.ids)
 }
 
 func (s *Servers) patience(known *serverEntry) time.Duration {
--- a/membership/sync.go
+++ b/membership/sync.go
@@ -70,6 +70,14 @@
 	return reply
 }
 
+// A comparison that brought manyNews entries or more is followed by another one
+// after hurriedSyncIntervals probe intervals: many nodes have just started, or
+// parted regions have come together.
+const (
+	manyNews             = 16
+	hurriedSyncIntervals = 3
+)
+
 // differing returns the entries of each bucket that differs from the digests.
 func (n *Nodes) differing(digests []uint64) [DigestBuckets][]Member {
 	var buckets [DigestBuckets][]Member
@@ -94,7 +102,11 @@
 	if result.Failed {
 		return nil
 	}
+	before := n.news
 	n.takeIn(now, result.Responder, result.Updates, fromSync)
+	if n.news-before >= manyNews {
+		n.nextSync = min(n.nextSync, now+n.jittered(hurriedSyncIntervals*n.options.ProbeInterval))
+	}
 	n.syncBucket = result.NextBucket
 	if !result.More {
 		n.joined = true
