--- /dev/null
+++ b/cmd/banksailctl/confirm.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+
+	"github.com/google/subcommands"
+
+	"github.com/banksail/banksail/operator"
+	"github.com/banksail/banksail/policy"
+)
+
+// confirmCommand puts a plan into effect.
+type confirmCommand struct{ common }
+
+func (*confirmCommand) Name() string     { return "confirm" }
+func (*confirmCommand) Synopsis() string { return "put a plan into effect" }
+func (*confirmCommand) Usage() string {
+	return `banksailctl confirm [flags] PLAN-FILE
+
+Puts a plan into effect, unless the configuration changed since it was made.
+Confirming a plan twice applies it once. Exit status: 0 applied, 1 refused or
+conflict (nothing changed), 2 usage, 3 unknown (it may be in effect; the
+command that asks again is printed).
+
+Example:
+  banksailctl confirm plan.json
+
+Flags:
+`
+}
+
+func (c *confirmCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	path, err := oneArgument(flags)
+	if err != nil {
+		return c.usage("%v: the plan file", err)
+	}
+	data, err := readFile(path, policy.MaximumPlanBytes)
+	if err != nil {
+		return c.usage("%v", err)
+	}
+	plan, err := policy.DecodePlan(data)
+	if err != nil {
+		c.complain("%s: %v", path, err)
+		return subcommands.ExitFailure
+	}
+	receipt, err := c.client().Confirm(ctx, plan)
+	if errors.Is(err, operator.ErrNoAnswer) {
+		return c.unknown(plan, err)
+	}
+	if err != nil {
+		return c.fail(err)
+	}
+	if c.json {
+		return c.printJSON(receipt)
+	}
+	c.show(receipt)
+	return subcommands.ExitSuccess
+}
+
+func (c *confirmCommand) show(receipt policy.Receipt) {
+	if receipt.Repeated {
+		c.print("plan %s was applied already: revision %d\n", receipt.PlanID, receipt.Revision)
+		return
+	}
+	c.print("plan %s applied: revision %d\n", receipt.PlanID, receipt.Revision)
+}
+
+// unknown reports a confirmation whose answer was lost between node and operator.
+func (c *confirmCommand) unknown(plan policy.Plan, err error) subcommands.ExitStatus {
+	askAgain := fmt.Sprintf("banksailctl status --plan %s --base %d", plan.ID, plan.BaseRevision)
+	if c.json {
+		c.printJSON(operator.Problem{
+			Title:    "The plan may be in effect",
+			Detail:   err.Error(),
+			Receipt:  &policy.Receipt{PlanID: plan.ID, Outcome: policy.OutcomeUnknown},
+			AskAgain: askAgain,
+		})
+		return exitUnknown
+	}
+	c.complain("%v", err)
+	c.complain("the plan may be in effect; ask again with: %s", askAgain)
+	return exitUnknown
+}
--- /dev/null
+++ b/cmd/banksailctl/show.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"text/tabwriter"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/banksail/banksail/operator"
+	"github.com/banksail/banksail/policy"
+)
+
+// configCommand prints the configuration in force.
+type configCommand struct{ common }
+
+func (*configCommand) Name() string     { return "config" }
+func (*configCommand) Synopsis() string { return "print the configuration in force" }
+func (*configCommand) Usage() string {
+	return `banksailctl config [flags]
+
+Prints classes and services in force at the asked node. With --json the
+document's "config" can be put into an intent as "replace".
+
+Example:
+  banksailctl config
+  banksailctl config --json
+
+Flags:
+`
+}
+
+func (c *configCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	return query(ctx, &c.common, flags, c.client().Configuration, c.show)
+}
+
+func (c *configCommand) show(configuration operator.Configuration) {
+	c.print("revision %d\n\n", configuration.Revision)
+	table := tabwriter.NewWriter(c.output, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "CLASS\tORDER\tLONGEST WAIT\tDEADLINE\tMINIMUM COVERAGE\tHEDGE SHARE\tHEADROOM")
+	for _, class := range configuration.Config.Classes {
+		_, _ = fmt.Fprintf(table, "%s\t%d\t%v\t%v\t%g\t%g\t%g\n", class.Name, class.Order,
+			class.LongestWait.Duration(), class.Deadline.Duration(), class.MinimumCoverage, class.HedgeShare, class.Headroom)
+	}
+	_, _ = fmt.Fprintln(table, "\nSERVICE\tKEY SPACE\tGROUPS\tSERVERS\tSLOTS")
+	for _, service := range configuration.Config.Services {
+		servers, slots := capacity(service)
+		_, _ = fmt.Fprintf(table, "%s\t%v\t%d\t%d\t%d\n", service.Name, service.KeySpace, len(service.Groups), servers, slots)
+	}
+	_ = table.Flush()
+}
+
+func capacity(service policy.Service) (servers, slots int) {
+	for _, group := range service.Groups {
+		servers += len(group.Servers)
+		for _, server := range group.Servers {
+			slots += server.Slots
+		}
+	}
+	return servers, slots
+}
+
+// historyCommand prints the latest changes.
+type historyCommand struct{ common }
+
+func (*historyCommand) Name() string     { return "history" }
+func (*historyCommand) Synopsis() string { return "print the latest accepted changes" }
+func (*historyCommand) Usage() string {
+	return `banksailctl history [flags]
+
+Prints the latest accepted changes, oldest first: revision, operator, time and
+the first differences of each.
+
+Example:
+  banksailctl history
+
+Flags:
+`
+}
+
+func (h *historyCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	return query(ctx, &h.common, flags, h.client().History, h.show)
+}
+
+func (h *historyCommand) show(history operator.History) {
+	for _, entry := range history.Entries {
+		h.print("revision %d  %s  %s  plan %s\n", entry.Revision, entry.ConfirmedAt.Format(time.RFC3339), entry.Author, entry.PlanID)
+		if entry.Note != "" {
+			h.print("  %s\n", entry.Note)
+		}
+		for _, line := range entry.Summary {
+			h.print("  %s\n", line)
+		}
+		if more := entry.Differences - len(entry.Summary); more > 0 {
+			h.print("  and %d more\n", more)
+		}
+	}
+}
+
+// explainCommand tells why a request was answered as it was.
+type explainCommand struct{ common }
+
+func (*explainCommand) Name() string     { return "explain" }
+func (*explainCommand) Synopsis() string { return "tell why a request got the answer it got" }
+func (*explainCommand) Usage() string {
+	return `banksailctl explain [flags] REQUEST-ID
+
+Prints which servers were asked, hedged and cancelled for a request, and why it
+stopped. Ask the node that served the request: it keeps the latest ones.
+
+Example:
+  banksailctl explain --node 10.0.0.5:7102 req-42
+
+Flags:
+`
+}
+
+func (e *explainCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	id, err := oneArgument(flags)
+	if err != nil {
+		return e.usage("%v: the request ID", err)
+	}
+	document, err := e.client().Explanation(ctx, id)
+	if err != nil {
+		return e.fail(err)
+	}
+	return e.printJSON(document)
+}
--- /dev/null
+++ b/cmd/banksailctl/status.go
@@ -0,0 +1,123 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/google/subcommands"
+
+	"github.com/banksail/banksail/operator"
+	"github.com/banksail/banksail/policy"
+)
+
+// statusCommand tells where the newest revision is in force, or whether a plan is.
+type statusCommand struct {
+	common
+	plan string
+	base uint64
+}
+
+func (*statusCommand) Name() string     { return "status" }
+func (*statusCommand) Synopsis() string { return "tell where the newest revision is in force" }
+func (*statusCommand) Usage() string {
+	return `banksailctl status [flags]
+
+Tells the newest revision, on how many live nodes it is in force, and which
+nodes are behind. With --plan, tells whether that plan is in effect: exit
+status 0 applied, 1 not applied, 3 unknown.
+
+Example:
+  banksailctl status
+  banksailctl status --plan 3f0c6a0e-7a59-4f7e-9f5e-0a6a3e1d2c4b --base 7
+
+Flags:
+`
+}
+
+func (s *statusCommand) SetFlags(flags *flag.FlagSet) {
+	s.common.SetFlags(flags)
+	flags.StringVar(&s.plan, "plan", "", "ID of a plan whose outcome is asked for")
+	flags.Uint64Var(&s.base, "base", 0, "the plan's base revision, if known")
+}
+
+func (s *statusCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if s.plan != "" {
+		return s.outcome(ctx, flags)
+	}
+	return query(ctx, &s.common, flags, s.client().Status, s.show)
+}
+
+func (s *statusCommand) show(status operator.Status) {
+	s.print("revision %d in force on %d of %d live nodes (asked %s)\n", status.Revision, status.InForce, status.Live, status.Node)
+	if len(status.Behind) > 0 {
+		s.print("behind: %s\n", strings.Join(status.Behind, ", "))
+	}
+}
+
+func (s *statusCommand) outcome(ctx context.Context, flags *flag.FlagSet) subcommands.ExitStatus {
+	if err := noArguments(flags); err != nil {
+		return s.usage("%v", err)
+	}
+	receipt, err := s.client().Outcome(ctx, s.plan, policy.Revision(s.base))
+	if err != nil {
+		s.fail(err)
+		return exitUnknown
+	}
+	if s.json {
+		s.printJSON(receipt)
+	} else {
+		s.print("plan %s: %s\n", receipt.PlanID, describe(receipt))
+	}
+	return outcomeStatus(receipt.Outcome)
+}
+
+func describe(receipt policy.Receipt) string {
+	if receipt.Outcome == policy.OutcomeApplied {
+		return fmt.Sprintf("applied as revision %d (now %d)", receipt.Revision, receipt.Current)
+	}
+	return fmt.Sprintf("%s at revision %d; %s", strings.ReplaceAll(string(receipt.Outcome), "_", " "), receipt.Current, receipt.Detail)
+}
+
+func outcomeStatus(outcome policy.Outcome) subcommands.ExitStatus {
+	switch outcome {
+	case policy.OutcomeApplied:
+		return subcommands.ExitSuccess
+	case policy.OutcomeNotApplied:
+		return subcommands.ExitFailure
+	default:
+		return exitUnknown
+	}
+}
+
+// nodesCommand lists the nodes.
+type nodesCommand struct{ common }
+
+func (*nodesCommand) Name() string     { return "nodes" }
+func (*nodesCommand) Synopsis() string { return "list the nodes with their state and revision" }
+func (*nodesCommand) Usage() string {
+	return `banksailctl nodes [flags]
+
+Lists the nodes that the asked node knows, with state and revision in force.
+
+Example:
+  banksailctl nodes --node 10.0.0.5:7102
+
+Flags:
+`
+}
+
+func (n *nodesCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	return query(ctx, &n.common, flags, n.client().Status, n.show)
+}
+
+func (n *nodesCommand) show(status operator.Status) {
+	table := tabwriter.NewWriter(n.output, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "NODE\tZONE\tADDRESS\tSTATE\tREVISION")
+	for _, node := range status.Nodes {
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\n", node.ID, node.Zone, node.Address, node.State, node.Revision)
+	}
+	_ = table.Flush()
+}
--- /dev/null
+++ b/operator/problem.go
@@ -0,0 +1,123 @@
+package operator
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+
+	restful "github.com/emicklei/go-restful/v3"
+
+	"github.com/banksail/banksail/policy"
+	"github.com/banksail/banksail/rollout"
+)
+
+// ProblemContentType is the media type of RFC 9457.
+const ProblemContentType = "application/problem+json"
+
+// retryAfterSeconds is what refusals for the store's sake ask for.
+const retryAfterSeconds = 2
+
+// Problem is an RFC 9457 document.
+type Problem struct {
+	Type   string `json:"type"`
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	Detail string `json:"detail"`
+	// Field names the first faulty field.
+	Field string `json:"field,omitempty"`
+	// Faults lists all faulty fields.
+	Faults []policy.Fault `json:"faults,omitempty"`
+	// Receipt tells of the plan that was to be confirmed.
+	Receipt *policy.Receipt `json:"receipt,omitempty"`
+	// Conflict tells what changed since the plan was made.
+	Conflict *Conflict `json:"conflict,omitempty"`
+	// AskAgain is the command that asks for the plan's outcome.
+	AskAgain string `json:"ask_again,omitempty"`
+}
+
+// Conflict tells what changed since a plan was made.
+type Conflict struct {
+	Base      policy.Revision       `json:"base_revision"`
+	Current   policy.Revision       `json:"current_revision"`
+	Between   []policy.HistoryEntry `json:"between"`
+	Truncated bool                  `json:"truncated,omitempty"`
+}
+
+// Types of problems, the last part of Problem.Type.
+const (
+	TypeInvalid          = "invalid"
+	TypeMalformed        = "malformed"
+	TypeTooLarge         = "too_large"
+	TypePlanAltered      = "plan_altered"
+	TypeConflict         = "conflict"
+	TypeOutcomeUnknown   = "outcome_unknown"
+	TypeStoreUnavailable = "store_unavailable"
+	TypeNoConfiguration  = "no_configuration"
+	TypeInternal         = "internal"
+)
+
+func problemType(name string) string { return "urn:banksail:problem:" + name }
+
+// problemFor turns an error from below into a problem document.
+func problemFor(err error) Problem {
+	problem := Problem{Detail: err.Error()}
+	var invalid *policy.ValidationError
+	var conflict *policy.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		problem.set(TypeConflict, "The configuration changed since the plan was made", http.StatusConflict)
+		problem.Conflict = &Conflict{Base: conflict.Base, Current: conflict.Current, Between: conflict.Between, Truncated: conflict.Truncated}
+	case errors.As(err, &invalid):
+		problem.set(TypeInvalid, "A field is not valid", http.StatusBadRequest)
+		problem.Field = invalid.Faults[0].Field
+		problem.Faults = invalid.Faults
+	case errors.Is(err, policy.ErrTooLarge):
+		problem.set(TypeTooLarge, "The document is too large", http.StatusRequestEntityTooLarge)
+	case errors.Is(err, policy.ErrPlanAltered):
+		problem.set(TypePlanAltered, "The plan was altered", http.StatusBadRequest)
+		problem.Field = "digest"
+	case errors.Is(err, policy.ErrMalformed), errors.Is(err, policy.ErrUnsupportedFormat):
+		problem.set(TypeMalformed, "The document can't be read", http.StatusBadRequest)
+	case errors.Is(err, rollout.ErrOutcomeUnknown):
+		problem.set(TypeOutcomeUnknown, "The plan may be in effect", http.StatusGatewayTimeout)
+	case errors.Is(err, rollout.ErrStoreUnavailable), errors.Is(err, rollout.ErrStoreBehind):
+		problem.set(TypeStoreUnavailable, "The store can't be used now; nothing changed", http.StatusServiceUnavailable)
+	default:
+		problem.set(TypeInternal, "The request failed; nothing changed", http.StatusInternalServerError)
+	}
+	return problem
+}
+
+func (p *Problem) set(kind, title string, status int) {
+	p.Type = problemType(kind)
+	p.Title = title
+	p.Status = status
+}
+
+func noConfiguration() Problem {
+	problem := Problem{Detail: "this node knows no configuration yet"}
+	problem.set(TypeNoConfiguration, "No configuration", http.StatusNotFound)
+	return problem
+}
+
+func (s *Service) fail(response *restful.Response, err error) {
+	s.problem(response, problemFor(err))
+}
+
+// failReceipt answers a confirmation that was not applied, or whose outcome is unknown.
+func (s *Service) failReceipt(response *restful.Response, receipt policy.Receipt, plan policy.Plan, err error) {
+	problem := problemFor(err)
+	problem.Receipt = &receipt
+	if receipt.Outcome == policy.OutcomeUnknown {
+		problem.AskAgain = fmt.Sprintf("banksailctl status --plan %s --base %d", plan.ID, plan.BaseRevision)
+	}
+	s.problem(response, problem)
+}
+
+func (s *Service) problem(response *restful.Response, problem Problem) {
+	if problem.Status == http.StatusServiceUnavailable || problem.Status == http.StatusGatewayTimeout {
+		response.Header().Set("Retry-After", strconv.Itoa(retryAfterSeconds))
+	}
+	s.writeAs(response, problem.Status, ProblemContentType, problem)
+}
--- /dev/null
+++ b/operator/service.go
@@ -0,0 +1,269 @@
+// Package operator is the HTTP API towards operators: plans, confirmations,
+// the configuration in force, its history, and the state of the nodes.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	restful "github.com/emicklei/go-restful/v3"
+	"github.com/rs/zerolog"
+
+	"github.com/banksail/banksail/policy"
+)
+
+// Root is the path under which the API stands.
+const Root = "/v1/operator"
+
+// Configurations plans and confirms; rollout's keeper implements it.
+type Configurations interface {
+	// Plan works out what an intent would change.
+	Plan(ctx context.Context, intent policy.Intent) (policy.Plan, error)
+	// Confirm puts a plan into effect.
+	Confirm(ctx context.Context, plan policy.Plan) (policy.Receipt, error)
+	// Outcome looks up whether a plan is in effect; base is zero if not known.
+	Outcome(ctx context.Context, planID string, base policy.Revision) (policy.Receipt, error)
+	// Current is the configuration in force at this node.
+	Current() (policy.Revision, policy.Config, bool)
+	// History lists the latest changes, oldest first.
+	History() []policy.HistoryEntry
+}
+
+// Nodes tells the state of the nodes.
+type Nodes interface {
+	// Nodes lists all nodes that membership knows, this one among them.
+	Nodes() []Node
+}
+
+// Explanations looks up why a request was answered as it was.
+type Explanations interface {
+	// Explanation returns a JSON document; found is false when this node does
+	// not know the request, or no longer.
+	Explanation(requestID string) (document json.RawMessage, found bool)
+}
+
+// Node is one node's state.
+type Node struct {
+	ID      string `json:"id"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	// State is live, suspect, leaving or gone.
+	State string `json:"state"`
+	// Revision is the configuration in force at the node, as last heard.
+	Revision policy.Revision `json:"revision"`
+}
+
+// StateLive is the state of nodes that count in Status.
+const StateLive = "live"
+
+// Options sets up the service. Nodes and Explanations may be nil.
+type Options struct {
+	// Self is the ID of the node that answers.
+	Self           string
+	Configurations Configurations
+	Nodes          Nodes
+	Explanations   Explanations
+	Logger         zerolog.Logger
+}
+
+// Service is the API; its state is in the parts that Options names.
+type Service struct{ options Options }
+
+// NewService makes the API.
+func NewService(options Options) *Service { return &Service{options: options} }
+
+// WebService returns the routes for a container.
+func (s *Service) WebService() *restful.WebService {
+	service := new(restful.WebService)
+	service.Path(Root).Consumes(restful.MIME_JSON).Produces(restful.MIME_JSON)
+	service.Route(service.POST("/plans").To(s.plan))
+	service.Route(service.GET("/plans/{plan}").To(s.outcome))
+	service.Route(service.POST("/confirmations").To(s.confirm))
+	service.Route(service.GET("/configuration").To(s.configuration))
+	service.Route(service.GET("/history").To(s.history))
+	service.Route(service.GET("/status").To(s.status))
+	service.Route(service.GET("/explanations/{request}").To(s.explanation))
+	return service
+}
+
+// Handler serves the API alone.
+func (s *Service) Handler() http.Handler {
+	container := restful.NewContainer()
+	container.Add(s.WebService())
+	return container
+}
+
+// Configuration is the answer to a GET of the configuration.
+type Configuration struct {
+	Revision policy.Revision `json:"revision"`
+	Config   policy.Config   `json:"config"`
+}
+
+// History is the answer to a GET of the history.
+type History struct {
+	Revision policy.Revision       `json:"revision"`
+	Entries  []policy.HistoryEntry `json:"entries"`
+}
+
+// Status tells where the newest revision is in force.
+type Status struct {
+	// Node is the node that answers.
+	Node string `json:"node"`
+	// Revision is the highest revision in force at any live node, as far as known.
+	Revision policy.Revision `json:"revision"`
+	// Live counts the live nodes; InForce counts those at Revision.
+	Live    int `json:"live"`
+	InForce int `json:"in_force"`
+	// Behind lists the IDs of the live nodes below Revision.
+	Behind []string `json:"behind"`
+	// Nodes lists all known nodes.
+	Nodes []Node `json:"nodes"`
+}
+
+func (s *Service) plan(request *restful.Request, response *restful.Response) {
+	data, ok := s.body(request, response, policy.MaximumIntentBytes)
+	if !ok {
+		return
+	}
+	intent, err := policy.DecodeIntent(data)
+	if err != nil {
+		s.fail(response, err)
+		return
+	}
+	plan, err := s.options.Configurations.Plan(request.Request.Context(), intent)
+	if err != nil {
+		s.fail(response, err)
+		return
+	}
+	s.write(response, plan)
+}
+
+func (s *Service) confirm(request *restful.Request, response *restful.Response) {
+	data, ok := s.body(request, response, policy.MaximumPlanBytes)
+	if !ok {
+		return
+	}
+	plan, err := policy.DecodePlan(data)
+	if err != nil {
+		s.fail(response, err)
+		return
+	}
+	receipt, err := s.options.Configurations.Confirm(request.Request.Context(), plan)
+	if err != nil {
+		s.failReceipt(response, receipt, plan, err)
+		return
+	}
+	s.write(response, receipt)
+}
+
+func (s *Service) outcome(request *restful.Request, response *restful.Response) {
+	base := uint64(0)
+	if text := request.QueryParameter("base"); text != "" {
+		var err error
+		base, err = strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			s.fail(response, &policy.ValidationError{Faults: []policy.Fault{{Field: "base", Problem: "must be a revision number"}}})
+			return
+		}
+	}
+	receipt, err := s.options.Configurations.Outcome(request.Request.Context(), request.PathParameter("plan"), policy.Revision(base))
+	if err != nil {
+		s.fail(response, err)
+		return
+	}
+	s.write(response, receipt)
+}
+
+func (s *Service) configuration(_ *restful.Request, response *restful.Response) {
+	revision, config, ok := s.options.Configurations.Current()
+	if !ok {
+		s.problem(response, noConfiguration())
+		return
+	}
+	s.write(response, Configuration{Revision: revision, Config: config})
+}
+
+func (s *Service) history(_ *restful.Request, response *restful.Response) {
+	revision, _, _ := s.options.Configurations.Current()
+	s.write(response, History{Revision: revision, Entries: s.options.Configurations.History()})
+}
+
+func (s *Service) status(_ *restful.Request, response *restful.Response) {
+	revision, _, _ := s.options.Configurations.Current()
+	status := Status{Node: s.options.Self, Revision: revision, Behind: []string{}, Nodes: []Node{}}
+	if s.options.Nodes != nil {
+		status.Nodes = append(status.Nodes, s.options.Nodes.Nodes()...)
+	}
+	status.count()
+	s.write(response, status)
+}
+
+// count works out the totals from Nodes.
+func (s *Status) count() {
+	for _, node := range s.Nodes {
+		if node.State == StateLive {
+			s.Revision = max(s.Revision, node.Revision)
+		}
+	}
+	for _, node := range s.Nodes {
+		if node.State != StateLive {
+			continue
+		}
+		s.Live++
+		if node.Revision == s.Revision {
+			s.InForce++
+		} else {
+			s.Behind = append(s.Behind, node.ID)
+		}
+	}
+}
+
+func (s *Service) explanation(request *restful.Request, response *restful.Response) {
+	id := request.PathParameter("request")
+	if s.options.Explanations != nil {
+		if document, found := s.options.Explanations.Explanation(id); found {
+			s.write(response, document)
+			return
+		}
+	}
+	s.problem(response, Problem{
+		Type:   problemType("not_found"),
+		Title:  "The request is not known here",
+		Status: http.StatusNotFound,
+		Detail: "this node keeps explanations of its own latest requests only",
+		Field:  "request",
+	})
+}
+
+// body reads a request's body; it answers itself when the body is too large.
+func (s *Service) body(request *restful.Request, response *restful.Response, limit int64) ([]byte, bool) {
+	data, err := io.ReadAll(http.MaxBytesReader(response.ResponseWriter, request.Request.Body, limit))
+	if err == nil {
+		return data, true
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		s.fail(response, policy.ErrTooLarge)
+		return nil, false
+	}
+	s.fail(response, policy.ErrMalformed)
+	return nil, false
+}
+
+func (s *Service) write(response *restful.Response, value any) {
+	s.writeAs(response, http.StatusOK, restful.MIME_JSON, value)
+}
+
+func (s *Service) writeAs(response *restful.Response, status int, contentType string, value any) {
+	response.Header().Set(restful.HEADER_ContentType, contentType)
+	response.WriteHeader(status)
+	encoder := json.NewEncoder(response)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(value); err != nil {
+		s.options.Logger.Debug().Err(err).Msg("operator's answer was cut")
+	}
+}
--- /dev/null
+++ b/policy/difference.go
@@ -0,0 +1,115 @@
+package policy
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+// Difference is one field that differs between two configurations.
+type Difference struct {
+	// Field is the path of the field; items of lists are named, as in
+	// classes[urgent].order or services[search].groups[a].servers[s1].slots.
+	Field string `json:"field"`
+	// Before is the JSON value before; empty when the field is added.
+	Before json.RawMessage `json:"before,omitempty"`
+	// After is the JSON value after; empty when the field is removed.
+	After json.RawMessage `json:"after,omitempty"`
+}
+
+// String formats the difference for people.
+func (d Difference) String() string {
+	switch {
+	case d.Before == nil:
+		return fmt.Sprintf("+ %s = %s", d.Field, d.After)
+	case d.After == nil:
+		return fmt.Sprintf("- %s (was %s)", d.Field, d.Before)
+	default:
+		return fmt.Sprintf("~ %s: %s -> %s", d.Field, d.Before, d.After)
+	}
+}
+
+// Compare lists the differences between two configurations, in an order that
+// depends on their content only.
+func Compare(before, after Config) []Difference {
+	comparison := &comparison{differences: []Difference{}}
+	compareNamed(comparison, "classes", before.Classes, after.Classes,
+		func(class Class) string { return class.Name }, comparison.classes)
+	compareNamed(comparison, "services", before.Services, after.Services,
+		func(service Service) string { return service.Name }, comparison.services)
+	return comparison.differences
+}
+
+type comparison struct{ differences []Difference }
+
+func (c *comparison) value(field string, before, after any) {
+	if before == after {
+		return
+	}
+	c.differences = append(c.differences, Difference{Field: field, Before: rawJSON(before), After: rawJSON(after)})
+}
+
+func (c *comparison) classes(path string, before, after Class) {
+	c.value(path+".order", before.Order, after.Order)
+	c.value(path+".longest_wait_ms", before.LongestWait, after.LongestWait)
+	c.value(path+".deadline_ms", before.Deadline, after.Deadline)
+	c.value(path+".minimum_coverage", before.MinimumCoverage, after.MinimumCoverage)
+	c.value(path+".hedge_share", before.HedgeShare, after.HedgeShare)
+	c.value(path+".headroom", before.Headroom, after.Headroom)
+}
+
+func (c *comparison) services(path string, before, after Service) {
+	c.value(path+".key_space", before.KeySpace, after.KeySpace)
+	compareNamed(c, path+".groups", before.Groups, after.Groups,
+		func(group Group) string { return group.Name }, c.groups)
+}
+
+func (c *comparison) groups(path string, before, after Group) {
+	c.value(path+".range", before.Range, after.Range)
+	compareNamed(c, path+".servers", before.Servers, after.Servers,
+		func(server Server) string { return server.ID }, c.servers)
+}
+
+func (c *comparison) servers(path string, before, after Server) {
+	c.value(path+".address", before.Address, after.Address)
+	c.value(path+".zone", before.Zone, after.Zone)
+	c.value(path+".slots", before.Slots, after.Slots)
+	c.value(path+".connections", before.Connections, after.Connections)
+}
+
+// compareNamed pairs the items of two lists by name: removed ones first, then
+// the others in the order of the list after.
+func compareNamed[T any](c *comparison, path string, before, after []T, name func(T) string, compare func(string, T, T)) {
+	known := make(map[string]T, len(before))
+	for _, item := range before {
+		known[name(item)] = item
+	}
+	kept := make(map[string]bool, len(after))
+	for _, item := range after {
+		kept[name(item)] = true
+	}
+	for _, item := range before {
+		if !kept[name(item)] {
+			field := fmt.Sprintf("%s[%s]", path, name(item))
+			c.differences = append(c.differences, Difference{Field: field, Before: rawJSON(item)})
+		}
+	}
+	for _, item := range after {
+		field := fmt.Sprintf("%s[%s]", path, name(item))
+		earlier, found := known[name(item)]
+		if !found {
+			c.differences = append(c.differences, Difference{Field: field, After: rawJSON(item)})
+			continue
+		}
+		compare(field, earlier, item)
+	}
+}
+
+// rawJSON encodes a value of the package's own types, which can't fail once
+// the configuration is valid.
+func rawJSON(value any) json.RawMessage {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		return json.RawMessage(`null`)
+	}
+	return encoded
+}
--- /dev/null
+++ b/policy/intent.go
@@ -0,0 +1,149 @@
+package policy
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Intent is what an operator asks for: changes that take effect together.
+type Intent struct {
+	// Author names the operator, for the history.
+	Author string `json:"author" validate:"required,max=128"`
+	// Note says why, for the history.
+	Note string `json:"note,omitempty" validate:"max=512"`
+	// Changes are applied in order.
+	Changes []Change `json:"changes" validate:"min=1,max=256"`
+}
+
+// Change is one wanted change; exactly one of its fields is set.
+type Change struct {
+	// SetClass adds a class, or replaces the one of the same name.
+	SetClass *Class `json:"set_class,omitempty"`
+	// RemoveClass removes the class of this name.
+	RemoveClass string `json:"remove_class,omitempty"`
+	// SetService adds a service, or replaces the one of the same name. Groups
+	// are split, merged and moved by giving the new list of groups.
+	SetService *Service `json:"set_service,omitempty"`
+	// RemoveService removes the service of this name.
+	RemoveService string `json:"remove_service,omitempty"`
+	// Replace replaces the whole configuration.
+	Replace *Config `json:"replace,omitempty"`
+}
+
+// Apply makes the intent's changes to a configuration. It returns the new one
+// in canonical order, or a *ValidationError; base is left as it is.
+func Apply(base Config, intent Intent) (Config, error) {
+	faults := &faultList{}
+	checkTags(faults, "", intent)
+	next := base.clone()
+	for index, change := range intent.Changes {
+		next = applyChange(faults, fmt.Sprintf("changes[%d]", index), next, change)
+	}
+	if err := faults.err(); err != nil {
+		return Config{}, err
+	}
+	next.canonicalize()
+	if err := Validate(next); err != nil {
+		return Config{}, err
+	}
+	return next, nil
+}
+
+func applyChange(faults *faultList, path string, config Config, change Change) Config {
+	if count := change.count(); count != 1 {
+		faults.add(path, "must hold exactly one of set_class, remove_class, set_service, remove_service, replace; it holds %d", count)
+		return config
+	}
+	switch {
+	case change.SetClass != nil:
+		checkTags(faults, path+".set_class.", *change.SetClass)
+		config.Classes = upsert(config.Classes, *change.SetClass, func(class Class) string { return class.Name })
+	case change.SetService != nil:
+		checkTags(faults, path+".set_service.", *change.SetService)
+		config.Services = upsert(config.Services, change.SetService.clone(), func(service Service) string { return service.Name })
+	case change.Replace != nil:
+		checkTags(faults, path+".replace.", *change.Replace)
+		return change.Replace.clone()
+	case change.RemoveClass != "":
+		var found bool
+		config.Classes, found = remove(config.Classes, change.RemoveClass, func(class Class) string { return class.Name })
+		if !found {
+			faults.add(path+".remove_class", "there is no class %q", change.RemoveClass)
+		}
+	case change.RemoveService != "":
+		var found bool
+		config.Services, found = remove(config.Services, change.RemoveService, func(service Service) string { return service.Name })
+		if !found {
+			faults.add(path+".remove_service", "there is no service %q", change.RemoveService)
+		}
+	}
+	return config
+}
+
+func (c Change) count() int {
+	count := 0
+	for _, set := range []bool{c.SetClass != nil, c.RemoveClass != "", c.SetService != nil, c.RemoveService != "", c.Replace != nil} {
+		if set {
+			count++
+		}
+	}
+	return count
+}
+
+// upsert replaces the item of the same name, or appends it.
+func upsert[T any](items []T, item T, name func(T) string) []T {
+	for index := range items {
+		if name(items[index]) == name(item) {
+			items[index] = item
+			return items
+		}
+	}
+	return append(items, item)
+}
+
+func remove[T any](items []T, wanted string, name func(T) string) ([]T, bool) {
+	for index := range items {
+		if name(items[index]) == wanted {
+			return slices.Delete(items, index, index+1), true
+		}
+	}
+	return items, false
+}
+
+// canonicalize sorts the configuration, so that equal content has equal bytes:
+// classes by order, services by name, groups by range, servers by ID.
+func (c *Config) canonicalize() {
+	if c.Classes == nil {
+		c.Classes = []Class{}
+	}
+	if c.Services == nil {
+		c.Services = []Service{}
+	}
+	slices.SortStableFunc(c.Classes, func(a, b Class) int { return a.Order - b.Order })
+	slices.SortStableFunc(c.Services, func(a, b Service) int { return strings.Compare(a.Name, b.Name) })
+	for _, service := range c.Services {
+		slices.SortStableFunc(service.Groups, func(a, b Group) int { return compareUint64(a.Range.Start, b.Range.Start) })
+		for _, group := range service.Groups {
+			slices.SortStableFunc(group.Servers, func(a, b Server) int { return strings.Compare(a.ID, b.ID) })
+		}
+	}
+}
+
+func (c Config) clone() Config {
+	services := make([]Service, 0, len(c.Services))
+	for _, service := range c.Services {
+		services = append(services, service.clone())
+	}
+	return Config{Classes: slices.Clone(c.Classes), Services: services}
+}
+
+func (s Service) clone() Service {
+	groups := make([]Group, 0, len(s.Groups))
+	for _, group := range s.Groups {
+		group.Servers = slices.Clone(group.Servers)
+		groups = append(groups, group)
+	}
+	s.Groups = groups
+	return s
+}
--- /dev/null
+++ b/policy/plan.go
@@ -0,0 +1,207 @@
+package policy
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Bounds of plan documents and intents.
+const (
+	// PlanFormat is the format that this version writes.
+	PlanFormat = 1
+	// MaximumPlanBytes bounds an encoded plan.
+	MaximumPlanBytes = 8 << 20
+	// MaximumIntentBytes bounds an encoded intent.
+	MaximumIntentBytes = 4 << 20
+)
+
+// Plan is a self-contained document: what an intent would change at a base
+// revision. No node remembers it; nothing takes effect until it is confirmed.
+type Plan struct {
+	Format int    `json:"format"`
+	ID     string `json:"id" validate:"required,max=64"`
+	// BaseRevision is the revision that the plan was made for.
+	BaseRevision Revision `json:"base_revision"`
+	Intent       Intent   `json:"intent"`
+	// Differences is what confirming changes, field by field.
+	Differences []Difference `json:"differences"`
+	Warnings    []Warning    `json:"warnings"`
+	// Digest is the SHA-256 of the document without this field, in hexadecimal.
+	Digest string `json:"digest"`
+}
+
+// PlanOptions is what a plan is made from.
+type PlanOptions struct {
+	// ID is unique among all plans.
+	ID string
+	// Base is the record in force.
+	Base Record
+	// Intent is what the operator asks for.
+	Intent Intent
+	// Nodes is the number of live nodes, for warnings.
+	Nodes int
+	// Warnings are put before those of the plan's content.
+	Warnings []Warning
+}
+
+// NewPlan works out what an intent would change.
+func NewPlan(options PlanOptions) (Plan, error) {
+	next, err := Apply(options.Base.Config, options.Intent)
+	if err != nil {
+		return Plan{}, err
+	}
+	plan := Plan{
+		Format:       PlanFormat,
+		ID:           options.ID,
+		BaseRevision: options.Base.Revision,
+		Intent:       options.Intent,
+		Differences:  Compare(options.Base.Config, next),
+		Warnings:     append(slices.Clone(options.Warnings), warn(options.Base.Config, next, options.Nodes)...),
+	}
+	plan.Digest, err = plan.digest()
+	return plan, err
+}
+
+func (p Plan) digest() (string, error) {
+	p.Digest = ""
+	encoded, err := json.Marshal(p)
+	if err != nil {
+		return "", fmt.Errorf("%w: encode plan: %w", ErrMalformed, err)
+	}
+	sum := sha256.Sum256(encoded)
+	return hex.EncodeToString(sum[:]), nil
+}
+
+// Verify checks a plan's form and that its content matches its digest.
+func (p Plan) Verify() error {
+	if p.Format != PlanFormat {
+		return fmt.Errorf("%w: plan format %d, known is %d", ErrUnsupportedFormat, p.Format, PlanFormat)
+	}
+	faults := &faultList{}
+	checkTags(faults, "", p)
+	if err := faults.err(); err != nil {
+		return err
+	}
+	digest, err := p.digest()
+	if err != nil {
+		return err
+	}
+	if digest != p.Digest {
+		return fmt.Errorf("%w: its digest is %s, its content's is %s", ErrPlanAltered, p.Digest, digest)
+	}
+	return nil
+}
+
+// EncodePlan writes a plan document.
+func EncodePlan(plan Plan) ([]byte, error) {
+	encoded, err := json.MarshalIndent(plan, "", "  ")
+	if err != nil {
+		return nil, fmt.Errorf("%w: encode plan: %w", ErrMalformed, err)
+	}
+	return append(encoded, '\n'), nil
+}
+
+// DecodePlan reads and verifies a plan document.
+func DecodePlan(data []byte) (Plan, error) {
+	var plan Plan
+	if err := decodeStrict(data, MaximumPlanBytes, &plan); err != nil {
+		return Plan{}, fmt.Errorf("plan: %w", err)
+	}
+	if err := plan.Verify(); err != nil {
+		return Plan{}, err
+	}
+	return plan, nil
+}
+
+// DecodeIntent reads an intent; Apply checks its content.
+func DecodeIntent(data []byte) (Intent, error) {
+	var intent Intent
+	if err := decodeStrict(data, MaximumIntentBytes, &intent); err != nil {
+		return Intent{}, fmt.Errorf("intent: %w", err)
+	}
+	return intent, nil
+}
+
+// Decision is what confirming a plan against a record comes to.
+type Decision struct {
+	// Applied says that the record holds the plan already; Next is not set.
+	Applied bool
+	// Revision is the one that the plan made or will make.
+	Revision Revision
+	// Next is the record to swap in.
+	Next Record
+}
+
+// Decide works out the confirmation of a verified plan against the record in
+// force. It returns a *ConflictError when another plan came in between.
+func Decide(current Record, plan Plan, confirmedAt time.Time) (Decision, error) {
+	if revision, found := current.FindPlan(plan.ID); found {
+		return Decision{Applied: true, Revision: revision}, nil
+	}
+	if current.Revision != plan.BaseRevision {
+		between, truncated := current.since(plan.BaseRevision)
+		return Decision{}, &ConflictError{Base: plan.BaseRevision, Current: current.Revision, Between: between, Truncated: truncated}
+	}
+	config, err := Apply(current.Config, plan.Intent)
+	if err != nil {
+		return Decision{}, err
+	}
+	if !equalDifferences(plan.Differences, Compare(current.Config, config)) {
+		return Decision{}, fmt.Errorf("%w: its differences are not those that its intent makes", ErrPlanAltered)
+	}
+	next := current.next(config, plan, confirmedAt)
+	return Decision{Revision: next.Revision, Next: next}, nil
+}
+
+func equalDifferences(a, b []Difference) bool {
+	first, errFirst := json.Marshal(a)
+	second, errSecond := json.Marshal(b)
+	return errFirst == nil && errSecond == nil && bytes.Equal(first, second)
+}
+
+// next builds the record that follows r.
+func (r Record) next(config Config, plan Plan, confirmedAt time.Time) Record {
+	revision := r.Revision + 1
+	entry := HistoryEntry{
+		Revision:    revision,
+		PlanID:      plan.ID,
+		Author:      plan.Intent.Author,
+		Note:        plan.Intent.Note,
+		ConfirmedAt: confirmedAt.UTC(),
+		Summary:     summarize(plan.Differences),
+		Differences: len(plan.Differences),
+	}
+	return Record{
+		Format:      RecordFormat,
+		Revision:    revision,
+		Config:      config,
+		History:     append(append([]HistoryEntry{}, lastItems(r.History, MaximumHistory-1)...), entry),
+		RecentPlans: append(append([]AppliedPlan{}, lastItems(r.RecentPlans, MaximumRecentPlans-1)...), AppliedPlan{ID: plan.ID, Revision: revision}),
+	}
+}
+
+func summarize(differences []Difference) []string {
+	summary := []string{}
+	for _, difference := range differences[:min(len(differences), maximumSummary)] {
+		summary = append(summary, truncate(difference.String(), maximumSummaryLine))
+	}
+	return summary
+}
+
+// truncate shortens a text to a number of bytes without cutting a character.
+func truncate(text string, limit int) string {
+	if len(text) <= limit {
+		return text
+	}
+	const ellipsis = "..."
+	cut := limit - len(ellipsis)
+	for cut > 0 && text[cut]&0xC0 == 0x80 {
+		cut--
+	}
+	return text[:cut] + ellipsis
+}
--- /dev/null
+++ b/policy/warning.go
@@ -0,0 +1,102 @@
+package policy
+
+import "fmt"
+
+// Warning tells of a configuration that is valid, yet likely to disappoint.
+type Warning struct {
+	// Field is the path of what the warning is about.
+	Field string `json:"field"`
+	// Message says what to expect.
+	Message string `json:"message"`
+}
+
+// Bounds of what passes without a warning.
+const (
+	cautiousHeadroomSum = 0.5
+	cautiousHedgeShare  = 0.1
+	maximumWarnings     = 100
+)
+
+// warningList gathers warnings, up to maximumWarnings.
+type warningList struct{ warnings []Warning }
+
+func (l *warningList) add(field, format string, arguments ...any) {
+	if len(l.warnings) < maximumWarnings {
+		l.warnings = append(l.warnings, Warning{Field: field, Message: fmt.Sprintf(format, arguments...)})
+	}
+}
+
+// warn looks at the change from one valid configuration to another; nodes is
+// the number of live nodes that share each server's connections.
+func warn(before, after Config, nodes int) []Warning {
+	list := &warningList{warnings: []Warning{}}
+	warnOfRemovals(list, before, after)
+	warnOfClasses(list, after.Classes)
+	for _, service := range after.Services {
+		warnOfService(list, service, nodes)
+	}
+	return list.warnings
+}
+
+func warnOfRemovals(list *warningList, before, after Config) {
+	for _, class := range before.Classes {
+		if _, found := after.Class(class.Name); !found {
+			list.add(fmt.Sprintf("classes[%s]", class.Name), "is removed: requests that name it will be refused")
+		}
+	}
+	for _, service := range before.Services {
+		if _, found := after.Service(service.Name); !found {
+			list.add(fmt.Sprintf("services[%s]", service.Name), "is removed: requests that name it will be refused")
+		}
+	}
+}
+
+func warnOfClasses(list *warningList, classes []Class) {
+	if sum := headroomSum(classes); sum > cautiousHeadroomSum {
+		list.add("classes", "headroom adds up to %.2f: the class served last keeps %.2f of each server", sum, 1-sum)
+	}
+	for _, class := range classes {
+		if class.HedgeShare > cautiousHedgeShare {
+			list.add(fmt.Sprintf("classes[%s].hedge_share", class.Name),
+				"up to %.0f%% extra load by this class", class.HedgeShare*100)
+		}
+	}
+}
+
+func warnOfService(list *warningList, service Service, nodes int) {
+	for _, group := range service.Groups {
+		path := fmt.Sprintf("services[%s].groups[%s]", service.Name, group.Name)
+		if len(group.Servers) == 1 && len(service.Groups) > 1 {
+			list.add(path+".servers", "has one server only: its loss leaves %v uncovered", group.Range)
+		}
+		for _, server := range group.Servers {
+			serverPath := fmt.Sprintf("%s.servers[%s]", path, server.ID)
+			if server.Connections < server.Slots {
+				list.add(serverPath+".connections", "%d connections can't fill %d slots", server.Connections, server.Slots)
+			}
+			if nodes > server.Connections {
+				list.add(serverPath+".connections", "%d live nodes share %d connections: some nodes have none of their own", nodes, server.Connections)
+			}
+		}
+	}
+}
+
+// Class finds a class by name.
+func (c Config) Class(name string) (Class, bool) {
+	for _, class := range c.Classes {
+		if class.Name == name {
+			return class, true
+		}
+	}
+	return Class{}, false
+}
+
+// Service finds a service by name.
+func (c Config) Service(name string) (Service, bool) {
+	for _, service := range c.Services {
+		if service.Name == name {
+			return service, true
+		}
+	}
+	return Service{}, false
+}
--- /dev/null
+++ b/rollout/confirm.go
@@ -0,0 +1,244 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/banksail/banksail/policy"
+	"github.com/banksail/banksail/store"
+)
+
+// Pace of a confirmation's retries.
+const (
+	confirmBackoffBase    = 50 * time.Millisecond
+	confirmBackoffMaximum = time.Second
+)
+
+// Plan works out what an intent would change. It reads the store for the
+// newest revision; when the store can't be read, it plans on the revision in
+// force at this node, and the plan carries a warning.
+func (k *Keeper) Plan(ctx context.Context, intent policy.Intent) (policy.Plan, error) {
+	storeErr := k.refresh(ctx)
+	base := policy.Record{}
+	if current := k.snapshot(); current != nil {
+		base = current.record
+	}
+	if storeErr != nil && base.Revision == 0 {
+		return policy.Plan{}, storeErr
+	}
+	options := policy.PlanOptions{ID: k.options.NewPlanID(), Base: base, Intent: intent, Nodes: k.liveNodes()}
+	if storeErr != nil {
+		options.Warnings = []policy.Warning{{
+			Field:   "base_revision",
+			Message: fmt.Sprintf("the store can't be read now: planned on revision %d, in force at this node", base.Revision),
+		}}
+	}
+	return policy.NewPlan(options)
+}
+
+// refresh reads the store's record and offers it.
+func (k *Keeper) refresh(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, k.options.CallTimeout)
+	defer cancel()
+	record, err := k.options.Store.Get(ctx, policy.StoreKey)
+	if errors.Is(err, store.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrStoreUnavailable, err)
+	}
+	return k.offerStored(record)
+}
+
+func (k *Keeper) liveNodes() int {
+	nodes := 1
+	peers := k.currentPeers()
+	if peers == nil {
+		return nodes
+	}
+	for _, member := range peers.Members() {
+		if member.ID != k.options.Core.Self {
+			nodes++
+		}
+	}
+	return nodes
+}
+
+// Confirm puts a plan into effect by one compare-and-swap on its base.
+//
+// Confirming a plan again applies it once. When the store's reply is lost,
+// Confirm reads back and looks for the plan's ID; as long as the base still
+// stands, it sends the same swap again. The error is a *policy.ConflictError
+// when another plan came first, ErrOutcomeUnknown when the plan may be in
+// effect, and any other error means that nothing changed.
+func (k *Keeper) Confirm(ctx context.Context, plan policy.Plan) (policy.Receipt, error) {
+	k.metrics.confirmations.Add(1)
+	if err := plan.Verify(); err != nil {
+		return k.receipt(plan, policy.OutcomeNotApplied), err
+	}
+	ctx, cancel := context.WithTimeout(ctx, k.options.ConfirmTimeout)
+	defer cancel()
+	confirmation := &confirmation{keeper: k, plan: plan, at: k.options.Now()}
+	revision, err := confirmation.run(ctx)
+	if err == nil {
+		receipt := k.receipt(plan, policy.OutcomeApplied)
+		receipt.Revision = revision
+		receipt.Repeated = confirmation.found && !confirmation.maybeSent
+		return receipt, nil
+	}
+	if confirmation.maybeSent && !errors.Is(err, policy.ErrConflict) {
+		k.metrics.unknownOutcome.Add(1)
+		return k.receipt(plan, policy.OutcomeUnknown), fmt.Errorf("%w: plan %s: %w", ErrOutcomeUnknown, plan.ID, err)
+	}
+	return k.receipt(plan, policy.OutcomeNotApplied), err
+}
+
+func (k *Keeper) receipt(plan policy.Plan, outcome policy.Outcome) policy.Receipt {
+	revision, _ := k.Record()
+	return policy.Receipt{PlanID: plan.ID, Outcome: outcome, Current: revision}
+}
+
+// confirmation is one call of Confirm.
+type confirmation struct {
+	keeper *Keeper
+	plan   policy.Plan
+	at     time.Time
+	// maybeSent says that a swap was sent whose outcome is not known.
+	maybeSent bool
+	// found says that the plan was found in the record.
+	found bool
+}
+
+// run tries until the outcome is known or the time is over.
+func (c *confirmation) run(ctx context.Context) (policy.Revision, error) {
+	backoff := confirmBackoffBase
+	for {
+		revision, err := c.attempt(ctx)
+		if err == nil || !retryable(err) {
+			return revision, err
+		}
+		if !sleep(ctx, jitter(backoff)) {
+			return 0, err
+		}
+		backoff = min(2*backoff, confirmBackoffMaximum)
+	}
+}
+
+func retryable(err error) bool {
+	return errors.Is(err, ErrStoreUnavailable) || errors.Is(err, ErrStoreBehind) || errors.Is(err, ErrOutcomeUnknown)
+}
+
+// attempt reads the record and swaps in the one that the plan makes.
+func (c *confirmation) attempt(ctx context.Context) (policy.Revision, error) {
+	current, base, err := c.keeper.readForSwap(ctx, c.plan)
+	if err != nil {
+		return 0, err
+	}
+	decision, err := policy.Decide(current, c.plan, c.at)
+	if err != nil {
+		return 0, err
+	}
+	if decision.Applied {
+		c.found = true
+		return decision.Revision, nil
+	}
+	return c.swap(ctx, decision.Next, base)
+}
+
+// readForSwap reads the record and the store's own revision of it. It refuses
+// a record that is older than what is known to be in force.
+func (k *Keeper) readForSwap(ctx context.Context, plan policy.Plan) (record policy.Record, base uint64, err error) {
+	if current := k.snapshot(); current != nil {
+		if _, found := current.record.FindPlan(plan.ID); found {
+			return current.record, 0, nil
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, k.options.CallTimeout)
+	defer cancel()
+	stored, err := k.options.Store.Get(ctx, policy.StoreKey)
+	switch {
+	case errors.Is(err, store.ErrNotFound):
+		stored = store.Record{}
+	case err != nil:
+		return policy.Record{}, 0, fmt.Errorf("%w: %w", ErrStoreUnavailable, err)
+	default:
+		record, err = policy.DecodeRecord(stored.Value)
+		if err != nil {
+			return policy.Record{}, 0, fmt.Errorf("%w: %w", ErrRejected, err)
+		}
+		if err := k.offerStored(stored); err != nil {
+			return policy.Record{}, 0, err
+		}
+	}
+	known, _ := k.Record()
+	if record.Revision < max(known, plan.BaseRevision) {
+		return policy.Record{}, 0, fmt.Errorf("%w: %d, known is %d", ErrStoreBehind, record.Revision, max(known, plan.BaseRevision))
+	}
+	return record, stored.Revision, nil
+}
+
+// swap writes the next record if the store still holds the base.
+func (c *confirmation) swap(ctx context.Context, next policy.Record, base uint64) (policy.Revision, error) {
+	k := c.keeper
+	data, err := policy.EncodeRecord(next)
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, k.options.CallTimeout)
+	defer cancel()
+	_, err = k.options.Store.Put(ctx, policy.StoreKey, data, base, "")
+	switch {
+	case err == nil:
+		return next.Revision, k.offer(next.Revision, data, "")
+	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrRateLimited), errors.Is(err, store.ErrUnavailable):
+		return 0, fmt.Errorf("%w: %w", ErrStoreUnavailable, err)
+	default:
+		c.maybeSent = true
+		return 0, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+	}
+}
+
+// Outcome looks up whether a plan is in effect. base is the plan's base
+// revision, zero if it is not known.
+func (k *Keeper) Outcome(ctx context.Context, planID string, base policy.Revision) (policy.Receipt, error) {
+	plan := policy.Plan{ID: planID}
+	storeErr := k.refresh(ctx)
+	receipt := k.receipt(plan, policy.OutcomeUnknown)
+	current := k.snapshot()
+	if current != nil {
+		if revision, found := current.record.FindPlan(planID); found {
+			receipt.Outcome = policy.OutcomeApplied
+			receipt.Revision = revision
+			return receipt, nil
+		}
+	}
+	switch {
+	case storeErr != nil:
+		receipt.Detail = storeErr.Error()
+	case current != nil && current.record.Forgot(base):
+		receipt.Detail = "the record no longer names plans that old"
+	default:
+		receipt.Outcome = policy.OutcomeNotApplied
+		receipt.Detail = "confirming it again applies it once at most"
+	}
+	return receipt, nil
+}
+
+func jitter(mean time.Duration) time.Duration {
+	return mean/2 + rand.N(mean)
+}
+
+// sleep waits; it returns false when the context ends first.
+func sleep(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/rollout/keeper.go
@@ -0,0 +1,278 @@
+package rollout
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+
+	"github.com/banksail/banksail/policy"
+	"github.com/banksail/banksail/store"
+)
+
+// Errors of the package, wrapped with details.
+var (
+	// ErrNoConfiguration: the node knows no configuration yet.
+	ErrNoConfiguration = errors.New("rollout: no configuration known")
+	// ErrStoreUnavailable: the store can't be used now; nothing changed.
+	ErrStoreUnavailable = errors.New("rollout: store unavailable")
+	// ErrStoreBehind: the store answers a revision below the one in force; nothing changed.
+	ErrStoreBehind = errors.New("rollout: store answers an old revision")
+	// ErrOutcomeUnknown: the plan was sent to the store and may be in effect.
+	ErrOutcomeUnknown = errors.New("rollout: outcome unknown")
+	// ErrRejected: an offered record can't be read or breaks a rule.
+	ErrRejected = errors.New("rollout: record rejected")
+	// ErrDiverged: an offered record differs from the one of the same revision in force.
+	ErrDiverged = errors.New("rollout: two records of one revision differ")
+)
+
+// Peers carries records between nodes and knows the live ones.
+type Peers interface {
+	// Members lists the live nodes; this node may be among them.
+	Members() []Member
+	// Fetch asks a member for its record when its revision is greater than
+	// above; record is empty when it isn't. The revision is the member's own.
+	Fetch(ctx context.Context, member string, above policy.Revision) (revision policy.Revision, record []byte, err error)
+	// Push offers a record to a member and returns the revision then in force there.
+	Push(ctx context.Context, member string, revision policy.Revision, record []byte) (policy.Revision, error)
+}
+
+// KeeperOptions sets up a keeper; zero values of times mean the defaults.
+type KeeperOptions struct {
+	// Core sets identity, seed and pace.
+	Core CoreOptions
+	// Store holds the record.
+	Store store.Conn
+	// Peers may be set later, before Run, by SetPeers.
+	Peers Peers
+	// Logger receives what the keeper does.
+	Logger zerolog.Logger
+	// Now is the wall clock, for the history only; time.Now by default.
+	Now func() time.Time
+	// NewPlanID makes plan IDs that are unique among all nodes; random UUIDs by default.
+	NewPlanID func() string
+	// CallTimeout bounds one call to the store or a peer.
+	CallTimeout time.Duration
+	// ConfirmTimeout bounds a confirmation with all its retries.
+	ConfirmTimeout time.Duration
+	// MembersInterval is the time between two looks at the members.
+	MembersInterval time.Duration
+}
+
+// Defaults of KeeperOptions.
+const (
+	DefaultCallTimeout     = 3 * time.Second
+	DefaultConfirmTimeout  = 8 * time.Second
+	DefaultMembersInterval = 500 * time.Millisecond
+)
+
+// state is one adopted record; it is never changed once made.
+type state struct {
+	record policy.Record
+	bytes  []byte
+	digest string
+}
+
+// Keeper drives the Core of one node: it owns the record in force, the calls
+// to store and peers, and the operators' plans.
+type Keeper struct {
+	options KeeperOptions
+	epoch   time.Time
+
+	// mutex guards core, current, pending and peers. Invariant: current is the
+	// record of core.Revision(), and its revision never decreases.
+	mutex   sync.Mutex
+	core    *Core
+	current *state
+	pending []Action
+	peers   Peers
+
+	// signal tells Run that pending has grown.
+	signal chan struct{}
+
+	// notifyMutex serialises the subscribers' calls, so that each sees
+	// revisions in growing order. It is taken before mutex, never after it.
+	notifyMutex sync.Mutex
+	subscribers []func(policy.Revision, policy.Config)
+	// inForce is the revision that all subscribers have taken.
+	inForce atomic.Uint64
+
+	metrics keeperMetrics
+}
+
+// NewKeeper makes a keeper that knows no configuration; Run starts it.
+func NewKeeper(options KeeperOptions) *Keeper {
+	setDefault(&options.CallTimeout, DefaultCallTimeout)
+	setDefault(&options.ConfirmTimeout, DefaultConfirmTimeout)
+	setDefault(&options.MembersInterval, DefaultMembersInterval)
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	if options.NewPlanID == nil {
+		options.NewPlanID = uuid.NewString
+	}
+	return &Keeper{
+		options: options,
+		epoch:   time.Now(),
+		core:    NewCore(options.Core),
+		peers:   options.Peers,
+		signal:  make(chan struct{}, 1),
+	}
+}
+
+// SetPeers gives the keeper its peers; it must be called before Run.
+func (k *Keeper) SetPeers(peers Peers) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.peers = peers
+}
+
+// Revision is the revision in force at this node; zero when none is.
+func (k *Keeper) Revision() policy.Revision {
+	return policy.Revision(k.inForce.Load())
+}
+
+// Record returns the record in force, byte for byte. The bytes must not be changed.
+func (k *Keeper) Record() (policy.Revision, []byte) {
+	current := k.snapshot()
+	if current == nil {
+		return 0, nil
+	}
+	return current.record.Revision, current.bytes
+}
+
+// Current returns the configuration in force; ok is false when none is known.
+// The configuration must not be changed.
+func (k *Keeper) Current() (revision policy.Revision, config policy.Config, ok bool) {
+	current := k.snapshot()
+	if current == nil {
+		return 0, policy.Config{}, false
+	}
+	return current.record.Revision, current.record.Config, true
+}
+
+// History lists the latest changes, oldest first.
+func (k *Keeper) History() []policy.HistoryEntry {
+	current := k.snapshot()
+	if current == nil {
+		return []policy.HistoryEntry{}
+	}
+	return current.record.History
+}
+
+func (k *Keeper) snapshot() *state {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.current
+}
+
+// Subscribe calls back with each configuration that comes into force, in
+// growing order of revisions, starting with the present one. The callback must
+// not call Subscribe, Offer or Confirm.
+func (k *Keeper) Subscribe(callback func(policy.Revision, policy.Config)) {
+	k.notifyMutex.Lock()
+	defer k.notifyMutex.Unlock()
+	k.subscribers = append(k.subscribers, callback)
+	if current := k.snapshot(); current != nil && uint64(current.record.Revision) == k.inForce.Load() {
+		callback(current.record.Revision, current.record.Config)
+	}
+}
+
+// Offer takes a record from a peer. Lower and equal revisions change nothing.
+func (k *Keeper) Offer(revision policy.Revision, record []byte) error {
+	return k.offer(revision, record, "")
+}
+
+// offer checks a record and adopts it if its revision is higher.
+func (k *Keeper) offer(revision policy.Revision, data []byte, from string) error {
+	current := k.snapshot()
+	if current != nil && revision < current.record.Revision {
+		return nil
+	}
+	next, err := newState(data)
+	if err != nil {
+		k.metrics.rejected.Add(1)
+		return fmt.Errorf("%w: %w", ErrRejected, err)
+	}
+	if next.record.Revision != revision {
+		k.metrics.rejected.Add(1)
+		return fmt.Errorf("%w: offered as revision %d, holds %d", ErrRejected, revision, next.record.Revision)
+	}
+	return k.adopt(next, from)
+}
+
+func newState(data []byte) (*state, error) {
+	record, err := policy.DecodeRecord(data)
+	if err != nil {
+		return nil, err
+	}
+	sum := sha256.Sum256(data)
+	return &state{record: record, bytes: data, digest: hex.EncodeToString(sum[:])}, nil
+}
+
+// adopt lets the core decide on a checked record.
+func (k *Keeper) adopt(next *state, from string) error {
+	event := Offered{Revision: next.record.Revision, Digest: next.digest, From: from}
+	err := k.offerToCore(event, next)
+	k.notify()
+	return err
+}
+
+func (k *Keeper) offerToCore(event Offered, next *state) error {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	var diverged error
+	for _, action := range k.core.Step(k.now(), event) {
+		switch action := action.(type) {
+		case Adopt:
+			k.current = next
+			k.metrics.adopted.Add(1)
+			k.options.Logger.Info().Uint64("revision", uint64(action.Revision)).Str("from", from(event)).Msg("configuration adopted")
+		case Diverged:
+			diverged = fmt.Errorf("%w: revision %d", ErrDiverged, action.Revision)
+			k.metrics.diverged.Add(1)
+			k.options.Logger.Error().Uint64("revision", uint64(action.Revision)).Str("from", from(event)).Msg("two records of one revision differ")
+		default:
+			k.pending = append(k.pending, action)
+		}
+	}
+	k.wakeRun()
+	return diverged
+}
+
+func from(event Offered) string {
+	if event.From == "" {
+		return "store or push"
+	}
+	return event.From
+}
+
+// notify gives the record in force to the subscribers that have not seen it.
+func (k *Keeper) notify() {
+	k.notifyMutex.Lock()
+	defer k.notifyMutex.Unlock()
+	current := k.snapshot()
+	if current == nil || uint64(current.record.Revision) <= k.inForce.Load() {
+		return
+	}
+	for _, callback := range k.subscribers {
+		callback(current.record.Revision, current.record.Config)
+	}
+	k.inForce.Store(uint64(current.record.Revision))
+}
+
+func (k *Keeper) wakeRun() {
+	select {
+	case k.signal <- struct{}{}:
+	default:
+	}
+}
+
+func (k *Keeper) now() time.Duration { return time.Since(k.epoch) }
--- /dev/null
+++ b/rollout/run.go
@@ -0,0 +1,202 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/banksail/banksail/policy"
+	"github.com/banksail/banksail/store"
+)
+
+// keeperMetrics counts what the keeper did; telemetry reads it by Counters.
+type keeperMetrics struct {
+	adopted, rejected, diverged   atomic.Uint64
+	storeReads, storeFailures     atomic.Uint64
+	pushes, pushFailures          atomic.Uint64
+	comparisons, compareFailures  atomic.Uint64
+	confirmations, unknownOutcome atomic.Uint64
+}
+
+// Counters is a reading of what a keeper has done since it started.
+type Counters struct {
+	Adopted, Rejected, Diverged   uint64
+	StoreReads, StoreFailures     uint64
+	Pushes, PushFailures          uint64
+	Comparisons, CompareFailures  uint64
+	Confirmations, UnknownOutcome uint64
+}
+
+// Counters reads the counters.
+func (k *Keeper) Counters() Counters {
+	return Counters{
+		Adopted:         k.metrics.adopted.Load(),
+		Rejected:        k.metrics.rejected.Load(),
+		Diverged:        k.metrics.diverged.Load(),
+		StoreReads:      k.metrics.storeReads.Load(),
+		StoreFailures:   k.metrics.storeFailures.Load(),
+		Pushes:          k.metrics.pushes.Load(),
+		PushFailures:    k.metrics.pushFailures.Load(),
+		Comparisons:     k.metrics.comparisons.Load(),
+		CompareFailures: k.metrics.compareFailures.Load(),
+		Confirmations:   k.metrics.confirmations.Load(),
+		UnknownOutcome:  k.metrics.unknownOutcome.Load(),
+	}
+}
+
+// Run watches and spreads the configuration until the context ends; it then
+// waits for its calls to end and returns nil.
+func (k *Keeper) Run(ctx context.Context) error {
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	reader := &storeReader{keeper: k}
+	membersTicker := time.NewTicker(k.options.MembersInterval)
+	defer membersTicker.Stop()
+	wake := time.NewTimer(0)
+	defer wake.Stop()
+	k.step(k.membersEvent())
+	for {
+		for _, action := range k.takePending() {
+			k.perform(ctx, &calls, reader, wake, action)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-k.signal:
+		case <-wake.C:
+			k.step(Woken{})
+		case <-membersTicker.C:
+			k.step(k.membersEvent())
+		}
+	}
+}
+
+// step gives the core an event that can't adopt anything.
+func (k *Keeper) step(event Event) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.pending = append(k.pending, k.core.Step(k.now(), event)...)
+	k.wakeRun()
+}
+
+func (k *Keeper) takePending() []Action {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	actions := k.pending
+	k.pending = nil
+	return actions
+}
+
+func (k *Keeper) membersEvent() MembersChanged {
+	peers := k.currentPeers()
+	if peers == nil {
+		return MembersChanged{}
+	}
+	return MembersChanged{Members: peers.Members()}
+}
+
+func (k *Keeper) currentPeers() Peers {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.peers
+}
+
+// perform starts an action; calls run in goroutines of their own, which the
+// core bounds: one store read, one comparison, and the fan-out of pushes.
+func (k *Keeper) perform(ctx context.Context, calls *sync.WaitGroup, reader *storeReader, wake *time.Timer, action Action) {
+	switch action := action.(type) {
+	case Wake:
+		wake.Reset(max(0, action.At-k.now()))
+	case ReadStore:
+		calls.Go(func() { reader.read(ctx, action.Wait) })
+	case Fetch:
+		calls.Go(func() { k.fetch(ctx, action) })
+	case Push:
+		calls.Go(func() { k.push(ctx, action) })
+	}
+}
+
+func (k *Keeper) fetch(ctx context.Context, action Fetch) {
+	ctx, cancel := context.WithTimeout(ctx, k.options.CallTimeout)
+	defer cancel()
+	k.metrics.comparisons.Add(1)
+	revision, record, err := k.currentPeers().Fetch(ctx, action.Member, action.Above)
+	if err == nil && len(record) > 0 {
+		err = k.offer(revision, record, action.Member)
+	}
+	if err != nil {
+		k.metrics.compareFailures.Add(1)
+		k.options.Logger.Debug().Err(err).Str("member", action.Member).Msg("comparison failed")
+	}
+	k.step(FetchAnswered{Member: action.Member, Revision: revision, Failed: err != nil})
+}
+
+func (k *Keeper) push(ctx context.Context, action Push) {
+	ctx, cancel := context.WithTimeout(ctx, k.options.CallTimeout)
+	defer cancel()
+	k.metrics.pushes.Add(1)
+	pushed, record := k.Record()
+	revision, err := k.currentPeers().Push(ctx, action.Member, pushed, record)
+	if err != nil {
+		k.metrics.pushFailures.Add(1)
+		k.options.Logger.Debug().Err(err).Str("member", action.Member).Msg("push failed")
+	}
+	k.step(PushAnswered{Member: action.Member, Pushed: action.Revision, Revision: revision, Failed: err != nil})
+}
+
+// storeReader reads the store for Run; one read runs at a time.
+type storeReader struct {
+	keeper *Keeper
+	// after is the store's own revision of the record read last.
+	after uint64
+}
+
+func (r *storeReader) read(ctx context.Context, wait time.Duration) {
+	k := r.keeper
+	ctx, cancel := context.WithTimeout(ctx, wait+k.options.CallTimeout)
+	defer cancel()
+	k.metrics.storeReads.Add(1)
+	err := r.readOnce(ctx, wait)
+	if err != nil {
+		k.metrics.storeFailures.Add(1)
+		k.options.Logger.Debug().Err(err).Msg("store read failed")
+	}
+	k.step(StoreAnswered{Failed: err != nil})
+}
+
+// readOnce offers what the store answers. A revision below the one in force
+// is ignored by the offer; the watch then goes on after that old revision, so
+// that it ends as soon as the store answers a newer one.
+func (r *storeReader) readOnce(ctx context.Context, wait time.Duration) error {
+	k := r.keeper
+	var record store.Record
+	var err error
+	if r.after == 0 || wait == 0 {
+		record, err = k.options.Store.Get(ctx, policy.StoreKey)
+	} else {
+		record, err = k.options.Store.Watch(ctx, policy.StoreKey, r.after, wait)
+	}
+	switch {
+	case errors.Is(err, store.ErrUnchanged), errors.Is(err, store.ErrNotFound):
+		return nil
+	case err != nil:
+		return err
+	}
+	if err := k.offerStored(record); err != nil {
+		return err
+	}
+	r.after = record.Revision
+	return nil
+}
+
+// offerStored offers the value of the store's record.
+func (k *Keeper) offerStored(record store.Record) error {
+	next, err := newState(record.Value)
+	if err != nil {
+		k.metrics.rejected.Add(1)
+		return errors.Join(ErrRejected, err)
+	}
+	return k.adopt(next, "")
+}
--- /dev/null
+++ b/rollout/watchers.go
@@ -0,0 +1,121 @@
+package rollout
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
+
+	"github.com/banksail/banksail/policy"
+)
+
+// watchKey is hashed with the members' IDs to choose the store's watchers.
+const watchKey = policy.StoreKey
+
+func hashID(id string) uint64 { return xxhash.Sum64String(id) }
+
+// Watchers chooses the nodes that watch the store: one in each zone, so that
+// a zone that alone can reach the store has one, at most maximum; when there
+// are fewer zones than minimum, others are added. The order of members does
+// not matter.
+func Watchers(members []Member, minimum, maximum int) []string {
+	byZone := map[string][]string{}
+	zones := []string{}
+	for _, member := range members {
+		if _, found := byZone[member.Zone]; !found {
+			zones = append(zones, member.Zone)
+		}
+		byZone[member.Zone] = append(byZone[member.Zone], member.ID)
+	}
+	slices.Sort(zones)
+	zones = firstRanked(zones, maximum)
+	chosen := []string{}
+	for _, zone := range zones {
+		chosen = append(chosen, firstRanked(byZone[zone], 1)...)
+	}
+	others := []string{}
+	for _, member := range members {
+		if !slices.Contains(chosen, member.ID) {
+			others = append(others, member.ID)
+		}
+	}
+	return append(chosen, firstRanked(others, minimum-len(chosen))...)
+}
+
+// firstRanked returns the names that rank highest by rendezvous hashing.
+func firstRanked(names []string, count int) []string {
+	left := slices.Sorted(slices.Values(names))
+	ranked := []string{}
+	for count > 0 && len(left) > 0 {
+		// Rendezvous.Remove panics in the library's version, hence a new one each time.
+		first := rendezvous.New(left, hashID).Lookup(watchKey)
+		ranked = append(ranked, first)
+		index, _ := slices.BinarySearch(left, first)
+		left = slices.Delete(left, index, index+1)
+		count--
+	}
+	return ranked
+}
+
+// membersChanged takes the new member set; the choice of watchers is made
+// anew only when an ID or a zone changed.
+func (c *Core) membersChanged(now time.Duration, members []Member) {
+	next := make([]Member, 0, len(members))
+	for _, member := range members {
+		if member.ID != c.options.Self {
+			next = append(next, member)
+		}
+	}
+	slices.SortFunc(next, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
+	same := slices.EqualFunc(c.members, next, func(a, b Member) bool { return a.ID == b.ID && a.Zone == b.Zone })
+	if same {
+		c.mergeRevisions(now, next)
+		return
+	}
+	c.members = next
+	c.chooseWatchers(now)
+	c.mergeRevisions(now, next)
+}
+
+// mergeRevisions takes the revisions that membership heard.
+func (c *Core) mergeRevisions(now time.Duration, next []Member) {
+	for index := range next {
+		c.members[index].Revision = next[index].Revision
+		c.noteHighest(now, next[index].Revision)
+	}
+}
+
+// noteHighest brings the next comparison forward when a revision above all
+// others is heard of.
+func (c *Core) noteHighest(now time.Duration, revision policy.Revision) {
+	if revision <= max(c.revision, c.highestHeard) {
+		return
+	}
+	c.highestHeard = revision
+	c.compareDue = min(c.compareDue, now+c.jitter(heardFetchDelay))
+}
+
+func (c *Core) chooseWatchers(now time.Duration) {
+	all := append(slices.Clone(c.members), Member{ID: c.options.Self, Zone: c.options.Zone})
+	watchers := Watchers(all, c.options.MinimumWatchers, c.options.MaximumWatchers)
+	watcher := slices.Contains(watchers, c.options.Self)
+	if watcher == c.watcher {
+		return
+	}
+	c.watcher = watcher
+	if !c.storeReading {
+		c.storeDue = now + c.storePause()
+	}
+}
+
+// heard notes the revision that a member itself told.
+func (c *Core) heard(id string, revision policy.Revision) {
+	index, found := slices.BinarySearchFunc(c.members, id, func(member Member, id string) int {
+		return strings.Compare(member.ID, id)
+	})
+	if found {
+		c.members[index].Revision = revision
+	}
+}
