--- a/policy/intent.go
+++ b/policy/intent.go
@@ -9,7 +9,7 @@
 // Intent is what an operator asks for: changes that take effect together.
 type Intent struct {
 	// Author names the operator, for the history.
-	Author string `json:"author" validate:"required,max=128"`
+	Author string `json:"author,omitempty" validate:"required,max=128"`
 	// Note says why, for the history.
 	Note string `json:"note,omitempty" validate:"max=512"`
 	// Changes are applied in order.
--- a/policy/plan.go
+++ b/policy/plan.go
@@ -6,7 +6,6 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"slices"
 	"time"
 )
 
@@ -55,13 +54,15 @@
 	if err != nil {
 		return Plan{}, err
 	}
+	warnings := append([]Warning{}, options.Warnings...)
+	warnings = append(warnings, warn(options.Base.Config, next, options.Nodes)...)
 	plan := Plan{
 		Format:       PlanFormat,
 		ID:           options.ID,
 		BaseRevision: options.Base.Revision,
 		Intent:       options.Intent,
 		Differences:  Compare(options.Base.Config, next),
-		Warnings:     append(slices.Clone(options.Warnings), warn(options.Base.Config, next, options.Nodes)...),
+		Warnings:     warnings,
 	}
 	plan.Digest, err = plan.digest()
 	return plan, err
