--- a/internal/strictjson/check.go
+++ b/internal/jsonfields/check.go
@@ -1,4 +1,4 @@
-package strictjson
+package jsonfields
 
 import (
 	"bytes"
--- a/internal/strictjson/strictjson.go
+++ b/internal/jsonfields/jsonfields.go
@@ -1,10 +1,10 @@
-// Package strictjson reads JSON documents of bounded size and depth into Go
+// Package jsonfields reads JSON documents of bounded size and depth into Go
 // types, and names the path of every fault.
 //
 // It is stricter than encoding/json: names match exactly, no name may be given
 // twice, unknown fields are faults, and so are missing fields unless their tag
 // says omitempty. A missing field is thus never read as a zero.
-package strictjson
+package jsonfields
 
 import (
 	"encoding/json"
@@ -16,13 +16,13 @@
 // Errors of the package, wrapped with details.
 var (
 	// ErrTooLarge: the document has more bytes than the limit.
-	ErrTooLarge = errors.New("strictjson: document too large")
+	ErrTooLarge = errors.New("jsonfields: document too large")
 	// ErrTooDeep: the document nests deeper than the limit.
-	ErrTooDeep = errors.New("strictjson: document nested too deep")
+	ErrTooDeep = errors.New("jsonfields: document nested too deep")
 	// ErrSyntax: the bytes are not one JSON document.
-	ErrSyntax = errors.New("strictjson: not a JSON document")
+	ErrSyntax = errors.New("jsonfields: not a JSON document")
 	// ErrFields: fields are faulty; see FieldsError.
-	ErrFields = errors.New("strictjson: faulty fields")
+	ErrFields = errors.New("jsonfields: faulty fields")
 )
 
 // Limits bounds what is read.
--- a/policy/codec.go
+++ b/policy/codec.go
@@ -4,7 +4,7 @@
 	"errors"
 	"fmt"
 
-	"github.com/banksail/banksail/internal/strictjson"
+	"github.com/banksail/banksail/internal/jsonfields"
 )
 
 // maximumDepth bounds how deep documents nest.
@@ -13,8 +13,8 @@
 // decodeStrict reads one JSON document of bounded size and depth; its errors
 // name the faulty fields.
 func decodeStrict(data []byte, maximumBytes int, target any) error {
-	err := strictjson.Decode(data, strictjson.Limits{Bytes: maximumBytes, Depth: maximumDepth}, target)
-	var fields *strictjson.FieldsError
+	err := jsonfields.Decode(data, jsonfields.Limits{Bytes: maximumBytes, Depth: maximumDepth}, target)
+	var fields *jsonfields.FieldsError
 	switch {
 	case err == nil:
 		return nil
@@ -24,7 +24,7 @@
 			faults = append(faults, Fault{Field: fault.Path, Problem: fault.Problem})
 		}
 		return &ValidationError{Faults: faults}
-	case errors.Is(err, strictjson.ErrTooLarge):
+	case errors.Is(err, jsonfields.ErrTooLarge):
 		return fmt.Errorf("%w: %w", ErrTooLarge, err)
 	default:
 		return fmt.Errorf("%w: %w", ErrMalformed, err)
