--- a/operator/service.go
+++ b/operator/service.go
@@ -198,10 +198,20 @@
 	if s.options.Nodes != nil {
 		status.Nodes = append(status.Nodes, s.options.Nodes.Nodes()...)
 	}
+	status.setRevision(s.options.Self, revision)
 	status.count()
 	s.write(response, status)
 }
 
+// setRevision corrects a node's revision, of which membership learns with a delay.
+func (s *Status) setRevision(id string, revision policy.Revision) {
+	for index := range s.Nodes {
+		if s.Nodes[index].ID == id {
+			s.Nodes[index].Revision = revision
+		}
+	}
+}
+
 // count works out the totals from Nodes.
 func (s *Status) count() {
 	for _, node := range s.Nodes {
--- a/rollout/keeper.go
+++ b/rollout/keeper.go
@@ -38,7 +38,7 @@
 	// Members lists the live nodes; this node may be among them.
 	Members() []Member
 	// Fetch asks a member for its record when its revision is greater than
-	// above; record is empty when it isn't. The revision is the member's own.
+	// above; record is empty when it isn't.
 	Fetch(ctx context.Context, member string, above policy.Revision) (revision policy.Revision, record []byte, err error)
 	// Push offers a record to a member and returns the revision then in force there.
 	Push(ctx context.Context, member string, revision policy.Revision, record []byte) (policy.Revision, error)
--- a/rollout/run.go
+++ b/rollout/run.go
@@ -123,7 +123,11 @@
 	defer cancel()
 	k.metrics.comparisons.Add(1)
 	revision, record, err := k.currentPeers().Fetch(ctx, action.Member, action.Above)
-	if err == nil && len(record) > 0 {
+	switch {
+	case err != nil:
+	case len(record) == 0:
+		revision = action.Above // the member has nothing newer
+	default:
 		err = k.offer(revision, record, action.Member)
 	}
 	if err != nil {
