Warm spare connections to back ends, and tests of the client

Cause: a new connection costs about 1 ms, so a query should find one open; and a connection whose reply can't be decoded may carry replies to other requests.

Change: each server's bound holds a few spare connections that are open before they are needed and closed when the server closes them or they idle too long; a malformed reply closes its connection; a kept connection that had closed before a byte was written is replaced within the call.

--- a/backend/client.go
+++ b/backend/client.go
@@ -31,6 +31,7 @@
 // Defaults of ClientOptions.
 const (
 	DefaultConnectionsPerServer = 8
+	DefaultSparesPerServer      = 2
 	DefaultDialTimeout          = 2 * time.Second
 	DefaultIdleTimeout          = 30 * time.Second
 )
@@ -47,6 +48,9 @@
 	// ConnectionsPerServer bounds the open connections to the server at the
 	// address. It is asked at each request; the bound may change.
 	ConnectionsPerServer func(address string) int
+	// SparesPerServer is the number of connections kept open before they are
+	// needed, at most a quarter of the bound; a negative one means none.
+	SparesPerServer int
 	// DialTimeout bounds the opening of a connection.
 	DialTimeout time.Duration
 	// IdleTimeout closes a connection that carried no request for so long.
@@ -72,6 +76,9 @@
 	if options.ConnectionsPerServer == nil {
 		options.ConnectionsPerServer = func(string) int { return DefaultConnectionsPerServer }
 	}
+	if options.SparesPerServer == 0 {
+		options.SparesPerServer = DefaultSparesPerServer
+	}
 	if options.DialTimeout == 0 {
 		options.DialTimeout = DefaultDialTimeout
 	}
@@ -89,41 +96,42 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: encoding the request: %w", ErrNotDelivered, err)
 	}
-	data, status, err := c.roundTrip(ctx, address, http.MethodPost, QueryPath, body)
-	if err != nil {
-		return nil, err
-	}
-	reply, err := decodeReply(data, status, request)
-	if err != nil {
-		return nil, fmt.Errorf("asking %s: %w", address, err)
-	}
-	return reply, nil
+	var reply *Reply
+	err = c.exchange(ctx, address, http.MethodPost, QueryPath, body, func(data []byte, code int) error {
+		reply, err = decodeReply(data, code, request)
+		return err
+	})
+	return reply, err
 }
 
 // Health reads a server's account of its health, which may lag or mislead.
 func (c *Client) Health(ctx context.Context, address string) (*Health, error) {
-	data, status, err := c.roundTrip(ctx, address, http.MethodGet, HealthPath, nil)
-	if err != nil {
-		return nil, err
-	}
-	return decodeHealth(data, status)
+	var health *Health
+	err := c.exchange(ctx, address, http.MethodGet, HealthPath, nil, func(data []byte, code int) (err error) {
+		health, err = decodeHealth(data, code)
+		return err
+	})
+	return health, err
 }
 
 // Load reads a server's account of its work, which may lag or mislead.
 func (c *Client) Load(ctx context.Context, address string) (*Load, error) {
-	data, status, err := c.roundTrip(ctx, address, http.MethodGet, LoadPath, nil)
-	if err != nil {
-		return nil, err
-	}
-	return decodeLoad(data, status)
+	var load *Load
+	err := c.exchange(ctx, address, http.MethodGet, LoadPath, nil, func(data []byte, code int) (err error) {
+		load, err = decodeLoad(data, code)
+		return err
+	})
+	return load, err
 }
 
-// CloseIdleConnections closes the connections that carry no request.
+// CloseIdleConnections closes the connections that carry no request. Those of
+// requests in flight close with them.
 func (c *Client) CloseIdleConnections() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	for _, open := range c.pools {
-		open.transport.CloseIdleConnections()
+	for address, open := range c.pools {
+		delete(c.pools, address)
+		open.retire()
 	}
 }
 
@@ -138,37 +146,61 @@
 	}
 }
 
-// roundTrip sends one request and reads its whole reply.
-func (c *Client) roundTrip(ctx context.Context, address, method, path string, body []byte) ([]byte, int, error) {
+// exchange sends one request and gives its whole reply to decode. A connection
+// whose reply can't be decoded is closed: later replies on it may belong to
+// other requests.
+func (c *Client) exchange(
+	ctx context.Context, address, method, path string, body []byte, decode func(data []byte, code int) error,
+) error {
 	open := c.acquire(address)
 	defer open.release()
-	trackedContext, tracker := delivery.Track(ctx)
-	request, err := newRequest(trackedContext, address, method, path, body)
+	for {
+		trackedContext, tracker := delivery.Track(ctx)
+		data, code, err := open.roundTrip(trackedContext, address, method, path, body)
+		if err == nil {
+			err = decode(data, code)
+		}
+		if err == nil {
+			return nil
+		}
+		err = classify(tracker, err)
+		if !errors.Is(err, ErrNotDelivered) || !tracker.Reused() || ctx.Err() != nil {
+			return fmt.Errorf("asking %s: %w", address, err)
+		}
+		// A kept connection had closed before a byte was written; it is gone
+		// now, so this ends with the last of them.
+	}
+}
+
+// roundTrip sends one request and reads its whole reply.
+func (p *pool) roundTrip(ctx context.Context, address, method, path string, body []byte) ([]byte, int, error) {
+	request, err := newRequest(ctx, address, method, path, body)
 	if err != nil {
-		return nil, 0, fmt.Errorf("%w: %w", ErrNotDelivered, err)
+		return nil, 0, err
 	}
-	response, err := open.transport.RoundTrip(request)
+	response, err := p.transport.RoundTrip(request)
 	if err != nil {
-		return nil, 0, failure(tracker, address, err)
+		return nil, 0, err
 	}
+	defer func() { _ = response.Body.Close() }()
 	data, err := strictjson.Read(response.Body, MaximumReplyBytes)
-	_ = response.Body.Close()
 	if errors.Is(err, strictjson.ErrTooLarge) {
-		return nil, 0, fmt.Errorf("asking %s: %w: %w", address, ErrMalformed, err)
+		err = fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
-	if err != nil {
-		return nil, 0, failure(tracker, address, err)
-	}
-	return data, response.StatusCode, nil
+	return data, response.StatusCode, err
 }
 
-// failure classes an error without a whole reply by what had been written.
-func failure(tracker *delivery.Tracker, address string, err error) error {
-	class := ErrNotDelivered
-	if tracker.Seal() {
-		class = ErrOutcomeUnknown
+// classify turns the error of a request by what had been written, and closes
+// the request's connection.
+func classify(tracker *delivery.Tracker, err error) error {
+	written := tracker.Seal()
+	if errors.Is(err, ErrMalformed) {
+		return err
+	}
+	if written {
+		return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 	}
-	return fmt.Errorf("asking %s: %w: %w", address, class, err)
+	return fmt.Errorf("%w: %w", ErrNotDelivered, err)
 }
 
 // newRequest builds a request that net/http's transport never sends again: a
--- /dev/null
+++ b/backend/connections_test.go
@@ -0,0 +1,166 @@
+package backend_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/banksail/banksail/backend"
+)
+
+// pipeNetwork connects a client to one HTTP server in memory and counts the
+// open connections.
+type pipeNetwork struct {
+	conns chan net.Conn
+	setup time.Duration
+
+	closed  sync.Once
+	mutex   sync.Mutex
+	open    int
+	highest int
+	dials   int
+}
+
+type pipeConn struct {
+	net.Conn
+	network *pipeNetwork
+	once    sync.Once
+}
+
+func (c *pipeConn) Close() error {
+	c.once.Do(func() { c.network.count(-1) })
+	return c.Conn.Close()
+}
+
+func (n *pipeNetwork) count(change int) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.open += change
+	n.highest = max(n.highest, n.open)
+	if change > 0 {
+		n.dials++
+	}
+}
+
+func (n *pipeNetwork) dial(context.Context, string, string) (net.Conn, error) {
+	time.Sleep(n.setup)
+	near, far := net.Pipe()
+	n.count(1)
+	n.conns <- far
+	return &pipeConn{Conn: near, network: n}, nil
+}
+
+func (n *pipeNetwork) counts() (open, highest, dials int) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.open, n.highest, n.dials
+}
+
+func (n *pipeNetwork) Accept() (net.Conn, error) {
+	conn, ok := <-n.conns
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return conn, nil
+}
+
+func (n *pipeNetwork) Close() error {
+	n.closed.Do(func() { close(n.conns) })
+	return nil
+}
+
+func (n *pipeNetwork) Addr() net.Addr { return &net.TCPAddr{} }
+
+func echoDone(serviceTime time.Duration) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		query := backend.Request{}
+		_ = json.NewDecoder(request.Body).Decode(&query)
+		time.Sleep(serviceTime)
+		_, _ = io.WriteString(writer, strings.Replace(doneReply, "a1", query.AttemptID, 1))
+	}
+}
+
+// inBubble runs a test on a virtual clock with a client on a pipe network.
+func inBubble(t *testing.T, options backend.ClientOptions, test func(*testing.T, *backend.Client, *pipeNetwork)) {
+	synctest.Test(t, func(t *testing.T) {
+		network := &pipeNetwork{conns: make(chan net.Conn), setup: time.Millisecond}
+		server := &http.Server{Handler: echoDone(10 * time.Millisecond)}
+		go server.Serve(network)
+		options.Dial = network.dial
+		client := backend.NewClient(options)
+		test(t, client, network)
+		client.CloseIdleConnections()
+		server.Close()
+		synctest.Wait()
+		if open, _, _ := network.counts(); open != 0 {
+			t.Errorf("%d connections are left open", open)
+		}
+	})
+}
+
+func queryMany(t *testing.T, client *backend.Client, count int) {
+	t.Helper()
+	var group sync.WaitGroup
+	for range count {
+		group.Go(func() {
+			if _, err := client.Query(t.Context(), "10.0.0.1:1", newQuery("a1")); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	group.Wait()
+}
+
+func TestConnectionsStayWithinTheBound(t *testing.T) {
+	options := backend.ClientOptions{ConnectionsPerServer: func(string) int { return 8 }}
+	inBubble(t, options, func(t *testing.T, client *backend.Client, network *pipeNetwork) {
+		queryMany(t, client, 100)
+		if _, highest, _ := network.counts(); highest > 8 {
+			t.Errorf("%d connections were open at once, want 8 at most", highest)
+		}
+	})
+}
+
+func TestConnectionsFollowALowerBound(t *testing.T) {
+	bound := 8
+	options := backend.ClientOptions{ConnectionsPerServer: func(string) int { return bound }}
+	inBubble(t, options, func(t *testing.T, client *backend.Client, network *pipeNetwork) {
+		queryMany(t, client, 20)
+		bound = 2
+		queryMany(t, client, 20)
+		if open, _, _ := network.counts(); open > 2 {
+			t.Errorf("%d connections are open, want 2 at most", open)
+		}
+	})
+}
+
+func TestSpareConnectionsAreWarm(t *testing.T) {
+	inBubble(t, backend.ClientOptions{}, func(t *testing.T, client *backend.Client, _ *pipeNetwork) {
+		queryMany(t, client, 1)
+		time.Sleep(100 * time.Millisecond)
+		start := time.Now()
+		queryMany(t, client, 3)
+		if took := time.Since(start); took != 10*time.Millisecond {
+			t.Errorf("three queries at once took %v, want the service time alone", took)
+		}
+	})
+}
+
+func TestSpareConnectionsThatClosedAreNotUsed(t *testing.T) {
+	options := backend.ClientOptions{IdleTimeout: time.Second}
+	inBubble(t, options, func(t *testing.T, client *backend.Client, network *pipeNetwork) {
+		queryMany(t, client, 1)
+		time.Sleep(time.Minute)
+		if open, _, _ := network.counts(); open != 0 {
+			t.Errorf("%d idle connections are open after their time", open)
+		}
+		queryMany(t, client, 3)
+	})
+}
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -9,9 +9,13 @@
 	"github.com/banksail/banksail/internal/delivery"
 )
 
+// spareFraction is the least number of connections per spare one.
+const spareFraction = 4
+
 // pool holds the connections to one server under one bound.
 type pool struct {
 	transport *http.Transport
+	spares    *spares
 	bound     int
 
 	// mutex guards the fields below. Invariant: a retired pool takes no new
@@ -42,13 +46,20 @@
 	return open
 }
 
+// newPool shares the bound out between spares and connections in use.
 func (c *Client) newPool(bound int) *pool {
+	extra := &spares{
+		dial: c.dial,
+		size: min(max(0, c.options.SparesPerServer), bound/spareFraction),
+		idle: c.options.IdleTimeout,
+	}
 	return &pool{
-		bound: bound,
+		bound:  bound,
+		spares: extra,
 		transport: &http.Transport{
-			DialContext:            delivery.WrapDial(c.dial),
-			MaxConnsPerHost:        bound,
-			MaxIdleConnsPerHost:    bound,
+			DialContext:            delivery.WrapDial(extra.DialContext),
+			MaxConnsPerHost:        bound - extra.size,
+			MaxIdleConnsPerHost:    bound - extra.size,
 			IdleConnTimeout:        c.options.IdleTimeout,
 			MaxResponseHeaderBytes: maximumHeaderBytes,
 			DisableCompression:     true,
@@ -75,5 +86,6 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.retired = true
+	p.spares.close()
 	p.transport.CloseIdleConnections()
 }
