Stand-ins: freeze that outlives its caller, cut changes, tests

Cause: a stopped process does not see its callers go, so what arrived may run after it continues; a change may be lost before or after it took effect, and its writer can't tell; a machine list that kept gone machines must show the truth once the fault ends; an execution cut short must be in the history.

Change: frozen back ends run what arrived once they thaw; the store's stand-in has cut_changes beside lose_replies; the execution history holds a sub-request from its arrival on; KeepGone ends with the fault.

--- a/lab/emulator/execution.go
+++ b/lab/emulator/execution.go
@@ -40,44 +40,59 @@
 	Executions []Execution `json:"executions"`
 }
 
+// outcomeRunning is the outcome of a sub-request that did not end yet.
+const outcomeRunning = "running"
+
 // recorder keeps a server's execution history.
 type recorder struct {
 	server   string
 	callback func(Execution)
 
-	// mutex guards the fields below. Invariant: entries holds the newest
-	// executions in the order in which they ended.
+	// mutex guards the fields below and what entries point to. Invariant:
+	// entries holds the newest executions in the order in which they arrived.
 	mutex     sync.Mutex
-	entries   []Execution
+	entries   []*Execution
 	forgotten int
 }
 
-func (r *recorder) record(execution Execution) {
-	r.append(execution)
-	if r.callback != nil {
-		r.callback(execution)
-	}
-}
-
-func (r *recorder) append(execution Execution) {
+// begin adds a sub-request, so that one cut short is in the history too.
+func (r *recorder) begin(execution Execution) *Execution {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.entries = append(r.entries, execution)
+	execution.Outcome = outcomeRunning
+	entry := &execution
+	r.entries = append(r.entries, entry)
 	if len(r.entries) > maximumExecutions {
 		excess := len(r.entries) - maximumExecutions/2
-		r.entries = append([]Execution(nil), r.entries[excess:]...)
+		r.entries = append([]*Execution(nil), r.entries[excess:]...)
 		r.forgotten += excess
 	}
+	return entry
+}
+
+// update changes an entry.
+func (r *recorder) update(entry *Execution, change func(*Execution)) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	change(entry)
+}
+
+// end closes an entry and reports it.
+func (r *recorder) end(entry *Execution, outcome string) {
+	r.update(entry, func(changed *Execution) { changed.Outcome = outcome })
+	if r.callback != nil {
+		r.callback(*entry)
+	}
 }
 
 func (r *recorder) history() ExecutionHistory {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return ExecutionHistory{
-		Server:     r.server,
-		Forgotten:  r.forgotten,
-		Executions: append([]Execution{}, r.entries...),
+	history := ExecutionHistory{Server: r.server, Forgotten: r.forgotten, Executions: []Execution{}}
+	for _, entry := range r.entries {
+		history.Executions = append(history.Executions, *entry)
 	}
+	return history
 }
 
 func (r *recorder) ServeHTTP(writer http.ResponseWriter, _ *http.Request) {
--- a/lab/emulator/listener.go
+++ b/lab/emulator/listener.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -86,6 +87,10 @@
 
 // lifetime owns the HTTP servers of a stand-in.
 type lifetime struct {
+	// ctx ends with the stand-in.
+	ctx    context.Context
+	cancel context.CancelFunc
+
 	// mutex guards the fields below. Invariant: after closed is set, no server
 	// is added.
 	mutex   sync.Mutex
@@ -94,7 +99,8 @@
 }
 
 func newLifetime() *lifetime {
-	return &lifetime{}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &lifetime{ctx: ctx, cancel: cancel}
 }
 
 // serve serves the listener until close; it returns nil then.
@@ -128,6 +134,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.closed = true
+	l.cancel()
 	var problems []error
 	for _, server := range l.servers {
 		problems = append(problems, server.Close())
--- a/lab/emulator/load.go
+++ b/lab/emulator/load.go
@@ -63,14 +63,14 @@
 }
 
 func (s *Server) serveLoad(writer http.ResponseWriter, request *http.Request) {
-	if err := s.waitThawed(request.Context()); err != nil {
+	if _, err := s.thawedContext(request.Context()); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	writeJSON(writer, http.StatusOK, s.reportedLoad(s.Faults()))
 }
 
 func (s *Server) serveHealth(writer http.ResponseWriter, request *http.Request) {
-	if err := s.waitThawed(request.Context()); err != nil {
+	if _, err := s.thawedContext(request.Context()); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	faults := s.Faults()
--- a/lab/emulator/machines.go
+++ b/lab/emulator/machines.go
@@ -38,9 +38,11 @@
 	validate *validator.Validate
 
 	// mutex guards the fields below. Invariant: versions are in order, each
-	// newer than the one before, and changed is closed and replaced with each
-	// change of versions or faults.
+	// newer than the one before; the last one shows machines, but for those that
+	// the KeepGone fault keeps; changed is closed and replaced with each change
+	// of versions or faults.
 	mutex    sync.Mutex
+	machines []machinelist.Machine
 	versions []listVersion
 	faults   MachineListFaults
 	changed  chan struct{}
@@ -65,6 +67,7 @@
 		ended:    newLifetime(),
 		validate: newValidator(),
 		changed:  make(chan struct{}),
+		machines: slices.Clone(machines),
 		versions: []listVersion{{list: machinelist.List{Version: 1, Machines: slices.Clone(machines)}}},
 	}
 	server.mux.HandleFunc("GET "+machinelist.Path, server.getList)
@@ -102,7 +105,12 @@
 func (s *MachineListServer) SetFaults(faults MachineListFaults) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	released := s.faults.KeepGone && !faults.KeepGone
 	s.faults = faults
+	if released {
+		s.advance(s.machines)
+		return
+	}
 	s.notify()
 }
 
@@ -110,26 +118,33 @@
 func (s *MachineListServer) Upsert(machine machinelist.Machine) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	machines := slices.Clone(s.newest().Machines)
-	index := slices.IndexFunc(machines, func(known machinelist.Machine) bool { return known.ID == machine.ID })
+	s.machines = withMachine(s.machines, machine)
+	s.advance(withMachine(s.newest().Machines, machine))
+}
+
+// withMachine returns a copy of the machines with one added or replaced.
+func withMachine(machines []machinelist.Machine, machine machinelist.Machine) []machinelist.Machine {
+	changed := slices.Clone(machines)
+	index := slices.IndexFunc(changed, func(known machinelist.Machine) bool { return known.ID == machine.ID })
 	if index < 0 {
-		machines = append(machines, machine)
-	} else {
-		machines[index] = machine
+		return append(changed, machine)
 	}
-	s.advance(machines)
+	changed[index] = machine
+	return changed
 }
 
 // Remove takes a machine out; it reports whether the list had it. With the
-// KeepGone fault the list goes on naming it.
+// KeepGone fault the list goes on naming it until the fault is switched off.
 func (s *MachineListServer) Remove(id string) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	machines := slices.Clone(s.newest().Machines)
-	kept := slices.DeleteFunc(machines, func(known machinelist.Machine) bool { return known.ID == id })
-	if len(kept) == len(s.newest().Machines) {
+	before := len(s.machines)
+	kept := slices.Clone(s.machines)
+	kept = slices.DeleteFunc(kept, func(known machinelist.Machine) bool { return known.ID == id })
+	if len(kept) == before {
 		return false
 	}
+	s.machines = kept
 	if !s.faults.KeepGone {
 		s.advance(kept)
 	}
@@ -142,7 +157,7 @@
 
 // advance appends a version; mutex is held.
 func (s *MachineListServer) advance(machines []machinelist.Machine) {
-	list := machinelist.List{Version: s.newest().Version + 1, Machines: machines}
+	list := machinelist.List{Version: s.newest().Version + 1, Machines: slices.Clone(machines)}
 	s.versions = append(s.versions, listVersion{since: time.Now(), list: list})
 	if excess := len(s.versions) - maximumVersions; excess > 0 {
 		s.versions = slices.Clone(s.versions[excess:])
--- a/lab/emulator/query.go
+++ b/lab/emulator/query.go
@@ -25,11 +25,9 @@
 		s.respond(writer, &backend.Reply{AttemptID: query.AttemptID, Status: backend.StatusInvalid, Message: err.Error()})
 		return
 	}
-	ctx, cancel := context.WithTimeout(request.Context(), durationOf(query.RemainingMilliseconds))
-	defer cancel()
-	visit := &visit{server: s, query: query, faults: s.Faults(), execution: newExecution(s.options.ID, query)}
-	reply := visit.run(ctx)
-	s.recorder.record(visit.execution)
+	visit := &visit{server: s, query: query, entry: s.recorder.begin(newExecution(s.options.ID, query))}
+	reply, outcome := visit.run(request.Context())
+	s.recorder.end(visit.entry, outcome)
 	visit.deliver(request.Context(), writer, reply)
 }
 
@@ -68,31 +66,34 @@
 
 // visit carries one sub-request through the server.
 type visit struct {
-	server    *Server
-	query     *backend.Request
-	faults    ServerFaults
-	execution Execution
+	server *Server
+	query  *backend.Request
+	faults ServerFaults
+	entry  *Execution
 }
 
-// run decides and executes; a nil reply means that the connection closes
-// without one.
-func (v *visit) run(ctx context.Context) *backend.Reply {
-	if err := v.server.waitThawed(ctx); err != nil {
-		return v.end(nil, "ended while frozen")
+// run decides and executes. It returns the reply, nil when the connection is
+// to close without one, and the outcome for the history.
+func (v *visit) run(caller context.Context) (*backend.Reply, string) {
+	caller, err := v.server.thawedContext(caller)
+	if err != nil {
+		return nil, "ended while frozen"
 	}
+	ctx, cancel := context.WithTimeout(caller, durationOf(v.query.RemainingMilliseconds))
+	defer cancel()
 	v.faults = v.server.Faults()
 	if v.server.chance(v.faults.CloseBeforeShare) {
-		return v.end(nil, "closed before execution")
+		return nil, "closed before execution"
 	}
 	if refusal := v.refuse(); refusal != nil {
-		return v.end(refusal, string(refusal.Status))
+		return refusal, string(refusal.Status)
 	}
-	err := v.server.slots.acquire(ctx)
+	err = v.server.slots.acquire(ctx)
 	if errors.Is(err, errShed) {
-		return v.end(v.shed(), string(backend.StatusShed))
+		return v.shed(), string(backend.StatusShed)
 	}
 	if err != nil {
-		return v.end(v.shed(), "ended in the queue")
+		return v.shed(), "ended in the queue"
 	}
 	defer v.server.slots.release()
 	return v.execute(ctx)
@@ -116,22 +117,22 @@
 }
 
 // execute holds a slot for the service time.
-func (v *visit) execute(ctx context.Context) *backend.Reply {
-	v.execution.Executed = true
+func (v *visit) execute(ctx context.Context) (*backend.Reply, string) {
+	v.server.recorder.update(v.entry, func(entry *Execution) { entry.Executed = true })
 	if err := sleep(ctx, v.server.serviceTime(v.faults)); err != nil {
-		return v.end(nil, "ended during execution")
+		return nil, "ended during execution"
 	}
-	if err := v.server.waitThawed(ctx); err != nil {
-		return v.end(nil, "ended while frozen during execution")
+	if _, err := v.server.thawedContext(ctx); err != nil {
+		return nil, "ended while frozen during execution"
 	}
-	v.execution.Completed = true
+	v.server.recorder.update(v.entry, func(entry *Execution) { entry.Completed = true })
 	if v.server.chance(v.faults.ErrorShare) {
-		return v.end(v.reply(backend.StatusError), string(backend.StatusError))
+		return v.reply(backend.StatusError), string(backend.StatusError)
 	}
 	if v.server.chance(v.faults.CloseAfterShare) {
-		return v.end(nil, "closed after execution")
+		return nil, "closed after execution"
 	}
-	return v.end(v.done(), string(backend.StatusDone))
+	return v.done(), string(backend.StatusDone)
 }
 
 func (v *visit) done() *backend.Reply {
@@ -167,11 +168,6 @@
 	}
 }
 
-func (v *visit) end(reply *backend.Reply, outcome string) *backend.Reply {
-	v.execution.Outcome = outcome
-	return reply
-}
-
 // deliver sends the reply under the faults that act on it.
 func (v *visit) deliver(ctx context.Context, writer http.ResponseWriter, reply *backend.Reply) {
 	if reply == nil {
--- a/lab/emulator/server.go
+++ b/lab/emulator/server.go
@@ -157,7 +157,7 @@
 	return s.ended.serve(s, newLimitedListener(listener, s.options.Connections, s.options.ConnectionSetup))
 }
 
-// Close ends Serve and cuts its connections.
+// Close ends Serve, cuts its connections and ends what is frozen.
 func (s *Server) Close() error {
 	return s.ended.close()
 }
@@ -237,16 +237,23 @@
 	return slices.ContainsFunc(ranges, func(held coverage.Range) bool { return held.Contains(keys) })
 }
 
-// waitThawed waits until the server is not frozen.
-func (s *Server) waitThawed(ctx context.Context) error {
+// thawedContext waits until the server is not frozen. A frozen process does
+// not see its callers go, so what arrived while it was frozen runs afterwards
+// under a context that only the server's end cancels.
+func (s *Server) thawedContext(ctx context.Context) (context.Context, error) {
 	s.mutex.Lock()
 	thawed := s.thawed
 	s.mutex.Unlock()
 	select {
 	case <-thawed:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+		return ctx, nil
+	default:
+	}
+	select {
+	case <-thawed:
+		return s.ended.ctx, nil
+	case <-s.ended.ctx.Done():
+		return nil, s.ended.ctx.Err()
 	}
 }
 
--- /dev/null
+++ b/store/conn_test.go
@@ -0,0 +1,235 @@
+package store_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/banksail/banksail/lab/emulator"
+	"github.com/banksail/banksail/store"
+)
+
+// manualClock is a clock that tests advance.
+type manualClock struct {
+	mutex sync.Mutex
+	now   time.Time
+}
+
+func (c *manualClock) Now() time.Time {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.now
+}
+
+func (c *manualClock) advance(duration time.Duration) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.now = c.now.Add(duration)
+}
+
+// onBoth runs a test against the in-memory service and against the same over HTTP.
+func onBoth(t *testing.T, test func(t *testing.T, conn store.Conn, memory *store.Memory, clock *manualClock)) {
+	t.Run("memory", func(t *testing.T) {
+		clock := &manualClock{now: time.Unix(1000, 0)}
+		memory := store.NewMemory(store.MemoryOptions{Now: clock.Now})
+		test(t, memory, memory, clock)
+	})
+	t.Run("HTTP", func(t *testing.T) {
+		clock := &manualClock{now: time.Unix(1000, 0)}
+		memory := store.NewMemory(store.MemoryOptions{Now: clock.Now})
+		server := httptest.NewServer(emulator.NewStoreServer(memory))
+		t.Cleanup(server.Close)
+		test(t, store.NewHTTP(store.HTTPOptions{Address: server.Listener.Addr().String()}), memory, clock)
+	})
+}
+
+const key = "banksail/configuration"
+
+func mustPut(t *testing.T, conn store.Conn, value string, base uint64, lease store.LeaseID) store.Record {
+	t.Helper()
+	record, err := conn.Put(t.Context(), key, []byte(value), base, lease)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return record
+}
+
+func TestSwap(t *testing.T) {
+	onBoth(t, func(t *testing.T, conn store.Conn, _ *store.Memory, _ *manualClock) {
+		if _, err := conn.Get(t.Context(), key); !errors.Is(err, store.ErrNotFound) {
+			t.Errorf("error is %v, want ErrNotFound", err)
+		}
+		first := mustPut(t, conn, "one", 0, "")
+		if _, err := conn.Put(t.Context(), key, []byte("two"), 0, ""); !errors.Is(err, store.ErrConflict) {
+			t.Errorf("creation over a record: %v, want ErrConflict", err)
+		}
+		second := mustPut(t, conn, "two", first.Revision, "")
+		if _, err := conn.Put(t.Context(), key, []byte("three"), first.Revision, ""); !errors.Is(err, store.ErrConflict) {
+			t.Errorf("swap of an old revision: %v, want ErrConflict", err)
+		}
+		record, err := conn.Get(t.Context(), key)
+		if err != nil || string(record.Value) != "two" || record.Revision != second.Revision || second.Revision <= first.Revision {
+			t.Errorf("record is %+v, %v", record, err)
+		}
+	})
+}
+
+func TestWatch(t *testing.T) {
+	onBoth(t, func(t *testing.T, conn store.Conn, memory *store.Memory, _ *manualClock) {
+		first := mustPut(t, conn, "one", 0, "")
+		if _, err := conn.Watch(t.Context(), key, first.Revision, 0); !errors.Is(err, store.ErrUnchanged) {
+			t.Errorf("error is %v, want ErrUnchanged", err)
+		}
+		changed := make(chan store.Record, 1)
+		go func() {
+			record, _ := conn.Watch(t.Context(), key, first.Revision, time.Minute)
+			changed <- record
+		}()
+		mustPut(t, memory, "two", first.Revision, "")
+		if record := <-changed; string(record.Value) != "two" {
+			t.Errorf("the watch gave %+v", record)
+		}
+	})
+}
+
+func TestLeases(t *testing.T) {
+	onBoth(t, func(t *testing.T, conn store.Conn, _ *store.Memory, clock *manualClock) {
+		lease, err := conn.Grant(t.Context(), 10*time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		mustPut(t, conn, "held", 0, lease)
+		clock.advance(9 * time.Second)
+		if err := conn.KeepAlive(t.Context(), lease); err != nil {
+			t.Error(err)
+		}
+		clock.advance(9 * time.Second)
+		if _, err := conn.Get(t.Context(), key); err != nil {
+			t.Errorf("the record of a renewed lease: %v", err)
+		}
+		clock.advance(time.Second)
+		if _, err := conn.Get(t.Context(), key); !errors.Is(err, store.ErrNotFound) {
+			t.Errorf("the record of a lapsed lease: %v, want ErrNotFound", err)
+		}
+		if err := conn.KeepAlive(t.Context(), lease); !errors.Is(err, store.ErrNotFound) {
+			t.Errorf("renewal of a lapsed lease: %v, want ErrNotFound", err)
+		}
+		if _, err := conn.Put(t.Context(), key, nil, 0, lease); !errors.Is(err, store.ErrNotFound) {
+			t.Errorf("record under a lapsed lease: %v, want ErrNotFound", err)
+		}
+		again, err := conn.Grant(t.Context(), time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		mustPut(t, conn, "held", 0, again)
+		if err := conn.Revoke(t.Context(), again); err != nil {
+			t.Error(err)
+		}
+		if _, err := conn.Get(t.Context(), key); !errors.Is(err, store.ErrNotFound) {
+			t.Errorf("the record of a revoked lease: %v, want ErrNotFound", err)
+		}
+	})
+}
+
+func TestRevisionsGrowOverARemoval(t *testing.T) {
+	onBoth(t, func(t *testing.T, conn store.Conn, _ *store.Memory, clock *manualClock) {
+		lease, err := conn.Grant(t.Context(), time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		first := mustPut(t, conn, "one", 0, lease)
+		clock.advance(time.Second)
+		if second := mustPut(t, conn, "two", 0, ""); second.Revision <= first.Revision {
+			t.Errorf("revision %d follows %d", second.Revision, first.Revision)
+		}
+	})
+}
+
+func TestFaultsOfAPut(t *testing.T) {
+	cases := []struct {
+		name    string
+		faults  store.MemoryFaults
+		want    error
+		effects bool
+	}{
+		{name: "down", faults: store.MemoryFaults{Down: true}, want: store.ErrUnavailable},
+		{name: "lost reply", faults: store.MemoryFaults{LoseReplies: 1}, want: store.ErrOutcomeUnknown, effects: true},
+		{name: "cut change", faults: store.MemoryFaults{CutChanges: 1}, want: store.ErrOutcomeUnknown},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			onBoth(t, func(t *testing.T, conn store.Conn, memory *store.Memory, _ *manualClock) {
+				memory.SetFaults(test.faults)
+				if _, err := conn.Put(t.Context(), key, []byte("one"), 0, ""); !errors.Is(err, test.want) {
+					t.Errorf("error is %v, want %v", err, test.want)
+				}
+				memory.SetFaults(store.MemoryFaults{})
+				if _, err := conn.Get(t.Context(), key); (err == nil) != test.effects {
+					t.Errorf("the read gave %v, want effect %v", err, test.effects)
+				}
+			})
+		})
+	}
+}
+
+func TestStaleReads(t *testing.T) {
+	onBoth(t, func(t *testing.T, conn store.Conn, memory *store.Memory, _ *manualClock) {
+		first := mustPut(t, conn, "one", 0, "")
+		mustPut(t, conn, "two", first.Revision, "")
+		memory.SetFaults(store.MemoryFaults{StaleRevisions: 1})
+		record, err := conn.Get(t.Context(), key)
+		if err != nil || string(record.Value) != "one" || record.Revision != first.Revision {
+			t.Errorf("stale record is %+v, %v", record, err)
+		}
+	})
+}
+
+func TestRateLimit(t *testing.T) {
+	onBoth(t, func(t *testing.T, conn store.Conn, memory *store.Memory, clock *manualClock) {
+		memory.SetFaults(store.MemoryFaults{CallsPerSecond: 1})
+		mustPut(t, conn, "one", 0, "")
+		if _, err := conn.Put(t.Context(), key, []byte("two"), 1, ""); !errors.Is(err, store.ErrRateLimited) {
+			t.Errorf("error is %v, want ErrRateLimited", err)
+		}
+		clock.advance(time.Second)
+		if record, err := conn.Get(t.Context(), key); err != nil || string(record.Value) != "one" {
+			t.Errorf("record is %+v, %v", record, err)
+		}
+	})
+}
+
+func TestUnreachableServiceIsUnavailable(t *testing.T) {
+	refuse := func(context.Context, string, string) (net.Conn, error) { return nil, net.ErrClosed }
+	conn := store.NewHTTP(store.HTTPOptions{Address: "10.0.0.1:1", Dial: refuse})
+	if _, err := conn.Put(t.Context(), key, nil, 0, ""); !errors.Is(err, store.ErrUnavailable) {
+		t.Errorf("put: %v, want ErrUnavailable", err)
+	}
+	if _, err := conn.Get(t.Context(), key); !errors.Is(err, store.ErrUnavailable) {
+		t.Errorf("get: %v, want ErrUnavailable", err)
+	}
+}
+
+func TestSlowServiceTimesOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := store.NewMemory(store.MemoryOptions{})
+		memory.SetFaults(store.MemoryFaults{DelayMilliseconds: 5000})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if _, err := memory.Get(ctx, key); !errors.Is(err, store.ErrUnavailable) {
+			t.Errorf("error is %v, want ErrUnavailable", err)
+		}
+	})
+}
+
+func TestInvalidKeys(t *testing.T) {
+	for _, invalid := range []string{"", "/a", "a//b", "a/../b", "a b", "a?b", "a/", "é"} {
+		if err := store.ValidateKey(invalid); !errors.Is(err, store.ErrInvalidKey) {
+			t.Errorf("key %q gave %v", invalid, err)
+		}
+	}
+}
--- a/store/memory.go
+++ b/store/memory.go
@@ -21,6 +21,9 @@
 	Down bool `json:"down"`
 	// DelayMilliseconds slows each call.
 	DelayMilliseconds float64 `json:"delay_ms" validate:"min=0,max=600000"`
+	// CutChanges lets that many changes go without effect or reply, so that
+	// their writer can't tell them from lost replies.
+	CutChanges int `json:"cut_changes" validate:"min=0,max=1000000"`
 	// LoseReplies lets that many changes take effect with their reply lost.
 	LoseReplies int `json:"lose_replies" validate:"min=0,max=1000000"`
 	// StaleRevisions makes reads answer with the value that many revisions
@@ -86,6 +89,7 @@
 		m.limiter = newLimiter(faults.CallsPerSecond)
 	}
 	m.faults = faults
+	m.notify()
 }
 
 func newLimiter(callsPerSecond float64) *rate.Limiter {
@@ -123,6 +127,9 @@
 	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	if err := m.cutChange(); err != nil {
+		return Record{}, err
+	}
 	m.expire()
 	if lease != "" && m.leases[lease] == nil {
 		return Record{}, fmt.Errorf("%w: lease %q", ErrNotFound, lease)
@@ -131,7 +138,10 @@
 		return Record{}, fmt.Errorf("%w: record %q is at revision %d, not %d", ErrConflict, key, current, base)
 	}
 	record := m.write(key, value, lease)
-	return record, m.loseReply()
+	if err := m.loseReply(); err != nil {
+		return Record{}, err
+	}
+	return record, nil
 }
 
 // Watch waits until the record's revision is greater than after, at most wait.
@@ -180,7 +190,10 @@
 	m.leaseSeq++
 	id := LeaseID(fmt.Sprintf("lease-%d", m.leaseSeq))
 	m.leases[id] = &memoryLease{timeToLive: timeToLive, expires: m.now().Add(timeToLive)}
-	return id, m.loseReply()
+	if err := m.loseReply(); err != nil {
+		return "", err
+	}
+	return id, nil
 }
 
 // KeepAlive renews a lease.
@@ -232,6 +245,15 @@
 	return nil
 }
 
+// cutChange applies the loss of a change before it took effect; mutex is held.
+func (m *Memory) cutChange() error {
+	if m.faults.CutChanges == 0 {
+		return nil
+	}
+	m.faults.CutChanges--
+	return fmt.Errorf("%w: the change was cut", ErrOutcomeUnknown)
+}
+
 // loseReply applies the loss of a reply after the change; mutex is held.
 func (m *Memory) loseReply() error {
 	if m.faults.LoseReplies == 0 {
