banksail-lab: subcommands load and fault

Cause: operators and the demonstration need queries at a rate, answers that are checked, and fault switches from the command line.

--- /dev/null
+++ b/cmd/banksail-lab/fault.go
@@ -0,0 +1,195 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"path"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/banksail/banksail/internal/strictjson"
+	"github.com/banksail/banksail/lab/emulator"
+	"github.com/banksail/banksail/policy"
+)
+
+// Errors of the subcommand fault.
+var (
+	errInvalidSwitch = errors.New("a switch must be NAME=VALUE with a JSON value")
+	errNoStandIn     = errors.New("no stand-in: give --address, or --server with a pattern that fits")
+	errFaultRefused  = errors.New("refused")
+)
+
+const (
+	faultTimeout      = 5 * time.Second
+	maximumFaultReply = 1 << 20
+)
+
+// faultCommand sets fault switches of running stand-ins.
+type faultCommand struct {
+	placement placementFlags
+	addresses stringList
+	server    string
+	reset     bool
+}
+
+// Name returns the subcommand's name.
+func (*faultCommand) Name() string { return "fault" }
+
+// Synopsis returns one line of help.
+func (*faultCommand) Synopsis() string { return "read or set fault switches of running stand-ins" }
+
+// Usage returns the help.
+func (*faultCommand) Usage() string {
+	return `fault [flags] [NAME=VALUE ...]:
+  Set fault switches of running stand-ins, by address or, for back ends, by a
+  pattern of server IDs of a profile. Without a switch, print them.
+
+  Example: banksail-lab fault --server 'catalog-g03-*' straggle_factor=50
+  Example: banksail-lab fault --address 127.0.0.1:20001 lose_replies=1
+  Example: banksail-lab fault --server 'catalog-g03-*' --reset
+
+`
+}
+
+// SetFlags declares the flags.
+func (c *faultCommand) SetFlags(flags *flag.FlagSet) {
+	c.placement.register(flags)
+	flags.Var(&c.addresses, "address", "IP number and port of a stand-in; may be given several times")
+	flags.StringVar(&c.server, "server", "", "pattern of the server IDs, as in path.Match")
+	flags.BoolVar(&c.reset, "reset", false, "switch all faults off first")
+}
+
+// Execute runs the subcommand.
+func (c *faultCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	return finish(c.run(ctx, flags.Args()))
+}
+
+func (c *faultCommand) run(ctx context.Context, arguments []string) error {
+	body, err := encodeSwitches(arguments)
+	if err != nil {
+		return err
+	}
+	targets, err := c.targets()
+	if err != nil {
+		return err
+	}
+	for _, target := range targets {
+		if err := c.apply(ctx, target, body); err != nil {
+			return fmt.Errorf("%s: %w", target, err)
+		}
+	}
+	return nil
+}
+
+// encodeSwitches turns NAME=VALUE arguments into a JSON document, nil for none.
+func encodeSwitches(arguments []string) ([]byte, error) {
+	if len(arguments) == 0 {
+		return nil, nil
+	}
+	switches := make(map[string]json.RawMessage)
+	for _, argument := range arguments {
+		name, value, ok := strings.Cut(argument, "=")
+		if !ok || name == "" {
+			return nil, fmt.Errorf("%w: %q", errInvalidSwitch, argument)
+		}
+		if !json.Valid([]byte(value)) {
+			quoted, err := json.Marshal(value)
+			if err != nil {
+				return nil, fmt.Errorf("%w: %q", errInvalidSwitch, argument)
+			}
+			value = string(quoted)
+		}
+		switches[name] = json.RawMessage(value)
+	}
+	return json.Marshal(switches)
+}
+
+// targets lists the addresses of the chosen stand-ins.
+func (c *faultCommand) targets() ([]string, error) {
+	targets := append([]string(nil), c.addresses...)
+	if c.server != "" {
+		_, config, err := c.placement.load()
+		if err != nil {
+			return nil, err
+		}
+		matched, err := matchServers(config, c.server)
+		if err != nil {
+			return nil, err
+		}
+		targets = append(targets, matched...)
+	}
+	if len(targets) == 0 {
+		return nil, errNoStandIn
+	}
+	return targets, nil
+}
+
+func matchServers(config policy.Config, pattern string) ([]string, error) {
+	var addresses []string
+	for _, machine := range serverMachines(config) {
+		matched, err := path.Match(pattern, machine.ID)
+		if err != nil {
+			return nil, fmt.Errorf("--server: %w", err)
+		}
+		if matched {
+			addresses = append(addresses, machine.Address)
+		}
+	}
+	return addresses, nil
+}
+
+// apply resets, sets and prints the switches of one stand-in.
+func (c *faultCommand) apply(ctx context.Context, address string, body []byte) error {
+	if c.reset {
+		if _, err := callFaults(ctx, address, http.MethodDelete, nil); err != nil {
+			return err
+		}
+	}
+	method := http.MethodGet
+	if body != nil {
+		method = http.MethodPost
+	}
+	reply, err := callFaults(ctx, address, method, body)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(os.Stdout, "%s %s\n", address, bytes.TrimSpace(reply))
+	return err
+}
+
+func callFaults(ctx context.Context, address, method string, body []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, faultTimeout)
+	defer cancel()
+	target := url.URL{Scheme: "http", Host: address, Path: emulator.FaultsPath}
+	var reader io.Reader
+	if body != nil {
+		reader = bytes.NewReader(body)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, target.String(), reader)
+	if err != nil {
+		return nil, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	reply, err := strictjson.Read(response.Body, maximumFaultReply)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%w: HTTP status %d: %s", errFaultRefused, response.StatusCode, bytes.TrimSpace(reply))
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/cmd/banksail-lab/load.go
@@ -0,0 +1,110 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/banksail/banksail/lab/load"
+	"github.com/banksail/banksail/lab/profile"
+)
+
+// errNothingChosen is returned when no query of the profile fits the flags.
+var errNothingChosen = errors.New("no query of the profile's mix has the service and class")
+
+// errWrongAnswers is returned when answers contradict the stand-ins' results.
+var errWrongAnswers = errors.New("wrong answers")
+
+// loadCommand sends queries to a node.
+type loadCommand struct {
+	options     load.Options
+	profileName string
+	service     string
+	class       string
+	deadlineMS  float64
+}
+
+// Name returns the subcommand's name.
+func (*loadCommand) Name() string { return "load" }
+
+// Synopsis returns one line of help.
+func (*loadCommand) Synopsis() string { return "send queries to a node and sum up the answers" }
+
+// Usage returns the help.
+func (*loadCommand) Usage() string {
+	return `load [flags]:
+  Send queries of a profile's mix to a node's caller API at a mean rate, check
+  each answer against what the stand-ins hold, and print a table. Exit code 1
+  when an answer is wrong.
+
+  Example: banksail-lab load --node 127.0.0.1:20101 --profile small --rate 100 --duration 10s
+
+`
+}
+
+// SetFlags declares the flags.
+func (c *loadCommand) SetFlags(flags *flag.FlagSet) {
+	flags.StringVar(&c.options.Address, "node", "127.0.0.1:20101", "IP number and port of the node's caller API")
+	flags.StringVar(&c.profileName, "profile", profile.Small, "profile: "+strings.Join(profile.Names(), ", "))
+	flags.StringVar(&c.service, "service", "", "send only queries to this service")
+	flags.StringVar(&c.class, "class", "", "send only queries of this class")
+	flags.Float64Var(&c.options.Rate, "rate", load.DefaultRate, "mean number of queries a second")
+	flags.DurationVar(&c.options.Duration, "duration", load.DefaultDuration, "how long to send")
+	flags.IntVar(&c.options.InFlight, "in-flight", load.DefaultInFlight, "bound of the queries not yet answered")
+	flags.Float64Var(&c.deadlineMS, "deadline-ms", 0, "deadline of each query; 0 leaves it to the class")
+	flags.Float64Var(&c.options.MinimumCoverage, "minimum-coverage", 0, "minimum coverage of each query, from 0 to 1")
+	flags.Uint64Var(&c.options.Seed, "seed", 1, "seed of the arrivals")
+}
+
+// Execute runs the subcommand.
+func (c *loadCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := noArguments(flags); err != nil {
+		return finish(err)
+	}
+	return finish(c.run(ctx))
+}
+
+func (c *loadCommand) run(ctx context.Context) error {
+	chosen, err := profile.Get(c.profileName)
+	if err != nil {
+		return err
+	}
+	options := c.options
+	options.Deadline = time.Duration(c.deadlineMS * float64(time.Millisecond))
+	options.Mix = c.choose(chosen.Mix)
+	if len(options.Mix) == 0 {
+		return fmt.Errorf("%w: %q, %q", errNothingChosen, c.service, c.class)
+	}
+	report, err := load.Run(ctx, options)
+	if err != nil {
+		return err
+	}
+	if err := report.WriteTable(os.Stdout); err != nil {
+		return err
+	}
+	if wrong := report.Wrong(); wrong > 0 {
+		return fmt.Errorf("%w: %d", errWrongAnswers, wrong)
+	}
+	return nil
+}
+
+// choose keeps the kinds of queries that the flags name.
+func (c *loadCommand) choose(mix []profile.Share) []profile.Share {
+	var chosen []profile.Share
+	for _, share := range mix {
+		if c.service != "" && share.Service != c.service {
+			continue
+		}
+		if c.class != "" && share.Class != c.class {
+			continue
+		}
+		chosen = append(chosen, share)
+	}
+	return chosen
+}
--- a/cmd/banksail-lab/main.go
+++ b/cmd/banksail-lab/main.go
@@ -31,4 +31,6 @@
 	commander.Register(&storeCommand{}, "stand-ins")
 	commander.Register(&machinesCommand{}, "stand-ins")
 	commander.Register(&profileCommand{}, "stand-ins")
+	commander.Register(&faultCommand{}, "stand-ins")
+	commander.Register(&loadCommand{}, "load")
 }
--- /dev/null
+++ b/lab/load/check.go
@@ -0,0 +1,74 @@
+package load
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+
+	"github.com/banksail/banksail/lab/emulator"
+)
+
+// errWrongAnswer: an answer that the stand-ins' results contradict.
+var errWrongAnswer = errors.New("load: wrong answer")
+
+// coverageTolerance allows for rounding in a stated coverage.
+const coverageTolerance = 1e-9
+
+// checkAnswer compares an answer with what the stand-ins hold: one snapshot,
+// this request's results, whole parts and the true coverage.
+func checkAnswer(read *answer, requestID string, stride uint64) error {
+	if read.RequestID != requestID {
+		return fmt.Errorf("%w: it is for request %q", errWrongAnswer, read.RequestID)
+	}
+	for _, one := range read.Parts {
+		if err := checkPart(one, read.Snapshot, requestID, stride); err != nil {
+			return err
+		}
+	}
+	return checkCoverage(read)
+}
+
+func checkPart(one part, snapshot uint64, requestID string, stride uint64) error {
+	result := emulator.Result{}
+	if err := json.Unmarshal(one.Body, &result); err != nil {
+		return fmt.Errorf("%w: part %s: %w", errWrongAnswer, one.Range, err)
+	}
+	if result.RequestID != requestID {
+		return fmt.Errorf("%w: part %s is for request %q", errWrongAnswer, one.Range, result.RequestID)
+	}
+	if !slices.Equal(result.Items, emulator.Items(one.Range, snapshot, stride)) {
+		return fmt.Errorf("%w: part %s is not the whole range in snapshot %d", errWrongAnswer, one.Range, snapshot)
+	}
+	return nil
+}
+
+func checkCoverage(read *answer) error {
+	if read.Coverage == nil {
+		return fmt.Errorf("%w: coverage is missing", errWrongAnswer)
+	}
+	held, missing := uint64(0), uint64(0)
+	end := uint64(0)
+	for _, one := range read.Parts {
+		if one.Range.Start < end {
+			return fmt.Errorf("%w: part %s overlaps the one before", errWrongAnswer, one.Range)
+		}
+		end = one.Range.End
+		held += one.Range.Size()
+	}
+	for _, gap := range read.Missing {
+		missing += gap.Size()
+	}
+	fraction := 0.0
+	if held+missing > 0 {
+		fraction = float64(held) / float64(held+missing)
+	}
+	if math.Abs(fraction-*read.Coverage) > coverageTolerance {
+		return fmt.Errorf("%w: coverage is stated as %g and is %g", errWrongAnswer, *read.Coverage, fraction)
+	}
+	if read.Complete != (missing == 0) {
+		return fmt.Errorf("%w: complete is %t with %d keys missing", errWrongAnswer, read.Complete, missing)
+	}
+	return nil
+}
--- /dev/null
+++ b/lab/load/generator.go
@@ -0,0 +1,115 @@
+package load
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/banksail/banksail/lab/profile"
+)
+
+// seedStream parts the generator's random numbers from other users of a seed.
+const seedStream = 0x6c6f6164
+
+// Run sends queries until the duration or the context ends, waits for the
+// answers and returns the report.
+func Run(ctx context.Context, options Options) (*Report, error) {
+	options = options.withDefaults()
+	if err := options.Validate(); err != nil {
+		return nil, err
+	}
+	generator := &generator{
+		options: options,
+		sender:  newSender(options),
+		report:  newReport(options.Mix),
+		random:  rand.New(rand.NewPCG(options.Seed, seedStream)),
+		permits: make(chan struct{}, options.InFlight),
+		prefix:  uuid.NewString(),
+	}
+	start := time.Now()
+	generator.sendAll(ctx)
+	generator.pending.Wait()
+	generator.sender.close()
+	generator.report.Elapsed = time.Since(start)
+	return generator.report, nil
+}
+
+// generator draws arrivals and starts queries.
+type generator struct {
+	options Options
+	sender  *sender
+	report  *Report
+	random  *rand.Rand
+	permits chan struct{}
+	pending sync.WaitGroup
+	prefix  string
+	count   int
+}
+
+// sendAll follows the drawn arrival times, so that late answers don't thin the
+// load.
+func (g *generator) sendAll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, g.options.Duration)
+	defer cancel()
+	next := time.Now()
+	for {
+		next = next.Add(g.gap())
+		if !waitUntil(ctx, next) {
+			return
+		}
+		g.start(g.draw())
+	}
+}
+
+// gap draws the time to the next arrival.
+func (g *generator) gap() time.Duration {
+	return time.Duration(g.random.ExpFloat64() / g.options.Rate * float64(time.Second))
+}
+
+// draw picks a kind of query by its share.
+func (g *generator) draw() profile.Share {
+	sum := 0.0
+	for _, share := range g.options.Mix {
+		sum += share.Fraction
+	}
+	left := g.random.Float64() * sum
+	for _, share := range g.options.Mix {
+		left -= share.Fraction
+		if left < 0 {
+			return share
+		}
+	}
+	return g.options.Mix[len(g.options.Mix)-1]
+}
+
+// start sends a query in the background unless too many are in flight.
+func (g *generator) start(share profile.Share) {
+	select {
+	case g.permits <- struct{}{}:
+	default:
+		g.report.skip(share)
+		return
+	}
+	g.count++
+	requestID := g.prefix + "-" + strconv.Itoa(g.count)
+	g.pending.Go(func() {
+		defer func() { <-g.permits }()
+		g.report.add(share, g.sender.send(share, requestID))
+	})
+}
+
+// waitUntil is false when the context ended first.
+func waitUntil(ctx context.Context, at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
