--- a/membership/apply.go
+++ b/membership/apply.go
@@ -76,6 +76,7 @@
 	if len(n.ids) >= MaximumMembers {
 		return
 	}
+	n.inserted++
 	known := &entry{member: update}
 	if candidate, listed := n.candidates[update.ID]; listed {
 		known.listed = true
--- a/membership/nodes.go
+++ b/membership/nodes.go
@@ -54,9 +54,10 @@
 	started       bool
 
 	version uint64
-	// news counts all changes of entries.
-	news    uint64
-	changes []Member
+	// news counts all changes of entries, inserted only new ones.
+	news     uint64
+	inserted uint64
+	changes  []Member
 }
 
 // NewNodes returns a table that holds the node itself only.
--- a/membership/nodes_test.go
+++ b/membership/nodes_test.go
@@ -191,14 +191,17 @@
 }
 
 func TestTombstonesAreForgottenUnlessListed(t *testing.T) {
-	s := joined(t, 6, 11)
+	const tombstoneTime = 5 * time.Minute
+	s := newSimulationWith(6, 11, tombstoneTime)
+	s.listAll()
+	s.runUntil(time.Minute)
 	s.nodes[5].alive = false
-	s.runUntil(s.now + membership.DefaultTombstoneTime + time.Minute)
-	if _, known := s.nodes[0].core.Lookup(nodeID(5)); !known {
+	s.runUntil(s.now + 2*tombstoneTime)
+	if sees(s.nodes[0], s.nodes[5]) != membership.Gone {
 		t.Fatal("a gone member that the list names is forgotten")
 	}
 	s.list(listed(0), listed(1))
-	s.runUntil(s.now + membership.DefaultTombstoneTime + time.Minute)
+	s.runUntil(s.now + 2*tombstoneTime)
 	if _, known := s.nodes[0].core.Lookup(nodeID(5)); known {
 		t.Fatal("a tombstone stays for ever")
 	}
--- a/membership/simulation_test.go
+++ b/membership/simulation_test.go
@@ -28,6 +28,8 @@
 	// blocked tells whether a message between two nodes is lost.
 	blocked func(from, to *simulatedNode) bool
 	order   uint64
+	// tombstoneTime overrides the default unless it is zero.
+	tombstoneTime time.Duration
 }
 
 type simulatedNode struct {
@@ -66,10 +68,15 @@
 }
 
 func newSimulation(size int, seed uint64) *simulation {
+	return newSimulationWith(size, seed, 0)
+}
+
+func newSimulationWith(size int, seed uint64, tombstoneTime time.Duration) *simulation {
 	s := &simulation{
-		random:  rand.New(rand.NewPCG(seed, 1)),
-		delay:   2 * time.Millisecond,
-		blocked: func(_, _ *simulatedNode) bool { return false },
+		random:        rand.New(rand.NewPCG(seed, 1)),
+		delay:         2 * time.Millisecond,
+		blocked:       func(_, _ *simulatedNode) bool { return false },
+		tombstoneTime: tombstoneTime,
 	}
 	for i := range size {
 		node := &simulatedNode{index: i}
@@ -94,7 +101,8 @@
 		Self: membership.Member{
 			ID: nodeID(node.index), Address: addressOf(node.index), Zone: zoneOf(node.index), Incarnation: incarnation,
 		},
-		Seed: seed*1_000_003 + uint64(node.index),
+		Seed:          seed*1_000_003 + uint64(node.index),
+		TombstoneTime: s.tombstoneTime,
 	})
 	node.alive = true
 	node.frozenUntil = 0
--- a/membership/sync.go
+++ b/membership/sync.go
@@ -70,9 +70,9 @@
 	return reply
 }
 
-// A comparison that brought manyNews entries or more is followed by another one
-// after hurriedSyncIntervals probe intervals: many nodes have just started, or
-// parted regions have come together.
+// A comparison that brought a member that gossip had not, or manyNews entries,
+// is followed by another one after hurriedSyncIntervals probe intervals: many
+// nodes have just started, or parted regions have come together.
 const (
 	manyNews             = 16
 	hurriedSyncIntervals = 3
@@ -102,14 +102,14 @@
 	if result.Failed {
 		return nil
 	}
-	before := n.news
+	news, inserted := n.news, n.inserted
 	n.takeIn(now, result.Responder, result.Updates, fromSync)
-	if n.news-before >= manyNews {
+	if n.news-news >= manyNews || n.inserted > inserted {
 		n.nextSync = min(n.nextSync, now+n.jittered(hurriedSyncIntervals*n.options.ProbeInterval))
 	}
 	n.syncBucket = result.NextBucket
 	if !result.More {
-		n.joined = true
+		n.joined = n.joined || n.inserted == inserted
 		return nil
 	}
 	if n.joined || result.Responder.ID != pending.to {
@@ -118,7 +118,7 @@
 	return []Request{n.newSync(result.Responder, result.NextBucket)}
 }
 
-// afterContact compares tables with a first contact, until one comparison has ended.
+// afterContact compares tables until a whole comparison has brought no new member.
 func (n *Nodes) afterContact() []Request {
 	if n.joined || n.syncing() {
 		return nil
@@ -172,7 +172,7 @@
 // joinContacts is the number of listed nodes that a joining node contacts at once.
 const joinContacts = 3
 
-// reconnectInterval is short until a first comparison has ended.
+// reconnectInterval is short until the node has joined.
 func (n *Nodes) reconnectInterval() time.Duration {
 	if n.joined {
 		return n.options.ReconnectInterval
