--- /dev/null
+++ b/caller/service.go
@@ -0,0 +1,173 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"slices"
+
+	"github.com/emicklei/go-restful/v3"
+
+	"github.com/banksail/banksail/coverage"
+	"github.com/banksail/banksail/dispatch"
+	"github.com/banksail/banksail/telemetry"
+)
+
+// Node is what the API needs of the node.
+type Node interface {
+	// Query carries a request to its one final answer. The error, if any, is a
+	// *FieldError, and then nothing was sent. The query ends when ctx does.
+	Query(ctx context.Context, request Request) (Result, error)
+	// Explain finds the explanation of a finished request.
+	Explain(requestID string) (telemetry.Explanation, bool)
+	// Stopping says that the node is about to stop, so connections should close.
+	Stopping() bool
+}
+
+// Options of the API.
+type Options struct {
+	Node Node
+	// BodyBytes bounds a request's document.
+	BodyBytes int64
+}
+
+type service struct{ options Options }
+
+// NewHandler serves the API.
+func NewHandler(options Options) http.Handler {
+	api := &service{options: options}
+	web := new(restful.WebService)
+	web.Path("/v1")
+	web.Route(web.POST("/services/{service}/queries").To(api.query))
+	web.Route(web.GET("/requests/{id}/explanation").To(api.explain))
+	container := restful.NewContainer()
+	container.Add(web)
+	container.ServiceErrorHandler(notRouted)
+	return container
+}
+
+// notRouted answers requests for paths and methods that don't exist.
+func notRouted(fault restful.ServiceError, _ *restful.Request, response *restful.Response) {
+	writeProblem(response.ResponseWriter, Problem{
+		Title: "The API has no such path or method", Status: fault.Code,
+		Execution: executionNotRun, Reason: reasonNotFound,
+	})
+}
+
+func (s *service) query(request *restful.Request, response *restful.Response) {
+	writer := response.ResponseWriter
+	parsed, err := parseRequest(request.PathParameter("service"), request.Request.Body, s.options.BodyBytes)
+	if err != nil {
+		s.refuse(writer, parsed.RequestID, err)
+		return
+	}
+	result, err := s.options.Node.Query(request.Request.Context(), parsed)
+	if err != nil {
+		s.refuse(writer, parsed.RequestID, err)
+		return
+	}
+	s.closeWhenStopping(writer)
+	if result.Outcome.Execution != dispatch.ExecutionDone {
+		writeProblem(writer, problemOfOutcome(parsed.RequestID, result.Outcome))
+		return
+	}
+	writeAnswer(writer, newAnswer(parsed, result))
+}
+
+func (s *service) refuse(writer http.ResponseWriter, requestID string, err error) {
+	s.closeWhenStopping(writer)
+	var fault *FieldError
+	if !errors.As(err, &fault) {
+		fault = &FieldError{Field: documentField, Detail: "the request can't be carried", Status: http.StatusInternalServerError}
+	}
+	writeProblem(writer, problemOfField(requestID, fault))
+}
+
+// closeWhenStopping ends keep-alive connections after their response.
+func (s *service) closeWhenStopping(writer http.ResponseWriter) {
+	if s.options.Node.Stopping() {
+		writer.Header().Set("Connection", "close")
+	}
+}
+
+func newAnswer(request Request, result Result) Answer {
+	outcome := result.Outcome
+	answer := Answer{
+		RequestID: request.RequestID,
+		Snapshot:  uint64(outcome.Snapshot),
+		Coverage:  outcome.Coverage,
+		Complete:  outcome.Complete,
+		Reason:    string(outcome.Reason),
+		Missing:   missing(result.KeySpace, outcome.Parts),
+		Parts:     make([]Part, 0, len(outcome.Parts)),
+		Warnings:  []string{},
+	}
+	for _, part := range outcome.Parts {
+		body, _ := part.Body.(json.RawMessage)
+		answer.Parts = append(answer.Parts, Part{Range: part.Range, Body: body})
+	}
+	if !outcome.Complete {
+		answer.Warnings = append(answer.Warnings, "the answer is partial: see coverage and missing")
+	}
+	if result.Duplicate {
+		answer.Warnings = append(answer.Warnings, "the answer is that of an earlier request with the same request_id")
+	}
+	return answer
+}
+
+// missing lists the ranges of the key space that no part holds. Parts are
+// disjoint.
+func missing(keySpace coverage.Range, parts []dispatch.Part) []coverage.Range {
+	held := make([]coverage.Range, 0, len(parts))
+	for _, part := range parts {
+		held = append(held, part.Range)
+	}
+	slices.SortFunc(held, func(a, b coverage.Range) int {
+		if a.Start < b.Start {
+			return -1
+		}
+		return 1
+	})
+	gaps := []coverage.Range{}
+	next := keySpace.Start
+	for _, part := range held {
+		if part.Start > next {
+			gaps = append(gaps, coverage.Range{Start: next, End: part.Start})
+		}
+		next = max(next, part.End)
+	}
+	if next < keySpace.End {
+		gaps = append(gaps, coverage.Range{Start: next, End: keySpace.End})
+	}
+	return gaps
+}
+
+func writeAnswer(writer http.ResponseWriter, answer Answer) {
+	document, err := json.Marshal(answer)
+	if err != nil {
+		http.Error(writer, "encoding failed", http.StatusInternalServerError)
+		return
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	_, _ = writer.Write(document)
+}
+
+func (s *service) explain(request *restful.Request, response *restful.Response) {
+	writer := response.ResponseWriter
+	explanation, found := s.options.Node.Explain(request.PathParameter("id"))
+	if !found {
+		writeProblem(writer, Problem{
+			Title: "No explanation of this request is kept here", Status: http.StatusNotFound,
+			Execution: executionUnknown, Reason: reasonNotFound,
+		})
+		return
+	}
+	document, err := json.Marshal(explanation)
+	if err != nil {
+		http.Error(writer, "encoding failed", http.StatusInternalServerError)
+		return
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	_, _ = writer.Write(document)
+}
--- /dev/null
+++ b/settings/check.go
@@ -0,0 +1,94 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"reflect"
+	"regexp"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+)
+
+// identifierPattern is what node IDs and zones are made of.
+var identifierPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
+
+// check applies the validation tags. Settings that already have a fault are
+// left out, so that each fault is printed once.
+func check(loaded Settings, known []Fault) []Fault {
+	err := newValidator().Struct(loaded)
+	var invalid validator.ValidationErrors
+	if err == nil {
+		return nil
+	}
+	if !errors.As(err, &invalid) {
+		return []Fault{{Problem: err.Error()}}
+	}
+	faulty := make(map[string]bool, len(known))
+	for _, fault := range known {
+		faulty[fault.Path] = true
+	}
+	var faults []Fault
+	for _, field := range invalid {
+		path := strings.TrimPrefix(field.Namespace(), "Settings"+pathDelimiter)
+		if !faulty[path] {
+			faults = append(faults, Fault{Path: path, Problem: describe(field)})
+		}
+	}
+	return faults
+}
+
+func newValidator() *validator.Validate {
+	checker := validator.New(validator.WithRequiredStructEnabled())
+	checker.RegisterTagNameFunc(func(field reflect.StructField) string { return field.Tag.Get("koanf") })
+	register := func(tag string, valid func(string) bool) {
+		function := func(level validator.FieldLevel) bool { return valid(level.Field().String()) }
+		if err := checker.RegisterValidation(tag, function); err != nil {
+			panic(fmt.Sprintf("settings: registering %s: %v", tag, err))
+		}
+	}
+	register("identifier", identifierPattern.MatchString)
+	register("ip_port", isAddress)
+	register("http_base", isBaseURL)
+	return checker
+}
+
+func isAddress(text string) bool {
+	_, err := netip.ParseAddrPort(text)
+	return err == nil
+}
+
+func isBaseURL(text string) bool {
+	parsed, err := url.Parse(text)
+	if err != nil || parsed.Scheme != "http" && parsed.Scheme != "https" {
+		return false
+	}
+	bare := parsed.RawQuery == "" && parsed.Fragment == "" && parsed.User == nil
+	return parsed.Host != "" && bare && strings.Trim(parsed.Path, "/") == ""
+}
+
+// describe turns a failed validation tag into a sentence.
+func describe(field validator.FieldError) string {
+	switch field.Tag() {
+	case "required":
+		return "is required"
+	case "min":
+		return fmt.Sprintf("must be at least %s, is %v", field.Param(), field.Value())
+	case "max":
+		return fmt.Sprintf("must be at most %s, is %v", field.Param(), field.Value())
+	case "oneof":
+		return fmt.Sprintf("must be one of %s, is %q", field.Param(), field.Value())
+	case "nefield":
+		return fmt.Sprintf("must differ from listen.%s", strings.ToLower(field.Param()))
+	case "identifier":
+		return fmt.Sprintf("must be letters, digits, '.', '_' and '-', is %q", field.Value())
+	case "ip_port":
+		return fmt.Sprintf("must be an IP number and port such as 10.0.0.5:8080, is %q", field.Value())
+	case "http_base":
+		return fmt.Sprintf("must be a URL such as http://10.0.0.5:7000, is %q", field.Value())
+	default:
+		return fmt.Sprintf("fails the check %q", field.Tag())
+	}
+}
--- /dev/null
+++ b/telemetry/metrics.go
@@ -0,0 +1,86 @@
+package telemetry
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// namespace prefixes the names of all metrics.
+const namespace = "banksail"
+
+// latencyBuckets are the bounds of latency histograms, in seconds.
+var latencyBuckets = []float64{
+	0.001, 0.002, 0.005, 0.010, 0.020, 0.050, 0.100, 0.200, 0.500, 1, 2, 5, 10, 30,
+}
+
+// coverageBuckets are the bounds of coverage histograms.
+var coverageBuckets = []float64{0, 0.25, 0.5, 0.75, 0.9, 0.95, 0.99, 0.999, 1}
+
+// Metrics are one node's metrics, in a registry of their own.
+type Metrics struct {
+	// Queries counts finished queries by service, class, execution and reason.
+	Queries *prometheus.CounterVec
+	// Latency is the time from a query's arrival to its final answer, in
+	// seconds, by service and class.
+	Latency *prometheus.HistogramVec
+	// Coverage is the coverage of answers, by service and class.
+	Coverage *prometheus.HistogramVec
+	// Sends counts sub-requests by service and kind (first, hedge, retry).
+	Sends *prometheus.CounterVec
+	// Failures counts sub-requests without a well-formed reply, by service.
+	Failures *prometheus.CounterVec
+	// Held is the number of queries that the node holds, queued or running.
+	Held prometheus.Gauge
+	// Revision is the revision of the configuration in force.
+	Revision prometheus.Gauge
+	// Duplicates counts not-repeatable requests that were answered from the
+	// outcome of an earlier one.
+	Duplicates prometheus.Counter
+
+	registry *prometheus.Registry
+}
+
+// NewMetrics creates a node's metrics.
+func NewMetrics() *Metrics {
+	metrics := &Metrics{
+		Queries:    newCounters("queries_total", "Finished queries.", "service", "class", "execution", "reason"),
+		Latency:    newHistograms("query_seconds", "Time from a query's arrival to its final answer.", latencyBuckets),
+		Coverage:   newHistograms("answer_coverage", "Fraction of the key space that answers hold.", coverageBuckets),
+		Sends:      newCounters("sends_total", "Sub-requests sent to servers.", "service", "kind"),
+		Failures:   newCounters("send_failures_total", "Sub-requests without a well-formed reply.", "service"),
+		Held:       newGauge("queries_held", "Queries that are queued or running."),
+		Revision:   newGauge("configuration_revision", "Revision of the configuration in force."),
+		Duplicates: prometheus.NewCounter(options("duplicates_total", "Not-repeatable requests answered from an earlier outcome.")),
+		registry:   prometheus.NewRegistry(),
+	}
+	metrics.registry.MustRegister(
+		metrics.Queries, metrics.Latency, metrics.Coverage, metrics.Sends,
+		metrics.Failures, metrics.Held, metrics.Revision, metrics.Duplicates,
+	)
+	return metrics
+}
+
+// Handler serves the metrics in Prometheus' text format.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{Registry: m.registry})
+}
+
+func options(name, help string) prometheus.CounterOpts {
+	return prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}
+}
+
+func newCounters(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(options(name, help), labels)
+}
+
+func newGauge(name, help string) prometheus.Gauge {
+	return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
+}
+
+func newHistograms(name, help string, buckets []float64) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace, Name: name, Help: help, Buckets: buckets,
+	}, []string{"service", "class"})
+}
