Daemon: the whole path from caller to servers runs as separate processes

The parts of the query path, membership and configuration had no owner for sockets, clocks and locks.

--- a/caller/parse.go
+++ b/caller/parse.go
@@ -13,9 +13,6 @@
 	"time"
 )
 
-// ErrTooLarge: the request's document is over the limit.
-var ErrTooLarge = errors.New("caller: document over the limit")
-
 // unknownFieldPattern finds the name in encoding/json's error.
 var unknownFieldPattern = regexp.MustCompile(`unknown field "(.*)"`)
 
--- /dev/null
+++ b/cmd/banksaild/providers.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"io"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/banksail/banksail/machinelist"
+	"github.com/banksail/banksail/node"
+	"github.com/banksail/banksail/settings"
+	"github.com/banksail/banksail/store"
+	"github.com/banksail/banksail/telemetry"
+)
+
+//go:generate wire
+
+// dialTimeout bounds the opening of a connection.
+const dialTimeout = 2 * time.Second
+
+func newLogger(loaded settings.Settings, output io.Writer) (zerolog.Logger, error) {
+	return telemetry.NewLogger(output, loaded.Log.Level, loaded.Node.ID)
+}
+
+func newNetwork() *node.SystemNetwork { return node.NewSystemNetwork(dialTimeout) }
+
+func newStore(loaded settings.Settings, network node.Network) store.Conn {
+	return store.NewHTTP(store.HTTPOptions{
+		Address: loaded.Store.Address,
+		Dial:    network.DialContext,
+		Timeout: loaded.Store.Timeout,
+	})
+}
+
+func newMachineList(loaded settings.Settings, network node.Network) machinelist.Conn {
+	return machinelist.NewHTTP(machinelist.HTTPOptions{
+		Address: loaded.MachineList.Address,
+		Dial:    network.DialContext,
+		Timeout: loaded.MachineList.Timeout,
+	})
+}
--- /dev/null
+++ b/cmd/banksaild/serve.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+	"github.com/rs/zerolog"
+
+	"github.com/banksail/banksail/node"
+	"github.com/banksail/banksail/settings"
+)
+
+// serveCommand runs a node until a signal stops it.
+type serveCommand struct {
+	file      string
+	overrides map[string]string
+}
+
+// Name implements subcommands.Command.
+func (*serveCommand) Name() string { return "serve" }
+
+// Synopsis implements subcommands.Command.
+func (*serveCommand) Synopsis() string { return "run a node until SIGINT or SIGTERM stops it" }
+
+// Usage implements subcommands.Command.
+func (*serveCommand) Usage() string {
+	return `banksaild serve --settings FILE [--SETTING=VALUE ...]
+
+Runs a node. Every setting of the file has a flag of the same name that
+overrides it. The first SIGINT or SIGTERM stops the node as planned: it
+refuses new and queued queries, finishes the running ones, and exits with
+code 0. A second signal ends it at once; the log names what was cut.
+
+Example:
+  banksaild serve --settings node.yaml --listen.caller=127.0.0.1:8080
+
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (s *serveCommand) SetFlags(flags *flag.FlagSet) {
+	flags.StringVar(&s.file, "settings", "", "settings file in YAML")
+	s.overrides = settings.RegisterFlags(flags)
+}
+
+// Execute implements subcommands.Command.
+func (s *serveCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if !noArguments(flags) {
+		return subcommands.ExitUsageError
+	}
+	loaded, err := settings.LoadFile(s.file, s.overrides)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	daemon, err := newDaemon(loaded, os.Stderr)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	return daemon.run(ctx)
+}
+
+// daemon is a node with its log.
+type daemon struct {
+	node   *node.Node
+	logger zerolog.Logger
+}
+
+// run serves until signals end it.
+func (d *daemon) run(ctx context.Context) subcommands.ExitStatus {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	defer signal.Stop(signals)
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	go d.obey(ctx, signals, stop)
+	err := d.node.Run(ctx)
+	if err == nil {
+		d.logger.Info().Msg("stopped")
+		return subcommands.ExitSuccess
+	}
+	if !errors.Is(err, node.ErrAborted) {
+		d.logger.Error().Err(err).Msg("ended")
+	}
+	return subcommands.ExitFailure
+}
+
+// obey stops the node at the first signal and aborts it at the second.
+func (d *daemon) obey(ctx context.Context, signals <-chan os.Signal, stop func()) {
+	select {
+	case <-ctx.Done():
+		return
+	case received := <-signals:
+		d.logger.Info().Stringer("signal", received).Msg("planned stop")
+		stop()
+	}
+	received := <-signals
+	d.logger.Warn().Stringer("signal", received).Msg("ending at once")
+	d.node.Abort()
+}
+
+// noArguments complains about arguments that are not flags.
+func noArguments(flags *flag.FlagSet) bool {
+	if flags.NArg() == 0 {
+		return true
+	}
+	fmt.Fprintf(os.Stderr, "unexpected argument %q\n", flags.Arg(0))
+	return false
+}
--- /dev/null
+++ b/node/ask.go
@@ -0,0 +1,143 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/banksail/banksail/backend"
+	"github.com/banksail/banksail/caller"
+	"github.com/banksail/banksail/dispatch"
+)
+
+// backends is what the node needs of the client towards back ends.
+type backends interface {
+	Query(ctx context.Context, address string, request *backend.Request) (*backend.Reply, error)
+	Health(ctx context.Context, address string) (*backend.Health, error)
+	Load(ctx context.Context, address string) (*backend.Load, error)
+}
+
+// subRequest is all that one sub-request needs.
+type subRequest struct {
+	send          dispatch.Send
+	query         caller.Request
+	attemptPrefix string
+}
+
+// backendAsker sends sub-requests through the client towards back ends.
+type backendAsker struct {
+	client backends
+	// heard is told of every well-formed reply of a server.
+	heard func(server string, reply *backend.Reply)
+	// unreachable is told of every server to which no connection could be made.
+	unreachable func(server string)
+}
+
+// ask sends one sub-request and waits for its end.
+func (b *backendAsker) ask(ctx context.Context, outgoing subRequest) dispatch.Event {
+	attempt := outgoing.send.Attempt
+	reply, err := b.client.Query(ctx, outgoing.send.Address, outgoing.request())
+	if err != nil {
+		if ctx.Err() == nil && errors.Is(err, backend.ErrNotDelivered) {
+			b.unreachable(outgoing.send.Server)
+		}
+		return dispatch.Failed{Attempt: attempt, Delivery: deliveryOf(err), Reason: failureReason(ctx, err)}
+	}
+	b.heard(outgoing.send.Server, reply)
+	return dispatch.Replied{Attempt: attempt, Reply: replyOf(outgoing.send, reply)}
+}
+
+func (s subRequest) request() *backend.Request {
+	return &backend.Request{
+		AttemptID:             s.attemptPrefix + strconv.FormatUint(uint64(s.send.Attempt), 10),
+		RequestID:             s.query.RequestID,
+		Service:               s.query.Service,
+		Class:                 s.query.Class,
+		Snapshot:              uint64(s.send.Snapshot),
+		Range:                 s.send.Range,
+		RemainingMilliseconds: milliseconds(s.send.Remaining),
+		Repeatable:            s.query.Repeatable,
+		Body:                  s.query.Body,
+	}
+}
+
+func deliveryOf(err error) dispatch.Delivery {
+	if errors.Is(err, backend.ErrNotDelivered) {
+		return dispatch.NotDelivered
+	}
+	return dispatch.DeliveryUnknown
+}
+
+// failureReason is a short text without addresses or bodies.
+func failureReason(ctx context.Context, err error) string {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return "cancelled"
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return "deadline"
+	case errors.Is(err, backend.ErrNotDelivered):
+		return "not delivered"
+	case errors.Is(err, backend.ErrMalformed):
+		return "malformed reply"
+	default:
+		return "connection lost"
+	}
+}
+
+// replyOf translates a well-formed reply that echoes the attempt ID. A reply
+// that says not executed may leave out the snapshot and the range.
+func replyOf(sent dispatch.Send, reply *backend.Reply) dispatch.Reply {
+	translated := dispatch.Reply{
+		Status:     statusOf(reply.Status),
+		Snapshot:   sent.Snapshot,
+		Range:      sent.Range,
+		Body:       reply.Body,
+		Snapshots:  snapshotIDs(reply.Snapshots),
+		RetryAfter: time.Duration(reply.RetryAfterMilliseconds * float64(time.Millisecond)),
+	}
+	if reply.Snapshot != nil {
+		translated.Snapshot = dispatch.SnapshotID(*reply.Snapshot)
+	}
+	if reply.Range != nil {
+		translated.Range = *reply.Range
+	}
+	if reply.Load != nil {
+		translated.Load = dispatch.Load{InFlight: reply.Load.InFlight, Queued: reply.Load.Queued}
+	}
+	return translated
+}
+
+// statusOf translates a status. An invalid sub-request was not executed, as one
+// sent to a server that does not hold the range.
+func statusOf(status backend.Status) dispatch.ReplyStatus {
+	switch status {
+	case backend.StatusDone:
+		return dispatch.ReplyDone
+	case backend.StatusShed:
+		return dispatch.ReplyShed
+	case backend.StatusDraining:
+		return dispatch.ReplyDraining
+	case backend.StatusUnknownSnapshot:
+		return dispatch.ReplyUnknownSnapshot
+	case backend.StatusNotOwner, backend.StatusInvalid:
+		return dispatch.ReplyNotOwner
+	default:
+		return dispatch.ReplyError
+	}
+}
+
+func snapshotIDs(listed []uint64) []dispatch.SnapshotID {
+	if len(listed) == 0 {
+		return nil
+	}
+	snapshots := make([]dispatch.SnapshotID, len(listed))
+	for index, snapshot := range listed {
+		snapshots[index] = dispatch.SnapshotID(snapshot)
+	}
+	return snapshots
+}
+
+func milliseconds(duration time.Duration) float64 {
+	return float64(duration) / float64(time.Millisecond)
+}
--- /dev/null
+++ b/node/health.go
@@ -0,0 +1,250 @@
+package node
+
+import (
+	"container/heap"
+	"context"
+	"errors"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/banksail/banksail/backend"
+)
+
+const (
+	// firstReadingSpread spreads the first readings of servers that are new in
+	// the configuration.
+	firstReadingSpread = 100 * time.Millisecond
+	// firstRetryPause is the pause after the first failed reading of a server;
+	// it doubles with each further one, up to the health interval.
+	firstRetryPause = 100 * time.Millisecond
+	// loadReadingPause is the least time between two load readings of a server;
+	// load rides on replies besides.
+	loadReadingPause = 30 * time.Second
+	// jitterShare is the share by which pauses vary around their mean.
+	jitterShare = 0.25
+)
+
+// reading is what a server said of itself; load may be nil.
+type reading struct {
+	server string
+	health *backend.Health
+	load   *backend.Load
+}
+
+// pollerOptions are what the poller needs of its node.
+type pollerOptions struct {
+	client      backends
+	interval    time.Duration
+	timeout     time.Duration
+	concurrency int
+	seed        uint64
+	// report takes each successful reading.
+	report func(reading)
+	// unreachable is told of every server to which no connection could be made.
+	unreachable func(server string)
+}
+
+// poller reads the servers' health: it is how a drain that shows only there is
+// seen, and how a node learns the snapshots before any reply.
+type poller struct {
+	options pollerOptions
+	changed chan struct{}
+
+	mutex sync.Mutex
+	// mutex guards the fields below. Invariant: schedule holds exactly the
+	// targets that have no reading in progress, ordered by due time; targets
+	// holds all that are configured.
+	targets  map[string]*pollTarget
+	schedule pollSchedule
+	random   *rand.Rand
+}
+
+// pollTarget is one server that is read.
+type pollTarget struct {
+	server   string
+	address  string
+	due      time.Time
+	failures int
+	lastLoad time.Time
+	// index is the place in the schedule, or -1 during a reading.
+	index int
+}
+
+func newPoller(options pollerOptions) *poller {
+	return &poller{
+		options: options,
+		changed: make(chan struct{}, 1),
+		targets: make(map[string]*pollTarget),
+		random:  rand.New(rand.NewPCG(options.seed, 0)),
+	}
+}
+
+// setServers makes the given servers the ones to read.
+func (p *poller) setServers(servers map[string]configuredServer) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for server, target := range p.targets {
+		if _, kept := servers[server]; !kept {
+			delete(p.targets, server)
+			if target.index >= 0 {
+				heap.Remove(&p.schedule, target.index)
+			}
+		}
+	}
+	now := time.Now()
+	for _, server := range slices.Sorted(maps.Keys(servers)) {
+		p.setServer(server, servers[server].address, now)
+	}
+	p.wakeUp()
+}
+
+func (p *poller) setServer(server, address string, now time.Time) {
+	if target, known := p.targets[server]; known {
+		target.address = address
+		return
+	}
+	spread := time.Duration(p.random.Int64N(int64(firstReadingSpread)))
+	target := &pollTarget{server: server, address: address, due: now.Add(spread)}
+	p.targets[server] = target
+	heap.Push(&p.schedule, target)
+}
+
+func (p *poller) wakeUp() {
+	select {
+	case p.changed <- struct{}{}:
+	default:
+	}
+}
+
+// run reads servers as they fall due, until ctx ends and all readings are over.
+func (p *poller) run(ctx context.Context) {
+	var readings sync.WaitGroup
+	defer readings.Wait()
+	places := make(chan struct{}, p.options.concurrency)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		target, wait := p.takeDue()
+		if target == nil {
+			timer.Reset(wait)
+			select {
+			case <-ctx.Done():
+				return
+			case <-timer.C:
+			case <-p.changed:
+			}
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case places <- struct{}{}:
+		}
+		readings.Go(func() {
+			defer func() { <-places }()
+			p.read(ctx, target)
+		})
+	}
+}
+
+// takeDue removes the first target that is due, or tells how long to wait.
+func (p *poller) takeDue() (*pollTarget, time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if len(p.schedule) == 0 {
+		return nil, p.options.interval
+	}
+	wait := time.Until(p.schedule[0].due)
+	if wait > 0 {
+		return nil, wait
+	}
+	return heap.Pop(&p.schedule).(*pollTarget), 0
+}
+
+// read asks one server and schedules its next reading.
+func (p *poller) read(ctx context.Context, target *pollTarget) {
+	ctx, cancel := context.WithTimeout(ctx, p.options.timeout)
+	defer cancel()
+	address, withLoad := p.plan(target)
+	health, err := p.options.client.Health(ctx, address)
+	switch {
+	case errors.Is(err, backend.ErrNotDelivered):
+		p.options.unreachable(target.server)
+	case err == nil:
+		result := reading{server: target.server, health: health}
+		if withLoad {
+			result.load, _ = p.options.client.Load(ctx, address)
+		}
+		p.options.report(result)
+	}
+	p.reschedule(target, err == nil, withLoad)
+}
+
+func (p *poller) plan(target *pollTarget) (address string, withLoad bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return target.address, time.Since(target.lastLoad) >= loadReadingPause
+}
+
+func (p *poller) reschedule(target *pollTarget, succeeded, withLoad bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	now := time.Now()
+	pause := p.options.interval
+	if succeeded {
+		target.failures = 0
+		if withLoad {
+			target.lastLoad = now
+		}
+	} else {
+		pause = min(pause, firstRetryPause<<min(target.failures, 16))
+		target.failures++
+	}
+	if p.targets[target.server] != target {
+		return
+	}
+	target.due = now.Add(p.jitter(pause))
+	heap.Push(&p.schedule, target)
+	p.wakeUp()
+}
+
+func (p *poller) jitter(mean time.Duration) time.Duration {
+	return time.Duration(float64(mean) * (1 + jitterShare*(2*p.random.Float64()-1)))
+}
+
+// pollSchedule is a heap of targets by due time, and by ID at equal times.
+type pollSchedule []*pollTarget
+
+func (s pollSchedule) Len() int { return len(s) }
+
+func (s pollSchedule) Less(i, j int) bool {
+	if s[i].due.Equal(s[j].due) {
+		return s[i].server < s[j].server
+	}
+	return s[i].due.Before(s[j].due)
+}
+
+func (s pollSchedule) Swap(i, j int) {
+	s[i], s[j] = s[j], s[i]
+	s[i].index, s[j].index = i, j
+}
+
+// Push appends a target; container/heap calls it.
+func (s *pollSchedule) Push(target any) {
+	added := target.(*pollTarget)
+	added.index = len(*s)
+	*s = append(*s, added)
+}
+
+// Pop removes the last target; container/heap calls it.
+func (s *pollSchedule) Pop() any {
+	last := len(*s) - 1
+	removed := (*s)[last]
+	(*s)[last] = nil
+	*s = (*s)[:last]
+	removed.index = -1
+	return removed
+}
--- /dev/null
+++ b/node/listeners.go
@@ -0,0 +1,91 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+const (
+	// headerTimeout bounds the reading of a request's header.
+	headerTimeout = 5 * time.Second
+	// maximumHeaderBytes bounds a request's header.
+	maximumHeaderBytes = 64 << 10
+	// operatorReadTimeout bounds the reading of an operator's or a peer's request.
+	operatorReadTimeout = 30 * time.Second
+)
+
+// Addresses are where the listeners really listen.
+type Addresses struct {
+	Caller, Operator, Peer string
+}
+
+// listener is one open listener with its server.
+type listener struct {
+	name   string
+	socket net.Listener
+	server *http.Server
+}
+
+// open opens the three listeners, or none.
+func (n *Node) open() ([]*listener, error) {
+	listen := n.options.Settings.Listen
+	callers := n.options.Settings.Caller
+	wanted := []struct {
+		name, address string
+		server        *http.Server
+	}{
+		{"caller", listen.Caller, newServer(n.callerHandler(), callers.ReadTimeout, callers.IdleTimeout, n.log)},
+		{"operator", listen.Operator, newServer(n.operatorHandler(), operatorReadTimeout, callers.IdleTimeout, n.log)},
+		{"peer", listen.Peer, newServer(n.peerHandler(), operatorReadTimeout, callers.IdleTimeout, n.log)},
+	}
+	var opened []*listener
+	for _, one := range wanted {
+		socket, err := n.options.Network.Listen(one.address)
+		if err != nil {
+			closeSockets(opened)
+			return nil, fmt.Errorf("%w: %s listener: %w", ErrListen, one.name, err)
+		}
+		opened = append(opened, &listener{name: one.name, socket: socket, server: one.server})
+	}
+	return opened, nil
+}
+
+func closeSockets(opened []*listener) {
+	for _, one := range opened {
+		_ = one.socket.Close()
+	}
+}
+
+func newServer(handler http.Handler, read, idle time.Duration, log zerolog.Logger) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       read,
+		IdleTimeout:       idle,
+		MaxHeaderBytes:    maximumHeaderBytes,
+		ErrorLog:          newServerLog(log),
+	}
+}
+
+// serve serves until the server is shut down.
+func (l *listener) serve() error {
+	err := l.server.Serve(l.socket)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return fmt.Errorf("%w: %s listener: %w", ErrServe, l.name, err)
+}
+
+// shutdown ends the listener, its idle connections, and the others after their
+// response; when ctx ends first it cuts them.
+func (l *listener) shutdown(ctx context.Context) {
+	if err := l.server.Shutdown(ctx); err != nil {
+		_ = l.server.Close()
+	}
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,181 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/emicklei/go-restful/v3"
+	"github.com/rs/zerolog"
+
+	"github.com/banksail/banksail/backend"
+	"github.com/banksail/banksail/caller"
+	"github.com/banksail/banksail/dispatch"
+	"github.com/banksail/banksail/membership"
+	"github.com/banksail/banksail/operator"
+	"github.com/banksail/banksail/peer"
+	"github.com/banksail/banksail/rollout"
+	"github.com/banksail/banksail/telemetry"
+)
+
+// peerConnectionsPerHost bounds the connections to one other node.
+const peerConnectionsPerHost = 4
+
+// peerIdleTimeout closes connections to other nodes that are not used.
+const peerIdleTimeout = 30 * time.Second
+
+// Node is one banksail node. New makes it, Run runs it once.
+type Node struct {
+	options      Options
+	epoch        time.Time
+	log          zerolog.Logger
+	metrics      *telemetry.Metrics
+	explanations *telemetry.Explanations
+	client       *backend.Client
+	asker        asker
+	agent        *peer.Agent
+	peerClient   *http.Client
+	keeper       *rollout.Keeper
+	poller       *poller
+	once         *once
+
+	// background ends when the node aborts; it bounds all sub-requests.
+	background context.Context
+	abort      context.CancelFunc
+	// running counts the goroutines of sub-requests.
+	running sync.WaitGroup
+	held    atomic.Int64
+	// troubledServers holds the IDs of servers whose next reply is news to
+	// membership.
+	troubledServers sync.Map
+	stopping        atomic.Bool
+	// view is the configuration in force; nil until there is one.
+	view atomic.Pointer[view]
+
+	// listening is closed once addresses is set.
+	listening chan struct{}
+	addresses Addresses
+
+	configurationMutex sync.Mutex
+	// configurationMutex serialises changes of view and guards the fields
+	// below; it is taken before any shard's lock. Invariant: view and retired
+	// together hold every shard that may have work.
+	retired      []*shard
+	lastShard    uint64
+	serverStates map[string]dispatch.ServerState
+}
+
+// New makes a node; it opens nothing before Run.
+func New(options Options) (*Node, error) {
+	if options.Seed == 0 {
+		options.Seed = rand.Uint64()
+	}
+	if options.Incarnation == 0 {
+		options.Incarnation = uint64(time.Now().UnixMilli())
+	}
+	background, abort := context.WithCancel(context.Background())
+	n := &Node{
+		options:      options,
+		epoch:        time.Now(),
+		log:          options.Logger,
+		metrics:      telemetry.NewMetrics(),
+		explanations: telemetry.NewExplanations(options.Settings.Explanation.Requests),
+		once:         newOnce(options.Settings.AtMostOnce),
+		background:   background,
+		abort:        abort,
+		listening:    make(chan struct{}),
+		serverStates: make(map[string]dispatch.ServerState),
+	}
+	n.client = backend.NewClient(backend.ClientOptions{Dial: options.Network.DialContext})
+	n.asker = &backendAsker{client: n.client, heard: n.heardReply, unreachable: n.serverUnreachable}
+	n.poller = newPoller(pollerOptions{
+		client:      n.client,
+		interval:    options.Settings.Backend.HealthInterval,
+		timeout:     options.Settings.Backend.HealthTimeout,
+		concurrency: options.Settings.Backend.HealthConcurrency,
+		seed:        options.Seed,
+		report:      n.heardHealth,
+		unreachable: n.serverUnreachable,
+	})
+	n.connectPeers()
+	return n, nil
+}
+
+// connectPeers makes the keeper of configurations and the agent, which need
+// each other.
+func (n *Node) connectPeers() {
+	identity := n.options.Settings.Node
+	n.keeper = rollout.NewKeeper(rollout.KeeperOptions{
+		Core:   rollout.CoreOptions{Self: identity.ID, Zone: identity.Zone, Seed: n.options.Seed},
+		Store:  n.options.Store,
+		Logger: n.log,
+	})
+	n.peerClient = &http.Client{Transport: &http.Transport{
+		DialContext:         n.options.Network.DialContext,
+		MaxConnsPerHost:     peerConnectionsPerHost,
+		MaxIdleConnsPerHost: 1,
+		IdleConnTimeout:     peerIdleTimeout,
+		MaxIdleConns:        0,
+	}}
+	n.agent = peer.NewAgent(peer.AgentOptions{
+		Self: membership.Member{
+			ID:          identity.ID,
+			Address:     n.advertised(),
+			Zone:        identity.Zone,
+			Incarnation: n.options.Incarnation,
+		},
+		HTTPClient:     n.peerClient,
+		MachineList:    n.options.MachineList,
+		Configurations: n.keeper,
+		Logger:         n.log,
+		Seed:           n.options.Seed,
+	})
+	n.keeper.SetPeers(rolloutPeers{agent: n.agent})
+}
+
+func (n *Node) advertised() string {
+	if advertise := n.options.Settings.Node.Advertise; advertise != "" {
+		return advertise
+	}
+	return n.options.Settings.Listen.Peer
+}
+
+// now is the time since the node's epoch.
+func (n *Node) now() time.Duration { return time.Since(n.epoch) }
+
+// newMachine makes the decision core of one service.
+func (n *Node) newMachine(seed uint64) Machine {
+	return dispatch.New(dispatch.Options{Seed: seed, Zone: n.options.Settings.Node.Zone})
+}
+
+func (n *Node) callerHandler() http.Handler {
+	return caller.NewHandler(caller.Options{Node: n, BodyBytes: n.options.Settings.Caller.BodyBytes})
+}
+
+// operatorHandler serves operators, metrics and the health endpoints.
+func (n *Node) operatorHandler() http.Handler {
+	service := operator.NewService(operator.Options{
+		Self:           n.options.Settings.Node.ID,
+		Configurations: n.keeper,
+		Nodes:          operatorNodes{agent: n.agent},
+		Explanations:   operatorExplanations{node: n},
+		Logger:         n.log,
+	})
+	mux := http.NewServeMux()
+	container := restful.NewContainer()
+	container.Add(service.WebService())
+	mux.Handle(operator.Root+"/", container)
+	n.addHealthEndpoints(mux)
+	return mux
+}
+
+func (n *Node) peerHandler() http.Handler { return n.agent.Handler() }
+
+// Listening is closed once the node's listeners are open.
+func (n *Node) Listening() <-chan struct{} { return n.listening }
+
+// Addresses are where the node listens; they are known once Listening is closed.
+func (n *Node) Addresses() Addresses { return n.addresses }
--- /dev/null
+++ b/node/once.go
@@ -0,0 +1,141 @@
+package node
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"hash/maphash"
+	"math"
+	"sync"
+
+	"github.com/banksail/banksail/caller"
+	"github.com/banksail/banksail/dispatch"
+	"github.com/banksail/banksail/retry"
+	"github.com/banksail/banksail/settings"
+)
+
+// onceParts is the number of parts into which the guard is divided by request ID.
+const onceParts = 16
+
+// once lets each not-repeatable request run at most once on this node within
+// the window. The window lives in memory: docs/design/at-most-once.md tells
+// what the node's end does to it.
+type once struct {
+	seed  maphash.Seed
+	parts [onceParts]oncePart
+}
+
+// oncePart holds the request IDs whose hash falls to it.
+type oncePart struct {
+	mutex sync.Mutex
+	// mutex guards the fields below. Invariant: running holds exactly the
+	// requests that the guard has in progress.
+	guard   *retry.Guard
+	running map[string]*onceRun
+}
+
+// onceRun is a not-repeatable request in progress.
+type onceRun struct {
+	// ended is closed once result is set.
+	ended  chan struct{}
+	result caller.Result
+}
+
+func newOnce(window settings.AtMostOnce) *once {
+	guard := &once{seed: maphash.MakeSeed()}
+	perPart := (window.Requests + onceParts - 1) / onceParts
+	for index := range guard.parts {
+		guard.parts[index].guard = retry.NewGuard(retry.GuardOptions{Window: window.Window, Maximum: perPart})
+		guard.parts[index].running = make(map[string]*onceRun)
+	}
+	return guard
+}
+
+func (o *once) part(key string) *oncePart {
+	return &o.parts[maphash.String(o.seed, key)%onceParts]
+}
+
+// onceKey is the scope of a request ID: the service that it names.
+func onceKey(request caller.Request) string {
+	return request.Service + "\x00" + request.RequestID
+}
+
+// onceDigest covers all that decides what the request does. The deadline is
+// left out, so that a caller may ask again with the time it has left.
+func onceDigest(request caller.Request) retry.Digest {
+	hash := sha256.New()
+	for _, text := range []string{request.Service, request.Class} {
+		_ = binary.Write(hash, binary.BigEndian, uint64(len(text)))
+		hash.Write([]byte(text))
+	}
+	_ = binary.Write(hash, binary.BigEndian, math.Float64bits(request.MinimumCoverage))
+	hash.Write(request.Body)
+	return retry.Digest(hash.Sum(nil))
+}
+
+// runOnce runs a not-repeatable request unless its ID ran within the window.
+func (n *Node) runOnce(ctx context.Context, carrier *shard, request caller.Request) (caller.Result, error) {
+	key := onceKey(request)
+	part := n.once.part(key)
+	part.mutex.Lock()
+	verdict, recorded := part.guard.Begin(n.now(), key, onceDigest(request))
+	switch verdict {
+	case retry.New:
+		run := &onceRun{ended: make(chan struct{})}
+		part.running[key] = run
+		part.mutex.Unlock()
+		run.result = n.run(ctx, carrier, request)
+		n.endOnce(part, key, run)
+		return run.result, nil
+	case retry.InProgress:
+		run := part.running[key]
+		part.mutex.Unlock()
+		return n.joinOnce(ctx, run, request), nil
+	case retry.Recorded:
+		part.mutex.Unlock()
+		n.metrics.Duplicates.Inc()
+		result := recorded.(caller.Result)
+		result.Duplicate = true
+		return result, nil
+	case retry.Full:
+		retryAfter := part.guard.RetryAfter(n.now())
+		part.mutex.Unlock()
+		result := n.refused(request, dispatch.ReasonOverload)
+		result.Outcome.RetryAfter = retryAfter
+		return result, nil
+	default:
+		part.mutex.Unlock()
+		return caller.Result{}, caller.ReusedIDError()
+	}
+}
+
+// endOnce records the outcome. A request that ran nowhere is forgotten, so that
+// its caller may try again.
+func (n *Node) endOnce(part *oncePart, key string, run *onceRun) {
+	part.mutex.Lock()
+	defer part.mutex.Unlock()
+	delete(part.running, key)
+	if run.result.Outcome.Execution == dispatch.ExecutionNotRun {
+		part.guard.Abandon(key)
+	} else {
+		part.guard.Complete(n.now(), key, run.result)
+	}
+	close(run.ended)
+}
+
+// joinOnce waits for the outcome of the same request in progress.
+func (n *Node) joinOnce(ctx context.Context, run *onceRun, request caller.Request) caller.Result {
+	n.metrics.Duplicates.Inc()
+	select {
+	case <-run.ended:
+		result := run.result
+		result.Duplicate = true
+		return result
+	case <-ctx.Done():
+		return caller.Result{Outcome: dispatch.Outcome{
+			Execution:  dispatch.ExecutionUnknown,
+			Reason:     dispatch.ReasonCallerGone,
+			RetryAfter: refusalRetryAfter,
+		}, Duplicate: true}
+	}
+}
--- /dev/null
+++ b/node/peers.go
@@ -0,0 +1,120 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/banksail/banksail/backend"
+	"github.com/banksail/banksail/dispatch"
+	"github.com/banksail/banksail/membership"
+	"github.com/banksail/banksail/operator"
+	"github.com/banksail/banksail/peer"
+	"github.com/banksail/banksail/policy"
+	"github.com/banksail/banksail/rollout"
+)
+
+// rolloutPeers shows the agent's members to the keeper of configurations.
+type rolloutPeers struct{ agent *peer.Agent }
+
+// Members lists the nodes that take part in spreading configurations.
+func (r rolloutPeers) Members() []rollout.Member {
+	var members []rollout.Member
+	for _, member := range r.agent.Members() {
+		if member.State == membership.Gone {
+			continue
+		}
+		members = append(members, rollout.Member{ID: member.ID, Zone: member.Zone, Revision: member.Revision})
+	}
+	return members
+}
+
+// Fetch asks a member for its record.
+func (r rolloutPeers) Fetch(ctx context.Context, member string, above policy.Revision) (policy.Revision, []byte, error) {
+	return r.agent.Fetch(ctx, member, above)
+}
+
+// Push offers a record to a member.
+func (r rolloutPeers) Push(ctx context.Context, member string, revision policy.Revision, record []byte) (policy.Revision, error) {
+	return r.agent.Push(ctx, member, revision, record)
+}
+
+// operatorNodes shows the agent's members to the operators' API.
+type operatorNodes struct{ agent *peer.Agent }
+
+// Nodes lists all nodes that membership knows.
+func (o operatorNodes) Nodes() []operator.Node {
+	members := o.agent.Members()
+	nodes := make([]operator.Node, 0, len(members))
+	for _, member := range members {
+		nodes = append(nodes, operator.Node{
+			ID:       member.ID,
+			Address:  member.Address,
+			Zone:     member.Zone,
+			State:    member.State.String(),
+			Revision: member.Revision,
+		})
+	}
+	return nodes
+}
+
+// operatorExplanations shows the explanations to the operators' API.
+type operatorExplanations struct{ node *Node }
+
+// Explanation finds the explanation of a finished request.
+func (o operatorExplanations) Explanation(requestID string) (json.RawMessage, bool) {
+	explanation, found := o.node.Explain(requestID)
+	if !found {
+		return nil, false
+	}
+	document, err := json.Marshal(explanation)
+	return document, err == nil
+}
+
+// heardReply tells membership what a reply to a sub-request says of its server.
+// Replies of servers that are known as live say nothing new.
+func (n *Node) heardReply(server string, reply *backend.Reply) {
+	if reply.Draining || reply.Status == backend.StatusDraining {
+		n.report(server, membership.FromReply, membership.ServerDraining, "")
+		return
+	}
+	if n.troubled(server) {
+		n.report(server, membership.FromReply, membership.ServerAnswered, "")
+	}
+}
+
+// heardHealth takes a reading of a server's health.
+func (n *Node) heardHealth(result reading) {
+	condition := membership.ServerAnswered
+	if result.health.State == backend.HealthDraining {
+		condition = membership.ServerDraining
+	}
+	n.report(result.server, membership.FromHealth, condition, result.health.Incarnation)
+	current := n.view.Load()
+	if current == nil {
+		return
+	}
+	observed := dispatch.Observed{Server: result.server, Snapshots: snapshotIDs(result.health.Snapshots)}
+	if result.load != nil {
+		observed.Load = dispatch.Load{InFlight: result.load.InFlight, Queued: result.load.Queued}
+	}
+	for _, carrier := range current.servers[result.server].shards {
+		carrier.step(observed)
+	}
+}
+
+// serverUnreachable takes a failure to connect to a server.
+func (n *Node) serverUnreachable(server string) {
+	n.troubledServers.Store(server, struct{}{})
+	n.report(server, membership.FromConnect, membership.ServerUnreachable, "")
+}
+
+// troubled says whether a reply of the server is news: it could not be reached
+// lately, or membership does not know it as live.
+func (n *Node) troubled(server string) bool {
+	_, troubled := n.troubledServers.LoadAndDelete(server)
+	return troubled
+}
+
+func (n *Node) report(server string, source membership.ServerSource, condition membership.ServerCondition, incarnation string) {
+	n.agent.ReportServer(server, membership.ServerReport{Source: source, Condition: condition, Incarnation: incarnation})
+}
--- /dev/null
+++ b/node/shard.go
@@ -0,0 +1,253 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/banksail/banksail/caller"
+	"github.com/banksail/banksail/coverage"
+	"github.com/banksail/banksail/dispatch"
+)
+
+// Machine decides for the queries of one service; *dispatch.Dispatcher is one.
+type Machine interface {
+	Step(now time.Duration, event dispatch.Event) []dispatch.Action
+}
+
+// asker sends one sub-request and reports how it ended, as a Replied or Failed
+// event.
+type asker interface {
+	ask(ctx context.Context, subRequest subRequest) dispatch.Event
+}
+
+// shardOptions are what a shard needs of its node.
+type shardOptions struct {
+	service string
+	// attemptPrefix starts the attempt IDs on the wire; no other shard of any
+	// node, in any incarnation, has the same one.
+	attemptPrefix string
+	machine       Machine
+	asker         asker
+	// now is the time since the node's epoch.
+	now func() time.Duration
+	// sent is told of every sub-request.
+	sent func(service string, kind dispatch.SendKind)
+	// failed is told of every sub-request without a well-formed reply.
+	failed func(service string)
+	// background ends when the node aborts; it bounds every sub-request.
+	background context.Context
+	// running counts the goroutines of sub-requests.
+	running *sync.WaitGroup
+}
+
+// shard drives the machine of one service: it serialises its events, carries
+// out its actions, and keeps what the machine does not: callers and cancellations.
+type shard struct {
+	options shardOptions
+
+	mutex sync.Mutex
+	// mutex serialises Step and guards the fields below. Invariants: queries
+	// holds exactly the queries that arrived and have no Finish yet; attempts
+	// holds exactly the attempts that were sent and not yet reported back; the
+	// timer does not run once closed is set.
+	queries   map[dispatch.QueryID]*pendingQuery
+	attempts  map[dispatch.AttemptID]context.CancelFunc
+	lastQuery dispatch.QueryID
+	wake      *time.Timer
+	// keySpace is that of the service as it is configured now.
+	keySpace coverage.Range
+	closed   bool
+}
+
+// pendingQuery is a query without a final answer.
+type pendingQuery struct {
+	id      dispatch.QueryID
+	request caller.Request
+	arrived time.Duration
+	// keySpace is the service's when the query arrived.
+	keySpace coverage.Range
+	// sent says that a sub-request has left for a server.
+	sent bool
+	// done receives the one final answer; it has room for it.
+	done chan finished
+}
+
+// finished is a query's final answer with the time that it took.
+type finished struct {
+	outcome dispatch.Outcome
+	took    time.Duration
+}
+
+func newShard(options shardOptions) *shard {
+	return &shard{
+		options:  options,
+		queries:  make(map[dispatch.QueryID]*pendingQuery),
+		attempts: make(map[dispatch.AttemptID]context.CancelFunc),
+	}
+}
+
+// step passes an event to the machine and carries out its actions.
+func (s *shard) step(event dispatch.Event) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.stepLocked(event)
+}
+
+func (s *shard) stepLocked(event dispatch.Event) {
+	now := s.options.now()
+	for _, action := range s.options.machine.Step(now, event) {
+		switch action := action.(type) {
+		case dispatch.Send:
+			s.send(action)
+		case dispatch.Cancel:
+			s.cancel(action.Attempt)
+		case dispatch.Finish:
+			s.finish(now, action)
+		case dispatch.Wake:
+			s.setWake(action.At - now)
+		}
+	}
+}
+
+// arrive hands a request to the machine; its answer comes on the result's channel.
+func (s *shard) arrive(request caller.Request) *pendingQuery {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.lastQuery++
+	query := &pendingQuery{
+		id:       s.lastQuery,
+		request:  request,
+		arrived:  s.options.now(),
+		keySpace: s.keySpace,
+		done:     make(chan finished, 1),
+	}
+	s.queries[query.id] = query
+	s.stepLocked(dispatch.Arrived{Query: dispatch.Query{
+		ID:              query.id,
+		RequestID:       request.RequestID,
+		Class:           request.Class,
+		Remaining:       request.Deadline,
+		MinimumCoverage: request.MinimumCoverage,
+		Repeatable:      request.Repeatable,
+	}})
+	return query
+}
+
+// configure puts a configuration of the service in force.
+func (s *shard) configure(event dispatch.Configured) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.keySpace = event.Service.KeySpace
+	s.stepLocked(event)
+}
+
+// abandon tells the machine that nobody waits for a query any more. A
+// not-repeatable query that was sent goes on: stopping it would not undo it,
+// and its outcome is worth recording.
+func (s *shard) abandon(query *pendingQuery) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.queries[query.id] == nil || query.sent && !query.request.Repeatable {
+		return
+	}
+	s.stepLocked(dispatch.CallerGone{Query: query.id})
+}
+
+func (s *shard) send(action dispatch.Send) {
+	query := s.queries[action.Query]
+	query.sent = true
+	s.options.sent(s.options.service, action.Kind)
+	ctx, cancel := context.WithTimeout(s.options.background, action.Remaining)
+	s.attempts[action.Attempt] = cancel
+	outgoing := subRequest{
+		send:          action,
+		query:         query.request,
+		attemptPrefix: s.options.attemptPrefix,
+	}
+	s.options.running.Add(1)
+	go s.carry(ctx, outgoing)
+}
+
+// carry waits for the end of one sub-request and reports it.
+func (s *shard) carry(ctx context.Context, outgoing subRequest) {
+	defer s.options.running.Done()
+	event := s.options.asker.ask(ctx, outgoing)
+	if _, failed := event.(dispatch.Failed); failed {
+		s.options.failed(s.options.service)
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.cancel(outgoing.send.Attempt)
+	delete(s.attempts, outgoing.send.Attempt)
+	s.stepLocked(event)
+}
+
+func (s *shard) cancel(attempt dispatch.AttemptID) {
+	if cancel, running := s.attempts[attempt]; running {
+		cancel()
+	}
+}
+
+func (s *shard) finish(now time.Duration, action dispatch.Finish) {
+	query := s.queries[action.Query]
+	delete(s.queries, action.Query)
+	query.done <- finished{outcome: action.Outcome, took: now - query.arrived}
+}
+
+func (s *shard) setWake(after time.Duration) {
+	if s.closed {
+		return
+	}
+	after = max(after, 0)
+	if s.wake == nil {
+		s.wake = time.AfterFunc(after, s.woken)
+		return
+	}
+	s.wake.Reset(after)
+}
+
+// pending lists the request IDs of the queries without a final answer.
+func (s *shard) pending() []string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	requestIDs := make([]string, 0, len(s.queries))
+	for _, query := range s.queries {
+		requestIDs = append(requestIDs, query.request.RequestID)
+	}
+	return requestIDs
+}
+
+// woken passes the machine's own timer on.
+func (s *shard) woken() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if !s.closed {
+		s.stepLocked(dispatch.Woken{})
+	}
+}
+
+// closeIfIdle closes the shard when no query and no attempt is left.
+func (s *shard) closeIfIdle() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	idle := len(s.queries) == 0 && len(s.attempts) == 0
+	if idle {
+		s.closeLocked()
+	}
+	return idle
+}
+
+// close stops the timer; the machine gets no Woken afterwards.
+func (s *shard) close() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.closeLocked()
+}
+
+func (s *shard) closeLocked() {
+	s.closed = true
+	if s.wake != nil {
+		s.wake.Stop()
+	}
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"net/netip"
-	"net/url"
 	"reflect"
 	"regexp"
 	"strings"
@@ -51,7 +50,6 @@
 	}
 	register("identifier", identifierPattern.MatchString)
 	register("ip_port", isAddress)
-	register("http_base", isBaseURL)
 	return checker
 }
 
@@ -60,15 +58,6 @@
 	return err == nil
 }
 
-func isBaseURL(text string) bool {
-	parsed, err := url.Parse(text)
-	if err != nil || parsed.Scheme != "http" && parsed.Scheme != "https" {
-		return false
-	}
-	bare := parsed.RawQuery == "" && parsed.Fragment == "" && parsed.User == nil
-	return parsed.Host != "" && bare && strings.Trim(parsed.Path, "/") == ""
-}
-
 // describe turns a failed validation tag into a sentence.
 func describe(field validator.FieldError) string {
 	switch field.Tag() {
@@ -86,8 +75,6 @@
 		return fmt.Sprintf("must be letters, digits, '.', '_' and '-', is %q", field.Value())
 	case "ip_port":
 		return fmt.Sprintf("must be an IP number and port such as 10.0.0.5:8080, is %q", field.Value())
-	case "http_base":
-		return fmt.Sprintf("must be a URL such as http://10.0.0.5:7000, is %q", field.Value())
 	default:
 		return fmt.Sprintf("fails the check %q", field.Tag())
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -22,7 +22,7 @@
 // Node identifies the node.
 type Node struct {
 	// ID is unique among the nodes; peers and the machine list know the node by it.
-	ID string `koanf:"id" validate:"required,max=128,identifier"`
+	ID string `koanf:"id" validate:"required,max=64,identifier"`
 	// Zone is the failure zone in which the node runs.
 	Zone string `koanf:"zone" validate:"required,max=64,identifier"`
 	// Advertise is the IP number and port at which peers reach this node; the
@@ -42,8 +42,8 @@
 
 // Remote is a service of the platform.
 type Remote struct {
-	// Address is the base URL of the service, for example http://10.0.0.5:7000.
-	Address string `koanf:"address" validate:"required,http_base"`
+	// Address is the IP number and port of the service.
+	Address string `koanf:"address" validate:"required,ip_port"`
 	// Timeout bounds one request to the service, besides the wait of a watch.
 	Timeout time.Duration `koanf:"timeout" validate:"min=10ms,max=60s"`
 }
@@ -112,7 +112,7 @@
 			IdleTimeout: 2 * time.Minute,
 		},
 		Backend: Backend{
-			HealthInterval:    10 * time.Second,
+			HealthInterval:    1500 * time.Millisecond,
 			HealthTimeout:     time.Second,
 			HealthConcurrency: 16,
 			SpareConnections:  2,
