--- a/lab/network/conn.go
+++ b/lab/network/conn.go
@@ -1,6 +1,7 @@
 package network
 
 import (
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -194,7 +195,7 @@
 // take reads from the first segment, which has arrived. The lock is held.
 func (c *conn) take(buffer []byte) (int, error) {
 	head := &c.in.segments[0]
-	if head.end == io.EOF {
+	if errors.Is(head.end, io.EOF) {
 		return 0, io.EOF
 	}
 	if head.end != nil {
--- a/lab/network/network_test.go
+++ b/lab/network/network_test.go
@@ -123,7 +123,7 @@
 		if _, err := near.Write([]byte("x")); !errors.Is(err, syscall.EPIPE) {
 			t.Fatalf("the end has arrived: %v", err)
 		}
-		if _, err := near.Read(make([]byte, 1)); err != io.EOF {
+		if _, err := near.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
 			t.Fatalf("read: %v", err)
 		}
 	})
--- a/lab/network/process.go
+++ b/lab/network/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
@@ -231,10 +232,11 @@
 
 // opError wraps an error as the net package does.
 func opError(operation string, address net.Addr, err error) error {
-	switch err {
-	case context.DeadlineExceeded:
+	var number syscall.Errno
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
 		err = os.ErrDeadlineExceeded
-	case syscall.ECONNREFUSED, syscall.ECONNRESET, syscall.EPIPE:
+	case errors.As(err, &number):
 		err = os.NewSyscallError(operation, err)
 	}
 	return &net.OpError{Op: operation, Net: "tcp", Addr: address, Err: err}
