--- a/lab/history/history.go
+++ b/lab/history/history.go
@@ -28,8 +28,10 @@
 	Deadline   time.Duration `json:"deadline_ns"`
 	// MinimumCoverage is the least coverage that the caller accepts; answers
 	// below it must be refusals.
-	MinimumCoverage float64       `json:"minimum_coverage"`
-	At              time.Duration `json:"at_ns"`
+	MinimumCoverage float64 `json:"minimum_coverage"`
+	// Abandoned says that the caller gave up before the deadline.
+	Abandoned bool          `json:"abandoned,omitempty"`
+	At        time.Duration `json:"at_ns"`
 }
 
 // AnswerKind tells how a call ended for its caller.
@@ -123,10 +125,11 @@
 
 // InForce is a configuration that a node put in force.
 type InForce struct {
-	Node     string        `json:"node"`
-	Revision uint64        `json:"revision"`
-	Digest   string        `json:"digest"`
-	At       time.Duration `json:"at_ns"`
+	Node     string `json:"node"`
+	Revision uint64 `json:"revision"`
+	// Digest is empty when only the revision was observed.
+	Digest string        `json:"digest,omitempty"`
+	At     time.Duration `json:"at_ns"`
 }
 
 // ConfirmationResult is what an operator was told of a confirmation.
--- a/lab/schedule/draw.go
+++ b/lab/schedule/draw.go
@@ -66,8 +66,11 @@
 	case LeaseLapse:
 		fault.Target = d.pick(d.topology.Nodes)
 		fault.Until = fault.At + d.options.LeaseTimeToLive + d.between(d.options.Shortest, d.options.Longest)
+	case Drain:
+		fault.Target = d.server()
+		fault.Until = fault.At + d.options.ShortestDrain + d.between(d.options.Shortest, d.options.Longest)
 	case KillServer, LoseServer, FreezeServer, CloseAfterRead, ConnectionLimit,
-		Shed, ColdStart, Drain, HealthLies, LoadLies, LateReplies, CrossedReplies:
+		Shed, ColdStart, HealthLies, LoadLies, LateReplies, CrossedReplies:
 		fault.Target = d.server()
 	case Cut, CutOneWay, ResetConnections, SlowLink:
 		fault.Target, fault.Peer = d.twoHosts()
--- a/lab/schedule/schedule.go
+++ b/lab/schedule/schedule.go
@@ -136,6 +136,8 @@
 	Shortest, Longest time.Duration
 	// LeaseTimeToLive is the least length of a LeaseLapse.
 	LeaseTimeToLive time.Duration
+	// ShortestDrain is the least length of a Drain.
+	ShortestDrain time.Duration
 	// LongestDelay bounds Fault.Delay.
 	LongestDelay time.Duration
 }
