--- /dev/null
+++ b/backend/client.go
@@ -0,0 +1,222 @@
+package backend
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/banksail/banksail/internal/delivery"
+	"github.com/banksail/banksail/internal/strictjson"
+)
+
+// Errors that Client returns, wrapped.
+var (
+	// ErrNotDelivered: no byte of the request was written to the server.
+	ErrNotDelivered = errors.New("backend: not delivered")
+	// ErrOutcomeUnknown: the server may have executed the request; no whole
+	// reply came.
+	ErrOutcomeUnknown = errors.New("backend: outcome unknown")
+	// ErrMalformed: a reply came that does not follow the protocol or does not
+	// belong to the request. The server may have executed the request.
+	ErrMalformed = errors.New("backend: malformed reply")
+)
+
+// Defaults of ClientOptions.
+const (
+	DefaultConnectionsPerServer = 8
+	DefaultSparesPerServer      = 2
+	DefaultDialTimeout          = 2 * time.Second
+	DefaultIdleTimeout          = 30 * time.Second
+)
+
+const (
+	maximumHeaderBytes = 64 << 10
+	contentTypeJSON    = "application/json"
+)
+
+// ClientOptions configures a Client. Zero fields get defaults.
+type ClientOptions struct {
+	// Dial opens connections; the default is the operating system's TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// ConnectionsPerServer bounds the open connections to the server at the
+	// address. It is asked at each request; the bound may change.
+	ConnectionsPerServer func(address string) int
+	// SparesPerServer is the number of connections kept open before they are
+	// needed, at most a quarter of the bound; a negative one means none.
+	SparesPerServer int
+	// DialTimeout bounds the opening of a connection.
+	DialTimeout time.Duration
+	// IdleTimeout closes a connection that carried no request for so long.
+	IdleTimeout time.Duration
+}
+
+// Client asks back ends. It never sends a request twice. Its methods may be
+// called from several goroutines.
+type Client struct {
+	options ClientOptions
+
+	// mutex guards pools. Invariant: at most one pool per address takes new
+	// requests; the bound of that pool is the one last asked for.
+	mutex sync.Mutex
+	pools map[string]*pool
+}
+
+// NewClient returns a client with no open connection.
+func NewClient(options ClientOptions) *Client {
+	if options.Dial == nil {
+		options.Dial = (&net.Dialer{}).DialContext
+	}
+	if options.ConnectionsPerServer == nil {
+		options.ConnectionsPerServer = func(string) int { return DefaultConnectionsPerServer }
+	}
+	if options.SparesPerServer == 0 {
+		options.SparesPerServer = DefaultSparesPerServer
+	}
+	if options.DialTimeout == 0 {
+		options.DialTimeout = DefaultDialTimeout
+	}
+	if options.IdleTimeout == 0 {
+		options.IdleTimeout = DefaultIdleTimeout
+	}
+	return &Client{options: options, pools: make(map[string]*pool)}
+}
+
+// Query sends one sub-request. The end of the context closes its connection,
+// which tells the server to stop. A returned reply echoes the request's
+// attempt ID; a reply with StatusDone also echoes its snapshot and range.
+func (c *Client) Query(ctx context.Context, address string, request *Request) (*Reply, error) {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return nil, fmt.Errorf("%w: encoding the request: %w", ErrNotDelivered, err)
+	}
+	var reply *Reply
+	err = c.exchange(ctx, address, http.MethodPost, QueryPath, body, func(data []byte, code int) error {
+		reply, err = decodeReply(data, code, request)
+		return err
+	})
+	return reply, err
+}
+
+// Health reads a server's account of its health, which may lag or mislead.
+func (c *Client) Health(ctx context.Context, address string) (*Health, error) {
+	var health *Health
+	err := c.exchange(ctx, address, http.MethodGet, HealthPath, nil, func(data []byte, code int) (err error) {
+		health, err = decodeHealth(data, code)
+		return err
+	})
+	return health, err
+}
+
+// Load reads a server's account of its work, which may lag or mislead.
+func (c *Client) Load(ctx context.Context, address string) (*Load, error) {
+	var load *Load
+	err := c.exchange(ctx, address, http.MethodGet, LoadPath, nil, func(data []byte, code int) (err error) {
+		load, err = decodeLoad(data, code)
+		return err
+	})
+	return load, err
+}
+
+// CloseIdleConnections closes the connections that carry no request. Those of
+// requests in flight close with them.
+func (c *Client) CloseIdleConnections() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for address, open := range c.pools {
+		delete(c.pools, address)
+		open.retire()
+	}
+}
+
+// Forget closes the idle connections to a server and drops its pool; requests
+// in flight end on their own.
+func (c *Client) Forget(address string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if open, ok := c.pools[address]; ok {
+		delete(c.pools, address)
+		open.retire()
+	}
+}
+
+// exchange sends one request and gives its whole reply to decode. A connection
+// whose reply can't be decoded is closed: later replies on it may belong to
+// other requests.
+func (c *Client) exchange(
+	ctx context.Context, address, method, path string, body []byte, decode func(data []byte, code int) error,
+) error {
+	open := c.acquire(address)
+	defer open.release()
+	for {
+		trackedContext, tracker := delivery.Track(ctx)
+		data, code, err := open.roundTrip(trackedContext, address, method, path, body)
+		if err == nil {
+			err = decode(data, code)
+		}
+		if err == nil {
+			return nil
+		}
+		err = classify(tracker, err)
+		if !errors.Is(err, ErrNotDelivered) || !tracker.Reused() || ctx.Err() != nil {
+			return fmt.Errorf("asking %s: %w", address, err)
+		}
+		// A kept connection had closed before a byte was written; it is gone
+		// now, so this ends with the last of them.
+	}
+}
+
+// roundTrip sends one request and reads its whole reply.
+func (p *pool) roundTrip(ctx context.Context, address, method, path string, body []byte) ([]byte, int, error) {
+	request, err := newRequest(ctx, address, method, path, body)
+	if err != nil {
+		return nil, 0, err
+	}
+	response, err := p.transport.RoundTrip(request)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := strictjson.Read(response.Body, MaximumReplyBytes)
+	if errors.Is(err, strictjson.ErrTooLarge) {
+		err = fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	return data, response.StatusCode, err
+}
+
+// classify turns the error of a request by what had been written, and closes
+// the request's connection.
+func classify(tracker *delivery.Tracker, err error) error {
+	written := tracker.Seal()
+	if errors.Is(err, ErrMalformed) {
+		return err
+	}
+	if written {
+		return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+	}
+	return fmt.Errorf("%w: %w", ErrNotDelivered, err)
+}
+
+// newRequest builds a request that net/http's transport never sends again: a
+// POST has neither GetBody nor an idempotency key.
+func newRequest(ctx context.Context, address, method, path string, body []byte) (*http.Request, error) {
+	var reader io.Reader
+	if body != nil {
+		reader = bytes.NewReader(body)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, reader)
+	if err != nil {
+		return nil, err
+	}
+	request.GetBody = nil
+	if body != nil {
+		request.Header.Set("Content-Type", contentTypeJSON)
+	}
+	return request, nil
+}
