--- /dev/null
+++ b/lab/spread/spread.go
@@ -0,0 +1,277 @@
+// Package spread runs the rollout cores of many nodes on an event queue, to
+// count the messages that a new revision costs and the time until it is in
+// force everywhere.
+//
+// It has no goroutine and no clock of its own: equal options give equal results.
+package spread
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/banksail/banksail/policy"
+	"github.com/banksail/banksail/rollout"
+)
+
+// Options describes the nodes, the network and the store.
+type Options struct {
+	// Nodes is the number of nodes.
+	Nodes int
+	// Zones is the number of zones that the nodes are spread over evenly.
+	Zones int
+	// Seed makes the run repeatable.
+	Seed uint64
+	// PeerDelay is the mean one-way delay between two nodes.
+	PeerDelay time.Duration
+	// StoreDelay is the mean one-way delay to the store.
+	StoreDelay time.Duration
+	// PeerLoss is the share of calls between nodes that fail.
+	PeerLoss float64
+	// PeerTimeout and StoreTimeout are how long a call that fails takes.
+	PeerTimeout, StoreTimeout time.Duration
+	// StoreZones is the number of zones that reach the store; zero means all.
+	StoreZones int
+	// ConfirmerLost makes the node that confirmed die before it tells anybody,
+	// so that the revision spreads from the store's watchers only.
+	ConfirmerLost bool
+	// Settle is how long the nodes run before the change; the messages of a
+	// quiet time are counted in its second half.
+	Settle time.Duration
+	// Limit ends the run when the revision has not spread.
+	Limit time.Duration
+	// Core sets the pace of every node's core; Self, Zone and Seed are replaced.
+	Core rollout.CoreOptions
+}
+
+// Defaults of Options.
+const (
+	DefaultPeerDelay  = 5 * time.Millisecond
+	DefaultStoreDelay = 5 * time.Millisecond
+	DefaultSettle     = 2 * time.Minute
+	DefaultLimit      = 2 * time.Minute
+)
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.Nodes, 1)
+	setDefault(&o.Zones, 1)
+	setDefault(&o.PeerDelay, DefaultPeerDelay)
+	setDefault(&o.StoreDelay, DefaultStoreDelay)
+	setDefault(&o.PeerTimeout, rollout.DefaultPeerTimeout)
+	setDefault(&o.StoreTimeout, rollout.DefaultStoreTimeout)
+	setDefault(&o.StoreZones, o.Zones)
+	setDefault(&o.Settle, DefaultSettle)
+	setDefault(&o.Limit, DefaultLimit)
+	return o
+}
+
+func setDefault[T comparable](value *T, fallback T) {
+	var zero T
+	if *value == zero {
+		*value = fallback
+	}
+}
+
+// Counts holds messages of all nodes together. A call and its answer are one.
+type Counts struct {
+	// Pushes counts offers to peers; PushesTaken those that were news.
+	Pushes, PushesTaken int
+	// Comparisons counts questions to peers; ComparisonsTaken those answered by a record that was news.
+	Comparisons, ComparisonsTaken int
+	// Records counts the records that were carried between peers.
+	Records int
+	// StoreReads counts reads and watches of the store.
+	StoreReads int
+}
+
+func (c Counts) minus(other Counts) Counts {
+	return Counts{
+		Pushes:           c.Pushes - other.Pushes,
+		PushesTaken:      c.PushesTaken - other.PushesTaken,
+		Comparisons:      c.Comparisons - other.Comparisons,
+		ComparisonsTaken: c.ComparisonsTaken - other.ComparisonsTaken,
+		Records:          c.Records - other.Records,
+		StoreReads:       c.StoreReads - other.StoreReads,
+	}
+}
+
+// Result tells how one revision spread.
+type Result struct {
+	Options Options
+	// Reached counts the nodes with the revision in force at the end.
+	Reached int
+	// Half, Most and All are the times from the store's change until half, 99
+	// in 100, and all of the nodes had it in force; zero if never.
+	Half, Most, All time.Duration
+	// Change counts the messages from the change until All.
+	Change Counts
+	// Quiet counts the messages of QuietTime without a change.
+	Quiet     Counts
+	QuietTime time.Duration
+	// Watchers counts the nodes that watch the store.
+	Watchers int
+}
+
+// Run spreads one revision.
+func Run(options Options) Result {
+	run := newRun(options.withDefaults())
+	half := run.options.Settle / 2
+	run.until(half)
+	before := run.counts
+	run.until(run.options.Settle)
+	quiet := run.counts.minus(before)
+	changed := run.counts
+	run.change()
+	run.until(run.options.Settle + run.options.Limit)
+	result := run.result
+	result.Options = run.options
+	result.Reached = run.reached
+	result.Quiet = quiet
+	result.QuietTime = run.options.Settle - half
+	result.Change = run.counts.minus(changed)
+	for _, node := range run.nodes {
+		if node.core.Watcher() {
+			result.Watchers++
+		}
+	}
+	return result
+}
+
+// run is the state of one simulation.
+type run struct {
+	options Options
+	random  *rand.Rand
+	queue   eventQueue
+	now     time.Duration
+	nodes   []*node
+	byID    map[string]*node
+	// stored is the store's revision; waiting are the watches in progress.
+	stored  policy.Revision
+	waiting []*watch
+
+	counts    Counts
+	changedAt time.Duration
+	reached   int
+	result    Result
+}
+
+// node is one hollow node.
+type node struct {
+	id     string
+	zone   int
+	core   *rollout.Core
+	wakeAt time.Duration
+	dead   bool
+}
+
+// watch is a long poll that the store holds.
+type watch struct {
+	node  *node
+	after policy.Revision
+	done  bool
+}
+
+const firstRevision policy.Revision = 1
+
+func newRun(options Options) *run {
+	r := &run{
+		options: options,
+		random:  rand.New(rand.NewPCG(options.Seed, uint64(options.Nodes))),
+		stored:  firstRevision,
+		byID:    make(map[string]*node, options.Nodes),
+	}
+	members := make([]rollout.Member, 0, options.Nodes)
+	for index := range options.Nodes {
+		zone := index % options.Zones
+		added := &node{id: fmt.Sprintf("node-%04d", index), zone: zone}
+		core := options.Core
+		core.Self = added.id
+		core.Zone = fmt.Sprintf("zone-%d", zone)
+		core.Seed = options.Seed
+		added.core = rollout.NewCore(core)
+		members = append(members, rollout.Member{ID: core.Self, Zone: core.Zone, Revision: firstRevision})
+		r.nodes = append(r.nodes, added)
+		r.byID[added.id] = added
+	}
+	for _, started := range r.nodes {
+		r.step(started, rollout.MembersChanged{Members: members})
+		r.step(started, rollout.Offered{Revision: firstRevision})
+	}
+	return r
+}
+
+// change accepts a new revision in the store, by a node picked at random.
+func (r *run) change() {
+	r.changedAt = r.now
+	r.stored++
+	r.endWatches()
+	confirmer := r.nodes[r.random.IntN(len(r.nodes))]
+	if r.options.ConfirmerLost {
+		confirmer.dead = true
+		r.reached++
+		return
+	}
+	r.step(confirmer, rollout.Offered{Revision: r.stored})
+}
+
+// until runs the queue up to a time, or until every node has the change.
+func (r *run) until(end time.Duration) {
+	for r.queue.Len() > 0 && r.queue.next() <= end && r.reached < len(r.nodes) {
+		event := r.queue.take()
+		r.now = event.at
+		event.do()
+	}
+	r.now = max(r.now, end)
+}
+
+// after queues a function.
+func (r *run) after(delay time.Duration, do func()) {
+	r.queue.add(r.now+delay, do)
+}
+
+// step gives a core an event and carries out its actions.
+func (r *run) step(stepped *node, event rollout.Event) {
+	if stepped.dead {
+		return
+	}
+	for _, action := range stepped.core.Step(r.now, event) {
+		switch action := action.(type) {
+		case rollout.Adopt:
+			r.adopted(action.Revision)
+		case rollout.Push:
+			r.push(stepped, action)
+		case rollout.Fetch:
+			r.fetch(stepped, action)
+		case rollout.ReadStore:
+			r.readStore(stepped, action)
+		case rollout.Wake:
+			r.wake(stepped, action.At)
+		}
+	}
+}
+
+func (r *run) wake(woken *node, at time.Duration) {
+	woken.wakeAt = at
+	r.queue.add(max(at, r.now), func() {
+		if woken.wakeAt == at {
+			r.step(woken, rollout.Woken{})
+		}
+	})
+}
+
+func (r *run) adopted(revision policy.Revision) {
+	if revision == firstRevision {
+		return
+	}
+	r.reached++
+	since := r.now - r.changedAt
+	if r.reached == (len(r.nodes)+1)/2 {
+		r.result.Half = since
+	}
+	if r.reached == (len(r.nodes)*99+99)/100 {
+		r.result.Most = since
+	}
+	if r.reached == len(r.nodes) {
+		r.result.All = since
+	}
+}
--- /dev/null
+++ b/lab/spread/spread_test.go
@@ -0,0 +1,50 @@
+package spread
+
+import (
+	"testing"
+	"time"
+)
+
+// target is the time within which a revision must be in force everywhere.
+const target = 14 * time.Second
+
+func TestRevisionReachesEveryNodeWithinTheTarget(t *testing.T) {
+	cases := map[string]Options{
+		"100 nodes":                              {Nodes: 100, Zones: 4},
+		"1400 nodes":                             {Nodes: 1400, Zones: 8},
+		"store reachable by one zone":            {Nodes: 400, Zones: 8, StoreZones: 1},
+		"confirming node lost":                   {Nodes: 400, Zones: 8, ConfirmerLost: true},
+		"one zone reaches, confirming node lost": {Nodes: 400, Zones: 8, StoreZones: 1, ConfirmerLost: true},
+		"one call in ten between nodes fails":    {Nodes: 400, Zones: 8, PeerLoss: 0.1},
+	}
+	for name, options := range cases {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(3) {
+				options.Seed = seed
+				result := Run(options)
+				if result.Reached != options.Nodes || result.All > target {
+					t.Fatalf("seed %d: %d of %d nodes after %v", seed, result.Reached, options.Nodes, result.All)
+				}
+			}
+		})
+	}
+}
+
+func TestEqualOptionsGiveEqualResults(t *testing.T) {
+	options := Options{Nodes: 50, Zones: 3, Seed: 7, PeerLoss: 0.2}
+	first, second := Run(options), Run(options)
+	if first != second {
+		t.Fatalf("got %+v, then %+v", first, second)
+	}
+}
+
+func TestFewNodesAskTheStore(t *testing.T) {
+	result := Run(Options{Nodes: 400, Zones: 8, Seed: 1})
+	if result.Watchers != 8 {
+		t.Fatalf("%d watchers", result.Watchers)
+	}
+	perSecond := float64(result.Quiet.StoreReads) / result.QuietTime.Seconds()
+	if perSecond > 2 {
+		t.Fatalf("%.2f store reads a second in quiet", perSecond)
+	}
+}
--- a/rollout/cluster_test.go
+++ b/rollout/cluster_test.go
@@ -228,4 +228,3 @@
 		synctest.Wait()
 	})
 }
-
--- a/rollout/confirm.go
+++ b/rollout/confirm.go
@@ -41,7 +41,7 @@
 
 // refresh reads the store's record and offers it.
 func (k *Keeper) refresh(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, k.options.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, k.options.StoreTimeout)
 	defer cancel()
 	record, err := k.options.Store.Get(ctx, policy.StoreKey)
 	if errors.Is(err, store.ErrNotFound) {
@@ -156,7 +156,7 @@
 			return current.record, 0, nil
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, k.options.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, k.options.StoreTimeout)
 	defer cancel()
 	stored, err := k.options.Store.Get(ctx, policy.StoreKey)
 	switch {
@@ -187,7 +187,7 @@
 	if err != nil {
 		return 0, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, k.options.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, k.options.StoreTimeout)
 	defer cancel()
 	_, err = k.options.Store.Put(ctx, policy.StoreKey, data, base, "")
 	switch {
--- a/rollout/keeper.go
+++ b/rollout/keeper.go
@@ -58,8 +58,10 @@
 	Now func() time.Time
 	// NewPlanID makes plan IDs that are unique among all nodes; random UUIDs by default.
 	NewPlanID func() string
-	// CallTimeout bounds one call to the store or a peer.
-	CallTimeout time.Duration
+	// StoreTimeout bounds one call to the store, besides the wait of a watch.
+	StoreTimeout time.Duration
+	// PeerTimeout bounds one call to a peer.
+	PeerTimeout time.Duration
 	// ConfirmTimeout bounds a confirmation with all its retries.
 	ConfirmTimeout time.Duration
 	// MembersInterval is the time between two looks at the members.
@@ -68,7 +70,8 @@
 
 // Defaults of KeeperOptions.
 const (
-	DefaultCallTimeout     = 3 * time.Second
+	DefaultStoreTimeout    = 3 * time.Second
+	DefaultPeerTimeout     = 1500 * time.Millisecond
 	DefaultConfirmTimeout  = 8 * time.Second
 	DefaultMembersInterval = 500 * time.Millisecond
 )
@@ -109,7 +112,8 @@
 
 // NewKeeper makes a keeper that knows no configuration; Run starts it.
 func NewKeeper(options KeeperOptions) *Keeper {
-	setDefault(&options.CallTimeout, DefaultCallTimeout)
+	setDefault(&options.StoreTimeout, DefaultStoreTimeout)
+	setDefault(&options.PeerTimeout, DefaultPeerTimeout)
 	setDefault(&options.ConfirmTimeout, DefaultConfirmTimeout)
 	setDefault(&options.MembersInterval, DefaultMembersInterval)
 	if options.Now == nil {
--- a/rollout/run.go
+++ b/rollout/run.go
@@ -119,7 +119,7 @@
 }
 
 func (k *Keeper) fetch(ctx context.Context, action Fetch) {
-	ctx, cancel := context.WithTimeout(ctx, k.options.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, k.options.PeerTimeout)
 	defer cancel()
 	k.metrics.comparisons.Add(1)
 	revision, record, err := k.currentPeers().Fetch(ctx, action.Member, action.Above)
@@ -138,7 +138,7 @@
 }
 
 func (k *Keeper) push(ctx context.Context, action Push) {
-	ctx, cancel := context.WithTimeout(ctx, k.options.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, k.options.PeerTimeout)
 	defer cancel()
 	k.metrics.pushes.Add(1)
 	pushed, record := k.Record()
@@ -159,7 +159,7 @@
 
 func (r *storeReader) read(ctx context.Context, wait time.Duration) {
 	k := r.keeper
-	ctx, cancel := context.WithTimeout(ctx, wait+k.options.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, wait+k.options.StoreTimeout)
 	defer cancel()
 	k.metrics.storeReads.Add(1)
 	err := r.readOnce(ctx, wait)
