--- /dev/null
+++ b/cmd/banksailctl/command_test.go
@@ -0,0 +1,200 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/rs/zerolog"
+
+	"github.com/banksail/banksail/operator"
+	"github.com/banksail/banksail/policy"
+	"github.com/banksail/banksail/rollout"
+	"github.com/banksail/banksail/store"
+)
+
+type fixedNodes []operator.Node
+
+func (n fixedNodes) Nodes() []operator.Node { return append([]operator.Node{}, n...) }
+
+// session runs commands against one node.
+type session struct {
+	t         *testing.T
+	store     *store.Memory
+	address   string
+	directory string
+}
+
+func newSession(t *testing.T) *session {
+	t.Helper()
+	memory := store.NewMemory(store.MemoryOptions{})
+	keeper := rollout.NewKeeper(rollout.KeeperOptions{
+		Core:           rollout.CoreOptions{Self: "node-a"},
+		Store:          memory,
+		Logger:         zerolog.Nop(),
+		ConfirmTimeout: 2 * time.Second,
+	})
+	service := operator.NewService(operator.Options{
+		Self:           "node-a",
+		Configurations: keeper,
+		Nodes:          fixedNodes{{ID: "node-a", Zone: "z1", Address: "10.0.0.1:1", State: "live"}, {ID: "node-b", State: "live"}},
+		Logger:         zerolog.Nop(),
+	})
+	server := httptest.NewServer(service.Handler())
+	t.Cleanup(server.Close)
+	return &session{t: t, store: memory, address: strings.TrimPrefix(server.URL, "http://"), directory: t.TempDir()}
+}
+
+func (s *session) path(name string) string { return filepath.Join(s.directory, name) }
+
+func (s *session) write(name, content string) string {
+	s.t.Helper()
+	if err := os.WriteFile(s.path(name), []byte(content), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	return s.path(name)
+}
+
+// run executes a command line and returns its exit status and output.
+func (s *session) run(arguments ...string) (status subcommands.ExitStatus, output, errorOutput string) {
+	s.t.Helper()
+	var out, errOut bytes.Buffer
+	flags := flag.NewFlagSet("banksailctl", flag.ContinueOnError)
+	flags.SetOutput(&errOut)
+	commander := subcommands.NewCommander(flags, "banksailctl")
+	commander.Output = &out
+	commander.Error = &errOut
+	register(commander, &out, &errOut)
+	if err := flags.Parse(arguments); err != nil {
+		s.t.Fatal(err)
+	}
+	status = commander.Execute(context.Background())
+	return status, out.String(), errOut.String()
+}
+
+const classIntent = `
+author: ann
+note: a first class
+changes:
+  - set_class: {name: urgent, order: 0, longest_wait_ms: 20, deadline_ms: 100, minimum_coverage: 0.9, hedge_share: 0.05, headroom: 0.2}
+`
+
+func (s *session) mustRun(want string, arguments ...string) {
+	s.t.Helper()
+	status, output, errorOutput := s.run(arguments...)
+	if status != subcommands.ExitSuccess || !strings.Contains(output, want) {
+		s.t.Fatalf("%v: status %d, output %q, errors %q; want %q", arguments, status, output, errorOutput, want)
+	}
+}
+
+func TestPlanConfirmAndRead(t *testing.T) {
+	s := newSession(t)
+	intent, plan := s.write("intent.yaml", classIntent), s.path("plan.json")
+	s.mustRun("+ classes[urgent]", "plan", "--node", s.address, "--out", plan, intent)
+	s.mustRun("applied: revision 1", "confirm", "--node", s.address, plan)
+	s.mustRun("applied already: revision 1", "confirm", "--node", s.address, plan)
+	s.mustRun("revision 1 in force on 1 of 2 live nodes", "status", "--node", s.address)
+	s.mustRun("behind: node-b", "status", "--node", s.address)
+	s.mustRun("a first class", "history", "--node", s.address)
+	s.mustRun("node-a  z1    10.0.0.1:1  live   1", "nodes", "--node", s.address)
+	s.mustRun("urgent  0      20ms", "config", "--node", s.address)
+	s.mustRun(`"minimum_coverage": 0.9`, "config", "--json", "--node", s.address)
+	data, err := os.ReadFile(plan)
+	if err != nil {
+		t.Fatal(err)
+	}
+	document, err := policy.DecodePlan(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.mustRun("applied as revision 1", "status", "--node", s.address, "--plan", document.ID, "--base", "0")
+}
+
+func TestExitStatuses(t *testing.T) {
+	s := newSession(t)
+	intent, plan, other := s.write("intent.yaml", classIntent), s.path("plan.json"), s.path("other.json")
+	s.mustRun("plan ", "plan", "--node", s.address, "--out", plan, intent)
+	s.mustRun("plan ", "plan", "--node", s.address, "--out", other, "--author", "bob", intent)
+	s.mustRun("applied", "confirm", "--node", s.address, plan)
+	altered := s.write("altered.json", strings.Replace(read(t, other), `"bob"`, `"eve"`, 1))
+	faulty := s.write("faulty.yaml", strings.Replace(classIntent, "headroom: 0.2", "headroom: 2", 1))
+	unknown := s.write("unknown.yaml", strings.Replace(classIntent, "headroom", "headrom", 1))
+	cases := map[string]struct {
+		arguments []string
+		status    subcommands.ExitStatus
+		message   string
+	}{
+		"conflict":            {[]string{"confirm", "--node", s.address, other}, 1, "revision 1 by ann"},
+		"altered plan":        {[]string{"confirm", "--node", s.address, altered}, 1, "altered"},
+		"refused intent":      {[]string{"plan", "--node", s.address, faulty}, 1, "changes[0].set_class.headroom: must be at most 0.9"},
+		"unknown field":       {[]string{"plan", "--node", s.address, unknown}, 2, "changes[0].set_class.headrom: is not a known field"},
+		"no argument":         {[]string{"confirm"}, 2, "one argument is needed"},
+		"argument too many":   {[]string{"status", "x"}, 2, "no argument is taken"},
+		"no such file":        {[]string{"plan", "none.yaml"}, 2, "none.yaml"},
+		"unknown flag":        {[]string{"status", "--nope"}, 2, "Flags:"},
+		"unknown command":     {[]string{"nope"}, 2, ""},
+		"plan not applied":    {[]string{"status", "--node", s.address, "--plan", "other"}, 1, ""},
+		"node not reachable":  {[]string{"status", "--node", "127.0.0.1:1"}, 1, "can't be reached"},
+		"outcome not told":    {[]string{"status", "--node", "127.0.0.1:1", "--plan", "p"}, 3, "can't be reached"},
+		"request not known":   {[]string{"explain", "--node", s.address, "r"}, 1, "not known here"},
+		"confirm unreachable": {[]string{"confirm", "--node", "127.0.0.1:1", other}, 1, "can't be reached"},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			status, output, errorOutput := s.run(test.arguments...)
+			if status != test.status || !strings.Contains(errorOutput, test.message) {
+				t.Fatalf("status %d, output %q, errors %q", status, output, errorOutput)
+			}
+		})
+	}
+}
+
+func TestUnknownOutcomeExitsWithThree(t *testing.T) {
+	s := newSession(t)
+	intent, plan := s.write("intent.yaml", classIntent), s.path("plan.json")
+	s.mustRun("plan ", "plan", "--node", s.address, "--out", plan, intent)
+	cut := httptest.NewServer(cutHandler{})
+	defer cut.Close()
+	status, _, errorOutput := s.run("confirm", "--node", strings.TrimPrefix(cut.URL, "http://"), plan)
+	if status != exitUnknown || !strings.Contains(errorOutput, "banksailctl status --plan ") {
+		t.Fatalf("status %d, errors %q", status, errorOutput)
+	}
+	status, output, _ := s.run("confirm", "--json", "--node", strings.TrimPrefix(cut.URL, "http://"), plan)
+	var problem operator.Problem
+	if err := json.Unmarshal([]byte(output), &problem); err != nil || status != exitUnknown || problem.AskAgain == "" {
+		t.Fatalf("status %d, output %q, %v", status, output, err)
+	}
+}
+
+func TestEveryCommandHasHelpWithAnExample(t *testing.T) {
+	s := newSession(t)
+	for _, name := range []string{"plan", "confirm", "status", "history", "explain", "nodes", "config"} {
+		_, output, _ := s.run("help", name)
+		if !strings.Contains(output, "Example:") || !strings.Contains(output, "banksailctl "+name) {
+			t.Errorf("help of %s: %q", name, output)
+		}
+	}
+}
+
+func read(t *testing.T, path string) string {
+	t.Helper()
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
+
+// cutHandler reads a request and closes the connection.
+type cutHandler struct{}
+
+func (cutHandler) ServeHTTP(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
--- /dev/null
+++ b/operator/service_test.go
@@ -0,0 +1,255 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/banksail/banksail/policy"
+	"github.com/banksail/banksail/rollout"
+	"github.com/banksail/banksail/store"
+)
+
+type fixedNodes []Node
+
+func (n fixedNodes) Nodes() []Node { return append([]Node{}, n...) }
+
+type fixedExplanations map[string]string
+
+func (e fixedExplanations) Explanation(id string) (json.RawMessage, bool) {
+	document, found := e[id]
+	return json.RawMessage(document), found
+}
+
+// harness is a node's operator API over a keeper and the store's twin.
+type harness struct {
+	store  *store.Memory
+	keeper *rollout.Keeper
+	server *httptest.Server
+	client *Client
+}
+
+func newHarness(t *testing.T) *harness {
+	t.Helper()
+	return newHarnessWithin(t, rollout.DefaultConfirmTimeout)
+}
+
+// newHarnessWithin bounds the time in which a confirmation tries.
+func newHarnessWithin(t *testing.T, confirm time.Duration) *harness {
+	t.Helper()
+	h := &harness{store: store.NewMemory(store.MemoryOptions{})}
+	h.keeper = rollout.NewKeeper(rollout.KeeperOptions{
+		Core:           rollout.CoreOptions{Self: "node-a"},
+		Store:          h.store,
+		Logger:         zerolog.Nop(),
+		ConfirmTimeout: confirm,
+	})
+	service := NewService(Options{
+		Self:           "node-a",
+		Configurations: h.keeper,
+		Nodes: fixedNodes{
+			{ID: "node-a", Zone: "z1", State: StateLive},
+			{ID: "node-b", Zone: "z2", State: StateLive, Revision: 1},
+			{ID: "node-c", Zone: "z2", State: StateLive},
+			{ID: "node-d", Zone: "z2", State: "leaving"},
+		},
+		Explanations: fixedExplanations{"r1": `{"request_id":"r1"}`},
+		Logger:       zerolog.Nop(),
+	})
+	h.server = httptest.NewServer(service.Handler())
+	t.Cleanup(h.server.Close)
+	h.client = NewClient(strings.TrimPrefix(h.server.URL, "http://"), DefaultClientTimeout)
+	return h
+}
+
+func classIntent(deadline policy.Milliseconds) policy.Intent {
+	class := policy.Class{Name: "urgent", Deadline: deadline, MinimumCoverage: 0.5}
+	return policy.Intent{Author: "ann", Changes: []policy.Change{{SetClass: &class}}}
+}
+
+func (h *harness) mustPlan(t *testing.T, deadline policy.Milliseconds) policy.Plan {
+	t.Helper()
+	plan, err := h.client.Plan(t.Context(), classIntent(deadline))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return plan
+}
+
+func wantProblem(t *testing.T, err error, kind string, status int) Problem {
+	t.Helper()
+	var answered *ProblemError
+	if !errors.As(err, &answered) {
+		t.Fatalf("got %v", err)
+	}
+	if answered.Problem.Type != problemType(kind) || answered.Problem.Status != status {
+		t.Fatalf("got %+v", answered.Problem)
+	}
+	return answered.Problem
+}
+
+func TestPlanConfirmAndRead(t *testing.T) {
+	h := newHarness(t)
+	ctx := t.Context()
+	_, err := h.client.Configuration(ctx)
+	wantProblem(t, err, TypeNoConfiguration, http.StatusNotFound)
+
+	plan := h.mustPlan(t, 100)
+	receipt, err := h.client.Confirm(ctx, plan)
+	if err != nil || receipt.Outcome != policy.OutcomeApplied || receipt.Revision != 1 {
+		t.Fatalf("got %+v, %v", receipt, err)
+	}
+	receipt, err = h.client.Confirm(ctx, plan)
+	if err != nil || !receipt.Repeated || receipt.Revision != 1 {
+		t.Fatalf("confirmed again: %+v, %v", receipt, err)
+	}
+	configuration, err := h.client.Configuration(ctx)
+	if err != nil || configuration.Revision != 1 || len(configuration.Config.Classes) != 1 {
+		t.Fatalf("got %+v, %v", configuration, err)
+	}
+	history, err := h.client.History(ctx)
+	if err != nil || len(history.Entries) != 1 || history.Entries[0].Author != "ann" {
+		t.Fatalf("got %+v, %v", history, err)
+	}
+	asked, err := h.client.Outcome(ctx, plan.ID, plan.BaseRevision)
+	if err != nil || asked.Outcome != policy.OutcomeApplied {
+		t.Fatalf("got %+v, %v", asked, err)
+	}
+	asked, err = h.client.Outcome(ctx, "another", 0)
+	if err != nil || asked.Outcome != policy.OutcomeNotApplied {
+		t.Fatalf("got %+v, %v", asked, err)
+	}
+}
+
+func TestStatusNamesTheNodesBehind(t *testing.T) {
+	h := newHarness(t)
+	if _, err := h.client.Confirm(t.Context(), h.mustPlan(t, 100)); err != nil {
+		t.Fatal(err)
+	}
+	status, err := h.client.Status(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if status.Revision != 1 || status.Live != 3 || status.InForce != 2 || strings.Join(status.Behind, ",") != "node-c" {
+		t.Fatalf("got %+v", status)
+	}
+}
+
+func TestConflictTellsWhatChangedInBetween(t *testing.T) {
+	h := newHarness(t)
+	first, second := h.mustPlan(t, 100), h.mustPlan(t, 200)
+	if _, err := h.client.Confirm(t.Context(), first); err != nil {
+		t.Fatal(err)
+	}
+	_, err := h.client.Confirm(t.Context(), second)
+	problem := wantProblem(t, err, TypeConflict, http.StatusConflict)
+	if problem.Conflict == nil || len(problem.Conflict.Between) != 1 || problem.Conflict.Between[0].PlanID != first.ID {
+		t.Fatalf("got %+v", problem)
+	}
+	if problem.Receipt == nil || problem.Receipt.Outcome != policy.OutcomeNotApplied {
+		t.Fatalf("got %+v", problem.Receipt)
+	}
+}
+
+func TestStoreOutage(t *testing.T) {
+	h := newHarnessWithin(t, time.Millisecond)
+	plan := h.mustPlan(t, 100)
+	h.store.SetFaults(store.MemoryFaults{Down: true})
+	_, err := h.client.Confirm(t.Context(), plan)
+	wantProblem(t, err, TypeStoreUnavailable, http.StatusServiceUnavailable)
+	_, err = h.client.Plan(t.Context(), classIntent(50))
+	wantProblem(t, err, TypeStoreUnavailable, http.StatusServiceUnavailable)
+}
+
+// unknownConfigurations confirm nothing and know nothing.
+type unknownConfigurations struct{ Configurations }
+
+func (unknownConfigurations) Confirm(_ context.Context, plan policy.Plan) (policy.Receipt, error) {
+	return policy.Receipt{PlanID: plan.ID, Outcome: policy.OutcomeUnknown}, rollout.ErrOutcomeUnknown
+}
+
+func TestUnknownOutcomeNamesTheCommandThatAsksAgain(t *testing.T) {
+	h := newHarness(t)
+	plan := h.mustPlan(t, 100)
+	server := httptest.NewServer(NewService(Options{Configurations: unknownConfigurations{}, Logger: zerolog.Nop()}).Handler())
+	defer server.Close()
+	_, err := NewClient(strings.TrimPrefix(server.URL, "http://"), DefaultClientTimeout).Confirm(t.Context(), plan)
+	problem := wantProblem(t, err, TypeOutcomeUnknown, http.StatusGatewayTimeout)
+	if problem.AskAgain != "banksailctl status --plan "+plan.ID+" --base 0" {
+		t.Fatalf("got %q", problem.AskAgain)
+	}
+}
+
+func TestBadRequestsNameTheField(t *testing.T) {
+	class := `{"name":"a","order":0,"longest_wait_ms":0,"deadline_ms":1,"minimum_coverage":0,"hedge_share":0,"headroom":0}`
+	cases := map[string]struct {
+		method, path, body string
+		status             int
+		field              string
+	}{
+		"unknown field":       {"POST", "/plans", `{"author":"a","changes":[{"set_klass":1}]}`, 400, "changes[0].set_klass"},
+		"missing field":       {"POST", "/plans", `{"author":"a","changes":[{"set_class":{"name":"a"}}]}`, 400, "changes[0].set_class.order"},
+		"wrong type":          {"POST", "/plans", `{"author":1,"changes":[]}`, 400, "author"},
+		"out of range":        {"POST", "/plans", strings.Replace(`{"author":"a","changes":[{"set_class":`+class+`}]}`, `"headroom":0`, `"headroom":2`, 1), 400, "changes[0].set_class.headroom"},
+		"no author":           {"POST", "/plans", `{"changes":[{"set_class":` + class + `}]}`, 400, "author"},
+		"no JSON":             {"POST", "/plans", `hello`, 400, ""},
+		"too large":           {"POST", "/plans", `"` + strings.Repeat("a", policy.MaximumIntentBytes) + `"`, 413, ""},
+		"plan without digest": {"POST", "/confirmations", `{}`, 400, "format"},
+		"base no number":      {"GET", "/plans/p?base=x", ``, 400, "base"},
+		"unknown request":     {"GET", "/explanations/r2", ``, 404, "request"},
+	}
+	h := newHarness(t)
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			request, err := http.NewRequestWithContext(t.Context(), test.method, h.server.URL+Root+test.path, strings.NewReader(test.body))
+			if err != nil {
+				t.Fatal(err)
+			}
+			request.Header.Set("Content-Type", "application/json")
+			response, err := http.DefaultClient.Do(request)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer response.Body.Close()
+			data, _ := io.ReadAll(response.Body)
+			var problem Problem
+			if err := json.Unmarshal(data, &problem); err != nil {
+				t.Fatalf("%s: %v", data, err)
+			}
+			if response.StatusCode != test.status || problem.Field != test.field || response.Header.Get("Content-Type") != ProblemContentType {
+				t.Fatalf("status %d, %s: %s", response.StatusCode, response.Header.Get("Content-Type"), data)
+			}
+		})
+	}
+}
+
+func TestExplanation(t *testing.T) {
+	h := newHarness(t)
+	document, err := h.client.Explanation(t.Context(), "r1")
+	if err != nil || !strings.Contains(string(document), `"r1"`) {
+		t.Fatalf("got %s, %v", document, err)
+	}
+}
+
+func TestClientTellsUnreachableFromNoAnswer(t *testing.T) {
+	h := newHarness(t)
+	plan := h.mustPlan(t, 100)
+	cut := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	defer cut.Close()
+	if _, err := NewClient(strings.TrimPrefix(cut.URL, "http://"), DefaultClientTimeout).Confirm(t.Context(), plan); !errors.Is(err, ErrNoAnswer) {
+		t.Fatalf("got %v", err)
+	}
+	closed := httptest.NewServer(http.NotFoundHandler())
+	closed.Close()
+	if _, err := NewClient(strings.TrimPrefix(closed.URL, "http://"), DefaultClientTimeout).Confirm(t.Context(), plan); !errors.Is(err, ErrUnreachable) {
+		t.Fatalf("got %v", err)
+	}
+}
