--- /dev/null
+++ b/lab/history/answers.go
@@ -0,0 +1,182 @@
+package history
+
+import (
+	"math"
+	"sort"
+
+	"github.com/banksail/banksail/coverage"
+)
+
+// coverageTolerance bounds the rounding of a reported coverage.
+const coverageTolerance = 1e-9
+
+// checkAnswers judges what callers were told of their requests.
+func (c *checker) checkAnswers() {
+	for _, answer := range c.history.Answers {
+		call, ok := c.calls[answer.Call]
+		if !ok {
+			continue
+		}
+		switch {
+		case answer.Kind == AnswerResult:
+			c.checkSnapshot(call, answer)
+			c.checkCoverage(call, answer)
+			c.checkOwnership(call, answer)
+		case answer.Kind == AnswerRefusal && answer.Execution == ExecutionNotRun:
+			c.checkNotRun(call)
+		}
+	}
+}
+
+// executionOf finds the execution that a part comes from: one of the same
+// request and range at the server that the body names, on the answer's snapshot
+// if there is such a one.
+func (c *checker) executionOf(part Part, snapshot uint64) (found Attempt, ok bool) {
+	for _, attempt := range c.byRequest[part.RequestID] {
+		if !attempt.Executed || attempt.Server != part.Server || !attempt.Range.Contains(part.Range) {
+			continue
+		}
+		if attempt.Snapshot == snapshot {
+			return attempt, true
+		}
+		found, ok = attempt, true
+	}
+	return found, ok
+}
+
+func (c *checker) checkSnapshot(call Call, answer Answer) {
+	c.judged(OneSnapshot)
+	for _, part := range answer.Parts {
+		if part.Snapshot != 0 && part.Snapshot != answer.Snapshot {
+			c.violate(OneSnapshot, call.subject(), "answer says snapshot %d, the content of part %v by %s is of snapshot %d",
+				answer.Snapshot, part.Range, part.Server, part.Snapshot)
+		}
+		execution, ok := c.executionOf(part, answer.Snapshot)
+		if ok && execution.Snapshot != answer.Snapshot {
+			c.violate(OneSnapshot, call.subject(), "answer says snapshot %d, the part %v by %s at %s ran on snapshot %d",
+				answer.Snapshot, part.Range, execution.AttemptID, execution.Server, execution.Snapshot)
+		}
+	}
+}
+
+// checkCoverage compares the reported coverage with the ranges that were really
+// executed, counting no key twice.
+func (c *checker) checkCoverage(call Call, answer Answer) {
+	keySpace, ok := c.keySpace(call.Service)
+	if !ok {
+		return
+	}
+	c.judged(TrueCoverage)
+	var executed []coverage.Range
+	for _, part := range answer.Parts {
+		if _, ok := c.executionOf(part, answer.Snapshot); !ok {
+			c.violate(TrueCoverage, call.subject(), "no server ran %v for request %q, which the part by %q claims",
+				part.Range, part.RequestID, part.Server)
+			continue
+		}
+		if shared, ok := part.Range.Intersect(keySpace); ok {
+			executed = append(executed, shared)
+		}
+	}
+	trueCoverage := float64(unionSize(executed)) / float64(keySpace.Size())
+	if math.Abs(trueCoverage-answer.Coverage) > coverageTolerance {
+		c.violate(TrueCoverage, call.subject(), "reported coverage %v, true coverage %v", answer.Coverage, trueCoverage)
+	}
+	if answer.Complete != (trueCoverage == 1) {
+		c.violate(TrueCoverage, call.subject(), "reported complete=%v at a true coverage of %v", answer.Complete, trueCoverage)
+	}
+	if missing := unionSize(answer.Missing); missing+unionSize(executed) != keySpace.Size() {
+		c.violate(TrueCoverage, call.subject(), "missing ranges hold %d keys, executed ones %d, of %d",
+			missing, unionSize(executed), keySpace.Size())
+	}
+	if trueCoverage+coverageTolerance < call.MinimumCoverage {
+		c.violate(TrueCoverage, call.subject(), "a result of coverage %v where the caller accepts %v", trueCoverage, call.MinimumCoverage)
+	}
+}
+
+func (c *checker) checkOwnership(call Call, answer Answer) {
+	c.judged(OwnAnswer)
+	if answer.RequestID != call.RequestID {
+		c.violate(OwnAnswer, call.subject(), "the answer is to request %q", answer.RequestID)
+	}
+	if answer.Coverage > 0 && len(answer.Parts) == 0 {
+		c.violate(OwnAnswer, call.subject(), "coverage %v without a part", answer.Coverage)
+	}
+	for _, part := range answer.Parts {
+		if part.RequestID != call.RequestID {
+			c.violate(OwnAnswer, call.subject(), "the part %v by %s answers request %q", part.Range, part.Server, part.RequestID)
+		}
+		if !part.Whole {
+			c.violate(OwnAnswer, call.subject(), "the part %v by %s does not hold what the range holds", part.Range, part.Server)
+		}
+	}
+}
+
+func (c *checker) checkNotRun(call Call) {
+	c.judged(NotRun)
+	for _, attempt := range c.byRequest[call.RequestID] {
+		if attempt.Executed {
+			c.violate(NotRun, call.subject(), "answered not run, yet %s ran attempt %s for %v (arrived at %v)",
+				attempt.Server, attempt.AttemptID, attempt.Range, attempt.ArrivedAt)
+		}
+	}
+}
+
+// checkExecutions judges that requests which are not repeatable ran once.
+func (c *checker) checkExecutions() {
+	seen := make(map[string]bool)
+	for _, call := range c.history.Calls {
+		if call.Repeatable || seen[call.RequestID] {
+			continue
+		}
+		seen[call.RequestID] = true
+		executed := executedOnly(c.byRequest[call.RequestID])
+		if len(executed) == 0 {
+			continue
+		}
+		c.judged(AtMostOnce)
+		for i, one := range executed {
+			for _, other := range executed[:i] {
+				if shared, overlap := one.Range.Intersect(other.Range); overlap {
+					c.violate(AtMostOnce, call.subject(), "%v ran twice: attempt %s at %s and attempt %s at %s",
+						shared, other.AttemptID, other.Server, one.AttemptID, one.Server)
+				}
+			}
+		}
+	}
+}
+
+func executedOnly(attempts []Attempt) []Attempt {
+	var executed []Attempt
+	for _, attempt := range attempts {
+		if attempt.Executed {
+			executed = append(executed, attempt)
+		}
+	}
+	return executed
+}
+
+func (c *checker) keySpace(service string) (coverage.Range, bool) {
+	for _, keySpace := range c.history.KeySpaces {
+		if keySpace.Service == service {
+			return keySpace.Range, true
+		}
+	}
+	return coverage.Range{}, false
+}
+
+// unionSize counts the keys in the union of ranges. It stands apart from the
+// coverage package's union, which it judges.
+func unionSize(ranges []coverage.Range) uint64 {
+	sorted := append([]coverage.Range(nil), ranges...)
+	sort.Slice(sorted, func(i, j int) bool { return sorted[i].Start < sorted[j].Start })
+	var size, reached uint64
+	for _, next := range sorted {
+		start := max(next.Start, reached)
+		if next.End > start {
+			size += next.End - start
+			reached = next.End
+		}
+	}
+	return size
+}
--- /dev/null
+++ b/lab/history/checker_test.go
@@ -0,0 +1,202 @@
+package history
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/banksail/banksail/coverage"
+)
+
+const second = time.Second
+
+// sound returns a history that breaches nothing and in which each invariant has
+// something to judge.
+func sound() *History {
+	low, high := coverage.Range{Start: 0, End: 50}, coverage.Range{Start: 50, End: 100}
+	return &History{
+		KeySpaces: []KeySpace{{Service: "search", Range: coverage.Range{Start: 0, End: 100}}},
+		Calls: []Call{
+			{ID: 1, RequestID: "r1", Node: "n1", Service: "search", Repeatable: true, Deadline: second, At: 1 * second},
+			{ID: 2, RequestID: "r2", Node: "n1", Service: "search", Deadline: second, At: 2 * second},
+			{ID: 3, RequestID: "r3", Node: "n1", Service: "search", Deadline: second, At: 3 * second},
+			{ID: 4, RequestID: "r4", Node: "n2", Service: "search", Repeatable: true, Deadline: second, At: 9900 * time.Millisecond},
+			{ID: 5, RequestID: "r5", Node: "n1", Service: "search", Repeatable: true, Deadline: second, At: 25 * second},
+		},
+		Answers: []Answer{
+			result(1, "r1", 1100*time.Millisecond, part(low, "r1"), part(high, "r1")),
+			result(2, "r2", 2100*time.Millisecond, part(low, "r2"), part(high, "r2")),
+			{Call: 3, At: 3 * second, Kind: AnswerRefusal, Execution: ExecutionNotRun, RequestID: "r3"},
+			result(4, "r4", 10200*time.Millisecond, part(low, "r4"), part(high, "r4")),
+			result(5, "r5", 25500*time.Millisecond, part(low, "r5"), part(high, "r5")),
+		},
+		Attempts: []Attempt{
+			ran("a1", "r1", low, 1*second), ran("a2", "r1", high, 1*second),
+			ran("a3", "r2", low, 2*second), ran("a4", "r2", high, 2*second),
+			ran("a5", "r4", low, 10*second), ran("a6", "r4", high, 10*second),
+			ran("a7", "r5", low, 25*second), ran("a8", "r5", high, 25*second),
+		},
+		Accepted: []Accepted{{Revision: 1, Digest: "x", PlanID: "p1"}, {Revision: 2, Digest: "y", PlanID: "p2", At: 5 * second}},
+		InForce: []InForce{
+			{Node: "n1", Revision: 1, Digest: "x"}, {Node: "n1", Revision: 2, Digest: "y", At: 6 * second},
+			{Node: "n2", Revision: 1, Digest: "x"}, {Node: "n2", Revision: 2, Digest: "y", At: 7 * second},
+		},
+		Confirmations: []Confirmation{
+			{Operator: "o1", PlanID: "p2", Result: ConfirmationApplied, Revision: 2, At: 5 * second},
+			{Operator: "o2", PlanID: "p3", Result: ConfirmationConflict, At: 5 * second},
+		},
+		Leaving:   []ServerLeaving{{Server: "s9", At: 4 * second}},
+		Runs:      []NodeRun{{Node: "n1"}, {Node: "n2", StopAsked: 10 * second, End: 11 * second}},
+		FaultsEnd: 12 * second,
+		End:       30 * second,
+	}
+}
+
+func result(call CallID, requestID string, at time.Duration, parts ...Part) Answer {
+	return Answer{Call: call, At: at, Kind: AnswerResult, Execution: ExecutionDone, RequestID: requestID,
+		Snapshot: 7, Coverage: 1, Complete: true, Parts: parts}
+}
+
+func part(keys coverage.Range, request string) Part {
+	return Part{Range: keys, Server: "s1", RequestID: request, Snapshot: 7, Whole: true}
+}
+
+func ran(attempt, request string, part coverage.Range, at time.Duration) Attempt {
+	return Attempt{Server: "s1", AttemptID: attempt, RequestID: request, Service: "search",
+		Snapshot: 7, Range: part, SentAt: at, ArrivedAt: at, Executed: true}
+}
+
+func TestSoundHistoryPassesAndIsJudged(t *testing.T) {
+	report := Check(sound(), DefaultOptions())
+	for _, violation := range report.Violations {
+		t.Error(violation)
+	}
+	for _, invariant := range Invariants() {
+		if report.Judged[invariant] == 0 {
+			t.Errorf("%s: nothing was judged", invariant)
+		}
+	}
+}
+
+func TestCheckerCatches(t *testing.T) {
+	tests := []struct {
+		name      string
+		invariant Invariant
+		corrupt   func(h *History)
+		// subject must occur in the violation.
+		subject string
+	}{
+		{"a part from another snapshot", OneSnapshot, func(h *History) { h.Attempts[1].Snapshot = 6 }, "r1"},
+		{"content from another snapshot", OneSnapshot, func(h *History) { h.Answers[0].Parts[1].Snapshot = 6 }, "r1"},
+		{"inflated coverage", TrueCoverage, func(h *History) { h.Answers[0].Parts = h.Answers[0].Parts[:1] }, "r1"},
+		{"partial answer that says complete", TrueCoverage, func(h *History) {
+			h.Answers[0].Parts = h.Answers[0].Parts[:1]
+			h.Answers[0].Coverage = 0.5
+			h.Answers[0].Missing = []coverage.Range{{Start: 50, End: 100}}
+		}, "r1"},
+		{"missing ranges left out", TrueCoverage, func(h *History) {
+			h.Answers[0].Parts = h.Answers[0].Parts[:1]
+			h.Answers[0].Coverage, h.Answers[0].Complete = 0.5, false
+		}, "r1"},
+		{"the same keys counted twice", TrueCoverage, func(h *History) {
+			h.Answers[0].Parts[1] = h.Answers[0].Parts[0]
+		}, "r1"},
+		{"part wider than what ran", TrueCoverage, func(h *History) { h.Attempts[0].Range.End = 40 }, "r1"},
+		{"part that nobody ran", TrueCoverage, func(h *History) { h.Attempts[0].Executed = false }, "r1"},
+		{"coverage below the caller's minimum", TrueCoverage, func(h *History) {
+			h.Calls[0].MinimumCoverage = 0.8
+			h.Answers[0].Parts = h.Answers[0].Parts[:1]
+			h.Answers[0].Coverage, h.Answers[0].Complete = 0.5, false
+			h.Answers[0].Missing = []coverage.Range{{Start: 50, End: 100}}
+		}, "r1"},
+		{"another's answer", OwnAnswer, func(h *History) { h.Answers[0].RequestID = "r2" }, "r1"},
+		{"another's part", OwnAnswer, func(h *History) { h.Answers[0].Parts[0].RequestID = "r2" }, "r1"},
+		{"a part that is not whole", OwnAnswer, func(h *History) { h.Answers[0].Parts[0].Whole = false }, "r1"},
+		{"not run, but ran", NotRun, func(h *History) { h.Attempts[0].RequestID = "r3" }, "r3"},
+		{"not run, but ran later", NotRun, func(h *History) {
+			h.Attempts = append(h.Attempts, ran("a9", "r3", coverage.Range{Start: 0, End: 50}, 9*second))
+		}, "r3"},
+		{"ran twice", AtMostOnce, func(h *History) {
+			h.Attempts = append(h.Attempts, ran("a9", "r2", coverage.Range{Start: 0, End: 50}, 2*second))
+		}, "r2"},
+		{"the same attempt delivered twice", AtMostOnce, func(h *History) { h.Attempts = append(h.Attempts, h.Attempts[2]) }, "r2"},
+		{"work to a leaving server", LeavingServer, func(h *History) { h.Leaving[0].Server = "s1" }, "s1"},
+		{"connection cut by a planned stop", PlannedStop, func(h *History) {
+			h.Answers[3] = Answer{Call: 4, At: 10200 * time.Millisecond, Kind: AnswerBroken}
+		}, "r4"},
+		{"execution cut by a planned stop", PlannedStop, func(h *History) {
+			h.Answers[3] = Answer{Call: 4, At: 10200 * time.Millisecond, Kind: AnswerRefusal, Execution: ExecutionUnknown, Reason: "stopping"}
+		}, "r4"},
+		{"revision never in force", Configuration, func(h *History) { h.InForce = h.InForce[:3] }, "n2"},
+		{"revision in force too late", Configuration, func(h *History) {
+			h.Runs[1].StopAsked, h.Runs[1].End = 0, 0
+			h.InForce[3].At = 16 * second
+		}, "n2"},
+		{"revision reverted", Configuration, func(h *History) {
+			h.InForce = append(h.InForce, InForce{Node: "n1", Revision: 1, Digest: "x", At: 8 * second})
+		}, "n1"},
+		{"configuration that nobody accepted", Configuration, func(h *History) { h.InForce[1].Digest = "z" }, "n1"},
+		{"lost confirmation", Configuration, func(h *History) { h.Confirmations[0].PlanID = "p9" }, "p9"},
+		{"conflict told for an accepted plan", Configuration, func(h *History) { h.Confirmations[1].PlanID = "p2" }, "o2"},
+		{"plan applied twice", Configuration, func(h *History) { h.Accepted[0].PlanID = "p2" }, "p2"},
+		{"no answer", OneFinalAnswer, func(h *History) { h.Answers = h.Answers[1:] }, "r1"},
+		{"two answers", OneFinalAnswer, func(h *History) { h.Answers = append(h.Answers, h.Answers[0]) }, "r1"},
+		{"late answer", OneFinalAnswer, func(h *History) { h.Answers[0].At = 3 * second }, "r1"},
+		{"broken connection to a sound node", OneFinalAnswer, func(h *History) { h.Answers[0].Kind = AnswerBroken }, "r1"},
+		{"refusal long after the faults", Recovery, func(h *History) {
+			h.Answers[4] = Answer{Call: 5, At: 25 * second, Kind: AnswerRefusal, Execution: ExecutionUnknown}
+		}, "r5"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			history := sound()
+			if test.name == "revision never in force" {
+				history.Runs[1].StopAsked, history.Runs[1].End = 0, 0
+			}
+			test.corrupt(history)
+			report := Check(history, DefaultOptions())
+			for _, violation := range report.Violations {
+				if violation.Invariant == test.invariant && strings.Contains(violation.Subject, test.subject) {
+					return
+				}
+			}
+			t.Fatalf("not caught; violations: %v", report.Violations)
+		})
+	}
+}
+
+func TestCheckerExcuses(t *testing.T) {
+	unanswered := func(h *History) { h.Answers = h.Answers[1:] }
+	tests := []struct {
+		name  string
+		alter func(h *History)
+	}{
+		{"node killed before the deadline", func(h *History) {
+			unanswered(h)
+			h.Runs[0].Killed, h.Runs[0].End = true, 1500*time.Millisecond
+			h.Runs = append(h.Runs, NodeRun{Node: "n1", Start: 1600 * time.Millisecond})
+			h.InForce = append(h.InForce, InForce{Node: "n1", Revision: 2, Digest: "y", At: 8 * second})
+		}},
+		{"node cut off", func(h *History) {
+			unanswered(h)
+			h.Disturbances = []Disturbance{{Kind: "cut", Host: "n1", From: 500 * time.Millisecond, To: 1200 * time.Millisecond}}
+		}},
+		{"work that was sent within the grace", func(h *History) {
+			h.Leaving[0].Server = "s1"
+			h.Leaving[0].At = 23 * second
+		}},
+		{"server that came back", func(h *History) {
+			h.Leaving[0].Server = "s1"
+			h.Leaving[0].Until = 10 * second
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			history := sound()
+			test.alter(history)
+			for _, violation := range Check(history, DefaultOptions()).Violations {
+				t.Error(violation)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/lab/history/system.go
@@ -0,0 +1,247 @@
+package history
+
+import (
+	"fmt"
+	"time"
+)
+
+// checkLeaving judges that leaving servers get no new work after the grace.
+func (c *checker) checkLeaving() {
+	for _, leaving := range c.history.Leaving {
+		limit := leaving.At + c.options.LeavingGrace
+		if c.history.End < limit || (leaving.Until != 0 && leaving.Until < limit) {
+			continue
+		}
+		c.judged(LeavingServer)
+		for _, attempt := range c.history.Attempts {
+			if attempt.Server != leaving.Server || attempt.SentAt <= limit {
+				continue
+			}
+			if leaving.Until != 0 && attempt.ArrivedAt >= leaving.Until {
+				continue
+			}
+			c.violate(LeavingServer, "server "+leaving.Server, "began to leave at %v; attempt %s of request %s was sent at %v and arrived at %v",
+				leaving.At, attempt.AttemptID, attempt.RequestID, attempt.SentAt, attempt.ArrivedAt)
+		}
+	}
+}
+
+// checkPlannedStops judges that calls in flight at a planned stop are answered.
+func (c *checker) checkPlannedStops() {
+	for _, run := range c.history.Runs {
+		if run.StopAsked == 0 || run.Killed {
+			continue
+		}
+		for _, call := range c.history.Calls {
+			if c.inFlight(call, run) {
+				c.checkCallInStop(call, run)
+			}
+		}
+	}
+}
+
+// inFlight reports whether the node had the call when its stop was asked for.
+func (c *checker) inFlight(call Call, run NodeRun) bool {
+	if call.Abandoned || call.Node != run.Node || call.At < run.Start || call.At+c.options.InFlightMargin > run.StopAsked {
+		return false
+	}
+	for _, answer := range c.answers[call.ID] {
+		if answer.At < run.StopAsked {
+			return false
+		}
+	}
+	return !c.disturbed(call.At, call.At+call.Deadline, call.Node)
+}
+
+func (c *checker) checkCallInStop(call Call, run NodeRun) {
+	c.judged(PlannedStop)
+	for _, answer := range c.answers[call.ID] {
+		cut := answer.Kind == AnswerBroken || answer.Kind == AnswerUnreachable
+		if cut {
+			c.violate(PlannedStop, call.subject(), "in flight when the stop was asked for at %v; its connection ended at %v: %s",
+				run.StopAsked, answer.At, answer.Detail)
+		}
+		if answer.Reason == "stopping" && answer.Execution != ExecutionNotRun {
+			c.violate(PlannedStop, call.subject(), "cut by the stop at %v: execution %s", run.StopAsked, answer.Execution)
+		}
+	}
+}
+
+// checkConfigurations judges what each run of each node had in force.
+func (c *checker) checkConfigurations() {
+	for _, run := range c.history.Runs {
+		inForce := c.inForceDuring(run)
+		c.checkOrder(run, inForce)
+		for _, accepted := range c.history.Accepted {
+			c.checkSpread(run, accepted, inForce)
+		}
+	}
+}
+
+func (c *checker) inForceDuring(run NodeRun) []InForce {
+	var inForce []InForce
+	for _, entry := range c.history.InForce {
+		if entry.Node == run.Node && entry.At >= run.Start && (run.End == 0 || entry.At <= run.End) {
+			inForce = append(inForce, entry)
+		}
+	}
+	return inForce
+}
+
+// checkOrder judges that a node only took accepted revisions, each higher than
+// the one before.
+func (c *checker) checkOrder(run NodeRun, inForce []InForce) {
+	var last uint64
+	for _, entry := range inForce {
+		c.judged(Configuration)
+		if entry.Revision < last {
+			c.violate(Configuration, "node "+run.Node, "reverted from revision %d to %d at %v", last, entry.Revision, entry.At)
+		}
+		last = max(last, entry.Revision)
+		if !c.wasAccepted(entry) {
+			c.violate(Configuration, "node "+run.Node, "put revision %d (%s) in force at %v, which was not accepted", entry.Revision, entry.Digest, entry.At)
+		}
+	}
+}
+
+func (c *checker) wasAccepted(entry InForce) bool {
+	for _, accepted := range c.history.Accepted {
+		if accepted.Revision == entry.Revision && (entry.Digest == "" || accepted.Digest == entry.Digest) {
+			return true
+		}
+	}
+	return false
+}
+
+// checkSpread judges that the run had the accepted revision, or a later one, in
+// force within the bound, and never a lower one afterwards.
+func (c *checker) checkSpread(run NodeRun, accepted Accepted, inForce []InForce) {
+	start := max(accepted.At, run.Start)
+	limit := c.undisturbedAfter(run.Node, start) + c.options.ConfigurationBound
+	if limit > c.history.End || (run.End != 0 && run.End < limit) || (run.StopAsked != 0 && run.StopAsked < limit) {
+		return
+	}
+	c.judged(Configuration)
+	var reached uint64
+	for _, entry := range inForce {
+		if entry.At <= limit {
+			reached = max(reached, entry.Revision)
+		}
+	}
+	if reached < accepted.Revision {
+		c.violate(Configuration, "node "+run.Node, "revision %d was accepted at %v; at %v the node (started at %v) had revision %d in force",
+			accepted.Revision, accepted.At, limit, run.Start, reached)
+	}
+}
+
+// undisturbedAfter returns the earliest time from start on from which the node
+// stays undisturbed for the configuration bound.
+func (c *checker) undisturbedAfter(node string, start time.Duration) time.Duration {
+	for moved := true; moved; {
+		moved = false
+		for _, disturbance := range c.history.Disturbances {
+			concerned := disturbance.Host == node || disturbance.Host == ""
+			overlaps := disturbance.From <= start+c.options.ConfigurationBound && disturbance.To > start
+			if concerned && overlaps {
+				start = disturbance.To
+				moved = true
+			}
+		}
+	}
+	return start
+}
+
+// checkConfirmations judges what operators were told against what was accepted.
+func (c *checker) checkConfirmations() {
+	acceptances := make(map[string][]Accepted)
+	for _, accepted := range c.history.Accepted {
+		if accepted.PlanID != "" {
+			acceptances[accepted.PlanID] = append(acceptances[accepted.PlanID], accepted)
+		}
+	}
+	for _, confirmation := range c.history.Confirmations {
+		c.judged(Configuration)
+		accepted := acceptances[confirmation.PlanID]
+		subject := fmt.Sprintf("plan %s of %s", confirmation.PlanID, confirmation.Operator)
+		switch confirmation.Result {
+		case ConfirmationApplied:
+			if len(accepted) == 0 || accepted[0].Revision != confirmation.Revision {
+				c.violate(Configuration, subject, "told applied as revision %d; the store accepted %v", confirmation.Revision, accepted)
+			}
+		case ConfirmationConflict, ConfirmationFailed:
+			if len(accepted) != 0 {
+				c.violate(Configuration, subject, "told %s; the store accepted %v", confirmation.Result, accepted)
+			}
+		}
+		if len(accepted) > 1 {
+			c.violate(Configuration, subject, "was applied %d times: %v", len(accepted), accepted)
+		}
+	}
+}
+
+// checkLiveness judges that each call was answered once, by its deadline.
+func (c *checker) checkLiveness() {
+	for _, call := range c.history.Calls {
+		limit := call.At + call.Deadline + c.options.AnswerAllowance
+		if limit > c.history.End {
+			continue
+		}
+		answers := c.answers[call.ID]
+		if len(answers) > 1 {
+			c.violate(OneFinalAnswer, call.subject(), "got %d answers", len(answers))
+		}
+		if call.Abandoned || c.excused(call, limit) {
+			continue
+		}
+		c.judged(OneFinalAnswer)
+		if len(answers) == 0 {
+			c.violate(OneFinalAnswer, call.subject(), "sent at %v, no answer by %v", call.At, limit)
+			continue
+		}
+		answer := answers[0]
+		if answer.At > limit {
+			c.violate(OneFinalAnswer, call.subject(), "deadline %v after %v; answered at %v", call.Deadline, call.At, answer.At)
+		}
+		if answer.Kind == AnswerBroken || answer.Kind == AnswerUnreachable {
+			c.violate(OneFinalAnswer, call.subject(), "sent at %v to a running node, %s at %v: %s", call.At, answer.Kind, answer.At, answer.Detail)
+		}
+	}
+}
+
+// excused reports whether the node could not be expected to answer: it was not
+// running all the while, was stopping already, or was cut off or frozen.
+func (c *checker) excused(call Call, limit time.Duration) bool {
+	run, ok := c.ranAt(call.Node, call.At)
+	if !ok || c.disturbed(call.At, limit, call.Node) {
+		return true
+	}
+	if run.Killed && run.End <= limit {
+		return true
+	}
+	return run.StopAsked != 0 && call.At+c.options.InFlightMargin > run.StopAsked
+}
+
+// checkRecovery judges calls that were sent once the recovery bound had passed:
+// a repeatable one must get a complete result.
+func (c *checker) checkRecovery() {
+	whole := c.history.FaultsEnd + c.options.RecoveryBound
+	for _, call := range c.history.Calls {
+		if call.At < whole || call.Abandoned || !call.Repeatable || call.At+call.Deadline+c.options.AnswerAllowance > c.history.End {
+			continue
+		}
+		run, ok := c.ranAt(call.Node, call.At)
+		if !ok || run.StopAsked != 0 {
+			continue
+		}
+		c.judged(Recovery)
+		answers := c.answers[call.ID]
+		if len(answers) == 0 {
+			c.violate(Recovery, call.subject(), "sent %v after the last fault, no answer", call.At-c.history.FaultsEnd)
+			continue
+		}
+		if answer := answers[0]; answer.Kind != AnswerResult || !answer.Complete {
+			c.violate(Recovery, call.subject(), "sent %v after the last fault, got %s (%s, %s) with coverage %v",
+				call.At-c.history.FaultsEnd, answer.Kind, answer.Execution, answer.Reason, answer.Coverage)
+		}
+	}
+}
--- /dev/null
+++ b/lab/network/network_test.go
@@ -0,0 +1,247 @@
+package network
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+const (
+	hostA = "10.0.0.1"
+	hostB = "10.0.0.2"
+)
+
+// pair opens a connection from A to B and returns both ends.
+func pair(t *testing.T, n *Network) (near, far net.Conn) {
+	t.Helper()
+	a, errA := n.Start(hostA)
+	b, errB := n.Start(hostB)
+	if errA != nil || errB != nil {
+		t.Fatal(errA, errB)
+	}
+	l, err := b.Listen(hostB + ":80")
+	if err != nil {
+		t.Fatal(err)
+	}
+	near, err = a.DialContext(t.Context(), "tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	far, err = l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return near, far
+}
+
+func readOne(c net.Conn, wait time.Duration) (string, error) {
+	c.SetReadDeadline(time.Now().Add(wait))
+	buffer := make([]byte, 64)
+	count, err := c.Read(buffer)
+	return string(buffer[:count]), err
+}
+
+func TestConnectionUnderFaults(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault func(n *Network)
+		mend  func(n *Network)
+		// during and after are the errors of B's read while the fault lasts and
+		// after its end; nil means that the data arrived.
+		during, after error
+	}{
+		{name: "no fault", fault: func(*Network) {}},
+		{name: "way there cut, then healed", during: os.ErrDeadlineExceeded,
+			fault: func(n *Network) { n.Cut(hostA, hostB) }, mend: func(n *Network) { n.Heal(hostA, hostB) }},
+		{name: "way back cut", fault: func(n *Network) { n.Cut(hostB, hostA) }},
+		{name: "slow link", during: os.ErrDeadlineExceeded,
+			fault: func(n *Network) { n.Slow(hostA, hostB, 5*time.Second) }, mend: func(*Network) {}},
+		{name: "sender killed", during: syscall.ECONNRESET, after: syscall.ECONNRESET,
+			fault: func(n *Network) { n.Kill(hostA, KillReset) }, mend: func(*Network) {}},
+		{name: "sender vanished", during: os.ErrDeadlineExceeded, after: os.ErrDeadlineExceeded,
+			fault: func(n *Network) { n.Kill(hostA, KillVanish) }, mend: func(*Network) {}},
+		{name: "reset between", during: syscall.ECONNRESET, after: syscall.ECONNRESET,
+			fault: func(n *Network) { n.Reset(hostB, hostA) }, mend: func(*Network) {}},
+		{name: "sender frozen, then thawed", during: os.ErrDeadlineExceeded,
+			fault: func(n *Network) { n.Freeze(hostA) }, mend: func(n *Network) { n.Thaw(hostA) }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := New(Options{Seed: 1})
+				near, far := pair(t, n)
+				test.fault(n)
+				go near.Write([]byte("hello"))
+				_, err := readOne(far, time.Second)
+				if !errors.Is(err, test.during) {
+					t.Fatalf("during the fault: %v, want %v", err, test.during)
+				}
+				if test.mend != nil {
+					test.mend(n)
+					if _, err := readOne(far, 10*time.Second); !errors.Is(err, test.after) {
+						t.Fatalf("after the fault: %v, want %v", err, test.after)
+					}
+				}
+				near.Close()
+				far.Close()
+			})
+		})
+	}
+}
+
+func TestFrozenReaderNoticesDeadlineOnlyAfterThaw(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := New(Options{})
+		_, far := pair(t, n)
+		n.Freeze(hostB)
+		start := time.Now()
+		time.AfterFunc(3*time.Second, func() { n.Thaw(hostB) })
+		_, err := readOne(far, time.Second)
+		if !errors.Is(err, os.ErrDeadlineExceeded) || time.Since(start) != 3*time.Second {
+			t.Fatalf("read ended with %v after %v", err, time.Since(start))
+		}
+	})
+}
+
+func TestWriteAfterPeerClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := New(Options{})
+		near, far := pair(t, n)
+		far.Close()
+		if _, err := near.Write([]byte("x")); err != nil {
+			t.Fatalf("the end has not arrived yet: %v", err)
+		}
+		time.Sleep(time.Second)
+		if _, err := near.Write([]byte("x")); !errors.Is(err, syscall.EPIPE) {
+			t.Fatalf("the end has arrived: %v", err)
+		}
+		if _, err := near.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+			t.Fatalf("read: %v", err)
+		}
+	})
+}
+
+func TestFullBufferBlocksWriter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := New(Options{})
+		near, far := pair(t, n)
+		data := bytes.Repeat([]byte("x"), 3*bufferLimit)
+		near.SetWriteDeadline(time.Now().Add(time.Second))
+		count, err := near.Write(data)
+		if count != bufferLimit || !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Fatalf("wrote %d, %v", count, err)
+		}
+		near.SetWriteDeadline(time.Time{})
+		go func() {
+			near.Write(data[count:])
+			near.Close()
+		}()
+		got, err := io.ReadAll(far)
+		if err != nil || len(got) != len(data) {
+			t.Fatalf("read %d, %v", len(got), err)
+		}
+	})
+}
+
+func TestDial(t *testing.T) {
+	tests := []struct {
+		name   string
+		before func(n *Network)
+		later  func(n *Network)
+		err    error
+	}{
+		{name: "nobody listens", before: func(n *Network) { n.Start(hostB) }, err: syscall.ECONNREFUSED},
+		{name: "no process", before: func(*Network) {}, err: syscall.ECONNREFUSED},
+		{name: "vanished", before: func(n *Network) { n.Start(hostB); n.Kill(hostB, KillVanish) }, err: os.ErrDeadlineExceeded},
+		{name: "cut back", before: func(n *Network) { listenB(n); n.Cut(hostB, hostA) }, err: os.ErrDeadlineExceeded},
+		{name: "cut there, healed", before: func(n *Network) { listenB(n); n.Cut(hostA, hostB) },
+			later: func(n *Network) { n.Heal(hostA, hostB) }},
+		{name: "frozen host still completes the handshake", before: func(n *Network) { listenB(n); n.Freeze(hostB) }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := New(Options{})
+				a, _ := n.Start(hostA)
+				test.before(n)
+				if test.later != nil {
+					time.AfterFunc(time.Second, func() { test.later(n) })
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				defer cancel()
+				_, err := a.DialContext(ctx, "tcp", hostB+":80")
+				if !errors.Is(err, test.err) {
+					t.Fatalf("got %v, want %v", err, test.err)
+				}
+			})
+		})
+	}
+}
+
+func listenB(n *Network) {
+	b, _ := n.Start(hostB)
+	b.Listen(hostB + ":80")
+}
+
+func TestKilledProcessSendsNothingAndHostStartsAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := New(Options{})
+		old, _ := n.Start(hostA)
+		if _, err := n.Start(hostA); !errors.Is(err, ErrRunning) {
+			t.Fatalf("second start: %v", err)
+		}
+		old.Listen(":80")
+		n.Kill(hostA, KillReset)
+		if _, err := old.Listen(":81"); !errors.Is(err, ErrDead) {
+			t.Fatalf("listen: %v", err)
+		}
+		if _, err := old.DialContext(t.Context(), "tcp", hostB+":80"); !errors.Is(err, ErrDead) {
+			t.Fatalf("dial: %v", err)
+		}
+		fresh, err := n.Start(hostA)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := fresh.Listen(":80"); err != nil {
+			t.Fatalf("listen anew: %v", err)
+		}
+	})
+}
+
+func TestHTTPOverTheNetwork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := New(Options{Seed: 7})
+		a, _ := n.Start(hostA)
+		b, _ := n.Start(hostB)
+		l, _ := b.Listen(":8080")
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			io.Copy(w, r.Body)
+		})}
+		go server.Serve(l)
+		transport := &http.Transport{DialContext: a.DialContext}
+		client := &http.Client{Transport: transport}
+		for range 3 {
+			response, err := client.Post("http://"+hostB+":8080/", "text/plain", bytes.NewBufferString("echo"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			body, _ := io.ReadAll(response.Body)
+			response.Body.Close()
+			if string(body) != "echo" {
+				t.Fatalf("got %q", body)
+			}
+		}
+		transport.CloseIdleConnections()
+		if err := server.Shutdown(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- /dev/null
+++ b/lab/network/process.go
@@ -0,0 +1,263 @@
+package network
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"strconv"
+	"syscall"
+	"time"
+)
+
+const (
+	firstEphemeralPort = 49152
+	// backlog bounds the connections that wait to be accepted.
+	backlog = 1024
+)
+
+// Process is one run of a program on a host. It implements node.Network.
+type Process struct {
+	network *Network
+	host    *host
+	// killed and listeners are guarded by the network's mutex.
+	killed    bool
+	listeners map[int]*listener
+	dead      chan struct{}
+}
+
+// Dead is closed when the process is killed.
+func (p *Process) Dead() <-chan struct{} { return p.dead }
+
+// Listen accepts connections on a port of the host; port 0 picks a free one.
+func (p *Process) Listen(address string) (net.Listener, error) {
+	ip, port, err := splitAddress(address, p.host.ip)
+	if err != nil {
+		return nil, err
+	}
+	if ip != p.host.ip {
+		return nil, opError("listen", nil, syscall.EADDRNOTAVAIL)
+	}
+	n := p.network
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if p.killed {
+		return nil, ErrDead
+	}
+	if port == 0 {
+		port = p.host.ephemeralPort()
+	}
+	if _, taken := p.listeners[port]; taken {
+		return nil, opError("listen", tcpAddress(ip, port), syscall.EADDRINUSE)
+	}
+	l := &listener{process: p, address: tcpAddress(ip, port), changed: make(chan struct{})}
+	p.listeners[port] = l
+	return l, nil
+}
+
+// DialContext connects to an IP number and port. It hangs until the context
+// ends while the way there or back is cut or the other machine has vanished.
+func (p *Process) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	if network != "tcp" && network != "tcp4" {
+		return nil, fmt.Errorf("%w: network %q", ErrAddress, network)
+	}
+	ip, port, err := splitAddress(address, "")
+	if err != nil {
+		return nil, err
+	}
+	for {
+		delay, changed, err := p.route(ip)
+		if err != nil {
+			return nil, err
+		}
+		if delay == 0 {
+			err = wait(ctx, changed)
+		} else {
+			err = sleep(ctx, delay)
+		}
+		if err != nil {
+			return nil, opError("dial", tcpAddress(ip, port), err)
+		}
+		if delay == 0 {
+			continue
+		}
+		connection, err := p.connect(ip, port)
+		if err != nil || connection != nil {
+			return connection, err
+		}
+	}
+}
+
+// route returns the time that a connection to the host takes to open, or zero
+// and a channel that is closed when that may have become possible.
+func (p *Process) route(ip string) (time.Duration, <-chan struct{}, error) {
+	n := p.network
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if p.killed {
+		return 0, nil, ErrDead
+	}
+	target := n.host(ip)
+	there, back := n.link(p.host.ip, ip), n.link(ip, p.host.ip)
+	switch {
+	case p.host.frozen:
+		return 0, p.host.changed, nil
+	case target.vanished || there.cut || back.cut:
+		return 0, target.changed, nil
+	}
+	return there.delay + there.extra + back.delay + back.extra, nil, nil
+}
+
+// connect joins the process to a listener; nil without an error means that the
+// way has been cut meanwhile.
+func (p *Process) connect(ip string, port int) (net.Conn, error) {
+	n := p.network
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if p.killed {
+		return nil, ErrDead
+	}
+	target := n.host(ip)
+	if target.vanished || n.link(p.host.ip, ip).cut || n.link(ip, p.host.ip).cut {
+		return nil, nil
+	}
+	remote := tcpAddress(ip, port)
+	if target.process == nil {
+		return nil, opError("dial", remote, syscall.ECONNREFUSED)
+	}
+	l, ok := target.process.listeners[port]
+	if !ok || len(l.waiting) >= backlog {
+		return nil, opError("dial", remote, syscall.ECONNREFUSED)
+	}
+	local := tcpAddress(p.host.ip, p.host.ephemeralPort())
+	near, far := n.newConnection(p, target.process, local, remote)
+	l.waiting = append(l.waiting, far)
+	l.wake()
+	return near, nil
+}
+
+// ephemeralPort picks the next port. The lock is held.
+func (h *host) ephemeralPort() int {
+	port := h.nextPort
+	h.nextPort++
+	if h.nextPort > 65535 {
+		h.nextPort = firstEphemeralPort
+	}
+	return port
+}
+
+// listener implements net.Listener. Its fields are guarded by the network's mutex.
+type listener struct {
+	process *Process
+	address *net.TCPAddr
+	waiting []*conn
+	closed  bool
+	changed chan struct{}
+}
+
+// Accept waits for the next connection.
+func (l *listener) Accept() (net.Conn, error) {
+	n := l.process.network
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	for {
+		switch {
+		case l.closed:
+			return nil, opError("accept", l.address, net.ErrClosed)
+		case len(l.waiting) > 0 && !l.process.host.frozen:
+			next := l.waiting[0]
+			l.waiting = l.waiting[1:]
+			return next, nil
+		}
+		n.await(l.changed, time.Time{})
+	}
+}
+
+// Close stops accepting; connections that wait to be accepted are reset.
+func (l *listener) Close() error {
+	n := l.process.network
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if l.closed {
+		return opError("close", l.address, net.ErrClosed)
+	}
+	l.shut()
+	delete(l.process.listeners, l.address.Port)
+	return nil
+}
+
+// Addr returns the address that the listener accepts on.
+func (l *listener) Addr() net.Addr { return l.address }
+
+// shut ends the listener. The lock is held.
+func (l *listener) shut() {
+	l.closed = true
+	for _, c := range l.waiting {
+		c.in.reset()
+		c.out.reset()
+	}
+	l.waiting = nil
+	l.wake()
+}
+
+// wake wakes Accept. The lock is held.
+func (l *listener) wake() {
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+func splitAddress(address, defaultIP string) (ip string, port int, err error) {
+	text, portText, err := net.SplitHostPort(address)
+	if err != nil {
+		return "", 0, fmt.Errorf("%w: %w", ErrAddress, err)
+	}
+	port, err = strconv.Atoi(portText)
+	if err != nil || port < 0 || port > 65535 {
+		return "", 0, fmt.Errorf("%w: port %q", ErrAddress, portText)
+	}
+	if text == "" && defaultIP != "" {
+		return defaultIP, port, nil
+	}
+	if _, err := netip.ParseAddr(text); err != nil {
+		return "", 0, fmt.Errorf("%w: %w", ErrAddress, err)
+	}
+	return text, port, nil
+}
+
+func tcpAddress(ip string, port int) *net.TCPAddr {
+	return &net.TCPAddr{IP: net.ParseIP(ip), Port: port}
+}
+
+// opError wraps an error as the net package does.
+func opError(operation string, address net.Addr, err error) error {
+	var number syscall.Errno
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		err = os.ErrDeadlineExceeded
+	case errors.As(err, &number):
+		err = os.NewSyscallError(operation, err)
+	}
+	return &net.OpError{Op: operation, Net: "tcp", Addr: address, Err: err}
+}
+
+func wait(ctx context.Context, changed <-chan struct{}) error {
+	select {
+	case <-changed:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func sleep(ctx context.Context, duration time.Duration) error {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/lab/schedule/schedule_test.go
@@ -0,0 +1,70 @@
+package schedule
+
+import (
+	"reflect"
+	"testing"
+	"time"
+)
+
+var topology = Topology{
+	Nodes:  []string{"n1", "n2", "n3"},
+	Groups: [][]string{{"s1", "s2"}, {"s3", "s4"}},
+	Store:  "store", MachineList: "machines",
+}
+
+var bounds = Options{
+	From: time.Second, To: 3 * time.Second,
+	Shortest: 100 * time.Millisecond, Longest: 2 * time.Second,
+	LeaseTimeToLive: 2 * time.Second, LongestDelay: time.Second,
+}
+
+func TestSameSeedSameSchedule(t *testing.T) {
+	for seed := range uint64(200) {
+		if one, other := Draw(seed, topology, bounds), Draw(seed, topology, bounds); !reflect.DeepEqual(one, other) {
+			t.Fatalf("seed %d: %v and %v", seed, one, other)
+		}
+	}
+}
+
+func TestSeedsCoverKindsAndModes(t *testing.T) {
+	seen := make(map[Mode]map[Kind]int)
+	for _, mode := range Modes() {
+		seen[mode] = make(map[Kind]int)
+	}
+	seeds := uint64(len(Modes()) * len(Kinds()))
+	for seed := range seeds {
+		schedule := Draw(seed, topology, bounds)
+		for _, fault := range schedule.Faults {
+			seen[schedule.Mode][fault.Kind]++
+		}
+	}
+	for _, kind := range Kinds() {
+		if seen[Alone][kind] != 1 || seen[Pair][kind] < 1 || seen[Twice][kind] != 2 || seen[Many][kind] < 1 {
+			t.Errorf("%s: alone %d, pair %d, twice %d, many %d", kind,
+				seen[Alone][kind], seen[Pair][kind], seen[Twice][kind], seen[Many][kind])
+		}
+	}
+}
+
+func TestFaultsAreWellFormed(t *testing.T) {
+	for seed := range uint64(1000) {
+		schedule := Draw(seed, topology, bounds)
+		var last time.Duration
+		for _, fault := range schedule.Faults {
+			if fault.At < last || fault.Until < fault.At+bounds.Shortest {
+				t.Errorf("seed %d: times of %v", seed, fault)
+			}
+			last = fault.At
+			needsHost := fault.Kind != Repartition && fault.Kind != SnapshotChange
+			if needsHost && fault.Target == "" {
+				t.Errorf("seed %d: no target in %v", seed, fault)
+			}
+			if fault.Peer != "" && fault.Peer == fault.Target && fault.Kind != OperatorRace {
+				t.Errorf("seed %d: a host parted from itself in %v", seed, fault)
+			}
+		}
+		if schedule.Mode == Pair && schedule.Faults[1].At > schedule.Faults[0].Until {
+			t.Errorf("seed %d: the pair does not overlap", seed)
+		}
+	}
+}
--- /dev/null
+++ b/lab/simulation/faults.go
@@ -0,0 +1,315 @@
+package simulation
+
+import (
+	"context"
+	"time"
+
+	"github.com/banksail/banksail/backend"
+	"github.com/banksail/banksail/coverage"
+	"github.com/banksail/banksail/lab/emulator"
+	"github.com/banksail/banksail/lab/network"
+	"github.com/banksail/banksail/lab/schedule"
+	"github.com/banksail/banksail/store"
+)
+
+// Sizes of faults.
+const (
+	coldFactor        = 50
+	lowConnections    = 1
+	often             = 0.5
+	sometimes         = 0.25
+	lyingLoadFactor   = 20
+	loadLag           = 2000
+	machineListLag    = 5000
+	lostReplies       = 2
+	staleRevisions    = 2
+	repartitionShift  = 3 * itemStride
+	newSnapshot       = 2
+	operatorsPatience = 20 * time.Second
+)
+
+// inject carries out one fault, from its start to its end.
+func (s *System) inject(fault schedule.Fault) {
+	s.sleepUntil(fault.At)
+	if hook := s.options.Hooks.Fault; hook != nil && hook(s, fault) {
+		return
+	}
+	switch fault.Kind {
+	case schedule.KillNode, schedule.FreezeNode, schedule.LeaseLapse, schedule.PlannedStop:
+		s.injectNode(fault)
+	case schedule.Cut, schedule.CutOneWay, schedule.SlowLink, schedule.ResetConnections:
+		s.injectLink(fault)
+	case schedule.StoreOutage, schedule.StoreSlow, schedule.StoreLostReply, schedule.StoreStale,
+		schedule.MachineListOutage, schedule.MachineListLag, schedule.MachineListEmpty:
+		s.injectPlatform(fault)
+	case schedule.OperatorRace, schedule.Repartition, schedule.SnapshotChange:
+		s.injectChange(fault)
+	case schedule.KillServer, schedule.LoseServer, schedule.FreezeServer, schedule.ColdStart,
+		schedule.ConnectionLimit, schedule.Drain:
+		s.injectServerProcess(fault)
+	default:
+		s.injectServerSwitch(fault)
+	}
+}
+
+// nodeAt finds a node by its host; nil if there is none.
+func (s *System) nodeAt(ip string) *nodeHost {
+	for _, one := range s.nodes {
+		if one.ip == ip {
+			return one
+		}
+	}
+	return nil
+}
+
+// serverAt finds a server by its host; nil if there is none.
+func (s *System) serverAt(ip string) *server {
+	for _, one := range s.servers {
+		if one.ip == ip {
+			return one
+		}
+	}
+	return nil
+}
+
+func (s *System) injectNode(fault schedule.Fault) {
+	one := s.nodeAt(fault.Target)
+	switch fault.Kind {
+	case schedule.KillNode:
+		if one.kill(network.KillReset) {
+			s.sleepUntil(fault.Until)
+			_ = one.start()
+		}
+	case schedule.PlannedStop:
+		stopped := true
+		if hook := s.options.Hooks.Stop; hook != nil {
+			hook(s, one.name)
+		} else {
+			stopped = one.stop()
+		}
+		if stopped {
+			s.sleepUntil(max(fault.Until, s.recorder.Now()))
+			_ = one.start()
+		}
+	default:
+		s.disturb(string(fault.Kind), one.name, fault.At, fault.Until)
+		s.network.Freeze(one.ip)
+		s.sleepUntil(fault.Until)
+		s.network.Thaw(one.ip)
+	}
+}
+
+func (s *System) injectLink(fault schedule.Fault) {
+	switch fault.Kind {
+	case schedule.ResetConnections:
+		s.network.Reset(fault.Target, fault.Peer)
+	case schedule.SlowLink:
+		s.network.Slow(fault.Target, fault.Peer, fault.Delay)
+		s.network.Slow(fault.Peer, fault.Target, fault.Delay)
+		s.sleepUntil(fault.Until)
+		s.network.Slow(fault.Target, fault.Peer, 0)
+		s.network.Slow(fault.Peer, fault.Target, 0)
+	case schedule.CutOneWay:
+		s.network.Cut(fault.Target, fault.Peer)
+		s.sleepUntil(fault.Until)
+		s.network.Heal(fault.Target, fault.Peer)
+	case schedule.Cut:
+		s.network.Cut(fault.Target, fault.Peer)
+		s.network.Cut(fault.Peer, fault.Target)
+		s.sleepUntil(fault.Until)
+		s.network.Heal(fault.Target, fault.Peer)
+		s.network.Heal(fault.Peer, fault.Target)
+	}
+}
+
+func (s *System) injectPlatform(fault schedule.Fault) {
+	storeFault := func(on, off func(*store.MemoryFaults)) {
+		s.platform.storeFaults.change(on)
+		s.sleepUntil(fault.Until)
+		s.platform.storeFaults.change(off)
+	}
+	listFault := func(on, off func(*emulator.MachineListFaults)) {
+		s.platform.machineFault.change(on)
+		s.sleepUntil(fault.Until)
+		s.platform.machineFault.change(off)
+	}
+	switch fault.Kind {
+	case schedule.StoreOutage:
+		storeFault(func(f *store.MemoryFaults) { f.Down = true }, func(f *store.MemoryFaults) { f.Down = false })
+	case schedule.StoreSlow:
+		storeFault(func(f *store.MemoryFaults) { f.DelayMilliseconds = milliseconds(fault.Delay) },
+			func(f *store.MemoryFaults) { f.DelayMilliseconds = 0 })
+	case schedule.StoreLostReply:
+		storeFault(func(f *store.MemoryFaults) { f.LoseReplies = lostReplies }, func(f *store.MemoryFaults) { f.LoseReplies = 0 })
+	case schedule.StoreStale:
+		storeFault(func(f *store.MemoryFaults) { f.StaleRevisions = staleRevisions },
+			func(f *store.MemoryFaults) { f.StaleRevisions = 0 })
+	case schedule.MachineListOutage:
+		listFault(func(f *emulator.MachineListFaults) { f.Down = true }, func(f *emulator.MachineListFaults) { f.Down = false })
+	case schedule.MachineListLag:
+		listFault(func(f *emulator.MachineListFaults) { f.LagMilliseconds = machineListLag },
+			func(f *emulator.MachineListFaults) { f.LagMilliseconds = 0 })
+	case schedule.MachineListEmpty:
+		listFault(func(f *emulator.MachineListFaults) { f.Empty = true }, func(f *emulator.MachineListFaults) { f.Empty = false })
+	}
+}
+
+// injectChange carries out what is no fault by itself, but a change in flight.
+func (s *System) injectChange(fault schedule.Fault) {
+	ctx, cancel := context.WithTimeout(context.Background(), operatorsPatience)
+	defer cancel()
+	switch fault.Kind {
+	case schedule.OperatorRace:
+		s.operators.race(ctx, s.nodeAt(fault.Target), s.nodeAt(fault.Peer))
+	case schedule.Repartition:
+		s.repartition(ctx, fault)
+	case schedule.SnapshotChange:
+		s.changeSnapshot(fault)
+	}
+}
+
+// repartition moves the bounds of the groups: first the servers hold both their
+// old and new ranges, then the configuration changes, then the old ranges go.
+func (s *System) repartition(ctx context.Context, fault schedule.Fault) {
+	old, moved := s.layout.ranges(0), s.layout.ranges(repartitionShift)
+	s.setRanges(func(group int) coverage.Range {
+		return coverage.Range{Start: min(old[group].Start, moved[group].Start), End: max(old[group].End, moved[group].End)}
+	})
+	err := s.operators.repartition(ctx, s.nodes[0], repartitionShift)
+	s.sleepUntil(max(fault.Until, s.recorder.Now()))
+	if err == nil {
+		s.setRanges(func(group int) coverage.Range { return moved[group] })
+	}
+}
+
+func (s *System) setRanges(rangeOf func(group int) coverage.Range) {
+	for group, members := range s.layout.searchGroups() {
+		for _, index := range members {
+			s.servers[index].faults.change(func(f *emulator.ServerFaults) { f.Ranges = []coverage.Range{rangeOf(group)} })
+		}
+	}
+}
+
+// changeSnapshot gives the servers a new index snapshot one after the other,
+// and then takes the old one away.
+func (s *System) changeSnapshot(fault schedule.Fault) {
+	count := time.Duration(len(s.servers))
+	step := (fault.Until - fault.At) / (2 * count)
+	for _, snapshots := range [][]uint64{{1, newSnapshot}, {newSnapshot}} {
+		for _, one := range s.servers {
+			one.faults.change(func(f *emulator.ServerFaults) { f.Snapshots = snapshots })
+			time.Sleep(step)
+		}
+	}
+}
+
+func (s *System) injectServerProcess(fault schedule.Fault) {
+	one := s.serverAt(fault.Target)
+	switch fault.Kind {
+	case schedule.FreezeServer:
+		s.network.Freeze(one.ip)
+		s.sleepUntil(fault.Until)
+		s.network.Thaw(one.ip)
+	case schedule.KillServer:
+		one.restart(network.KillReset, fault.Until, serverStart{})
+	case schedule.LoseServer:
+		one.restart(network.KillVanish, fault.Until, serverStart{})
+	case schedule.ColdStart:
+		one.restart(network.KillReset, s.recorder.Now(), serverStart{coldStart: fault.Until - fault.At})
+	case schedule.ConnectionLimit:
+		one.restart(network.KillReset, s.recorder.Now(), serverStart{connections: lowConnections})
+		s.sleepUntil(fault.Until)
+		one.restart(network.KillReset, s.recorder.Now(), serverStart{})
+	case schedule.Drain:
+		s.drain(one, fault)
+	}
+}
+
+// restart kills the server's process and starts a new one at the given time.
+func (one *server) restart(mode network.KillMode, at time.Duration, how serverStart) {
+	one.kill(mode)
+	one.system.sleepUntil(max(at, one.system.recorder.Now()))
+	_ = one.start(how)
+}
+
+// drain makes a server leave and come back as a new process.
+func (s *System) drain(one *server, fault schedule.Fault) {
+	one.beginLeaving()
+	s.sleepUntil(fault.Until)
+	if one.leaves() {
+		one.restart(network.KillReset, s.recorder.Now(), serverStart{})
+	}
+}
+
+// injectServerSwitch turns a switch of one server, or of its group, on and off.
+func (s *System) injectServerSwitch(fault schedule.Fault) {
+	servers := []*server{s.serverAt(fault.Target)}
+	if fault.Kind == schedule.SlowGroup {
+		servers = s.groupOf(servers[0])
+	}
+	for _, one := range servers {
+		one.faults.change(func(f *emulator.ServerFaults) { switchOn(f, fault) })
+	}
+	s.sleepUntil(fault.Until)
+	for _, one := range servers {
+		one.faults.change(func(f *emulator.ServerFaults) { switchOff(f, fault.Kind) })
+	}
+}
+
+func (s *System) groupOf(one *server) []*server {
+	for _, group := range s.layout.groups {
+		for _, index := range group {
+			if index != one.index {
+				continue
+			}
+			var members []*server
+			for _, member := range group {
+				members = append(members, s.servers[member])
+			}
+			return members
+		}
+	}
+	return nil
+}
+
+func switchOn(f *emulator.ServerFaults, fault schedule.Fault) {
+	switch fault.Kind {
+	case schedule.Straggle, schedule.SlowGroup:
+		f.StraggleFactor = float64(fault.Delay) / float64(straggleBase)
+	case schedule.LateReplies:
+		f.ReplyDelayMilliseconds = milliseconds(fault.Delay)
+	case schedule.CrossedReplies:
+		f.CrossShare, f.WrongSnapshotShare, f.TruncateShare, f.ErrorShare = often, sometimes, sometimes, sometimes
+	case schedule.CloseAfterRead:
+		f.CloseBeforeShare, f.CloseAfterShare = often, often
+	case schedule.Shed:
+		f.ShedShare = often
+	case schedule.HealthLies:
+		f.HealthState = backend.HealthStarting
+	case schedule.LoadLies:
+		f.LoadFactor, f.LoadLagMilliseconds = lyingLoadFactor, loadLag
+	}
+}
+
+func switchOff(f *emulator.ServerFaults, kind schedule.Kind) {
+	switch kind {
+	case schedule.Straggle, schedule.SlowGroup:
+		f.StraggleFactor = 0
+	case schedule.LateReplies:
+		f.ReplyDelayMilliseconds = 0
+	case schedule.CrossedReplies:
+		f.CrossShare, f.WrongSnapshotShare, f.TruncateShare, f.ErrorShare = 0, 0, 0, 0
+	case schedule.CloseAfterRead:
+		f.CloseBeforeShare, f.CloseAfterShare = 0, 0
+	case schedule.Shed:
+		f.ShedShare = 0
+	case schedule.HealthLies:
+		f.HealthState = ""
+	case schedule.LoadLies:
+		f.LoadFactor, f.LoadLagMilliseconds = 0, 0
+	}
+}
+
+func milliseconds(duration time.Duration) float64 {
+	return float64(duration) / float64(time.Millisecond)
+}
--- /dev/null
+++ b/lab/simulation/platform.go
@@ -0,0 +1,71 @@
+package simulation
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+
+	"github.com/banksail/banksail/lab/emulator"
+	"github.com/banksail/banksail/machinelist"
+	"github.com/banksail/banksail/policy"
+	"github.com/banksail/banksail/store"
+)
+
+// platform is the store and the machine list, each on a host of its own.
+type platform struct {
+	memory       *store.Memory
+	store        *emulator.StoreServer
+	machineList  *emulator.MachineListServer
+	storeFaults  switches[store.MemoryFaults]
+	machineFault switches[emulator.MachineListFaults]
+}
+
+func newPlatform(s *System) (*platform, error) {
+	p := &platform{}
+	p.memory = store.NewMemory(store.MemoryOptions{OnChange: func(key string, record store.Record) {
+		if key == policy.StoreKey {
+			s.acceptedConfiguration(record.Value)
+		}
+	}})
+	p.store = emulator.NewStoreServer(p.memory)
+	p.machineList = emulator.NewMachineListServer()
+	p.storeFaults.set = p.memory.SetFaults
+	p.machineFault.set = p.machineList.SetFaults
+	storeProcess, err := s.network.Start(storeIP)
+	if err != nil {
+		return nil, err
+	}
+	storeListener, err := storeProcess.Listen(address(storeIP, storePort))
+	if err != nil {
+		return nil, err
+	}
+	go func() { _ = p.store.Serve(storeListener) }()
+	listProcess, err := s.network.Start(machineListIP)
+	if err != nil {
+		return nil, err
+	}
+	listListener, err := listProcess.Listen(address(machineListIP, machineListPort))
+	if err != nil {
+		return nil, err
+	}
+	go func() { _ = p.machineList.Serve(listListener) }()
+	return p, nil
+}
+
+// list puts a machine into the machine list.
+func (p *platform) list(machine machinelist.Machine) { p.machineList.Upsert(machine) }
+
+func (p *platform) end() {
+	_ = p.store.Close()
+	_ = p.machineList.Close()
+}
+
+// digestOf identifies a configuration by its content.
+func digestOf(config policy.Config) string {
+	data, err := json.Marshal(config)
+	if err != nil {
+		return ""
+	}
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:8])
+}
--- /dev/null
+++ b/lab/simulation/seeds_test.go
@@ -0,0 +1,116 @@
+package simulation
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/banksail/banksail/lab/history"
+)
+
+var (
+	seedCount = flag.Uint64("seeds", 0, "number of seeds that TestSeeds runs; 0 runs the table of CI")
+	firstSeed = flag.Uint64("first", 0, "first of the seeds that -seeds counts")
+	oneSeed   = flag.Int64("seed", -1, "run this seed alone, with all that is known of it")
+	repeats   = flag.Int("repeats", 1, "how often each seed runs; its verdicts must be equal")
+	bugName   = flag.String("bug", "", "seed the bug of this name; see TestSeededBugs")
+)
+
+// ciSeeds is the number of seeds without flags. With one of every mode and kind
+// of fault in turn, they cover a fixed part of the table.
+const ciSeeds = 32
+
+// ciStride spreads the seeds of CI over the kinds of faults.
+const ciStride = 9
+
+func seedTable() []uint64 {
+	var seeds []uint64
+	switch {
+	case *oneSeed >= 0:
+		seeds = append(seeds, uint64(*oneSeed))
+	case *seedCount > 0:
+		for index := range *seedCount {
+			seeds = append(seeds, *firstSeed+index)
+		}
+	default:
+		for index := range uint64(ciSeeds) {
+			seeds = append(seeds, index*ciStride)
+		}
+	}
+	return seeds
+}
+
+// runSeed runs one seed in a bubble of its own.
+func runSeed(t *testing.T, options Options) Result {
+	t.Helper()
+	var result Result
+	synctest.Test(t, func(t *testing.T) {
+		var err error
+		result, err = Run(options)
+		if err != nil {
+			t.Fatal(err)
+		}
+	})
+	return result
+}
+
+// TestSeeds runs whole nodes under the fault schedules of a table of seeds.
+func TestSeeds(t *testing.T) {
+	hooks, err := bugHooks(*bugName)
+	if err != nil {
+		t.Fatal(err)
+	}
+	summary := NewSummary()
+	start := time.Now()
+	t.Run("seed", func(t *testing.T) {
+		for _, seed := range seedTable() {
+			t.Run(fmt.Sprint(seed), func(t *testing.T) {
+				t.Parallel()
+				for range *repeats {
+					result := runSeed(t, Options{Seed: seed, Hooks: hooks})
+					summary.Add(result)
+					report(t, result)
+				}
+			})
+		}
+	})
+	fmt.Print(summary.Text(time.Since(start)))
+}
+
+// report fails the test with all that is known of the violations.
+func report(t *testing.T, result Result) {
+	t.Helper()
+	if *oneSeed >= 0 {
+		describe(t, result)
+	}
+	if len(result.Report.Violations) == 0 {
+		return
+	}
+	for _, fault := range result.Schedule.Faults {
+		t.Logf("fault: %v", fault)
+	}
+	for _, violation := range result.Report.Violations {
+		t.Error(violation)
+	}
+	t.Logf("run it alone: go test ./lab/simulation -run TestSeeds -seed %d -v", result.Schedule.Seed)
+}
+
+// describe logs a run in full.
+func describe(t *testing.T, result Result) {
+	t.Helper()
+	for _, line := range result.Log {
+		t.Log(line)
+	}
+	kinds := make(map[string]int)
+	for _, answer := range result.History.Answers {
+		kinds[fmt.Sprint(answer.Kind, " ", answer.Execution, " ", answer.Reason)]++
+	}
+	t.Logf("answers: %v", kinds)
+	t.Logf("calls %d, attempts %d, accepted %d, in force %v", len(result.History.Calls),
+		len(result.History.Attempts), len(result.History.Accepted), result.History.InForce)
+	for _, invariant := range history.Invariants() {
+		t.Logf("%s: judged %d", invariant, result.Report.Judged[invariant])
+	}
+}
--- /dev/null
+++ b/lab/simulation/simulation.go
@@ -0,0 +1,269 @@
+// Package simulation runs whole nodes, with the emulator's back ends, store and
+// machine list, callers and operators, on an in-memory network and under a
+// fault schedule, and records the history for the checker.
+//
+// Run must be called inside a testing/synctest bubble, which gives all of it a
+// virtual clock. The order of goroutines within a bubble does not follow the
+// seed, so single events may differ between two runs of a seed; the faults, the
+// callers' requests and the operators' changes do not.
+package simulation
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/banksail/banksail/lab/history"
+	"github.com/banksail/banksail/lab/network"
+	"github.com/banksail/banksail/lab/schedule"
+	"github.com/banksail/banksail/policy"
+)
+
+// ErrSetUp is returned when the simulated system can't be started.
+var ErrSetUp = errors.New("simulation: can't set up")
+
+// Defaults of Options.
+const (
+	DefaultNodes    = 3
+	DefaultGroups   = 3
+	DefaultReplicas = 2
+)
+
+// Times of a run.
+const (
+	// warmUp is when callers begin.
+	warmUp = 1500 * time.Millisecond
+	// faultsFrom and faultsTo bound the start of faults.
+	faultsFrom = 2 * time.Second
+	faultsTo   = 4 * time.Second
+	// probing is how long callers go on after the recovery bound.
+	probing = time.Second
+	// settling is how long the processes may take to stop at the end.
+	settling = 3 * time.Second
+)
+
+// Options sets up a run.
+type Options struct {
+	// Seed determines the schedule, the network's delays and the requests.
+	Seed uint64
+	// Nodes, Groups and Replicas size the system; there is one more group, the
+	// pool of a second service.
+	Nodes, Groups, Replicas int
+	// Checker holds the allowances.
+	Checker history.Options
+	// Faults replaces the schedule that the seed gives, unless nil.
+	Faults []schedule.Fault
+	// Hooks alter the system under test; tests seed bugs with them.
+	Hooks Hooks
+}
+
+// Hooks wrap parts of the system. A nil hook wraps nothing.
+type Hooks struct {
+	// Server wraps a back end's handler outside of the recording of what it ran.
+	Server func(name string, inner http.Handler) http.Handler
+	// Recorded wraps a back end's handler inside of the recording.
+	Recorded func(name string, inner http.Handler) http.Handler
+	// Caller wraps the callers' transport.
+	Caller func(inner http.RoundTripper) http.RoundTripper
+	// Fault may carry a fault out in place of the simulation; it says if it did.
+	Fault func(s *System, fault schedule.Fault) bool
+	// Stop replaces the planned stop of a node.
+	Stop func(s *System, node string)
+}
+
+// Result is what a run gives.
+type Result struct {
+	Schedule schedule.Schedule
+	History  *history.History
+	Report   history.Report
+	// Log holds the nodes' log lines, each with its time and node.
+	Log []string
+}
+
+// System is a running simulated system.
+type System struct {
+	options  Options
+	layout   layout
+	network  *network.Network
+	recorder *history.Recorder
+	schedule schedule.Schedule
+	logs     *logSink
+
+	platform  *platform
+	servers   []*server
+	nodes     []*nodeHost
+	callers   []*callerHost
+	operators *operators
+
+	// tasks counts the goroutines of faults, callers and operators.
+	tasks sync.WaitGroup
+}
+
+// Run runs one seed and judges it.
+func Run(options Options) (Result, error) {
+	setDefault(&options.Nodes, DefaultNodes)
+	setDefault(&options.Groups, DefaultGroups)
+	setDefault(&options.Replicas, DefaultReplicas)
+	if options.Checker == (history.Options{}) {
+		options.Checker = history.DefaultOptions()
+	}
+	system, err := newSystem(options)
+	if err != nil {
+		return Result{}, err
+	}
+	system.run()
+	recorded := system.recorder.Finish()
+	return Result{
+		Schedule: system.schedule,
+		History:  recorded,
+		Report:   history.Check(recorded, options.Checker),
+		Log:      system.logs.all(),
+	}, nil
+}
+
+func setDefault(field *int, value int) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+func newSystem(options Options) (*System, error) {
+	s := &System{
+		options:  options,
+		layout:   newLayout(options),
+		network:  network.New(network.Options{Seed: options.Seed}),
+		recorder: history.NewRecorder(time.Now()),
+	}
+	s.logs = &logSink{recorder: s.recorder}
+	s.schedule = schedule.Draw(options.Seed, s.layout.topology(), schedule.Options{
+		From: faultsFrom, To: faultsTo,
+		Shortest: 200 * time.Millisecond, Longest: 2500 * time.Millisecond,
+		LeaseTimeToLive: 3 * time.Second, LongestDelay: time.Second,
+		ShortestDrain: options.Checker.LeavingGrace + 2*time.Second,
+	})
+	if options.Faults != nil {
+		s.schedule.Faults = options.Faults
+	}
+	s.recorder.Edit(func(h *history.History) {
+		h.KeySpaces = []history.KeySpace{{Service: searchService, Range: keySpace}, {Service: noticeService, Range: keySpace}}
+		h.FaultsEnd = max(s.schedule.End(), faultsTo)
+	})
+	if err := s.start(); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrSetUp, err)
+	}
+	return s, nil
+}
+
+// start starts every process.
+func (s *System) start() error {
+	var err error
+	if s.platform, err = newPlatform(s); err != nil {
+		return err
+	}
+	for _, group := range s.layout.groups {
+		for _, index := range group {
+			one, err := newServer(s, index)
+			if err != nil {
+				return err
+			}
+			s.servers = append(s.servers, one)
+		}
+	}
+	for index := range s.layout.nodes {
+		one, err := newNodeHost(s, index)
+		if err != nil {
+			return err
+		}
+		s.nodes = append(s.nodes, one)
+		caller, err := newCallerHost(s, index, one)
+		if err != nil {
+			return err
+		}
+		s.callers = append(s.callers, caller)
+	}
+	s.operators, err = newOperators(s)
+	return err
+}
+
+// run goes through the phases of a run and stops every process.
+func (s *System) run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.operators.bootstrap(ctx)
+	s.sleepUntil(warmUp)
+	faultsEnd := max(s.schedule.End(), faultsTo)
+	for _, fault := range s.schedule.Faults {
+		s.tasks.Go(func() { s.inject(fault) })
+	}
+	end := faultsEnd + s.options.Checker.RecoveryBound + probing
+	for _, caller := range s.callers {
+		s.tasks.Go(func() { caller.run(ctx, faultsEnd, end) })
+	}
+	s.tasks.Go(func() { s.operators.run(ctx, faultsEnd) })
+	s.sleepUntil(end + settling)
+	s.tasks.Wait()
+	cancel()
+	s.recordInForce()
+	s.stop()
+}
+
+// stop ends every process. What it does is no part of the history.
+func (s *System) stop() {
+	for _, node := range s.nodes {
+		node.end()
+	}
+	for _, caller := range s.callers {
+		caller.close()
+	}
+	s.operators.close()
+	for _, server := range s.servers {
+		server.end()
+	}
+	s.platform.end()
+	s.network.Close()
+}
+
+func (s *System) sleepUntil(moment time.Duration) {
+	time.Sleep(moment - s.recorder.Now())
+}
+
+// disturb records a time in which a node could not take part.
+func (s *System) disturb(kind, host string, from, to time.Duration) {
+	s.recorder.Edit(func(h *history.History) {
+		h.Disturbances = append(h.Disturbances, history.Disturbance{Kind: kind, Host: host, From: from, To: to})
+	})
+}
+
+// recordInForce reads the whole configuration that each node has in force.
+func (s *System) recordInForce() {
+	for _, node := range s.nodes {
+		configuration, err := s.operators.configuration(node)
+		if err != nil {
+			continue
+		}
+		at := s.recorder.Now()
+		s.recorder.Edit(func(h *history.History) {
+			h.InForce = append(h.InForce, history.InForce{
+				Node: node.name, Revision: uint64(configuration.Revision),
+				Digest: digestOf(configuration.Config), At: at,
+			})
+		})
+	}
+}
+
+// acceptedConfiguration records a configuration that the store took.
+func (s *System) acceptedConfiguration(value []byte) {
+	record, err := policy.DecodeRecord(value)
+	if err != nil {
+		return
+	}
+	accepted := history.Accepted{
+		Revision: uint64(record.Revision), Digest: digestOf(record.Config), At: s.recorder.Now(),
+	}
+	if count := len(record.RecentPlans); count > 0 {
+		accepted.PlanID = record.RecentPlans[count-1].ID
+	}
+	s.recorder.Edit(func(h *history.History) { h.Accepted = append(h.Accepted, accepted) })
+}
--- /dev/null
+++ b/lab/simulation/summary.go
@@ -0,0 +1,82 @@
+package simulation
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/banksail/banksail/lab/history"
+	"github.com/banksail/banksail/lab/schedule"
+)
+
+// Summary adds up the results of many seeds. Its methods may be called from
+// several goroutines.
+type Summary struct {
+	// mutex guards the fields below.
+	mutex      sync.Mutex
+	histories  int
+	judged     map[history.Invariant]int
+	items      map[history.Invariant]int
+	violations map[history.Invariant]int
+	faults     map[schedule.Kind]int
+	modes      map[schedule.Mode]int
+	calls      int
+	attempts   int
+}
+
+// NewSummary makes an empty summary.
+func NewSummary() *Summary {
+	return &Summary{
+		judged:     make(map[history.Invariant]int),
+		items:      make(map[history.Invariant]int),
+		violations: make(map[history.Invariant]int),
+		faults:     make(map[schedule.Kind]int),
+		modes:      make(map[schedule.Mode]int),
+	}
+}
+
+// Add takes in one result.
+func (s *Summary) Add(result Result) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.histories++
+	s.modes[result.Schedule.Mode]++
+	s.calls += len(result.History.Calls)
+	s.attempts += len(result.History.Attempts)
+	for invariant, items := range result.Report.Judged {
+		s.items[invariant] += items
+		if items > 0 {
+			s.judged[invariant]++
+		}
+	}
+	for _, violation := range result.Report.Violations {
+		s.violations[violation.Invariant]++
+	}
+	for _, fault := range result.Schedule.Faults {
+		s.faults[fault.Kind]++
+	}
+}
+
+// Text formats the summary of a run that took the given time.
+func (s *Summary) Text(took time.Duration) string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	text := &strings.Builder{}
+	fmt.Fprintf(text, "%d histories in %.1f s, %.1f seeds a second; %d requests, %d sub-requests\n",
+		s.histories, took.Seconds(), float64(s.histories)/took.Seconds(), s.calls, s.attempts)
+	fmt.Fprintf(text, "%-18s %10s %10s %10s\n", "invariant", "histories", "items", "violations")
+	for _, invariant := range history.Invariants() {
+		fmt.Fprintf(text, "%-18s %10d %10d %10d\n", invariant, s.judged[invariant], s.items[invariant], s.violations[invariant])
+	}
+	fmt.Fprint(text, "modes:")
+	for _, mode := range schedule.Modes() {
+		fmt.Fprintf(text, " %s %d", mode, s.modes[mode])
+	}
+	fmt.Fprint(text, "\nfaults:")
+	for _, kind := range schedule.Kinds() {
+		fmt.Fprintf(text, " %s %d", kind, s.faults[kind])
+	}
+	fmt.Fprintln(text)
+	return text.String()
+}
--- /dev/null
+++ b/lab/simulation/topology.go
@@ -0,0 +1,154 @@
+package simulation
+
+import (
+	"fmt"
+
+	"github.com/banksail/banksail/coverage"
+	"github.com/banksail/banksail/lab/schedule"
+	"github.com/banksail/banksail/policy"
+)
+
+// Ports of the simulated processes.
+const (
+	callerPort      = 8080
+	operatorPort    = 8081
+	peerPort        = 8082
+	serverPort      = 9000
+	storePort       = 7000
+	machineListPort = 7100
+)
+
+// Addresses of hosts that there is one of.
+const (
+	storeIP       = "10.0.2.1"
+	machineListIP = "10.0.3.1"
+	operatorIP    = "10.0.5.1"
+)
+
+// The services. The search has a few groups, the notices are one pool.
+const (
+	searchService = "search"
+	noticeService = "notices"
+	keySpaceSize  = 1 << 20
+	// itemStride keeps replies small.
+	itemStride = 1 << 15
+)
+
+// Priority classes of the simulated callers.
+const (
+	urgentClass = "urgent"
+	bulkClass   = "bulk"
+)
+
+var keySpace = coverage.Range{Start: 0, End: keySpaceSize}
+
+func nodeName(index int) string { return fmt.Sprintf("node-%d", index+1) }
+
+func nodeIP(index int) string { return fmt.Sprintf("10.0.0.%d", index+1) }
+
+func callerIP(index int) string { return fmt.Sprintf("10.0.4.%d", index+1) }
+
+func serverIP(index int) string { return fmt.Sprintf("10.0.1.%d", index+1) }
+
+func address(ip string, port int) string { return fmt.Sprintf("%s:%d", ip, port) }
+
+func zoneOf(index int) string { return fmt.Sprintf("zone-%d", index%2+1) }
+
+// layout tells which servers belong to which group of which service.
+type layout struct {
+	nodes int
+	// groups lists the servers' indexes of each group; the last one is the pool
+	// of the notices.
+	groups [][]int
+}
+
+func newLayout(options Options) layout {
+	l := layout{nodes: options.Nodes}
+	next := 0
+	for range options.Groups + 1 {
+		var group []int
+		for range options.Replicas {
+			group = append(group, next)
+			next++
+		}
+		l.groups = append(l.groups, group)
+	}
+	return l
+}
+
+// searchGroups are the groups without the pool.
+func (l layout) searchGroups() [][]int { return l.groups[:len(l.groups)-1] }
+
+// pool is the group of the notices.
+func (l layout) pool() []int { return l.groups[len(l.groups)-1] }
+
+func serverName(index int) string { return fmt.Sprintf("server-%d", index+1) }
+
+// topology names the hosts for the schedule.
+func (l layout) topology() schedule.Topology {
+	topology := schedule.Topology{Store: storeIP, MachineList: machineListIP}
+	for index := range l.nodes {
+		topology.Nodes = append(topology.Nodes, nodeIP(index))
+	}
+	for _, group := range l.groups {
+		var servers []string
+		for _, index := range group {
+			servers = append(servers, serverIP(index))
+		}
+		topology.Groups = append(topology.Groups, servers)
+	}
+	return topology
+}
+
+// ranges parts the key space among the search's groups. A shift moves the
+// bounds between groups, as a repartition does.
+func (l layout) ranges(shift uint64) []coverage.Range {
+	count := uint64(len(l.searchGroups()))
+	var ranges []coverage.Range
+	start := uint64(0)
+	for index := range count {
+		end := keySpaceSize/count*(index+1) + shift
+		if index+1 == count {
+			end = keySpaceSize
+		}
+		ranges = append(ranges, coverage.Range{Start: start, End: end})
+		start = end
+	}
+	return ranges
+}
+
+// config is the operators' configuration with the given bounds of groups.
+func (l layout) config(shift uint64) policy.Config {
+	return policy.Config{
+		Classes: []policy.Class{
+			{Name: urgentClass, Order: 1, LongestWait: 200, Deadline: 400, HedgeShare: 0.1, Headroom: 0.2},
+			{Name: bulkClass, Order: 2, LongestWait: 400, Deadline: 1000, HedgeShare: 0.05},
+		},
+		Services: []policy.Service{l.searchConfig(shift), {
+			Name: noticeService, KeySpace: keySpace,
+			Groups: []policy.Group{{Name: "pool", Range: keySpace, Servers: serverConfigs(l.pool())}},
+		}},
+	}
+}
+
+// searchConfig is the search with the given bounds of groups.
+func (l layout) searchConfig(shift uint64) policy.Service {
+	service := policy.Service{Name: searchService, KeySpace: keySpace}
+	for index, keys := range l.ranges(shift) {
+		service.Groups = append(service.Groups, policy.Group{
+			Name: fmt.Sprintf("group-%d", index+1), Range: keys, Servers: serverConfigs(l.groups[index]),
+		})
+	}
+	return service
+}
+
+func serverConfigs(indexes []int) []policy.Server {
+	var servers []policy.Server
+	for _, index := range indexes {
+		servers = append(servers, policy.Server{
+			ID: serverName(index), Address: address(serverIP(index), serverPort), Zone: zoneOf(index),
+			Slots: serverSlots, Connections: serverConnections,
+		})
+	}
+	return servers
+}
--- a/operator/client.go
+++ b/operator/client.go
@@ -55,6 +55,10 @@
 	}}
 }
 
+// SetTransport replaces how the client reaches the node; it must be called
+// before the first request.
+func (c *Client) SetTransport(transport http.RoundTripper) { c.http.Transport = transport }
+
 // Plan posts an intent and returns the plan document.
 func (c *Client) Plan(ctx context.Context, intent policy.Intent) (policy.Plan, error) {
 	var plan policy.Plan
--- a/store/memory.go
+++ b/store/memory.go
@@ -13,6 +13,9 @@
 type MemoryOptions struct {
 	// Now is the clock that leases and the rate limit go by.
 	Now func() time.Time
+	// OnChange, if set, is told of each change of a record, in order. It must
+	// not call the Memory.
+	OnChange func(key string, record Record)
 }
 
 // MemoryFaults switches faults of a Memory. The zero value has none.
@@ -37,7 +40,8 @@
 // Memory is an in-memory key-value service. Its methods may be called from
 // several goroutines.
 type Memory struct {
-	now func() time.Time
+	now      func() time.Time
+	onChange func(key string, record Record)
 
 	// mutex guards the fields below. Invariant: revision is at least that of
 	// every record ever stored, and changed is closed and replaced with each
@@ -70,11 +74,15 @@
 	if options.Now == nil {
 		options.Now = time.Now
 	}
+	if options.OnChange == nil {
+		options.OnChange = func(string, Record) {}
+	}
 	return &Memory{
-		now:     options.Now,
-		records: make(map[string]*memoryRecord),
-		leases:  make(map[LeaseID]*memoryLease),
-		changed: make(chan struct{}),
+		now:      options.Now,
+		onChange: options.OnChange,
+		records:  make(map[string]*memoryRecord),
+		leases:   make(map[LeaseID]*memoryLease),
+		changed:  make(chan struct{}),
 	}
 }
 
@@ -273,6 +281,7 @@
 		stored.history = stored.history[excess:]
 	}
 	stored.lease = lease
+	m.onChange(key, record)
 	m.notify()
 	return record
 }
