--- a/lab/history/checker.go
+++ b/lab/history/checker.go
@@ -55,7 +55,8 @@
 	// is whole again.
 	RecoveryBound time.Duration
 	// InFlightMargin is how long before a planned stop a call must have been
-	// sent to count as in flight at the node.
+	// sent to count as in flight at the node, and how long an answer may be
+	// under way.
 	InFlightMargin time.Duration
 }
 
--- a/lab/history/checker_test.go
+++ b/lab/history/checker_test.go
@@ -116,6 +116,10 @@
 		{"not run, but ran later", NotRun, func(h *History) {
 			h.Attempts = append(h.Attempts, ran("a9", "r3", coverage.Range{Start: 0, End: 50}, 9*second))
 		}, "r3"},
+		{"not run, but an earlier call ran", NotRun, func(h *History) {
+			h.Calls = append(h.Calls, Call{ID: 6, RequestID: "r2", Node: "n1", Service: "search", Deadline: second, At: 2050 * time.Millisecond})
+			h.Answers = append(h.Answers, Answer{Call: 6, At: 2080 * time.Millisecond, Kind: AnswerRefusal, Execution: ExecutionNotRun, RequestID: "r2"})
+		}, "r2"},
 		{"ran twice", AtMostOnce, func(h *History) {
 			h.Attempts = append(h.Attempts, ran("a9", "r2", coverage.Range{Start: 0, End: 50}, 2*second))
 		}, "r2"},
@@ -185,6 +189,12 @@
 			h.Leaving[0].Server = "s1"
 			h.Leaving[0].At = 23 * second
 		}},
+		{"not run, and sent again", func(h *History) {
+			h.Calls = append(h.Calls, Call{ID: 6, RequestID: "r3", Node: "n1", Service: "search", Deadline: second, At: 4 * second})
+			low, high := coverage.Range{Start: 0, End: 50}, coverage.Range{Start: 50, End: 100}
+			h.Attempts = append(h.Attempts, ran("b1", "r3", low, 4*second), ran("b2", "r3", high, 4*second))
+			h.Answers = append(h.Answers, result(6, "r3", 4100*time.Millisecond, part(low, "r3"), part(high, "r3")))
+		}},
 		{"server that came back", func(h *History) {
 			h.Leaving[0].Server = "s1"
 			h.Leaving[0].Until = 10 * second
--- a/lab/simulation/seeds_test.go
+++ b/lab/simulation/seeds_test.go
@@ -3,6 +3,8 @@
 import (
 	"flag"
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -94,9 +96,46 @@
 	for _, violation := range result.Report.Violations {
 		t.Error(violation)
 	}
+	for _, requestID := range violatedRequests(result) {
+		explain(t, result.History, requestID)
+	}
 	t.Logf("run it alone: go test ./lab/simulation -run TestSeeds -seed %d -v", result.Schedule.Seed)
 }
 
+// violatedRequests lists the request IDs that violations name.
+func violatedRequests(result Result) []string {
+	var requests []string
+	for _, violation := range result.Report.Violations {
+		fields := strings.Fields(violation.Subject)
+		if len(fields) > 1 && fields[0] == "request" && !slices.Contains(requests, fields[1]) {
+			requests = append(requests, fields[1])
+		}
+	}
+	return requests
+}
+
+// explain logs all that happened to one request.
+func explain(t *testing.T, recorded *history.History, requestID string) {
+	t.Helper()
+	calls := make(map[history.CallID]bool)
+	for _, call := range recorded.Calls {
+		if call.RequestID == requestID {
+			calls[call.ID] = true
+			t.Logf("%+v", call)
+		}
+	}
+	for _, answer := range recorded.Answers {
+		if calls[answer.Call] {
+			t.Logf("%+v", answer)
+		}
+	}
+	for _, attempt := range recorded.Attempts {
+		if attempt.RequestID == requestID {
+			t.Logf("%+v", attempt)
+		}
+	}
+}
+
 // describe logs a run in full.
 func describe(t *testing.T, result Result) {
 	t.Helper()
