Share the servers' connections out over the live nodes

Every node opened the client's default number of connections. The node now follows the live members, bounds the client by its share of each server's connections, and tells the dispatchers how many nodes share them.

--- a/node/configuration.go
+++ b/node/configuration.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/banksail/banksail/dispatch"
+	"github.com/banksail/banksail/membership"
 	"github.com/banksail/banksail/policy"
 )
 
@@ -22,7 +23,9 @@
 // configuredServer is one server with the shards that may ask it.
 type configuredServer struct {
 	address string
-	shards  []*shard
+	// place tells whose connections are shared out.
+	place  membership.ServerPlace
+	shards []*shard
 }
 
 // configure puts a configuration in force unless a later one already is.
@@ -43,6 +46,7 @@
 		}
 	}
 	n.removeServices(previous, next, revision)
+	n.setConnections(next)
 	n.view.Store(next)
 	n.metrics.Revision.Set(float64(revision))
 	n.poller.setServers(next.servers)
@@ -79,6 +83,7 @@
 		for _, server := range group.Servers {
 			entry := v.servers[server.ID]
 			entry.address = server.Address
+			entry.place = membership.ServerPlace{ID: server.ID, Zone: server.Zone, Limit: server.Connections}
 			if !slices.Contains(entry.shards, carrier) {
 				entry.shards = append(entry.shards, carrier)
 			}
--- a/node/node.go
+++ b/node/node.go
@@ -55,6 +55,10 @@
 	// view is the configuration in force; nil until there is one.
 	view atomic.Pointer[view]
 
+	// connections maps a server's address to this node's share of its
+	// connections; nil until the shares are known.
+	connections atomic.Pointer[map[string]int]
+
 	// listening is closed once addresses is set.
 	listening chan struct{}
 	addresses Addresses
@@ -66,6 +70,7 @@
 	retired      []*shard
 	lastShard    uint64
 	serverStates map[string]dispatch.ServerState
+	liveNodes    []string
 }
 
 // New makes a node; it opens nothing before Run.
@@ -89,7 +94,11 @@
 		listening:    make(chan struct{}),
 		serverStates: make(map[string]dispatch.ServerState),
 	}
-	n.client = backend.NewClient(backend.ClientOptions{Dial: options.Network.DialContext})
+	n.client = backend.NewClient(backend.ClientOptions{
+		Dial:                 options.Network.DialContext,
+		ConnectionsPerServer: n.connectionsTo,
+		SparesPerServer:      spareConnections(options.Settings.Backend.SpareConnections),
+	})
 	n.asker = &backendAsker{client: n.client, heard: n.heardReply, unreachable: n.serverUnreachable}
 	n.poller = newPoller(pollerOptions{
 		client:      n.client,
@@ -136,6 +145,14 @@
 	n.keeper.SetPeers(rolloutPeers{agent: n.agent})
 }
 
+// spareConnections tells the client that zero means none.
+func spareConnections(configured int) int {
+	if configured == 0 {
+		return -1
+	}
+	return configured
+}
+
 func (n *Node) advertised() string {
 	if advertise := n.options.Settings.Node.Advertise; advertise != "" {
 		return advertise
--- a/node/run.go
+++ b/node/run.go
@@ -91,6 +91,7 @@
 	duties.Go(func() { n.logEnd("configuration", n.keeper.Run(ctx)) })
 	duties.Go(func() { n.logEnd("peers", n.agent.Run(ctx)) })
 	duties.Go(func() { n.poller.run(ctx) })
+	duties.Go(func() { n.watchMembers(ctx) })
 }
 
 func (n *Node) logEnd(duty string, err error) {
