--- a/caller/message.go
+++ b/caller/message.go
@@ -36,14 +36,14 @@
 	Body json.RawMessage
 }
 
-// requestDocument is the JSON form of a Request. Pointers tell a missing field
-// from a zero.
+// requestDocument is the JSON form of a Request. Fields without omitempty are
+// required; the pointer tells a missing deadline from zero.
 type requestDocument struct {
-	RequestID       *string         `json:"request_id"`
-	Class           *string         `json:"class"`
-	DeadlineMillis  *float64        `json:"deadline_ms"`
-	MinimumCoverage *float64        `json:"minimum_coverage"`
-	Repeatable      *bool           `json:"repeatable"`
+	RequestID       string          `json:"request_id"`
+	Class           string          `json:"class"`
+	DeadlineMillis  *float64        `json:"deadline_ms,omitempty"`
+	MinimumCoverage float64         `json:"minimum_coverage,omitempty"`
+	Repeatable      bool            `json:"repeatable"`
 	Body            json.RawMessage `json:"body"`
 }
 
--- a/caller/parse.go
+++ b/caller/parse.go
@@ -1,20 +1,17 @@
 package caller
 
 import (
-	"bytes"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
-	"math"
 	"net/http"
-	"regexp"
-	"strings"
 	"time"
+
+	"github.com/banksail/banksail/internal/jsonfields"
 )
 
-// unknownFieldPattern finds the name in encoding/json's error.
-var unknownFieldPattern = regexp.MustCompile(`unknown field "(.*)"`)
+// maximumDepth bounds the nesting of a request's document.
+const maximumDepth = 128
 
 // documentField stands for the whole document where no single field is at fault.
 const documentField = "document"
@@ -39,82 +36,46 @@
 	if err != nil {
 		return document, &FieldError{Field: documentField, Detail: "the body could not be read whole"}
 	}
-	if int64(len(raw)) > limit {
-		return document, &FieldError{
-			Field: documentField, Detail: fmt.Sprintf("the body is over the limit of %d bytes", limit),
-			Status: http.StatusRequestEntityTooLarge, Reason: reasonBodyTooLarge,
-		}
-	}
-	if field, found := duplicateField(raw); found {
-		return document, &FieldError{Field: field, Detail: "the field is given twice"}
-	}
-	decoder := json.NewDecoder(bytes.NewReader(raw))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&document); err != nil {
-		return document, jsonFault(err)
-	}
-	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return document, &FieldError{Field: documentField, Detail: "something follows the JSON object"}
+	limits := jsonfields.Limits{Bytes: int(limit), Depth: maximumDepth}
+	if err := jsonfields.Decode(raw, limits, &document); err != nil {
+		return document, documentFault(err, limit)
 	}
 	return document, nil
 }
 
-// duplicateField finds a member of the top object that is given twice, also in
-// another case, which encoding/json would silently merge.
-func duplicateField(raw []byte) (string, bool) {
-	decoder := json.NewDecoder(bytes.NewReader(raw))
-	if token, err := decoder.Token(); err != nil || token != json.Delim('{') {
-		return "", false
-	}
-	seen := make(map[string]bool)
-	for decoder.More() {
-		token, err := decoder.Token()
-		name, isName := token.(string)
-		if err != nil || !isName {
-			return "", false
-		}
-		folded := strings.ToLower(name)
-		if seen[folded] {
-			return folded, true
+// documentFault names the first faulty field.
+func documentFault(err error, limit int64) *FieldError {
+	var fields *jsonfields.FieldsError
+	switch {
+	case errors.As(err, &fields) && len(fields.Faults) > 0:
+		first := fields.Faults[0]
+		if first.Path == "" {
+			first.Path = documentField
 		}
-		seen[folded] = true
-		var value json.RawMessage
-		if decoder.Decode(&value) != nil {
-			return "", false
+		return &FieldError{Field: first.Path, Detail: first.Problem}
+	case errors.Is(err, jsonfields.ErrTooLarge):
+		return &FieldError{
+			Field: documentField, Detail: fmt.Sprintf("the body is over the limit of %d bytes", limit),
+			Status: http.StatusRequestEntityTooLarge, Reason: reasonBodyTooLarge,
 		}
+	case errors.Is(err, jsonfields.ErrTooDeep):
+		return &FieldError{Field: documentField, Detail: fmt.Sprintf("objects and lists nest deeper than %d", maximumDepth)}
+	default:
+		return &FieldError{Field: documentField, Detail: "the body is not one JSON object"}
 	}
-	return "", false
-}
-
-func jsonFault(err error) *FieldError {
-	var wrongType *json.UnmarshalTypeError
-	if errors.As(err, &wrongType) && wrongType.Field != "" {
-		return &FieldError{Field: wrongType.Field, Detail: "must not be a JSON " + wrongType.Value}
-	}
-	if match := unknownFieldPattern.FindStringSubmatch(err.Error()); match != nil {
-		return &FieldError{Field: match[1], Detail: "no such field"}
-	}
-	return &FieldError{Field: documentField, Detail: "the body is not a JSON object of the expected form"}
 }
 
 func (r *Request) takeIdentity(document requestDocument) error {
-	switch {
-	case document.RequestID == nil:
-		return &FieldError{Field: "request_id", Detail: "is required"}
-	case !validRequestID(*document.RequestID):
-		return &FieldError{
-			Field: "request_id", Detail: fmt.Sprintf("must be 1 to %d printable ASCII characters without spaces", MaximumRequestIDLength),
-		}
-	}
-	r.RequestID = *document.RequestID
-	if document.Class == nil || *document.Class == "" {
-		return &FieldError{Field: "class", Detail: "is required"}
+	if !validRequestID(document.RequestID) {
+		detail := fmt.Sprintf("must be 1 to %d printable ASCII characters without spaces", MaximumRequestIDLength)
+		return &FieldError{Field: "request_id", Detail: detail}
 	}
-	r.Class = *document.Class
-	if document.Repeatable == nil {
-		return &FieldError{Field: "repeatable", Detail: "is required"}
+	r.RequestID = document.RequestID
+	if document.Class == "" {
+		return &FieldError{Field: "class", Detail: "must not be empty"}
 	}
-	r.Repeatable = *document.Repeatable
+	r.Class = document.Class
+	r.Repeatable = document.Repeatable
 	return nil
 }
 
@@ -126,22 +87,16 @@
 		}
 		r.Deadline = deadline
 	}
-	if document.MinimumCoverage != nil {
-		minimum := *document.MinimumCoverage
-		if minimum < 0 || minimum > 1 {
-			return &FieldError{Field: "minimum_coverage", Detail: "must be from 0 to 1"}
-		}
-		r.MinimumCoverage = minimum
-	}
-	if len(r.Body) == 0 {
-		return &FieldError{Field: "body", Detail: "is required"}
+	r.MinimumCoverage = document.MinimumCoverage
+	if r.MinimumCoverage < 0 || r.MinimumCoverage > 1 {
+		return &FieldError{Field: "minimum_coverage", Detail: "must be from 0 to 1"}
 	}
 	return nil
 }
 
 func parseDeadline(milliseconds float64) (time.Duration, error) {
 	limit := float64(MaximumDeadline / time.Millisecond)
-	if math.IsNaN(milliseconds) || milliseconds < 1 || milliseconds > limit {
+	if milliseconds < 1 || milliseconds > limit {
 		return 0, &FieldError{Field: "deadline_ms", Detail: fmt.Sprintf("must be from 1 to %.0f", limit)}
 	}
 	return time.Duration(milliseconds * float64(time.Millisecond)), nil
--- a/caller/service.go
+++ b/caller/service.go
@@ -38,9 +38,9 @@
 func NewHandler(options Options) http.Handler {
 	api := &service{options: options}
 	web := new(restful.WebService)
-	web.Path("/v1")
-	web.Route(web.POST("/services/{service}/queries").To(api.query))
-	web.Route(web.GET("/requests/{id}/explanation").To(api.explain))
+	web.Path("/")
+	web.Route(web.POST("/v1/services/{service}/queries").To(api.query))
+	web.Route(web.GET("/v1/requests/{id}/explanation").To(api.explain))
 	container := restful.NewContainer()
 	container.Add(web)
 	container.ServiceErrorHandler(notRouted)
--- a/node/once.go
+++ b/node/once.go
@@ -4,10 +4,11 @@
 	"context"
 	"crypto/sha256"
 	"encoding/binary"
-	"hash/maphash"
 	"math"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/banksail/banksail/caller"
 	"github.com/banksail/banksail/dispatch"
 	"github.com/banksail/banksail/retry"
@@ -21,7 +22,6 @@
 // the window. The window lives in memory: docs/design/at-most-once.md tells
 // what the node's end does to it.
 type once struct {
-	seed  maphash.Seed
 	parts [onceParts]oncePart
 }
 
@@ -42,7 +42,7 @@
 }
 
 func newOnce(window settings.AtMostOnce) *once {
-	guard := &once{seed: maphash.MakeSeed()}
+	guard := &once{}
 	perPart := (window.Requests + onceParts - 1) / onceParts
 	for index := range guard.parts {
 		guard.parts[index].guard = retry.NewGuard(retry.GuardOptions{Window: window.Window, Maximum: perPart})
@@ -52,7 +52,7 @@
 }
 
 func (o *once) part(key string) *oncePart {
-	return &o.parts[maphash.String(o.seed, key)%onceParts]
+	return &o.parts[xxhash.Sum64String(key)%onceParts]
 }
 
 // onceKey is the scope of a request ID: the service that it names.
