--- /dev/null
+++ b/lab/scale/fit.go
@@ -0,0 +1,79 @@
+package scale
+
+import (
+	"errors"
+	"fmt"
+	"math"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// MinimumPoints is the least number of points that a slope is fitted to.
+const MinimumPoints = 4
+
+// ErrTooFewPoints is returned for a series that is too short to be fitted.
+var ErrTooFewPoints = errors.New("scale: too few points for a fit")
+
+// ErrNoSpread is returned for a series whose sizes are all the same.
+var ErrNoSpread = errors.New("scale: sizes of a series must differ")
+
+// Point is one measurement: a quantity's value at a size.
+type Point struct {
+	Size  float64
+	Value float64
+}
+
+// Fit is a line of least squares with its errors.
+type Fit struct {
+	// Slope is the growth of the value for each unit of the size.
+	Slope float64
+	// SlopeError is the standard error of Slope.
+	SlopeError float64
+	// Intercept is the line's value at size zero.
+	Intercept float64
+	// ResidualError is the residual standard error, in the value's unit.
+	ResidualError float64
+	// RSquared is the share of the values' variance that the line explains. It
+	// is 1 when the values don't vary at all.
+	RSquared float64
+	// Points is the number of points that were fitted.
+	Points int
+}
+
+// FitLine fits a line of least squares to at least MinimumPoints points.
+func FitLine(points []Point) (Fit, error) {
+	if len(points) < MinimumPoints {
+		return Fit{}, fmt.Errorf("%w: %d, need %d", ErrTooFewPoints, len(points), MinimumPoints)
+	}
+	sizes, values := columns(points)
+	_, spread := stat.MeanVariance(sizes, nil)
+	if spread == 0 {
+		return Fit{}, ErrNoSpread
+	}
+	intercept, slope := stat.LinearRegression(sizes, values, nil, false)
+	fit := Fit{Slope: slope, Intercept: intercept, RSquared: 1, Points: len(points)}
+	if stat.Variance(values, nil) > 0 {
+		fit.RSquared = stat.RSquared(sizes, values, nil, intercept, slope)
+	}
+	squares := 0.0
+	for _, point := range points {
+		residual := point.Value - fit.At(point.Size)
+		squares += residual * residual
+	}
+	fit.ResidualError = math.Sqrt(squares / float64(len(points)-2))
+	fit.SlopeError = fit.ResidualError / math.Sqrt(spread*float64(len(points)-1))
+	return fit, nil
+}
+
+// At is the line's value at a size.
+func (f Fit) At(size float64) float64 {
+	return f.Intercept + f.Slope*size
+}
+
+func columns(points []Point) (sizes, values []float64) {
+	for _, point := range points {
+		sizes = append(sizes, point.Size)
+		values = append(values, point.Value)
+	}
+	return sizes, values
+}
