--- /dev/null
+++ b/lab/scale/dispatch.go
@@ -0,0 +1,220 @@
+package scale
+
+import (
+	"context"
+	"math/rand/v2"
+	"runtime"
+	"time"
+
+	"github.com/banksail/banksail/dispatch"
+	"github.com/banksail/banksail/policy"
+)
+
+const (
+	hollowSnapshot   = dispatch.SnapshotID(7)
+	hollowDeadline   = 200 * time.Millisecond
+	meanServiceTime  = time.Millisecond
+	networkRoundTrip = 2 * time.Millisecond
+	dispatchSeed     = 1
+	warmUpQueries    = 50
+)
+
+// hollowNode drives one dispatcher of one service against servers that answer
+// every sub-request after a random service time.
+type hollowNode struct {
+	queue      Queue
+	random     *rand.Rand
+	dispatcher *dispatch.Dispatcher
+	watch      *Stopwatch
+	nextQuery  dispatch.QueryID
+	counts     dispatchCounts
+}
+
+type dispatchCounts struct {
+	queries, finished, complete int
+	sends, extraSends           int
+}
+
+func newHollowNode(service policy.Service, watch *Stopwatch) *hollowNode {
+	node := &hollowNode{
+		random:     rand.New(rand.NewPCG(dispatchSeed, 0)),
+		dispatcher: newDispatcher(service),
+		watch:      watch,
+	}
+	return node
+}
+
+func newDispatcher(service policy.Service) *dispatch.Dispatcher {
+	dispatcher := dispatch.New(dispatch.Options{Seed: dispatchSeed, Zone: zoneName(0)})
+	dispatcher.Step(0, dispatch.Configured{Revision: 1, Service: service, Classes: classesOf()})
+	for _, group := range service.Groups {
+		for _, server := range group.Servers {
+			dispatcher.Step(0, dispatch.Observed{Server: server.ID, Snapshots: []dispatch.SnapshotID{hollowSnapshot}})
+		}
+	}
+	return dispatcher
+}
+
+// arrive starts queries at an even rate until the time end.
+func (n *hollowNode) arrive(gap, end time.Duration) {
+	if n.queue.Now() >= end {
+		return
+	}
+	n.nextQuery++
+	n.counts.queries++
+	n.step(dispatch.Arrived{Query: hollowQuery(n.nextQuery)})
+	n.queue.After(gap, func() { n.arrive(gap, end) })
+}
+
+func hollowQuery(id dispatch.QueryID) dispatch.Query {
+	return dispatch.Query{
+		ID: id, RequestID: "request", Class: className,
+		Remaining: hollowDeadline, MinimumCoverage: 0.9, Repeatable: true,
+	}
+}
+
+func (n *hollowNode) step(event dispatch.Event) {
+	var actions []dispatch.Action
+	n.watch.Time(func() { actions = n.dispatcher.Step(n.queue.Now(), event) })
+	for _, action := range actions {
+		n.carryOut(action)
+	}
+}
+
+func (n *hollowNode) carryOut(action dispatch.Action) {
+	switch action := action.(type) {
+	case dispatch.Send:
+		n.counts.sends++
+		if action.Kind != dispatch.FirstSend {
+			n.counts.extraSends++
+		}
+		n.queue.After(n.delay(), func() { n.step(doneReply(action)) })
+	case dispatch.Wake:
+		n.queue.After(action.At-n.queue.Now(), func() { n.step(dispatch.Woken{}) })
+	case dispatch.Finish:
+		n.counts.finished++
+		if action.Outcome.Complete {
+			n.counts.complete++
+		}
+	}
+}
+
+func (n *hollowNode) delay() time.Duration {
+	return networkRoundTrip + time.Duration(n.random.ExpFloat64()*float64(meanServiceTime))
+}
+
+func doneReply(send dispatch.Send) dispatch.Replied {
+	return dispatch.Replied{Attempt: send.Attempt, Reply: dispatch.Reply{
+		Status: dispatch.ReplyDone, Snapshot: send.Snapshot, Range: send.Range,
+		Snapshots: []dispatch.SnapshotID{send.Snapshot},
+		Load:      dispatch.Load{InFlight: 1},
+	}}
+}
+
+// run carries queries at a rate for a span of virtual time and returns the
+// processor time of the dispatcher's steps.
+func (n *hollowNode) run(rate float64, span time.Duration) time.Duration {
+	gap := time.Duration(float64(time.Second) / rate)
+	n.arrive(gap, warmUpQueries*gap)
+	n.queue.RunUntil(warmUpQueries*gap + time.Second)
+	n.watch.Reset()
+	n.counts = dispatchCounts{}
+	begin := n.queue.Now()
+	n.arrive(gap, begin+span)
+	n.queue.RunUntil(begin + span)
+	return n.watch.Total()
+}
+
+// allocations returns the objects and bytes that the dispatcher allocates for
+// one query, its sub-requests and their replies.
+func allocations(dispatcher *dispatch.Dispatcher, queries int) (objects, bytes float64) {
+	const firstQuery = 1 << 40
+	var before, after runtime.MemStats
+	now := time.Hour
+	runtime.ReadMemStats(&before)
+	for number := range queries {
+		now += time.Second
+		for _, action := range dispatcher.Step(now, dispatch.Arrived{Query: hollowQuery(dispatch.QueryID(firstQuery + number))}) {
+			if send, ok := action.(dispatch.Send); ok {
+				dispatcher.Step(now+networkRoundTrip, doneReply(send))
+			}
+		}
+	}
+	runtime.ReadMemStats(&after)
+	objects = float64(after.Mallocs-before.Mallocs) / float64(queries)
+	bytes = float64(after.TotalAlloc-before.TotalAlloc) / float64(queries)
+	return objects, bytes
+}
+
+// perQuery measures one query over groups of replicas servers each.
+func perQuery(groups, replicas, queries int) ([]Sample, error) {
+	watch, err := NewStopwatch()
+	if err != nil {
+		return nil, err
+	}
+	defer watch.Close()
+	const rate = 20.0
+	node := newHollowNode(serviceOf(groups, replicas), watch)
+	total := node.run(rate, time.Duration(float64(queries)/rate*float64(time.Second)))
+	objects, bytes := allocations(node.dispatcher, queries)
+	asked := float64(node.counts.queries)
+	return []Sample{
+		{"processor µs/query", microseconds(total) / asked},
+		{"sub-requests/query", float64(node.counts.sends) / asked},
+		{"allocations/query", objects},
+		{"allocated bytes/query", bytes},
+	}, nil
+}
+
+func microseconds(span time.Duration) float64 { return float64(span) / float64(time.Microsecond) }
+
+// dispatchSweeps measures the dispatcher: groups, servers and queries a second.
+func dispatchSweeps() []Sweep {
+	const queries = 200
+	return []Sweep{
+		{
+			Name: "dispatch-groups", Role: "query path", Size: "groups per query", Fixed: "2 servers a group",
+			Sizes: []float64{8, 44, 88, 175, 262, 350},
+			Measure: func(_ context.Context, size float64) ([]Sample, error) {
+				return perQuery(int(size), 2, queries)
+			},
+		},
+		{
+			Name: "dispatch-servers", Role: "query path", Size: "servers", Fixed: "88 groups per query",
+			Sizes: []float64{176, 352, 704, 1056, 1408},
+			Measure: func(_ context.Context, size float64) ([]Sample, error) {
+				const groups = 88
+				samples, err := perQuery(groups, int(size)/groups, queries)
+				_, heap := heapOf(func() *dispatch.Dispatcher { return newDispatcher(serviceOf(groups, int(size)/groups)) })
+				return append(samples, Sample{"heap bytes", heap}), err
+			},
+		},
+		{
+			Name: "dispatch-rate", Role: "query path", Size: "queries/s", Fixed: "350 groups of 2 servers",
+			Sizes: []float64{20, 40, 80, 120, 160},
+			Measure: func(_ context.Context, size float64) ([]Sample, error) {
+				return atRate(size)
+			},
+		},
+	}
+}
+
+// atRate measures a second of queries at a rate.
+func atRate(rate float64) ([]Sample, error) {
+	const (
+		groups  = 350
+		seconds = 2
+	)
+	watch, err := NewStopwatch()
+	if err != nil {
+		return nil, err
+	}
+	defer watch.Close()
+	node := newHollowNode(serviceOf(groups, 2), watch)
+	total := node.run(rate, seconds*time.Second)
+	return []Sample{
+		{"processor ms/s", microseconds(total) / 1000 / seconds},
+		{"sub-requests/s", float64(node.counts.sends) / seconds},
+		{"extra sub-requests/s", float64(node.counts.extraSends) / seconds},
+	}, nil
+}
--- a/lab/scale/report.go
+++ b/lab/scale/report.go
@@ -12,7 +12,7 @@
 // WriteTable writes the slopes as a table for people.
 func WriteTable(out io.Writer, all []Series) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "sweep\tper\tquantity\tslope\t±\tat 0\tR²\tresidual\tpoints\tfrom\tto\t")
+	_, _ = fmt.Fprintln(table, "sweep\tper\tquantity\tslope\t±\tat 0\tR²\tresidual\tpoints\tfrom\tto\t")
 	for _, series := range all {
 		first, last := series.Points[0], series.Points[len(series.Points)-1]
 		cells := []string{
@@ -23,7 +23,7 @@
 			fmt.Sprintf("%s@%g", short(first.Value), first.Size),
 			fmt.Sprintf("%s@%g", short(last.Value), last.Size),
 		}
-		fmt.Fprintln(table, strings.Join(cells, "\t")+"\t")
+		_, _ = fmt.Fprintln(table, strings.Join(cells, "\t")+"\t")
 	}
 	if err := table.Flush(); err != nil {
 		return fmt.Errorf("scale: table: %w", err)
