--- a/lab/scale/dispatch.go
+++ b/lab/scale/dispatch.go
@@ -174,24 +174,24 @@
 	return []Sweep{
 		{
 			Name: "dispatch-groups", Role: "query path", Size: "groups per query", Fixed: "2 servers a group",
-			Sizes: []float64{8, 44, 88, 175, 262, 350},
+			Sizes: []float64{8, 44, 88, 175, 262, 350}, Today: 12, Planned: 350,
 			Measure: func(_ context.Context, size float64) ([]Sample, error) {
 				return perQuery(int(size), 2, queries)
 			},
 		},
 		{
-			Name: "dispatch-servers", Role: "query path", Size: "servers", Fixed: "88 groups per query",
-			Sizes: []float64{176, 352, 704, 1056, 1408},
+			Name: "dispatch-servers", Role: "query path", Size: "servers", Fixed: "350 groups per query",
+			Sizes: []float64{700, 1400, 2800, 4200, 5600}, Today: 24, Planned: 5500,
 			Measure: func(_ context.Context, size float64) ([]Sample, error) {
-				const groups = 88
+				const groups = 350
 				samples, err := perQuery(groups, int(size)/groups, queries)
 				_, heap := heapOf(func() *dispatch.Dispatcher { return newDispatcher(serviceOf(groups, int(size)/groups)) })
 				return append(samples, Sample{"heap bytes", heap}), err
 			},
 		},
 		{
-			Name: "dispatch-rate", Role: "query path", Size: "queries/s", Fixed: "350 groups of 2 servers",
-			Sizes: []float64{20, 40, 80, 120, 160},
+			Name: "dispatch-rate", Role: "query path", Size: "queries/s of a node", Fixed: "350 groups of 2 servers",
+			Sizes: []float64{20, 40, 80, 120, 157}, Today: 20, Planned: 157,
 			Measure: func(_ context.Context, size float64) ([]Sample, error) {
 				return atRate(size)
 			},
--- a/lab/scale/fit.go
+++ b/lab/scale/fit.go
@@ -38,6 +38,9 @@
 	RSquared float64
 	// Points is the number of points that were fitted.
 	Points int
+	// MeanSize is the mean of the points' sizes, and SizeSquares the sum of the
+	// squares of their distances from it.
+	MeanSize, SizeSquares float64
 }
 
 // FitLine fits a line of least squares to at least MinimumPoints points.
@@ -46,12 +49,13 @@
 		return Fit{}, fmt.Errorf("%w: %d, need %d", ErrTooFewPoints, len(points), MinimumPoints)
 	}
 	sizes, values := columns(points)
-	_, spread := stat.MeanVariance(sizes, nil)
-	if spread == 0 {
+	mean, variance := stat.MeanVariance(sizes, nil)
+	if variance == 0 {
 		return Fit{}, ErrNoSpread
 	}
 	intercept, slope := stat.LinearRegression(sizes, values, nil, false)
 	fit := Fit{Slope: slope, Intercept: intercept, RSquared: 1, Points: len(points)}
+	fit.MeanSize, fit.SizeSquares = mean, variance*float64(len(points)-1)
 	if stat.Variance(values, nil) > 0 {
 		fit.RSquared = stat.RSquared(sizes, values, nil, intercept, slope)
 	}
@@ -61,7 +65,7 @@
 		squares += residual * residual
 	}
 	fit.ResidualError = math.Sqrt(squares / float64(len(points)-2))
-	fit.SlopeError = fit.ResidualError / math.Sqrt(spread*float64(len(points)-1))
+	fit.SlopeError = fit.ResidualError / math.Sqrt(fit.SizeSquares)
 	return fit, nil
 }
 
@@ -70,6 +74,13 @@
 	return f.Intercept + f.Slope*size
 }
 
+// PredictionError is the standard error of one more value at a size, if the
+// line holds there.
+func (f Fit) PredictionError(size float64) float64 {
+	distance := size - f.MeanSize
+	return f.ResidualError * math.Sqrt(1+1/float64(f.Points)+distance*distance/f.SizeSquares)
+}
+
 func columns(points []Point) (sizes, values []float64) {
 	for _, point := range points {
 		sizes = append(sizes, point.Size)
--- a/lab/scale/fit_test.go
+++ b/lab/scale/fit_test.go
@@ -6,6 +6,20 @@
 	"testing"
 )
 
+func TestPredictionErrorGrowsWithDistance(t *testing.T) {
+	fit, err := FitLine([]Point{{0, 1}, {1, -1}, {2, -1}, {3, 1}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	near, far := fit.PredictionError(1.5), fit.PredictionError(6.5)
+	if want := math.Sqrt2 * math.Sqrt(1.25); math.Abs(near-want) > 1e-9 {
+		t.Errorf("at the mean: %g, want %g", near, want)
+	}
+	if want := math.Sqrt2 * math.Sqrt(1.25+5); math.Abs(far-want) > 1e-9 {
+		t.Errorf("far away: %g, want %g", far, want)
+	}
+}
+
 func TestFitLine(t *testing.T) {
 	const tolerance = 1e-9
 	cases := []struct {
--- a/lab/scale/report.go
+++ b/lab/scale/report.go
@@ -31,6 +31,28 @@
 	return nil
 }
 
+// WriteSizes writes each quantity at today's and at the planned size.
+func WriteSizes(out io.Writer, all []Series) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(table, "sweep\tquantity\tsize\ttoday\t±\tis\tplanned\t±\tis\t")
+	for _, series := range all {
+		cells := []string{series.Sweep, series.Quantity, series.Size}
+		for _, size := range []float64{series.Today, series.Planned} {
+			value, standardError, measured := series.At(size)
+			origin := "extrapolated"
+			if measured {
+				origin = "measured"
+			}
+			cells = append(cells, fmt.Sprintf("%s@%g", short(value), size), short(standardError), origin)
+		}
+		_, _ = fmt.Fprintln(table, strings.Join(cells, "\t")+"\t")
+	}
+	if err := table.Flush(); err != nil {
+		return fmt.Errorf("scale: table of sizes: %w", err)
+	}
+	return nil
+}
+
 // WriteCSV writes each point of each series with the series' fit.
 func WriteCSV(out io.Writer, all []Series) error {
 	writer := csv.NewWriter(out)
--- a/lab/scale/scale.go
+++ b/lab/scale/scale.go
@@ -37,6 +37,8 @@
 	Fixed string
 	// Sizes lists the values, at least MinimumPoints.
 	Sizes []float64
+	// Today and Planned are the size of today and the one to plan for.
+	Today, Planned float64
 	// Measure returns the same quantities, in the same order, at every size.
 	Measure func(ctx context.Context, size float64) ([]Sample, error)
 }
@@ -48,10 +50,23 @@
 	Size     string
 	Fixed    string
 	Quantity string
+	Today    float64
+	Planned  float64
 	Points   []Point
 	Fit      Fit
 }
 
+// At returns the value at a size: what was measured there, or else what the
+// line extrapolates, with its standard error.
+func (s Series) At(size float64) (value, standardError float64, measured bool) {
+	for _, point := range s.Points {
+		if point.Size == size {
+			return point.Value, s.Fit.ResidualError, true
+		}
+	}
+	return s.Fit.At(size), s.Fit.PredictionError(size), false
+}
+
 // Bounds limit a run.
 type Bounds struct {
 	// Time is the longest that the whole run may take.
@@ -109,6 +124,7 @@
 		for _, sample := range samples {
 			series = append(series, Series{
 				Sweep: s.Name, Role: s.Role, Size: s.Size, Fixed: s.Fixed, Quantity: sample.Quantity,
+				Today: s.Today, Planned: s.Planned,
 			})
 		}
 	}
--- a/lab/scale/scale_test.go
+++ b/lab/scale/scale_test.go
@@ -13,7 +13,7 @@
 
 func doubling() Sweep {
 	return Sweep{
-		Name: "doubling", Size: "nodes", Sizes: []float64{1, 2, 3, 4},
+		Name: "doubling", Size: "nodes", Sizes: []float64{1, 2, 3, 4}, Today: 2, Planned: 100,
 		Measure: func(_ context.Context, size float64) ([]Sample, error) {
 			return []Sample{{Quantity: "bytes/s", Value: 2 * size}}, nil
 		},
@@ -28,9 +28,14 @@
 		t.Fatal(err)
 	}
 	var table, values bytes.Buffer
-	if err := errors.Join(WriteTable(&table, all), WriteCSV(&values, all)); err != nil {
+	if err := errors.Join(WriteTable(&table, all), WriteSizes(&table, all), WriteCSV(&values, all)); err != nil {
 		t.Fatal(err)
 	}
+	for _, want := range []string{"4@2", "measured", "200@100", "extrapolated"} {
+		if !strings.Contains(table.String(), want) {
+			t.Errorf("no %q in\n%s", want, table.String())
+		}
+	}
 	if !strings.Contains(table.String(), "bytes/s") || strings.Count(values.String(), "\n") != 5 {
 		t.Errorf("table:\n%s\nCSV:\n%s", table.String(), values.String())
 	}
