banksail-lab scale: slopes of membership, record, spread, shares and server table

Cause: docs/CAPACITY.md needs slopes of each role. Change: the real cores of membership, rollout and dispatch run for up to 1,400 hollow nodes on an event queue; messages are counted in their real protobuf encodings with HTTP's headers; the policy record, the machine list, the shares of connections and the table of servers are timed directly.

--- a/cmd/banksail-lab/main.go
+++ b/cmd/banksail-lab/main.go
@@ -31,4 +31,5 @@
 	commander.Register(&storeCommand{}, "stand-ins")
 	commander.Register(&machinesCommand{}, "stand-ins")
 	commander.Register(&profileCommand{}, "stand-ins")
+	commander.Register(&scaleCommand{}, "experiments")
 }
--- /dev/null
+++ b/lab/scale/record.go
@@ -0,0 +1,203 @@
+package scale
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/banksail/banksail/machinelist"
+	"github.com/banksail/banksail/policy"
+)
+
+const (
+	recordRepeats = 5
+	recordHistory = policy.MaximumHistory
+	planAuthor    = "operator@example.org"
+	groupsPlanned = 350
+)
+
+// recordOf makes a stored record over about so many servers, with a full history.
+func recordOf(servers int) policy.Record {
+	replicas := max(1, servers/groupsPlanned)
+	groups := (servers + replicas - 1) / replicas
+	record := policy.Record{
+		Format: policy.RecordFormat, Revision: recordHistory + 1,
+		Config: policy.Config{Classes: classesOf(), Services: []policy.Service{serviceOf(groups, replicas)}},
+	}
+	for number := range recordHistory {
+		record.History = append(record.History, policy.HistoryEntry{
+			Revision: policy.Revision(number + 2), PlanID: planID(number), Author: planAuthor,
+			Summary: []string{"services[search].groups[group-001].servers[search-server-00001].slots: 5 -> 6"}, Differences: 1,
+		})
+	}
+	for number := range policy.MaximumRecentPlans {
+		record.RecentPlans = append(record.RecentPlans, policy.AppliedPlan{ID: planID(number), Revision: policy.Revision(number + 1)})
+	}
+	return record
+}
+
+func planID(number int) string { return fmt.Sprintf("00000000-0000-4000-8000-%012d", number) }
+
+// recordSweeps measures the configuration record and the machine list.
+func recordSweeps() []Sweep {
+	return []Sweep{
+		{
+			Name: "record-servers", Role: "configuration", Size: "servers", Fixed: "350 groups of one service",
+			Sizes: []float64{700, 1400, 2800, 4200, 5500}, Today: 70, Planned: 5500,
+			Measure: func(_ context.Context, size float64) ([]Sample, error) { return measureRecord(int(size)) },
+		},
+		{
+			Name: "list-machines", Role: "membership", Size: "machines", Fixed: "one reading",
+			Sizes: []float64{100, 700, 1400, 3500, 6900}, Today: 94, Planned: 6900,
+			Measure: func(_ context.Context, size float64) ([]Sample, error) { return measureList(int(size)) },
+		},
+	}
+}
+
+func measureRecord(servers int) ([]Sample, error) {
+	record := recordOf(servers)
+	encoded, err := policy.EncodeRecord(record)
+	if err != nil {
+		return nil, fmt.Errorf("scale: record: %w", err)
+	}
+	compressed, err := compress(encoded)
+	if err != nil {
+		return nil, err
+	}
+	steps := []timedStep{
+		{"encode µs", func() error { _, err := policy.EncodeRecord(record); return err }},
+		{"decode and validate µs", func() error { _, err := policy.DecodeRecord(encoded); return err }},
+		{"of it validate µs", func() error { return policy.Validate(record.Config) }},
+		{"gzip µs", func() error { _, err := compress(encoded); return err }},
+		{"gunzip µs", func() error { return decompress(compressed) }},
+		{"plan and decide µs", func() error { _, err := planBytes(record); return err }},
+	}
+	times, err := timeSteps(steps, recordRepeats)
+	if err != nil {
+		return nil, err
+	}
+	plan, err := planBytes(record)
+	if err != nil {
+		return nil, err
+	}
+	_, heap := heapOf(func() *policy.Record {
+		decoded, _ := policy.DecodeRecord(bytes.Clone(encoded))
+		return &decoded
+	})
+	samples := []Sample{
+		{"record bytes", float64(len(encoded))},
+		{"record bytes, gzip", float64(len(compressed))},
+		{"plan bytes", float64(plan)},
+		{"heap bytes", heap},
+	}
+	return append(samples, times...), nil
+}
+
+// planBytes plans and decides a change of one server's slots and returns the
+// size of the plan document.
+func planBytes(record policy.Record) (int, error) {
+	service := record.Config.Services[0]
+	service.Groups = append([]policy.Group{}, service.Groups...)
+	service.Groups[0].Servers = append([]policy.Server{}, service.Groups[0].Servers...)
+	service.Groups[0].Servers[0].Slots++
+	intent := policy.Intent{Author: planAuthor, Changes: []policy.Change{{SetService: &service}}}
+	plan, err := policy.NewPlan(policy.PlanOptions{ID: "plan", Base: record, Intent: intent, Nodes: 1400})
+	if err != nil {
+		return 0, fmt.Errorf("scale: plan: %w", err)
+	}
+	if _, err := policy.Decide(record, plan, time.Time{}); err != nil {
+		return 0, fmt.Errorf("scale: decide: %w", err)
+	}
+	encoded, err := policy.EncodePlan(plan)
+	return len(encoded), err
+}
+
+func measureList(machines int) ([]Sample, error) {
+	list := machinelist.List{Version: 1}
+	for index := range machines {
+		list.Machines = append(list.Machines, machinelist.Machine{
+			ID: fmt.Sprintf("search-server-%05d", index), Address: addressOf(index, 7100), Zone: zoneName(index),
+			Role: machinelist.RoleServer, State: machinelist.StateLive, Incarnation: fmt.Sprintf("%016x", firstIncarnation+index),
+		})
+	}
+	encoded, err := json.Marshal(list)
+	if err != nil {
+		return nil, fmt.Errorf("scale: machine list: %w", err)
+	}
+	compressed, err := compress(encoded)
+	if err != nil {
+		return nil, err
+	}
+	times, err := timeSteps([]timedStep{{"decode µs", func() error {
+		var decoded machinelist.List
+		return json.Unmarshal(encoded, &decoded)
+	}}}, recordRepeats)
+	samples := []Sample{
+		{"list bytes", float64(len(encoded))},
+		{"list bytes, gzip", float64(len(compressed))},
+	}
+	return append(samples, times...), err
+}
+
+// timedStep is a piece of work whose processor time is a quantity.
+type timedStep struct {
+	quantity string
+	run      func() error
+}
+
+// timeSteps runs each step several times, after once untimed, and returns the
+// mean processor time of each in microseconds.
+func timeSteps(steps []timedStep, repeats int) ([]Sample, error) {
+	watch, err := NewStopwatch()
+	if err != nil {
+		return nil, err
+	}
+	defer watch.Close()
+	var samples []Sample
+	for _, step := range steps {
+		failed := step.run()
+		watch.Reset()
+		for range repeats {
+			watch.Time(func() {
+				if err := step.run(); err != nil {
+					failed = err
+				}
+			})
+		}
+		if failed != nil {
+			return nil, fmt.Errorf("scale: %s: %w", step.quantity, failed)
+		}
+		samples = append(samples, Sample{step.quantity, microseconds(watch.Total()) / float64(repeats)})
+	}
+	return samples, nil
+}
+
+func compress(data []byte) ([]byte, error) {
+	var compressed bytes.Buffer
+	writer, err := gzip.NewWriterLevel(&compressed, gzip.BestSpeed)
+	if err != nil {
+		return nil, fmt.Errorf("scale: gzip: %w", err)
+	}
+	if _, err := writer.Write(data); err != nil {
+		return nil, fmt.Errorf("scale: gzip: %w", err)
+	}
+	if err := writer.Close(); err != nil {
+		return nil, fmt.Errorf("scale: gzip: %w", err)
+	}
+	return compressed.Bytes(), nil
+}
+
+func decompress(compressed []byte) error {
+	reader, err := gzip.NewReader(bytes.NewReader(compressed))
+	if err != nil {
+		return fmt.Errorf("scale: gunzip: %w", err)
+	}
+	if _, err := io.Copy(io.Discard, reader); err != nil {
+		return fmt.Errorf("scale: gunzip: %w", err)
+	}
+	return nil
+}
--- a/lab/scale/resource.go
+++ b/lab/scale/resource.go
@@ -75,5 +75,6 @@
 	before := liveHeap()
 	built := build()
 	after := liveHeap()
+	runtime.KeepAlive(built)
 	return built, float64(int64(after) - int64(before))
 }
--- a/lab/scale/sweeps_test.go
+++ b/lab/scale/sweeps_test.go
@@ -1,24 +1,98 @@
 package scale
 
 import (
+	"errors"
+	"slices"
+	"strings"
 	"testing"
+	"time"
 )
 
-func TestSweepsRunAtTheirSmallestSize(t *testing.T) {
+func TestSweepsAreDeclaredWhole(t *testing.T) {
+	names := map[string]bool{}
 	for _, sweep := range Sweeps() {
-		t.Run(sweep.Name, func(t *testing.T) {
-			if len(sweep.Sizes) < MinimumPoints {
-				t.Fatalf("%d sizes, need %d", len(sweep.Sizes), MinimumPoints)
+		if names[sweep.Name] {
+			t.Errorf("two sweeps are named %s", sweep.Name)
+		}
+		names[sweep.Name] = true
+		if len(sweep.Sizes) < MinimumPoints || !slices.IsSorted(sweep.Sizes) || sweep.Planned == 0 {
+			t.Errorf("%s: sizes %v, planned %g", sweep.Name, sweep.Sizes, sweep.Planned)
+		}
+	}
+}
+
+func TestSelect(t *testing.T) {
+	selected, err := Select(Sweeps(), "dispatch-g,spread")
+	if err != nil || len(selected) != 3 {
+		t.Errorf("selected %d: %v", len(selected), err)
+	}
+	if _, err := Select(Sweeps(), "dispatch,nothing"); !errors.Is(err, ErrNoSweep) {
+		t.Errorf("error %v, want %v", err, ErrNoSweep)
+	}
+}
+
+// measurements are the sweeps' functions at sizes that tests can afford.
+func measurements() map[string]func() ([]Sample, error) {
+	const span = 20 * time.Second
+	return map[string]func() ([]Sample, error){
+		"one query":                    func() ([]Sample, error) { return perQuery(8, 2, 20) },
+		"queries at a rate":            func() ([]Sample, error) { return atRate(5) },
+		"quiet membership":             func() ([]Sample, error) { return quietMembership(16, span) },
+		"membership under changes":     func() ([]Sample, error) { return membershipUnderChanges(16, 20_000, 3*span) },
+		"membership under departures":  func() ([]Sample, error) { return membershipUnderDepartures(16, 20_000, 3*span) },
+		"record":                       func() ([]Sample, error) { return measureRecord(20) },
+		"machine list":                 func() ([]Sample, error) { return measureList(20) },
+		"spread of a configuration":    func() ([]Sample, error) { return measureSpread(16, 1000) },
+		"shares of fewer connections":  func() ([]Sample, error) { return measureShares(100, 20) },
+		"shares of enough connections": func() ([]Sample, error) { return measureShares(10, 20) },
+		"table of servers":             func() ([]Sample, error) { return measureServerTable(20) },
+	}
+}
+
+func TestCountsRepeatExactly(t *testing.T) {
+	for name, measure := range measurements() {
+		t.Run(name, func(t *testing.T) {
+			first, err := measure()
+			if err != nil {
+				t.Fatal(err)
 			}
-			samples, err := sweep.Measure(t.Context(), sweep.Sizes[0])
+			second, err := measure()
 			if err != nil {
 				t.Fatal(err)
 			}
-			if len(samples) == 0 {
-				t.Fatal("nothing measured")
+			for index := range first {
+				if first[index] != second[index] && !dependsOnMachine(first[index].Quantity) {
+					t.Errorf("first %v, then %v", first[index], second[index])
+				}
+			}
+		})
+	}
+}
+
+// dependsOnMachine tells times and memory from counts.
+func dependsOnMachine(quantity string) bool {
+	for _, word := range []string{"µs", "ms", "heap", "allocat"} {
+		if strings.Contains(quantity, word) {
+			return true
+		}
+	}
+	return false
+}
+
+func TestHollowNodesDoTheirWork(t *testing.T) {
+	for name, want := range map[string]Sample{
+		"one query":                    {"sub-requests/query", 8},
+		"shares of enough connections": {"share of groups that the node reaches", 1},
+		"spread of a configuration":    {"store records read/change", zoneCount},
+		"membership under changes":     {"share of table behind after 14 s", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			samples, err := measurements()[name]()
+			if err != nil {
+				t.Fatal(err)
 			}
-			for _, sample := range samples {
-				t.Logf("%s at %g: %g", sample.Quantity, sweep.Sizes[0], sample.Value)
+			if !slices.Contains(samples, want) {
+				t.Errorf("want %v in %v", want, samples)
 			}
 		})
 	}
