--- a/cmd/banksail-lab/main.go
+++ b/cmd/banksail-lab/main.go
@@ -33,4 +33,5 @@
 	commander.Register(&profileCommand{}, "stand-ins")
 	commander.Register(&spreadCommand{}, "measurements")
 	commander.Register(&experimentCommand{}, "experiments")
+	commander.Register(&scaleCommand{}, "experiments")
 }
