Claims of not-repeatable requests at other nodes: ledger, owners and round

A node that dies takes its at-most-once window with it. A caller that asks again with the same request ID, at the node's replacement or at another node, would then run the request twice. The pure parts: an owner's ledger, the choice of owners by rendezvous hashing, and the round that needs a majority of them.

--- /dev/null
+++ b/claim/claim_test.go
@@ -0,0 +1,175 @@
+package claim
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+var (
+	first  = Holder{Node: "node-1", Incarnation: 1}
+	second = Holder{Node: "node-2", Incarnation: 1}
+)
+
+func TestLedger(t *testing.T) {
+	type step struct {
+		at      time.Duration
+		holder  Holder
+		release bool
+		want    Verdict
+	}
+	tests := map[string][]step{
+		"first holder is granted, another is told who holds": {
+			{holder: first, want: Granted}, {holder: second, want: Held},
+		},
+		"same holder repeats its claim": {
+			{holder: first, want: Granted}, {holder: first, want: Granted},
+		},
+		"same node in a later incarnation is another holder": {
+			{holder: first, want: Granted}, {holder: Holder{Node: "node-1", Incarnation: 2}, want: Held},
+		},
+		"released claim is free": {
+			{holder: first, want: Granted}, {holder: first, release: true}, {holder: second, want: Granted},
+		},
+		"release by another holder changes nothing": {
+			{holder: first, want: Granted}, {holder: second, release: true}, {holder: second, want: Held},
+		},
+		"claim lapses after its window": {
+			{holder: first, want: Granted}, {at: time.Minute, holder: second, want: Granted},
+		},
+		"repeated claim is kept for a whole window": {
+			{holder: first, want: Granted},
+			{at: 40 * time.Second, holder: first, want: Granted},
+			{at: 70 * time.Second, holder: second, want: Held},
+		},
+	}
+	for name, steps := range tests {
+		t.Run(name, func(t *testing.T) {
+			ledger := NewLedger(LedgerOptions{Window: time.Minute})
+			for i, step := range steps {
+				if step.release {
+					ledger.Release("key", step.holder)
+					continue
+				}
+				if got := ledger.Claim(step.at, "key", step.holder); got.Verdict != step.want {
+					t.Fatalf("step %d: verdict %d, want %d", i, got.Verdict, step.want)
+				}
+			}
+		})
+	}
+}
+
+func TestFullLedgerForgetsNoLiveClaim(t *testing.T) {
+	ledger := NewLedger(LedgerOptions{Maximum: 1})
+	ledger.Claim(0, "a", first)
+	if got := ledger.Claim(0, "b", first); got.Verdict != Full {
+		t.Fatalf("verdict %d, want Full", got.Verdict)
+	}
+	if got := ledger.Claim(0, "a", second); got.Verdict != Held {
+		t.Fatalf("verdict %d, want Held", got.Verdict)
+	}
+}
+
+func TestRound(t *testing.T) {
+	granted, held := Answer{Verdict: Granted}, Answer{Verdict: Held, Holder: first}
+	tests := map[string]struct {
+		owners  int
+		answers []Answer
+		failed  int
+		closed  bool
+		want    Decision
+	}{
+		"no other node":                   {want: Won},
+		"all grant":                       {owners: 3, answers: []Answer{granted, granted, granted}, want: Won},
+		"waits for the third":             {owners: 3, answers: []Answer{granted, granted}, want: Undecided},
+		"majority suffices when closed":   {owners: 3, answers: []Answer{granted, granted}, closed: true, want: Won},
+		"one of three is too few":         {owners: 3, answers: []Answer{granted}, failed: 2, want: Unavailable},
+		"one holder elsewhere is enough":  {owners: 3, answers: []Answer{granted, granted, held}, want: Lost},
+		"a full owner is no grant":        {owners: 1, answers: []Answer{{Verdict: Full}}, want: Unavailable},
+		"the only other node has to know": {owners: 1, failed: 1, want: Unavailable},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			round := NewRound(test.owners)
+			for _, answer := range test.answers {
+				round.Answered(answer)
+			}
+			for range test.failed {
+				round.Failed()
+			}
+			if test.closed {
+				round.Close()
+			}
+			if got := round.Decision(); got != test.want {
+				t.Fatalf("decision %d, want %d", got, test.want)
+			}
+		})
+	}
+}
+
+// TestAtMostOneRoundWins lets several nodes claim one key at the same owners in
+// any order, with any owner out of reach for any of them.
+func TestAtMostOneRoundWins(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(1)
+	parameters.MinSuccessfulTests = 500
+	properties := gopter.NewProperties(parameters)
+	properties.Property("at most one round wins", prop.ForAll(func(seed uint64) bool {
+		random := rand.New(rand.NewPCG(seed, 0))
+		ledgers := []*Ledger{NewLedger(LedgerOptions{}), NewLedger(LedgerOptions{}), NewLedger(LedgerOptions{})}
+		rounds := make([]*Round, 4)
+		type call struct{ claimant, owner int }
+		var calls []call
+		for claimant := range rounds {
+			rounds[claimant] = NewRound(len(ledgers))
+			for owner := range ledgers {
+				calls = append(calls, call{claimant, owner})
+			}
+		}
+		random.Shuffle(len(calls), func(i, j int) { calls[i], calls[j] = calls[j], calls[i] })
+		for _, call := range calls {
+			if random.IntN(4) == 0 {
+				rounds[call.claimant].Failed()
+				continue
+			}
+			holder := Holder{Node: fmt.Sprint(call.claimant)}
+			rounds[call.claimant].Answered(ledgers[call.owner].Claim(0, "key", holder))
+		}
+		won := 0
+		for _, round := range rounds {
+			if round.Decision() == Won {
+				won++
+			}
+		}
+		return won <= 1
+	}, gen.UInt64()))
+	properties.TestingRun(t)
+}
+
+// TestOwnersChangeByOne: a node that leaves takes at most one owner with it.
+func TestOwnersChangeByOne(t *testing.T) {
+	nodes := make([]string, 20)
+	for i := range nodes {
+		nodes[i] = fmt.Sprintf("node-%d", i)
+	}
+	for k := range 200 {
+		key := fmt.Sprintf("key-%d", k)
+		before := Owners(key, nodes)
+		after := Owners(key, nodes[1:])
+		kept := 0
+		for _, owner := range before {
+			for _, other := range after {
+				if owner == other {
+					kept++
+				}
+			}
+		}
+		if kept < OwnersPerRequest-1 {
+			t.Fatalf("%s: owners %v became %v", key, before, after)
+		}
+	}
+}
--- /dev/null
+++ b/claim/ledger.go
@@ -0,0 +1,127 @@
+package claim
+
+import (
+	"container/list"
+	"time"
+)
+
+// Holder is the node that may run a request, in one of its incarnations.
+type Holder struct {
+	Node        string
+	Incarnation uint64
+}
+
+// Verdict is an owner's answer to a claim.
+type Verdict int
+
+const (
+	// Granted means that the claim is recorded and no other holder is known.
+	Granted Verdict = iota + 1
+	// Held means that another holder claimed the request before.
+	Held
+	// Full means that the owner has no room; the claim is not recorded.
+	Full
+)
+
+// Answer is an owner's verdict; Holder is set when the request is held.
+type Answer struct {
+	Verdict Verdict
+	Holder  Holder
+}
+
+// LedgerOptions sets up a Ledger. The zero value of a field stands for its default.
+type LedgerOptions struct {
+	// Window is how long a claim is kept; default ten minutes.
+	Window time.Duration
+	// Maximum is the number of claims that are kept; default 100,000.
+	Maximum int
+}
+
+// Defaults of LedgerOptions.
+const (
+	DefaultWindow  = 10 * time.Minute
+	DefaultMaximum = 100_000
+)
+
+// Ledger keeps the claims of which this node is an owner. It is not safe for
+// concurrent use.
+type Ledger struct {
+	options LedgerOptions
+	entries map[string]*list.Element
+	// order lists the entries, the first to expire at the front. Every claim is
+	// kept for the same window, so the order of recording is that of expiry.
+	order list.List
+}
+
+type entry struct {
+	key     string
+	holder  Holder
+	expires time.Duration
+}
+
+// NewLedger returns an empty Ledger.
+func NewLedger(options LedgerOptions) *Ledger {
+	if options.Window <= 0 {
+		options.Window = DefaultWindow
+	}
+	if options.Maximum <= 0 {
+		options.Maximum = DefaultMaximum
+	}
+	return &Ledger{options: options, entries: make(map[string]*list.Element)}
+}
+
+// Claim records the claim unless another holder has the key. A claim that the
+// same holder repeats is granted again and kept for a whole window from now.
+func (l *Ledger) Claim(now time.Duration, key string, holder Holder) Answer {
+	l.expire(now)
+	element := l.entries[key]
+	if element == nil {
+		return l.record(now, key, holder)
+	}
+	known := element.Value.(*entry)
+	if known.holder != holder {
+		return Answer{Verdict: Held, Holder: known.holder}
+	}
+	known.expires = now + l.options.Window
+	l.order.MoveToBack(element)
+	return Answer{Verdict: Granted}
+}
+
+func (l *Ledger) record(now time.Duration, key string, holder Holder) Answer {
+	if len(l.entries) >= l.options.Maximum {
+		return Answer{Verdict: Full}
+	}
+	l.entries[key] = l.order.PushBack(&entry{
+		key:     key,
+		holder:  holder,
+		expires: now + l.options.Window,
+	})
+	return Answer{Verdict: Granted}
+}
+
+// Release forgets a claim whose holder certainly did not run the request. The
+// claim of another holder stays.
+func (l *Ledger) Release(key string, holder Holder) {
+	element := l.entries[key]
+	if element == nil || element.Value.(*entry).holder != holder {
+		return
+	}
+	l.remove(element)
+}
+
+// Len is the number of claims kept.
+func (l *Ledger) Len() int { return len(l.entries) }
+
+func (l *Ledger) expire(now time.Duration) {
+	for front := l.order.Front(); front != nil; front = l.order.Front() {
+		if front.Value.(*entry).expires > now {
+			return
+		}
+		l.remove(front)
+	}
+}
+
+func (l *Ledger) remove(element *list.Element) {
+	l.order.Remove(element)
+	delete(l.entries, element.Value.(*entry).key)
+}
