--- a/caller/problem.go
+++ b/caller/problem.go
@@ -13,6 +13,16 @@
 // ProblemMediaType is the media type of RFC 9457.
 const ProblemMediaType = "application/problem+json"
 
+// Reasons of outcomes that a node gives to not-repeatable requests by itself.
+const (
+	// ReasonHeldElsewhere means that another node has claimed the request ID,
+	// and may have run the request.
+	ReasonHeldElsewhere dispatch.Reason = "held_elsewhere"
+	// ReasonNoQuorum means that too few other nodes could record the claim of
+	// the request ID.
+	ReasonNoQuorum dispatch.Reason = "no_quorum"
+)
+
 // problemTypePrefix starts the type of every problem; the reason follows it.
 const problemTypePrefix = "https://banksail.dev/problems/"
 
@@ -150,6 +160,8 @@
 		return http.StatusTooManyRequests
 	case dispatch.ReasonDeadline:
 		return http.StatusGatewayTimeout
+	case ReasonHeldElsewhere:
+		return http.StatusConflict
 	case dispatch.ReasonOutcomeUnknown, dispatch.ReasonServerError:
 		return http.StatusBadGateway
 	default:
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -20,6 +20,7 @@
 	type step struct {
 		at      time.Duration
 		holder  Holder
+		number  uint64
 		release bool
 		want    Verdict
 	}
@@ -39,6 +40,12 @@
 		"release by another holder changes nothing": {
 			{holder: first, want: Granted}, {holder: second, release: true}, {holder: second, want: Held},
 		},
+		"late release does not undo a later claim": {
+			{holder: first, number: 1, want: Granted},
+			{holder: first, number: 2, want: Granted},
+			{holder: first, number: 1, release: true},
+			{holder: second, want: Held},
+		},
 		"claim lapses after its window": {
 			{holder: first, want: Granted}, {at: time.Minute, holder: second, want: Granted},
 		},
@@ -52,11 +59,12 @@
 		t.Run(name, func(t *testing.T) {
 			ledger := NewLedger(LedgerOptions{Window: time.Minute})
 			for i, step := range steps {
+				claim := Claim{Key: "key", Holder: step.holder, Sequence: step.number}
 				if step.release {
-					ledger.Release("key", step.holder)
+					ledger.Release(claim)
 					continue
 				}
-				if got := ledger.Claim(step.at, "key", step.holder); got.Verdict != step.want {
+				if got := ledger.Claim(step.at, claim); got.Verdict != step.want {
 					t.Fatalf("step %d: verdict %d, want %d", i, got.Verdict, step.want)
 				}
 			}
@@ -66,11 +74,11 @@
 
 func TestFullLedgerForgetsNoLiveClaim(t *testing.T) {
 	ledger := NewLedger(LedgerOptions{Maximum: 1})
-	ledger.Claim(0, "a", first)
-	if got := ledger.Claim(0, "b", first); got.Verdict != Full {
+	ledger.Claim(0, Claim{Key: "a", Holder: first})
+	if got := ledger.Claim(0, Claim{Key: "b", Holder: first}); got.Verdict != Full {
 		t.Fatalf("verdict %d, want Full", got.Verdict)
 	}
-	if got := ledger.Claim(0, "a", second); got.Verdict != Held {
+	if got := ledger.Claim(0, Claim{Key: "a", Holder: second}); got.Verdict != Held {
 		t.Fatalf("verdict %d, want Held", got.Verdict)
 	}
 }
@@ -137,7 +145,7 @@
 				continue
 			}
 			holder := Holder{Node: fmt.Sprint(call.claimant)}
-			rounds[call.claimant].Answered(ledgers[call.owner].Claim(0, "key", holder))
+			rounds[call.claimant].Answered(ledgers[call.owner].Claim(0, Claim{Key: "key", Holder: holder}))
 		}
 		won := 0
 		for _, round := range rounds {
--- a/claim/ledger.go
+++ b/claim/ledger.go
@@ -11,6 +11,16 @@
 	Incarnation uint64
 }
 
+// Claim is what a claimant sends to an owner.
+type Claim struct {
+	// Key names the request.
+	Key    string
+	Holder Holder
+	// Sequence grows with each claim of the holder, so that a release that
+	// arrives late can't undo a later claim of the same key.
+	Sequence uint64
+}
+
 // Verdict is an owner's answer to a claim.
 type Verdict int
 
@@ -31,7 +41,9 @@
 
 // LedgerOptions sets up a Ledger. The zero value of a field stands for its default.
 type LedgerOptions struct {
-	// Window is how long a claim is kept; default ten minutes.
+	// Window is how long a claim is kept; default twenty minutes. It covers the
+	// longest deadline, in which the request may still run, and the time for
+	// which the holder itself remembers the outcome.
 	Window time.Duration
 	// Maximum is the number of claims that are kept; default 100,000.
 	Maximum int
@@ -39,7 +51,7 @@
 
 // Defaults of LedgerOptions.
 const (
-	DefaultWindow  = 10 * time.Minute
+	DefaultWindow  = 20 * time.Minute
 	DefaultMaximum = 100_000
 )
 
@@ -54,8 +66,7 @@
 }
 
 type entry struct {
-	key     string
-	holder  Holder
+	claim   Claim
 	expires time.Duration
 }
 
@@ -72,41 +83,44 @@
 
 // Claim records the claim unless another holder has the key. A claim that the
 // same holder repeats is granted again and kept for a whole window from now.
-func (l *Ledger) Claim(now time.Duration, key string, holder Holder) Answer {
+func (l *Ledger) Claim(now time.Duration, claim Claim) Answer {
 	l.expire(now)
-	element := l.entries[key]
+	element := l.entries[claim.Key]
 	if element == nil {
-		return l.record(now, key, holder)
+		return l.record(now, claim)
 	}
 	known := element.Value.(*entry)
-	if known.holder != holder {
-		return Answer{Verdict: Held, Holder: known.holder}
+	if known.claim.Holder != claim.Holder {
+		return Answer{Verdict: Held, Holder: known.claim.Holder}
 	}
+	known.claim.Sequence = max(known.claim.Sequence, claim.Sequence)
 	known.expires = now + l.options.Window
 	l.order.MoveToBack(element)
 	return Answer{Verdict: Granted}
 }
 
-func (l *Ledger) record(now time.Duration, key string, holder Holder) Answer {
+func (l *Ledger) record(now time.Duration, claim Claim) Answer {
 	if len(l.entries) >= l.options.Maximum {
 		return Answer{Verdict: Full}
 	}
-	l.entries[key] = l.order.PushBack(&entry{
-		key:     key,
-		holder:  holder,
+	l.entries[claim.Key] = l.order.PushBack(&entry{
+		claim:   claim,
 		expires: now + l.options.Window,
 	})
 	return Answer{Verdict: Granted}
 }
 
 // Release forgets a claim whose holder certainly did not run the request. The
-// claim of another holder stays.
-func (l *Ledger) Release(key string, holder Holder) {
-	element := l.entries[key]
-	if element == nil || element.Value.(*entry).holder != holder {
+// claim of another holder, and a later one of the same holder, stay.
+func (l *Ledger) Release(claim Claim) {
+	element := l.entries[claim.Key]
+	if element == nil {
 		return
 	}
-	l.remove(element)
+	known := element.Value.(*entry).claim
+	if known.Holder == claim.Holder && known.Sequence <= claim.Sequence {
+		l.remove(element)
+	}
 }
 
 // Len is the number of claims kept.
@@ -123,5 +137,5 @@
 
 func (l *Ledger) remove(element *list.Element) {
 	l.order.Remove(element)
-	delete(l.entries, element.Value.(*entry).key)
+	delete(l.entries, element.Value.(*entry).claim.Key)
 }
--- a/claim/round.go
+++ b/claim/round.go
@@ -58,13 +58,16 @@
 		return Lost
 	case r.pending > 0:
 		return Undecided
-	case r.granted >= majority(r.owners):
+	case r.HasMajority():
 		return Won
 	default:
 		return Unavailable
 	}
 }
 
+// HasMajority reports whether a majority of the owners has granted the claim.
+func (r *Round) HasMajority() bool { return r.granted >= majority(r.owners) }
+
 // Holder is the node that has the request, once the round is lost.
 func (r *Round) Holder() Holder { return r.holder }
 
--- a/node/once.go
+++ b/node/once.go
@@ -18,8 +18,8 @@
 const onceParts = 16
 
 // once lets each not-repeatable request run at most once on this node within
-// the window. The window lives in memory: docs/design/at-most-once.md tells
-// what the node's end does to it.
+// the window. The window lives in memory; claims at other nodes (claim.go)
+// cover this node's end. docs/design/at-most-once.md tells how far.
 type once struct {
 	seed  maphash.Seed
 	parts [onceParts]oncePart
@@ -84,8 +84,9 @@
 		run := &onceRun{ended: make(chan struct{})}
 		part.running[key] = run
 		part.mutex.Unlock()
-		run.result = n.run(ctx, carrier, request)
-		n.endOnce(part, key, run)
+		var ran bool
+		run.result, ran = n.runClaimed(ctx, carrier, request, key)
+		n.endOnce(part, key, run, ran)
 		return run.result, nil
 	case retry.InProgress:
 		run := part.running[key]
@@ -109,16 +110,16 @@
 	}
 }
 
-// endOnce records the outcome. A request that ran nowhere is forgotten, so that
-// its caller may try again.
-func (n *Node) endOnce(part *oncePart, key string, run *onceRun) {
+// endOnce records the outcome. A request that did not run here is forgotten, so
+// that its caller may try again.
+func (n *Node) endOnce(part *oncePart, key string, run *onceRun, ran bool) {
 	part.mutex.Lock()
 	defer part.mutex.Unlock()
 	delete(part.running, key)
-	if run.result.Outcome.Execution == dispatch.ExecutionNotRun {
-		part.guard.Abandon(key)
-	} else {
+	if ran {
 		part.guard.Complete(n.now(), key, run.result)
+	} else {
+		part.guard.Abandon(key)
 	}
 	close(run.ended)
 }
--- a/peer/agent.go
+++ b/peer/agent.go
@@ -5,10 +5,12 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/banksail/banksail/claim"
 	"github.com/banksail/banksail/dispatch"
 	"github.com/banksail/banksail/machinelist"
 	"github.com/banksail/banksail/membership"
@@ -28,8 +30,15 @@
 	handler        http.Handler
 	seed           uint64
 
+	// selfID and started name this process in claims.
+	selfID  string
+	started uint64
+	// listed is set once a machine list that names machines was read.
+	listed atomic.Bool
+
 	nodes   nodeTable
 	servers serverTable
+	claims  claimTable
 
 	// slots bounds the requests in flight.
 	slots chan struct{}
@@ -65,6 +74,9 @@
 		configurations: options.Configurations,
 		logger:         options.Logger.With().Str("component", "peer").Logger(),
 		seed:           options.Seed,
+		selfID:         self.ID,
+		started:        self.Incarnation,
+		claims:         claimTable{ledger: claim.NewLedger(options.Claims)},
 		nodes:          nodeTable{core: membership.NewNodes(nodesOptions)},
 		servers:        serverTable{core: membership.NewServers(options.Servers)},
 		slots:          make(chan struct{}, maximumInFlight),
--- /dev/null
+++ b/peer/claim.go
@@ -0,0 +1,255 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/banksail/banksail/claim"
+	"github.com/banksail/banksail/membership"
+)
+
+// Times and bounds of claims.
+const (
+	// MaximumClaimKeyBytes bounds the key of a claim.
+	MaximumClaimKeyBytes = 512
+	// claimTimeout bounds one owner's answer.
+	claimTimeout = 300 * time.Millisecond
+	// claimStraggle is how long a claim that a majority has granted waits for
+	// the other owners.
+	claimStraggle = 20 * time.Millisecond
+	// releaseTimeout bounds one owner's answer to a release.
+	releaseTimeout = time.Second
+)
+
+// claimTable is the shard of the agent's state about claims.
+type claimTable struct {
+	// sequence numbers the agent's own claims.
+	sequence atomic.Uint64
+	// mutex guards ledger. Invariant: ledger sees times that never decrease, as
+	// the clock is read under the lock.
+	mutex  sync.Mutex
+	ledger *claim.Ledger
+}
+
+// Claim is a claim that was made at a request's owners.
+type Claim struct {
+	// Decision tells whether the request may run.
+	Decision claim.Decision
+	// Holder is the node that has the request, when the decision is lost.
+	Holder claim.Holder
+
+	claim  claim.Claim
+	owners []membership.Member
+}
+
+// ClaimRequest claims a not-repeatable request before it runs. It must run only
+// when the decision is Won. A claim whose request did not run is to be given to
+// ReleaseRequest.
+func (a *Agent) ClaimRequest(ctx context.Context, key string) Claim {
+	if !a.acquainted() {
+		return Claim{Decision: claim.Unavailable}
+	}
+	made := Claim{claim: claim.Claim{
+		Key:      key,
+		Holder:   a.holder(),
+		Sequence: a.claims.sequence.Add(1),
+	}}
+	if answer := a.recordClaim(made.claim); answer.Verdict != claim.Granted {
+		round := claim.NewRound(1)
+		round.Answered(answer)
+		made.Decision, made.Holder = round.Decision(), round.Holder()
+		return made
+	}
+	made.owners = a.claimOwners(key)
+	round := a.askOwners(ctx, made)
+	made.Decision, made.Holder = round.Decision(), round.Holder()
+	return made
+}
+
+// ReleaseRequest takes back a claim whose request certainly did not run. It
+// returns when the owners have answered or their time is up.
+func (a *Agent) ReleaseRequest(ctx context.Context, made Claim) {
+	if made.claim.Key == "" {
+		return
+	}
+	a.forgetClaim(made.claim)
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	var asked sync.WaitGroup
+	for _, owner := range made.owners {
+		asked.Go(func() {
+			if _, err := a.stub(owner.Address).ReleaseRequest(ctx, claimToWire(made.claim)); err != nil {
+				a.logger.Debug().Err(err).Str("member", owner.ID).Msg("claim not released; it lapses")
+			}
+		})
+	}
+	asked.Wait()
+}
+
+// acquainted reports whether the agent knows the other nodes: a node that has
+// just started would otherwise take itself for the only one, and run what
+// another node holds.
+func (a *Agent) acquainted() bool {
+	if a.machineList == nil || a.listed.Load() {
+		return true
+	}
+	return len(a.claimCandidates()) > 0
+}
+
+func (a *Agent) holder() claim.Holder {
+	// The incarnation that the process started with names the process; the
+	// member's own grows when it refutes a suspicion.
+	return claim.Holder{Node: a.selfID, Incarnation: a.started}
+}
+
+// claimCandidates lists the other nodes that may be owners, by ID.
+func (a *Agent) claimCandidates() map[string]membership.Member {
+	candidates := make(map[string]membership.Member)
+	for _, member := range a.Members() {
+		if member.ID != a.selfID && member.State < membership.Leaving {
+			candidates[member.ID] = member
+		}
+	}
+	return candidates
+}
+
+func (a *Agent) claimOwners(key string) []membership.Member {
+	candidates := a.claimCandidates()
+	ids := make([]string, 0, len(candidates))
+	for id := range candidates {
+		ids = append(ids, id)
+	}
+	var owners []membership.Member
+	for _, id := range claim.Owners(key, ids) {
+		owners = append(owners, candidates[id])
+	}
+	return owners
+}
+
+// ownerAnswer is one owner's answer; failed when there was none.
+type ownerAnswer struct {
+	answer claim.Answer
+	failed bool
+}
+
+// askOwners asks all owners at once and collects their answers.
+func (a *Agent) askOwners(ctx context.Context, made Claim) *claim.Round {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	answers := make(chan ownerAnswer, len(made.owners))
+	var asked sync.WaitGroup
+	for _, owner := range made.owners {
+		asked.Go(func() { answers <- a.askOwner(ctx, owner, made.claim) })
+	}
+	a.requests.Go(func() {
+		asked.Wait()
+		cancel()
+	})
+	return collectAnswers(claim.NewRound(len(made.owners)), answers)
+}
+
+func collectAnswers(round *claim.Round, answers <-chan ownerAnswer) *claim.Round {
+	var straggle <-chan time.Time
+	for round.Decision() == claim.Undecided {
+		select {
+		case answer := <-answers:
+			if answer.failed {
+				round.Failed()
+			} else {
+				round.Answered(answer.answer)
+			}
+		case <-straggle:
+			round.Close()
+		}
+		if straggle == nil && round.HasMajority() {
+			straggle = time.After(claimStraggle)
+		}
+	}
+	return round
+}
+
+func (a *Agent) askOwner(ctx context.Context, owner membership.Member, made claim.Claim) ownerAnswer {
+	reply, err := a.stub(owner.Address).ClaimRequest(ctx, claimToWire(made))
+	if err != nil {
+		a.logger.Debug().Err(err).Str("member", owner.ID).Msg("no answer to a claim")
+		return ownerAnswer{failed: true}
+	}
+	switch reply.GetVerdict() {
+	case RequestClaimAnswer_VERDICT_GRANTED:
+		return ownerAnswer{answer: claim.Answer{Verdict: claim.Granted}}
+	case RequestClaimAnswer_VERDICT_HELD:
+		holder := claim.Holder{Node: reply.GetHolder(), Incarnation: reply.GetHolderIncarnation()}
+		return ownerAnswer{answer: claim.Answer{Verdict: claim.Held, Holder: holder}}
+	default:
+		return ownerAnswer{failed: true}
+	}
+}
+
+func (a *Agent) recordClaim(made claim.Claim) claim.Answer {
+	a.claims.mutex.Lock()
+	defer a.claims.mutex.Unlock()
+	return a.claims.ledger.Claim(a.now(), made)
+}
+
+func (a *Agent) forgetClaim(made claim.Claim) {
+	a.claims.mutex.Lock()
+	defer a.claims.mutex.Unlock()
+	a.claims.ledger.Release(made)
+}
+
+// ClaimRequest implements Peer.
+func (s service) ClaimRequest(_ context.Context, request *RequestClaim) (*RequestClaimAnswer, error) {
+	made, err := claimFromWire(request)
+	if err != nil {
+		return nil, err
+	}
+	answer := s.agent.recordClaim(made)
+	return &RequestClaimAnswer{
+		Verdict:           verdictToWire[answer.Verdict],
+		Holder:            answer.Holder.Node,
+		HolderIncarnation: answer.Holder.Incarnation,
+	}, nil
+}
+
+// ReleaseRequest implements Peer.
+func (s service) ReleaseRequest(_ context.Context, request *RequestClaim) (*ReleaseRequestResponse, error) {
+	made, err := claimFromWire(request)
+	if err != nil {
+		return nil, err
+	}
+	s.agent.forgetClaim(made)
+	return &ReleaseRequestResponse{}, nil
+}
+
+var verdictToWire = map[claim.Verdict]RequestClaimAnswer_Verdict{
+	claim.Granted: RequestClaimAnswer_VERDICT_GRANTED,
+	claim.Held:    RequestClaimAnswer_VERDICT_HELD,
+	claim.Full:    RequestClaimAnswer_VERDICT_FULL,
+}
+
+func claimToWire(made claim.Claim) *RequestClaim {
+	return &RequestClaim{
+		Key:               made.Key,
+		Holder:            made.Holder.Node,
+		HolderIncarnation: made.Holder.Incarnation,
+		Sequence:          made.Sequence,
+	}
+}
+
+func claimFromWire(request *RequestClaim) (claim.Claim, error) {
+	key, holder := request.GetKey(), request.GetHolder()
+	if key == "" || len(key) > MaximumClaimKeyBytes {
+		return claim.Claim{}, twirp.InvalidArgumentError("key", "is missing or out of bounds")
+	}
+	if holder == "" || len(holder) > membership.MaximumIDBytes {
+		return claim.Claim{}, twirp.InvalidArgumentError("holder", "is missing or out of bounds")
+	}
+	return claim.Claim{
+		Key:      key,
+		Holder:   claim.Holder{Node: holder, Incarnation: request.GetHolderIncarnation()},
+		Sequence: request.GetSequence(),
+	}, nil
+}
--- /dev/null
+++ b/peer/claim_test.go
@@ -0,0 +1,88 @@
+package peer
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/banksail/banksail/claim"
+	"github.com/banksail/banksail/machinelist"
+)
+
+// startAll starts a node for each ID, each with a list of all of them.
+func startAll(t *testing.T, network *memoryNetwork, ids ...string) map[string]*testNode {
+	t.Helper()
+	nodes := make(map[string]*testNode)
+	for _, id := range ids {
+		nodes[id] = startNode(t, network, AgentOptions{Self: member(id), MachineList: listOf(ids...), Seed: 1})
+	}
+	time.Sleep(3 * time.Second)
+	synctest.Wait()
+	return nodes
+}
+
+func stopAll(nodes map[string]*testNode) {
+	for _, node := range nodes {
+		node.stop()
+	}
+}
+
+func wantDecision(t *testing.T, node *testNode, key string, want claim.Decision) Claim {
+	t.Helper()
+	made := node.agent.ClaimRequest(t.Context(), key)
+	if made.Decision != want {
+		t.Fatalf("%s: decision %d, want %d", node.agent.selfID, made.Decision, want)
+	}
+	return made
+}
+
+func TestClaimOutlivesItsHolder(t *testing.T) {
+	for _, ids := range [][]string{{"a", "b"}, {"a", "b", "c"}, {"a", "b", "c", "d", "e", "f"}} {
+		synctest.Test(t, func(t *testing.T) {
+			network := newMemoryNetwork()
+			nodes := startAll(t, network, ids...)
+			defer func() { stopAll(nodes) }()
+			wantDecision(t, nodes["a"], "request", claim.Won)
+			nodes["a"].stop()
+			for _, id := range ids[1:] {
+				wantDecision(t, nodes[id], "request", claim.Lost)
+			}
+			restarted := member("a")
+			restarted.Incarnation = uint64(time.Now().UnixMilli())
+			nodes["a"] = startNode(t, network, AgentOptions{Self: restarted, MachineList: listOf(ids...), Seed: 2})
+			time.Sleep(3 * time.Second)
+			wantDecision(t, nodes["a"], "request", claim.Lost)
+			wantDecision(t, nodes["a"], "another", claim.Won)
+		})
+	}
+}
+
+func TestReleasedClaimIsFree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := startAll(t, newMemoryNetwork(), "a", "b", "c", "d")
+		defer stopAll(nodes)
+		made := wantDecision(t, nodes["a"], "request", claim.Won)
+		nodes["a"].agent.ReleaseRequest(t.Context(), made)
+		wantDecision(t, nodes["b"], "request", claim.Won)
+	})
+}
+
+func TestNoClaimWithoutTheOnlyOtherNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := newMemoryNetwork()
+		nodes := startAll(t, network, "a", "b")
+		defer stopAll(nodes)
+		network.setCut(addressOf("a"), addressOf("b"), true)
+		wantDecision(t, nodes["a"], "request", claim.Unavailable)
+	})
+}
+
+func TestNoClaimBeforeOtherNodesAreKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		empty := fixedList{list: machinelist.List{Version: 1}}
+		node := startNode(t, newMemoryNetwork(), AgentOptions{Self: member("a"), MachineList: empty, Seed: 1})
+		defer node.stop()
+		time.Sleep(time.Minute)
+		wantDecision(t, node, "request", claim.Unavailable)
+	})
+}
--- a/peer/list.go
+++ b/peer/list.go
@@ -72,6 +72,9 @@
 	a.nodes.mutex.Lock()
 	a.nodes.core.ObserveList(nodes)
 	a.nodes.mutex.Unlock()
+	if len(list.Machines) > 0 {
+		a.listed.Store(true)
+	}
 	a.servers.update(func(core *membership.Servers) { core.ObserveList(a.now(), servers) })
 }
 
--- a/peer/options.go
+++ b/peer/options.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/banksail/banksail/claim"
 	"github.com/banksail/banksail/machinelist"
 	"github.com/banksail/banksail/membership"
 	"github.com/banksail/banksail/policy"
@@ -85,4 +86,6 @@
 	Nodes membership.NodesOptions
 	// Servers overrides times of the table of servers.
 	Servers membership.ServersOptions
+	// Claims bounds the claims of requests that are kept for other nodes.
+	Claims claim.LedgerOptions
 }
--- a/peer/peer.twirp.go
+++ b/peer/peer.twirp.go
@@ -49,6 +49,12 @@
 	// ListMembers returns the entries of the member table that differ from the
 	// caller's, a bounded number at a time.
 	ListMembers(context.Context, *ListMembersRequest) (*ListMembersResponse, error)
+
+	// ClaimRequest records at an owner that a node may run a request.
+	ClaimRequest(context.Context, *RequestClaim) (*RequestClaimAnswer, error)
+
+	// ReleaseRequest takes a claim back whose request certainly did not run.
+	ReleaseRequest(context.Context, *RequestClaim) (*ReleaseRequestResponse, error)
 }
 
 // ====================
@@ -57,7 +63,7 @@
 
 type peerProtobufClient struct {
 	client      HTTPClient
-	urls        [5]string
+	urls        [7]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -85,12 +91,14 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "banksail.peer.v1", "Peer")
-	urls := [5]string{
+	urls := [7]string{
 		serviceURL + "Gossip",
 		serviceURL + "ProbeIndirect",
 		serviceURL + "FetchConfiguration",
 		serviceURL + "PushConfiguration",
 		serviceURL + "ListMembers",
+		serviceURL + "ClaimRequest",
+		serviceURL + "ReleaseRequest",
 	}
 
 	return &peerProtobufClient{
@@ -331,13 +339,105 @@
 	return out, nil
 }
 
+func (c *peerProtobufClient) ClaimRequest(ctx context.Context, in *RequestClaim) (*RequestClaimAnswer, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "banksail.peer.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "ClaimRequest")
+	caller := c.callClaimRequest
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *RequestClaim) (*RequestClaimAnswer, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RequestClaim)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RequestClaim) when calling interceptor")
+					}
+					return c.callClaimRequest(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*RequestClaimAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*RequestClaimAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerProtobufClient) callClaimRequest(ctx context.Context, in *RequestClaim) (*RequestClaimAnswer, error) {
+	out := new(RequestClaimAnswer)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerProtobufClient) ReleaseRequest(ctx context.Context, in *RequestClaim) (*ReleaseRequestResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "banksail.peer.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "ReleaseRequest")
+	caller := c.callReleaseRequest
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *RequestClaim) (*ReleaseRequestResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RequestClaim)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RequestClaim) when calling interceptor")
+					}
+					return c.callReleaseRequest(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReleaseRequestResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReleaseRequestResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerProtobufClient) callReleaseRequest(ctx context.Context, in *RequestClaim) (*ReleaseRequestResponse, error) {
+	out := new(ReleaseRequestResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[6], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ================
 // Peer JSON Client
 // ================
 
 type peerJSONClient struct {
 	client      HTTPClient
-	urls        [5]string
+	urls        [7]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -365,12 +465,14 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "banksail.peer.v1", "Peer")
-	urls := [5]string{
+	urls := [7]string{
 		serviceURL + "Gossip",
 		serviceURL + "ProbeIndirect",
 		serviceURL + "FetchConfiguration",
 		serviceURL + "PushConfiguration",
 		serviceURL + "ListMembers",
+		serviceURL + "ClaimRequest",
+		serviceURL + "ReleaseRequest",
 	}
 
 	return &peerJSONClient{
@@ -611,6 +713,98 @@
 	return out, nil
 }
 
+func (c *peerJSONClient) ClaimRequest(ctx context.Context, in *RequestClaim) (*RequestClaimAnswer, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "banksail.peer.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "ClaimRequest")
+	caller := c.callClaimRequest
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *RequestClaim) (*RequestClaimAnswer, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RequestClaim)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RequestClaim) when calling interceptor")
+					}
+					return c.callClaimRequest(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*RequestClaimAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*RequestClaimAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerJSONClient) callClaimRequest(ctx context.Context, in *RequestClaim) (*RequestClaimAnswer, error) {
+	out := new(RequestClaimAnswer)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerJSONClient) ReleaseRequest(ctx context.Context, in *RequestClaim) (*ReleaseRequestResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "banksail.peer.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "ReleaseRequest")
+	caller := c.callReleaseRequest
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *RequestClaim) (*ReleaseRequestResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RequestClaim)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RequestClaim) when calling interceptor")
+					}
+					return c.callReleaseRequest(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReleaseRequestResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReleaseRequestResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerJSONClient) callReleaseRequest(ctx context.Context, in *RequestClaim) (*ReleaseRequestResponse, error) {
+	out := new(ReleaseRequestResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[6], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ===================
 // Peer Server Handler
 // ===================
@@ -723,6 +917,12 @@
 	case "ListMembers":
 		s.serveListMembers(ctx, resp, req)
 		return
+	case "ClaimRequest":
+		s.serveClaimRequest(ctx, resp, req)
+		return
+	case "ReleaseRequest":
+		s.serveReleaseRequest(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -1630,6 +1830,366 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *peerServer) serveClaimRequest(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveClaimRequestJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveClaimRequestProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *peerServer) serveClaimRequestJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "ClaimRequest")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(RequestClaim)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Peer.ClaimRequest
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *RequestClaim) (*RequestClaimAnswer, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RequestClaim)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RequestClaim) when calling interceptor")
+					}
+					return s.Peer.ClaimRequest(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*RequestClaimAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*RequestClaimAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *RequestClaimAnswer
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *RequestClaimAnswer and nil error while calling ClaimRequest. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveClaimRequestProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "ClaimRequest")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(RequestClaim)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Peer.ClaimRequest
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *RequestClaim) (*RequestClaimAnswer, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RequestClaim)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RequestClaim) when calling interceptor")
+					}
+					return s.Peer.ClaimRequest(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*RequestClaimAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*RequestClaimAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *RequestClaimAnswer
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *RequestClaimAnswer and nil error while calling ClaimRequest. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveReleaseRequest(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveReleaseRequestJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveReleaseRequestProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *peerServer) serveReleaseRequestJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "ReleaseRequest")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(RequestClaim)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Peer.ReleaseRequest
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *RequestClaim) (*ReleaseRequestResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RequestClaim)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RequestClaim) when calling interceptor")
+					}
+					return s.Peer.ReleaseRequest(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReleaseRequestResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReleaseRequestResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ReleaseRequestResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReleaseRequestResponse and nil error while calling ReleaseRequest. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveReleaseRequestProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "ReleaseRequest")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(RequestClaim)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Peer.ReleaseRequest
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *RequestClaim) (*ReleaseRequestResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RequestClaim)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RequestClaim) when calling interceptor")
+					}
+					return s.Peer.ReleaseRequest(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReleaseRequestResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReleaseRequestResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ReleaseRequestResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReleaseRequestResponse and nil error while calling ReleaseRequest. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *peerServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor0, 0
 }
@@ -2211,47 +2771,59 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 668 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x9c, 0x55, 0xdd, 0x4e, 0xdb, 0x4c,
-	0x10, 0xfd, 0xec, 0x38, 0x0e, 0x4c, 0x48, 0x14, 0xf6, 0x83, 0xca, 0x44, 0x6a, 0x09, 0xee, 0x1f,
-	0x52, 0xa5, 0xb4, 0xa4, 0x55, 0x7b, 0x0d, 0x34, 0xa0, 0xa8, 0x40, 0x23, 0x07, 0xb8, 0xe0, 0x86,
-	0xfa, 0x67, 0x08, 0x2b, 0x1a, 0x3b, 0xdd, 0x5d, 0xa3, 0xaa, 0xea, 0x5d, 0x5f, 0xa4, 0x4f, 0xd1,
-	0x67, 0xe9, 0xe3, 0x54, 0xd9, 0xb5, 0x49, 0x8c, 0x09, 0x89, 0xb8, 0xdb, 0x39, 0x3a, 0x33, 0x73,
-	0xce, 0xe6, 0x6c, 0x0c, 0x30, 0x44, 0x64, 0xcd, 0x21, 0x8b, 0x44, 0x44, 0x6a, 0x9e, 0x1b, 0x5e,
-	0x71, 0x97, 0x7e, 0x6d, 0x4a, 0xf0, 0x7a, 0xcb, 0xfe, 0xad, 0x83, 0x79, 0x88, 0x03, 0x0f, 0x19,
-	0xa9, 0x82, 0x4e, 0x03, 0x4b, 0x6b, 0x68, 0x9b, 0x8b, 0x8e, 0x4e, 0x03, 0x62, 0x41, 0xc9, 0x0d,
-	0x02, 0x86, 0x9c, 0x5b, 0xba, 0x04, 0xd3, 0x92, 0x10, 0x30, 0x7e, 0x44, 0x21, 0x5a, 0x05, 0x09,
-	0xcb, 0x33, 0x69, 0x40, 0x99, 0x86, 0xbe, 0xcb, 0x42, 0x57, 0xd0, 0x28, 0xb4, 0x8c, 0x86, 0xb6,
-	0x69, 0x38, 0x93, 0x10, 0x79, 0x07, 0x45, 0x2e, 0x5c, 0x81, 0x56, 0xb1, 0xa1, 0x6d, 0x56, 0x5b,
-	0x4f, 0x9a, 0xb7, 0xc5, 0x34, 0x95, 0x90, 0x66, 0x6f, 0xc4, 0x72, 0x14, 0x99, 0xd4, 0x61, 0x81,
-	0xe1, 0x35, 0xe5, 0xa3, 0xa1, 0xa6, 0x1c, 0x7a, 0x53, 0xdb, 0x01, 0x14, 0x25, 0x97, 0xac, 0xc2,
-	0x72, 0xef, 0x78, 0xfb, 0xb8, 0x7d, 0x7e, 0x72, 0xd4, 0xeb, 0xb6, 0x77, 0x3b, 0x7b, 0x9d, 0xf6,
-	0xc7, 0xda, 0x7f, 0xa4, 0x0a, 0xa0, 0xe0, 0x83, 0xce, 0x69, 0xbb, 0xa6, 0x91, 0x65, 0xa8, 0xa8,
-	0xba, 0x77, 0x32, 0xa2, 0x1d, 0xd7, 0xf4, 0x31, 0x74, 0xd0, 0xde, 0x3e, 0xed, 0x1c, 0xed, 0xd7,
-	0x0a, 0xe3, 0xae, 0xfd, 0xcf, 0x47, 0xed, 0x9a, 0x61, 0xc7, 0x50, 0xd9, 0x8f, 0x38, 0xa7, 0x43,
-	0x07, 0xbf, 0xc5, 0xc8, 0x05, 0x79, 0x03, 0x26, 0xc7, 0x30, 0x40, 0x26, 0x2f, 0xab, 0xdc, 0xb2,
-	0xa6, 0x39, 0x71, 0x12, 0x1e, 0x69, 0x41, 0x29, 0x1e, 0x06, 0xae, 0xc0, 0xd1, 0x55, 0x16, 0xee,
-	0x6d, 0x49, 0x89, 0xf6, 0x4f, 0xa8, 0xa6, 0x6b, 0xf9, 0x30, 0x0a, 0x39, 0x92, 0xf7, 0xb0, 0xc8,
-	0xe4, 0x79, 0x9e, 0xd5, 0x63, 0xea, 0x83, 0xb6, 0xf7, 0x61, 0xa5, 0xcb, 0x22, 0x0f, 0x3b, 0x61,
-	0x40, 0x19, 0xfa, 0x62, 0xc2, 0xbb, 0x70, 0x59, 0x1f, 0xc5, 0x6c, 0xef, 0x8a, 0x47, 0x1e, 0x03,
-	0x08, 0x3a, 0xc0, 0x28, 0x16, 0xe7, 0x03, 0x95, 0xa4, 0x8a, 0xb3, 0x98, 0x20, 0x87, 0xdc, 0xf6,
-	0x61, 0xf5, 0xd6, 0xa2, 0xc4, 0xad, 0x05, 0x25, 0x86, 0xae, 0x7f, 0x89, 0x2a, 0x93, 0x0b, 0x4e,
-	0x5a, 0x4e, 0x68, 0xd0, 0xe7, 0xd3, 0x60, 0x6f, 0xc1, 0xda, 0x1e, 0x0a, 0xff, 0x72, 0x37, 0x0a,
-	0x2f, 0x68, 0x3f, 0x66, 0x32, 0x90, 0xa9, 0xa5, 0x15, 0x28, 0xba, 0x5e, 0x74, 0x8d, 0x72, 0x8d,
-	0xe1, 0xa8, 0xc2, 0xde, 0x85, 0x4a, 0x86, 0x9d, 0x09, 0xa2, 0x96, 0x0d, 0x22, 0x79, 0x04, 0x26,
-	0x43, 0x3f, 0x62, 0x81, 0x54, 0xb4, 0xe4, 0x24, 0x95, 0xfd, 0x01, 0xd6, 0xba, 0x31, 0xbf, 0xbd,
-	0x36, 0x31, 0x78, 0xcf, 0x40, 0xfb, 0x97, 0x06, 0xe4, 0x80, 0x72, 0xa1, 0x7c, 0xf0, 0x87, 0x27,
-	0xcf, 0x82, 0x52, 0x40, 0xfb, 0xc8, 0x85, 0xfa, 0xed, 0x4d, 0x27, 0x2d, 0xc9, 0x06, 0x2c, 0x5d,
-	0x50, 0xc6, 0xc5, 0xb9, 0x17, 0xfb, 0x57, 0x28, 0xe4, 0x63, 0xae, 0x38, 0x65, 0x89, 0xed, 0x48,
-	0xc8, 0xfe, 0xa3, 0xc1, 0xff, 0x19, 0x15, 0x89, 0xf2, 0x16, 0x94, 0x06, 0x0a, 0xb2, 0xb4, 0x59,
-	0x81, 0x4a, 0x88, 0xd9, 0xf0, 0xea, 0xf3, 0x87, 0x97, 0x80, 0x31, 0x88, 0x98, 0xfa, 0xaf, 0x59,
-	0x70, 0xe4, 0x99, 0xac, 0x43, 0x39, 0xc4, 0xef, 0x37, 0xca, 0x0d, 0xa9, 0x1c, 0x46, 0x90, 0x12,
-	0xde, 0xfa, 0x5b, 0x00, 0xa3, 0x8b, 0xc8, 0xc8, 0x27, 0x30, 0xd5, 0x23, 0x22, 0xeb, 0xf9, 0x65,
-	0x99, 0x57, 0x5d, 0x6f, 0x4c, 0x27, 0x24, 0xb6, 0xbf, 0x40, 0x25, 0x13, 0x55, 0xf2, 0x22, 0xdf,
-	0x72, 0xd7, 0xa3, 0xa9, 0xbf, 0x9c, 0xc9, 0x4b, 0x36, 0x78, 0x40, 0xf2, 0x39, 0x25, 0xaf, 0xf2,
-	0xed, 0x53, 0xd3, 0x5c, 0xbf, 0xc3, 0x67, 0x76, 0x9a, 0x0b, 0xcb, 0xb9, 0x4c, 0x92, 0x59, 0x5d,
-	0xf5, 0x3b, 0x34, 0x4c, 0x4f, 0xf6, 0x19, 0x94, 0x27, 0x62, 0x43, 0x9e, 0xe5, 0x7b, 0xf3, 0xd9,
-	0xae, 0x3f, 0x9f, 0xc1, 0x52, 0xb3, 0x77, 0x9e, 0x9e, 0x6d, 0xf4, 0xa9, 0xb8, 0x8c, 0xbd, 0xa6,
-	0x1f, 0x0d, 0x5e, 0xa7, 0x2d, 0xe3, 0xc3, 0xa8, 0xd7, 0x33, 0xe5, 0xe7, 0xee, 0xed, 0xbf, 0x00,
-	0x00, 0x00, 0xff, 0xff, 0x86, 0x78, 0xf5, 0x95, 0xfc, 0x06, 0x00, 0x00,
+	// 859 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xac, 0x56, 0x5d, 0x6f, 0xe3, 0x54,
+	0x10, 0xc5, 0xce, 0x57, 0x3b, 0xf9, 0xc0, 0x9d, 0xee, 0x2e, 0xde, 0x48, 0xec, 0x66, 0xcd, 0x02,
+	0x95, 0x80, 0xc0, 0x06, 0x04, 0xcf, 0xdd, 0xd4, 0x2d, 0x11, 0xd9, 0x52, 0xb9, 0x69, 0x1f, 0xca,
+	0x43, 0x71, 0xec, 0xd9, 0xd4, 0x6a, 0x63, 0x87, 0x7b, 0x6f, 0xca, 0x87, 0x78, 0x40, 0xda, 0x37,
+	0x7e, 0x05, 0xbf, 0x82, 0xdf, 0x87, 0x7c, 0xef, 0x75, 0x1b, 0xd7, 0x69, 0x53, 0x55, 0xbc, 0xdd,
+	0x19, 0x9f, 0x99, 0x39, 0x73, 0x7d, 0x7c, 0x64, 0x80, 0x19, 0x11, 0xeb, 0xce, 0x58, 0x22, 0x12,
+	0xb4, 0xc6, 0x7e, 0x7c, 0xce, 0xfd, 0xe8, 0xa2, 0x2b, 0x93, 0x97, 0xaf, 0x9c, 0x7f, 0x4c, 0xa8,
+	0xbe, 0xa1, 0xe9, 0x98, 0x18, 0xb6, 0xc0, 0x8c, 0x42, 0xdb, 0xe8, 0x18, 0x5b, 0xeb, 0x9e, 0x19,
+	0x85, 0x68, 0x43, 0xcd, 0x0f, 0x43, 0x46, 0x9c, 0xdb, 0xa6, 0x4c, 0x66, 0x21, 0x22, 0x94, 0xff,
+	0x48, 0x62, 0xb2, 0x4b, 0x32, 0x2d, 0xcf, 0xd8, 0x81, 0x7a, 0x14, 0x07, 0x3e, 0x8b, 0x7d, 0x11,
+	0x25, 0xb1, 0x5d, 0xee, 0x18, 0x5b, 0x65, 0x6f, 0x31, 0x85, 0xdf, 0x40, 0x85, 0x0b, 0x5f, 0x90,
+	0x5d, 0xe9, 0x18, 0x5b, 0xad, 0xde, 0xb3, 0xee, 0x4d, 0x32, 0x5d, 0x45, 0xa4, 0x7b, 0x98, 0xa2,
+	0x3c, 0x05, 0xc6, 0x36, 0xac, 0x31, 0xba, 0x8c, 0x78, 0xda, 0xb4, 0x2a, 0x9b, 0x5e, 0xc5, 0x4e,
+	0x08, 0x15, 0x89, 0xc5, 0xc7, 0xb0, 0x71, 0x38, 0xda, 0x1e, 0xb9, 0xa7, 0x47, 0xfb, 0x87, 0x07,
+	0x6e, 0x7f, 0xb0, 0x3b, 0x70, 0x77, 0xac, 0xf7, 0xb0, 0x05, 0xa0, 0xd2, 0xc3, 0xc1, 0xb1, 0x6b,
+	0x19, 0xb8, 0x01, 0x4d, 0x15, 0x1f, 0x1e, 0xa5, 0xb0, 0x91, 0x65, 0x5e, 0xa7, 0x86, 0xee, 0xf6,
+	0xf1, 0x60, 0x7f, 0xcf, 0x2a, 0x5d, 0x57, 0xed, 0xfd, 0xb8, 0xef, 0x5a, 0x65, 0x67, 0x0e, 0xcd,
+	0xbd, 0x84, 0xf3, 0x68, 0xe6, 0xd1, 0x2f, 0x73, 0xe2, 0x02, 0xbf, 0x82, 0x2a, 0xa7, 0x38, 0x24,
+	0x26, 0x2f, 0xab, 0xde, 0xb3, 0x6f, 0xdb, 0xc4, 0xd3, 0x38, 0xec, 0x41, 0x6d, 0x3e, 0x0b, 0x7d,
+	0x41, 0xe9, 0x55, 0x96, 0xee, 0x2c, 0xc9, 0x80, 0xce, 0x9f, 0xd0, 0xca, 0xc6, 0xf2, 0x59, 0x12,
+	0x73, 0xc2, 0x6f, 0x61, 0x9d, 0xc9, 0xf3, 0x7d, 0x46, 0x5f, 0x43, 0x1f, 0x34, 0x7d, 0x02, 0x8f,
+	0x0e, 0x58, 0x32, 0xa6, 0x41, 0x1c, 0x46, 0x8c, 0x02, 0xb1, 0xb0, 0xbb, 0xf0, 0xd9, 0x84, 0xc4,
+	0xea, 0xdd, 0x15, 0x0e, 0x3f, 0x04, 0x10, 0xd1, 0x94, 0x92, 0xb9, 0x38, 0x9d, 0x2a, 0x25, 0x35,
+	0xbd, 0x75, 0x9d, 0x79, 0xc3, 0x9d, 0x00, 0x1e, 0xdf, 0x18, 0xa4, 0xb7, 0xb5, 0xa1, 0xc6, 0xc8,
+	0x0f, 0xce, 0x48, 0x69, 0x72, 0xcd, 0xcb, 0xc2, 0x05, 0x0e, 0xe6, 0xfd, 0x38, 0x38, 0xaf, 0xe0,
+	0xe9, 0x2e, 0x89, 0xe0, 0xac, 0x9f, 0xc4, 0x6f, 0xa3, 0xc9, 0x9c, 0x49, 0x41, 0x66, 0x2b, 0x3d,
+	0x82, 0x8a, 0x3f, 0x4e, 0x2e, 0x49, 0x8e, 0x29, 0x7b, 0x2a, 0x70, 0xfa, 0xd0, 0xcc, 0xa1, 0x73,
+	0x42, 0x34, 0xf2, 0x42, 0xc4, 0x27, 0x50, 0x65, 0x14, 0x24, 0x2c, 0x94, 0x8c, 0x1a, 0x9e, 0x8e,
+	0x9c, 0xef, 0xe0, 0xe9, 0xc1, 0x9c, 0xdf, 0x1c, 0xab, 0x17, 0xbc, 0xa3, 0xa1, 0xf3, 0xce, 0x00,
+	0x1c, 0x46, 0x5c, 0xa8, 0x3d, 0xf8, 0xc3, 0x95, 0x67, 0x43, 0x2d, 0x8c, 0x26, 0xc4, 0x85, 0x7a,
+	0xf7, 0x55, 0x2f, 0x0b, 0xf1, 0x05, 0x34, 0xde, 0x46, 0x8c, 0x8b, 0xd3, 0xf1, 0x3c, 0x38, 0x27,
+	0x21, 0x3f, 0xe6, 0xa6, 0x57, 0x97, 0xb9, 0xd7, 0x32, 0xe5, 0xfc, 0x6b, 0xc0, 0x66, 0x8e, 0x85,
+	0x66, 0xde, 0x83, 0xda, 0x54, 0xa5, 0x6c, 0x63, 0x95, 0xa0, 0x34, 0x30, 0x2f, 0x5e, 0xf3, 0xfe,
+	0xe2, 0x45, 0x28, 0x4f, 0x13, 0xa6, 0xbc, 0x66, 0xcd, 0x93, 0x67, 0x7c, 0x0e, 0xf5, 0x98, 0x7e,
+	0xbb, 0x62, 0x5e, 0x96, 0xcc, 0x21, 0x4d, 0x69, 0xe2, 0xef, 0x0c, 0x68, 0xe8, 0x3b, 0xeb, 0x5f,
+	0xf8, 0xd1, 0x14, 0x2d, 0x28, 0x9d, 0xd3, 0xef, 0xda, 0xdc, 0xd2, 0x63, 0xfa, 0xca, 0xce, 0x92,
+	0x8b, 0x8c, 0xcc, 0xba, 0xa7, 0x23, 0xfc, 0x02, 0x50, 0x9d, 0x4e, 0x17, 0xed, 0xac, 0x24, 0xdf,
+	0xcf, 0x86, 0x7a, 0x32, 0x58, 0x30, 0xb5, 0x36, 0xac, 0xf1, 0x74, 0x50, 0x1c, 0x90, 0xf6, 0xbc,
+	0xab, 0xd8, 0xf9, 0xcb, 0x04, 0x5c, 0x64, 0xb1, 0x1d, 0xf3, 0x5f, 0x89, 0xe1, 0x2e, 0xd4, 0x2e,
+	0x89, 0x85, 0x51, 0xa0, 0xbe, 0xa1, 0x56, 0xef, 0xf3, 0xe2, 0x3d, 0x14, 0xcb, 0xba, 0xc7, 0xaa,
+	0xc6, 0xcb, 0x8a, 0xff, 0xa7, 0x0d, 0x9c, 0x9f, 0xa0, 0xa6, 0x5b, 0xe3, 0x07, 0xb0, 0x79, 0xec,
+	0x7a, 0x3b, 0x83, 0xfe, 0xe8, 0x86, 0x91, 0x6e, 0xc2, 0xfb, 0xd9, 0x83, 0x3d, 0x6f, 0x7b, 0x7f,
+	0xe4, 0xee, 0x58, 0x06, 0x5a, 0xd0, 0xc8, 0x92, 0xdf, 0xbb, 0xc3, 0x1d, 0xcb, 0x5c, 0xcc, 0xec,
+	0x1e, 0x0d, 0x87, 0x56, 0xc9, 0xb1, 0xe1, 0x89, 0x47, 0x17, 0xe4, 0x73, 0xd2, 0x1b, 0x65, 0x1a,
+	0xea, 0xfd, 0x5d, 0x81, 0xf2, 0x01, 0x11, 0xc3, 0x1f, 0xa0, 0xaa, 0x7c, 0x0e, 0x9f, 0x17, 0xef,
+	0x21, 0x67, 0xbc, 0xed, 0xce, 0xed, 0x00, 0xad, 0xcc, 0x9f, 0xa1, 0x99, 0x73, 0x13, 0xfc, 0xa4,
+	0x58, 0xb2, 0xcc, 0xd7, 0xda, 0x9f, 0xae, 0xc4, 0xe9, 0x09, 0x63, 0xc0, 0xa2, 0x95, 0xe0, 0x67,
+	0xc5, 0xf2, 0x5b, 0x0d, 0xa7, 0xbd, 0x64, 0xcf, 0x7c, 0x37, 0x1f, 0x36, 0x0a, 0xb6, 0x81, 0xab,
+	0xaa, 0xda, 0x4b, 0x38, 0xdc, 0x6e, 0x3e, 0x27, 0x50, 0x5f, 0xf8, 0xb2, 0xf1, 0x65, 0xb1, 0xb6,
+	0x68, 0x3f, 0xed, 0x8f, 0x57, 0xa0, 0x74, 0xef, 0x11, 0x34, 0xa4, 0x70, 0x33, 0xd7, 0x7a, 0x76,
+	0xb7, 0xbe, 0xdb, 0x2f, 0xef, 0xa3, 0x7f, 0x3c, 0x81, 0x56, 0x5e, 0x4a, 0x2b, 0xfb, 0x6e, 0x2d,
+	0x7b, 0xbe, 0x4c, 0x8c, 0xaf, 0x3f, 0x3a, 0x79, 0x31, 0x89, 0xc4, 0xd9, 0x7c, 0xdc, 0x0d, 0x92,
+	0xe9, 0x97, 0x59, 0xd5, 0xf5, 0x21, 0x2d, 0x1f, 0x57, 0xe5, 0x3f, 0xd4, 0xd7, 0xff, 0x05, 0x00,
+	0x00, 0xff, 0xff, 0xdb, 0x36, 0x3d, 0x94, 0x51, 0x09, 0x00, 0x00,
 }
