--- a/cmd/banksail-lab/fault.go
+++ b/cmd/banksail-lab/fault.go
@@ -83,12 +83,13 @@
 	if err != nil {
 		return err
 	}
+	var problems []error
 	for _, target := range targets {
 		if err := c.apply(ctx, target, body); err != nil {
-			return fmt.Errorf("%s: %w", target, err)
+			problems = append(problems, fmt.Errorf("%s: %w", target, err))
 		}
 	}
-	return nil
+	return errors.Join(problems...)
 }
 
 // encodeSwitches turns NAME=VALUE arguments into a JSON document, nil for none.
--- a/cmd/banksail-lab/profile.go
+++ b/cmd/banksail-lab/profile.go
@@ -8,11 +8,15 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/subcommands"
+
+	"github.com/banksail/banksail/policy"
 )
 
 // profileCommand prints a profile's configuration.
 type profileCommand struct {
 	placement placementFlags
+	intent    bool
+	author    string
 }
 
 // Name returns the subcommand's name.
@@ -28,6 +32,7 @@
   subcommand backends serves under the same flags.
 
   Example: banksail-lab profile --profile bluemahoe > configuration.json
+  Example: banksail-lab profile --intent > intent.json && banksailctl plan intent.json
 
 `
 }
@@ -35,6 +40,8 @@
 // SetFlags declares the flags.
 func (c *profileCommand) SetFlags(flags *flag.FlagSet) {
 	c.placement.register(flags)
+	flags.BoolVar(&c.intent, "intent", false, "print an intent that replaces the whole configuration")
+	flags.StringVar(&c.author, "author", "banksail-lab", "author of the intent")
 }
 
 // Execute runs the subcommand.
@@ -42,13 +49,21 @@
 	if err := noArguments(flags); err != nil {
 		return finish(err)
 	}
-	_, config, err := c.placement.load()
+	chosen, config, err := c.placement.load()
 	if err != nil {
 		return finish(err)
 	}
+	var document any = config
+	if c.intent {
+		document = policy.Intent{
+			Author:  c.author,
+			Note:    "profile " + chosen.Name,
+			Changes: []policy.Change{{Replace: &config}},
+		}
+	}
 	encoder := json.NewEncoder(os.Stdout)
 	encoder.SetIndent("", "  ")
-	return finish(encoder.Encode(config))
+	return finish(encoder.Encode(document))
 }
 
 // hashID gives each server its own seed.
--- a/lab/emulator/listener.go
+++ b/lab/emulator/listener.go
@@ -13,22 +13,26 @@
 const (
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
+	// controlTimeout bounds the reading of a request above the connection limit.
+	controlTimeout = 200 * time.Millisecond
 )
 
-// limitedListener closes connections above a limit at once and delays the
-// first read of the others.
+// limitedListener parts the connections within a limit, whose first read it
+// delays, from those above it, which may only carry the fault switches.
 type limitedListener struct {
 	net.Listener
 	limit int
 	setup time.Duration
+	// above takes the connections above the limit.
+	above *handedListener
 
-	// mutex guards open, the number of connections accepted and not closed.
+	// mutex guards open, the number of connections within the limit.
 	mutex sync.Mutex
 	open  int
 }
 
 func newLimitedListener(inner net.Listener, limit int, setup time.Duration) *limitedListener {
-	return &limitedListener{Listener: inner, limit: limit, setup: setup}
+	return &limitedListener{Listener: inner, limit: limit, setup: setup, above: newHandedListener(inner.Addr())}
 }
 
 // Accept returns the next connection within the limit.
@@ -36,12 +40,13 @@
 	for {
 		conn, err := l.Listener.Accept()
 		if err != nil {
+			_ = l.above.Close()
 			return nil, err
 		}
 		if l.enter() {
 			return &limitedConn{Conn: conn, listener: l}, nil
 		}
-		_ = conn.Close()
+		l.above.hand(conn)
 	}
 }
 
@@ -85,6 +90,51 @@
 	return c.Conn.Close()
 }
 
+// handedListener accepts the connections that it is handed.
+type handedListener struct {
+	address net.Addr
+	conns   chan net.Conn
+	ended   chan struct{}
+	once    sync.Once
+}
+
+// handedBound is the number of connections that wait to be accepted; further
+// ones are closed.
+const handedBound = 16
+
+func newHandedListener(address net.Addr) *handedListener {
+	return &handedListener{address: address, conns: make(chan net.Conn, handedBound), ended: make(chan struct{})}
+}
+
+func (l *handedListener) hand(conn net.Conn) {
+	select {
+	case l.conns <- conn:
+	default:
+		_ = conn.Close()
+	}
+}
+
+// Accept returns the next connection.
+func (l *handedListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.ended:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close ends Accept.
+func (l *handedListener) Close() error {
+	l.once.Do(func() { close(l.ended) })
+	return nil
+}
+
+// Addr is the address of the listener that hands connections over.
+func (l *handedListener) Addr() net.Addr {
+	return l.address
+}
+
 // lifetime owns the HTTP servers of a stand-in.
 type lifetime struct {
 	// ctx ends with the stand-in.
@@ -105,11 +155,25 @@
 
 // serve serves the listener until close; it returns nil then.
 func (l *lifetime) serve(handler http.Handler, listener net.Listener) error {
-	server := &http.Server{
+	return l.run(&http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
+	}, listener)
+}
+
+// serveControl serves connections of one request each, which must come at once.
+func (l *lifetime) serveControl(handler http.Handler, listener net.Listener) error {
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: controlTimeout,
+		ReadTimeout:       controlTimeout,
 	}
+	server.SetKeepAlivesEnabled(false)
+	return l.run(server, listener)
+}
+
+func (l *lifetime) run(server *http.Server, listener net.Listener) error {
 	if !l.add(server) {
 		return listener.Close()
 	}
--- /dev/null
+++ b/lab/emulator/listener_test.go
@@ -0,0 +1,59 @@
+package emulator_test
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+
+	"github.com/banksail/banksail/backend"
+	"github.com/banksail/banksail/lab/emulator"
+)
+
+func TestFullAndFrozenServerCanBeSwitched(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	server := newServer(t, emulator.ServerOptions{Connections: 1})
+	server.SetFaults(emulator.ServerFaults{Freeze: true})
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+
+	client := backend.NewClient(backend.ClientOptions{ConnectionsPerServer: func(string) int { return 1 }})
+	first := make(chan error, 1)
+	go func() {
+		_, err := client.Query(t.Context(), address, newQuery("a1"))
+		first <- err
+	}()
+	for len(server.Executions()) == 0 {
+		runtime.Gosched()
+		if len(first) > 0 {
+			t.Fatal(<-first)
+		}
+	}
+	other := backend.NewClient(backend.ClientOptions{})
+	if _, err := other.Health(t.Context(), address); err == nil {
+		t.Error("a connection above the limit was served")
+	}
+	response, err := http.Post("http://"+address+emulator.FaultsPath, "application/json", strings.NewReader(`{"freeze":false}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		t.Errorf("code is %d", response.StatusCode)
+	}
+	if err := <-first; err != nil {
+		t.Error(err)
+	}
+	if err := server.Close(); err != nil {
+		t.Error(err)
+	}
+	if err := <-served; err != nil && !errors.Is(err, net.ErrClosed) {
+		t.Error(err)
+	}
+}
--- a/lab/emulator/server.go
+++ b/lab/emulator/server.go
@@ -151,10 +151,31 @@
 	s.mux.ServeHTTP(writer, request)
 }
 
-// Serve serves connections of the listener under the connection limit until
-// the server is closed.
+// Serve serves connections of the listener until the server is closed. Those
+// above the connection limit are cut, unless they read or set fault switches or
+// read the execution history: a full or frozen server can still be switched.
 func (s *Server) Serve(listener net.Listener) error {
-	return s.ended.serve(s, newLimitedListener(listener, s.options.Connections, s.options.ConnectionSetup))
+	limited := newLimitedListener(listener, s.options.Connections, s.options.ConnectionSetup)
+	control := make(chan error, 1)
+	go func() { control <- s.ended.serveControl(http.HandlerFunc(s.serveControl), limited.above) }()
+	err := s.ended.serve(s, limited)
+	_ = limited.above.Close()
+	return errors.Join(err, ignoreClosed(<-control))
+}
+
+// serveControl serves a connection above the limit.
+func (s *Server) serveControl(writer http.ResponseWriter, request *http.Request) {
+	if request.URL.Path != FaultsPath && request.URL.Path != ExecutionsPath {
+		panic(http.ErrAbortHandler)
+	}
+	s.mux.ServeHTTP(writer, request)
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
 }
 
 // Close ends Serve, cuts its connections and ends what is frozen.
