--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -95,13 +95,17 @@
   answers "http://$1/readyz" && grep -q "revision $2\$" "$work/probe"
 }
 
-# query FILE REQUEST-ID BODY posts a query to node 1 and prints the HTTP status.
-query() {
-  curl -sS -m 10 -o "$1" -D "$1.header" -w '%{http_code}' \
-    -H 'Content-Type: application/json' -d "$3" \
-    "http://$caller_1/v1/services/$2/queries"
+# query_at NODE FILE SERVICE BODY posts a query to a node's caller address and
+# prints the HTTP status.
+query_at() {
+  curl -sS -m 10 -o "$2" -D "$2.header" -w '%{http_code}' \
+    -H 'Content-Type: application/json' -d "$4" \
+    "http://$1/v1/services/$3/queries"
 }
 
+# query FILE SERVICE BODY asks node 1.
+query() { query_at "$caller_1" "$@"; }
+
 # expect FILE PATTERN WHAT demands that a file holds a pattern.
 expect() {
   grep -Eq "$2" "$1" || fail "$3 is not as it should be: $(head -c 600 "$1")"
@@ -151,7 +155,7 @@
 echo "both nodes are up"
 
 step "a refusal: no configuration is in force yet"
-asked='{"request_id":"demo-1","class":"normal","repeatable":true,"body":{"find":"linen"}}'
+asked='{"request_id":"demo-1","class":"normal","repeatable":true,"body":{"find":"open orders"}}'
 status=$(query "$work/refusal" catalog "$asked")
 cat "$work/refusal"
 printf '\nHTTP %s, %s\n' "$status" "$(grep -i '^retry-after' "$work/refusal.header" | tr -d '\r')"
@@ -181,7 +185,7 @@
 # complete asks until the node knows the servers' snapshots, within bounds.
 complete() {
   attempt=$((attempt + 1))
-  asked="{\"request_id\":\"demo-2-$attempt\",\"class\":\"normal\",\"repeatable\":true,\"body\":{\"find\":\"linen\"}}"
+  asked="{\"request_id\":\"demo-2-$attempt\",\"class\":\"normal\",\"repeatable\":true,\"body\":{\"find\":\"open orders\"}}"
   status=$(query "$work/answer" catalog "$asked")
   [ "$status" = 200 ] && grep -q '"complete":true' "$work/answer"
 }
@@ -200,6 +204,23 @@
 head -n 20 "$work/explanation"
 expect "$work/explanation" 'complete' "the explanation"
 
+# ran_once asks until the nodes know each other, within bounds. A refusal ran
+# nowhere, so the same request ID may be asked again.
+ran_once() {
+  status=$(query_at "$caller_1" "$work/once" member-ledger "$once")
+  [ "$status" = 200 ]
+}
+
+step "a request that must not be repeated runs once, also when another node is asked"
+once='{"request_id":"demo-once","class":"normal","repeatable":false,"body":{"enter":"order 7"}}'
+wait_for "the first answer" ran_once
+echo "node 1: HTTP $status"
+status=$(query_at "$caller_2" "$work/again" member-ledger "$once")
+cat "$work/again"
+printf '\nnode 2: HTTP %s\n' "$status"
+[ "$status" = 409 ] || fail "the status is $status"
+expect "$work/again" '"reason":"held_elsewhere"' "the refusal"
+
 step "a refusal that names the faulty field"
 status=$(query "$work/fault" catalog '{"request_id":"demo-3","class":"normal","repeatable":true,"deadline_ms":-5,"body":{}}')
 cat "$work/fault"
