Count listed nodes that were not heard of yet as owners of claims

Cause: the demo's second node ran a request that the first one held. The first node had read the machine list, but the second was not up at its first contact; until the next one it took itself for the only node, so it needed no owner. Test: a node that restarts cut from the listed one won the claim before, and does not after.

--- a/membership/sync.go
+++ b/membership/sync.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"encoding/binary"
 	"slices"
 	"time"
@@ -169,6 +170,17 @@
 	}
 }
 
+// Candidates lists the nodes that the machine list names and that were not
+// heard of yet, sorted by ID.
+func (n *Nodes) Candidates() []Member {
+	candidates := make([]Member, 0, len(n.candidates))
+	for _, candidate := range n.candidates {
+		candidates = append(candidates, candidate)
+	}
+	slices.SortFunc(candidates, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	return candidates
+}
+
 // joinContacts is the number of listed nodes that a joining node contacts at once.
 const joinContacts = 3
 
--- a/peer/claim.go
+++ b/peer/claim.go
@@ -106,10 +106,14 @@
 	return claim.Holder{Node: a.selfID, Incarnation: a.started}
 }
 
-// claimCandidates lists the other nodes that may be owners, by ID.
+// claimCandidates lists the other nodes that may be owners, by ID: members, and
+// nodes that the machine list names and that were not heard of yet.
 func (a *Agent) claimCandidates() map[string]membership.Member {
+	a.nodes.mutex.Lock()
+	known := append(a.nodes.core.Members(), a.nodes.core.Candidates()...)
+	a.nodes.mutex.Unlock()
 	candidates := make(map[string]membership.Member)
-	for _, member := range a.Members() {
+	for _, member := range known {
 		if member.ID != a.selfID && member.State < membership.Leaving {
 			candidates[member.ID] = member
 		}
--- a/peer/claim_test.go
+++ b/peer/claim_test.go
@@ -86,3 +86,25 @@
 		wantDecision(t, node, "request", claim.Unavailable)
 	})
 }
+
+// TestNoClaimIsWonWhileJoining: a node that has read the machine list but not
+// heard of any node yet counts the listed ones as owners.
+func TestNoClaimIsWonWhileJoining(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := newMemoryNetwork()
+		nodes := startAll(t, network, "a", "b")
+		defer func() { stopAll(nodes) }()
+		wantDecision(t, nodes["a"], "request", claim.Won)
+		nodes["a"].stop()
+		network.setCut(addressOf("a"), addressOf("b"), true)
+		restarted := member("a")
+		restarted.Incarnation = uint64(time.Now().UnixMilli())
+		nodes["a"] = startNode(t, network, AgentOptions{Self: restarted, MachineList: listOf("a", "b"), Seed: 2})
+		for range 200 {
+			if made := nodes["a"].agent.ClaimRequest(t.Context(), "request"); made.Decision == claim.Won {
+				t.Fatal("won the claim of another holder")
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	})
+}
