--- a/cmd/banksail-lab/machines.go
+++ b/cmd/banksail-lab/machines.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"strings"
+	"time"
 
 	"github.com/google/subcommands"
 	"golang.org/x/sync/errgroup"
@@ -63,7 +64,9 @@
 		return finish(err)
 	}
 	group, ctx := errgroup.WithContext(ctx)
-	if err := serve(ctx, group, c.address, emulator.NewMachineListServer(machines...)); err != nil {
+	server := emulator.NewMachineListServer(machines...)
+	server.StartAt(uint64(time.Now().UnixMilli()))
+	if err := serve(ctx, group, c.address, server); err != nil {
 		return finish(err)
 	}
 	fmt.Printf("serving a list of %d machines at %s\n", len(machines), c.address)
--- a/lab/emulator/machines.go
+++ b/lab/emulator/machines.go
@@ -79,6 +79,17 @@
 	return server
 }
 
+// StartAt raises the version of the first list, so that watchers of an earlier
+// process see this one's list as newer.
+func (s *MachineListServer) StartAt(version uint64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if first := &s.versions[0]; len(s.versions) == 1 {
+		first.list.Version = max(first.list.Version, version)
+	}
+	s.notify()
+}
+
 // ServeHTTP serves the list's protocol, its changes and the fault switches.
 func (s *MachineListServer) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	s.mux.ServeHTTP(writer, request)
