Spread changes as deltas, and metrics of the spread

Change: a push carries the intent and the digest of the record that it leads to; a node whose record is not the base says so by its revision and gets the whole record.

--- a/policy/errors.go
+++ b/policy/errors.go
@@ -21,6 +21,8 @@
 	ErrPlanAltered = errors.New("policy: plan was altered")
 	// ErrConflict: the configuration changed after the plan was made; see ConflictError.
 	ErrConflict = errors.New("policy: configuration changed since the plan was made")
+	// ErrDeltaMismatch: a delta does not lead from the base to the record that it names.
+	ErrDeltaMismatch = errors.New("policy: delta does not fit")
 )
 
 // Fault is one broken rule.
--- a/policy/plan.go
+++ b/policy/plan.go
@@ -155,7 +155,7 @@
 	if !equalDifferences(plan.Differences, Compare(current.Config, config)) {
 		return Decision{}, fmt.Errorf("%w: its differences are not those that its intent makes", ErrPlanAltered)
 	}
-	next := current.next(config, plan, confirmedAt)
+	next := current.next(config, accepted{planID: plan.ID, intent: plan.Intent, differences: plan.Differences, at: confirmedAt})
 	return Decision{Revision: next.Revision, Next: next}, nil
 }
 
@@ -165,25 +165,46 @@
 	return errFirst == nil && errSecond == nil && bytes.Equal(first, second)
 }
 
-// next builds the record that follows r.
-func (r Record) next(config Config, plan Plan, confirmedAt time.Time) Record {
+// accepted is a change that makes a new revision.
+type accepted struct {
+	planID      string
+	intent      Intent
+	differences []Difference
+	at          time.Time
+}
+
+// next builds the record that follows r. It depends on its arguments only, so
+// that every node builds the same bytes.
+func (r Record) next(config Config, change accepted) Record {
 	revision := r.Revision + 1
 	entry := HistoryEntry{
 		Revision:    revision,
-		PlanID:      plan.ID,
-		Author:      plan.Intent.Author,
-		Note:        plan.Intent.Note,
-		ConfirmedAt: confirmedAt.UTC(),
-		Summary:     summarize(plan.Differences),
-		Differences: len(plan.Differences),
-	}
+		PlanID:      change.planID,
+		Author:      change.intent.Author,
+		Note:        change.intent.Note,
+		ConfirmedAt: change.at.UTC(),
+		Summary:     summarize(change.differences),
+		Differences: len(change.differences),
+	}
+	history := append([]HistoryEntry{}, lastItems(r.History, MaximumHistory-1)...)
+	plans := append([]AppliedPlan{}, lastItems(r.RecentPlans, MaximumRecentPlans-1)...)
 	return Record{
 		Format:      RecordFormat,
 		Revision:    revision,
 		Config:      config,
-		History:     append(append([]HistoryEntry{}, lastItems(r.History, MaximumHistory-1)...), entry),
-		RecentPlans: append(append([]AppliedPlan{}, lastItems(r.RecentPlans, MaximumRecentPlans-1)...), AppliedPlan{ID: plan.ID, Revision: revision}),
+		History:     append(history, entry),
+		RecentPlans: append(plans, AppliedPlan{ID: change.planID, Revision: revision}),
+		LastIntent:  smallIntent(change.intent),
+	}
+}
+
+// smallIntent returns the intent if a record may keep it.
+func smallIntent(intent Intent) *Intent {
+	encoded, err := json.Marshal(intent)
+	if err != nil || len(encoded) > MaximumDeltaIntentBytes {
+		return nil
 	}
+	return &intent
 }
 
 func summarize(differences []Difference) []string {
--- a/policy/record.go
+++ b/policy/record.go
@@ -35,6 +35,9 @@
 	History []HistoryEntry `json:"history" validate:"max=64,dive"`
 	// RecentPlans lists the latest plans that were applied, oldest first.
 	RecentPlans []AppliedPlan `json:"recent_plans" validate:"max=256,dive"`
+	// LastIntent made this revision; it is kept when it is small, so that nodes
+	// can carry the change in place of the record.
+	LastIntent *Intent `json:"last_intent,omitempty"`
 }
 
 // HistoryEntry tells of one accepted change.
--- a/rollout/keeper.go
+++ b/rollout/keeper.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"errors"
 	"fmt"
 	"sync"
@@ -81,6 +79,8 @@
 	record policy.Record
 	bytes  []byte
 	digest string
+	// delta leads from the revision before to this one; nil when there is none.
+	delta []byte
 }
 
 // Keeper drives the Core of one node: it owns the record in force, the calls
@@ -189,9 +189,14 @@
 	}
 }
 
-// Offer takes a record from a peer. Lower and equal revisions change nothing.
-func (k *Keeper) Offer(revision policy.Revision, record []byte) error {
-	return k.offer(revision, record, "")
+// Offer takes a record, or a delta to one, from a peer. Lower and equal
+// revisions change nothing, nor does a delta that does not fit the record in
+// force: the peer sees by the revision in force that it must send the record.
+func (k *Keeper) Offer(revision policy.Revision, data []byte) error {
+	if policy.IsDelta(data) {
+		return k.offerDelta(revision, data)
+	}
+	return k.offer(revision, data, "")
 }
 
 // offer checks a record and adopts it if its revision is higher.
@@ -212,13 +217,37 @@
 	return k.adopt(next, from)
 }
 
+// offerDelta applies a delta to the record in force, if it is the base.
+func (k *Keeper) offerDelta(revision policy.Revision, data []byte) error {
+	current := k.snapshot()
+	if current == nil || revision != current.record.Revision+1 {
+		return nil
+	}
+	delta, err := policy.DecodeDelta(data)
+	if err != nil {
+		k.metrics.rejected.Add(1)
+		return fmt.Errorf("%w: %w", ErrRejected, err)
+	}
+	record, err := policy.ApplyDelta(current.record, delta)
+	if err != nil {
+		k.metrics.deltaMisfits.Add(1)
+		k.options.Logger.Warn().Err(err).Uint64("revision", uint64(revision)).Msg("delta refused")
+		return nil
+	}
+	return k.offer(revision, record, "")
+}
+
 func newState(data []byte) (*state, error) {
 	record, err := policy.DecodeRecord(data)
 	if err != nil {
 		return nil, err
 	}
-	sum := sha256.Sum256(data)
-	return &state{record: record, bytes: data, digest: hex.EncodeToString(sum[:])}, nil
+	digest := policy.RecordDigest(data)
+	delta, ok := policy.EncodeDelta(record, digest)
+	if !ok {
+		delta = nil
+	}
+	return &state{record: record, bytes: data, digest: digest, delta: delta}, nil
 }
 
 // adopt lets the core decide on a checked record.
--- a/rollout/run.go
+++ b/rollout/run.go
@@ -4,48 +4,12 @@
 	"context"
 	"errors"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/banksail/banksail/policy"
 	"github.com/banksail/banksail/store"
 )
 
-// keeperMetrics counts what the keeper did; telemetry reads it by Counters.
-type keeperMetrics struct {
-	adopted, rejected, diverged   atomic.Uint64
-	storeReads, storeFailures     atomic.Uint64
-	pushes, pushFailures          atomic.Uint64
-	comparisons, compareFailures  atomic.Uint64
-	confirmations, unknownOutcome atomic.Uint64
-}
-
-// Counters is a reading of what a keeper has done since it started.
-type Counters struct {
-	Adopted, Rejected, Diverged   uint64
-	StoreReads, StoreFailures     uint64
-	Pushes, PushFailures          uint64
-	Comparisons, CompareFailures  uint64
-	Confirmations, UnknownOutcome uint64
-}
-
-// Counters reads the counters.
-func (k *Keeper) Counters() Counters {
-	return Counters{
-		Adopted:         k.metrics.adopted.Load(),
-		Rejected:        k.metrics.rejected.Load(),
-		Diverged:        k.metrics.diverged.Load(),
-		StoreReads:      k.metrics.storeReads.Load(),
-		StoreFailures:   k.metrics.storeFailures.Load(),
-		Pushes:          k.metrics.pushes.Load(),
-		PushFailures:    k.metrics.pushFailures.Load(),
-		Comparisons:     k.metrics.comparisons.Load(),
-		CompareFailures: k.metrics.compareFailures.Load(),
-		Confirmations:   k.metrics.confirmations.Load(),
-		UnknownOutcome:  k.metrics.unknownOutcome.Load(),
-	}
-}
-
 // Run watches and spreads the configuration until the context ends; it then
 // waits for its calls to end and returns nil.
 func (k *Keeper) Run(ctx context.Context) error {
@@ -137,12 +101,13 @@
 	k.step(FetchAnswered{Member: action.Member, Revision: revision, Failed: err != nil})
 }
 
+// push offers the record in force: by its delta first, which is small, then
+// whole if the member says that it is still behind.
 func (k *Keeper) push(ctx context.Context, action Push) {
 	ctx, cancel := context.WithTimeout(ctx, k.options.PeerTimeout)
 	defer cancel()
-	k.metrics.pushes.Add(1)
-	pushed, record := k.Record()
-	revision, err := k.currentPeers().Push(ctx, action.Member, pushed, record)
+	current := k.snapshot()
+	revision, err := k.pushState(ctx, action.Member, current)
 	if err != nil {
 		k.metrics.pushFailures.Add(1)
 		k.options.Logger.Debug().Err(err).Str("member", action.Member).Msg("push failed")
@@ -150,6 +115,20 @@
 	k.step(PushAnswered{Member: action.Member, Pushed: action.Revision, Revision: revision, Failed: err != nil})
 }
 
+func (k *Keeper) pushState(ctx context.Context, member string, current *state) (policy.Revision, error) {
+	peers := k.currentPeers()
+	pushed := current.record.Revision
+	if current.delta != nil {
+		k.metrics.deltaPushes.Add(1)
+		revision, err := peers.Push(ctx, member, pushed, current.delta)
+		if err != nil || revision >= pushed {
+			return revision, err
+		}
+	}
+	k.metrics.recordPushes.Add(1)
+	return peers.Push(ctx, member, pushed, current.bytes)
+}
+
 // storeReader reads the store for Run; one read runs at a time.
 type storeReader struct {
 	keeper *Keeper
