--- a/cmd/banksail-lab/main.go
+++ b/cmd/banksail-lab/main.go
@@ -32,4 +32,6 @@
 	commander.Register(&machinesCommand{}, "stand-ins")
 	commander.Register(&profileCommand{}, "stand-ins")
 	commander.Register(&spreadCommand{}, "measurements")
+	commander.Register(&experimentCommand{}, "experiments")
+	commander.Register(&scaleCommand{}, "experiments")
 }
--- a/membership/sync.go
+++ b/membership/sync.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"encoding/binary"
 	"slices"
 	"time"
@@ -70,9 +71,9 @@
 	return reply
 }
 
-// A comparison that brought manyNews entries or more is followed by another one
-// after hurriedSyncIntervals probe intervals: many nodes have just started, or
-// parted regions have come together.
+// A comparison that brought a member that gossip had not, or manyNews entries,
+// is followed by another one after hurriedSyncIntervals probe intervals: many
+// nodes have just started, or parted regions have come together.
 const (
 	manyNews             = 16
 	hurriedSyncIntervals = 3
@@ -102,14 +103,14 @@
 	if result.Failed {
 		return nil
 	}
-	before := n.news
+	news, inserted := n.news, n.inserted
 	n.takeIn(now, result.Responder, result.Updates, fromSync)
-	if n.news-before >= manyNews {
+	if n.news-news >= manyNews || n.inserted > inserted {
 		n.nextSync = min(n.nextSync, now+n.jittered(hurriedSyncIntervals*n.options.ProbeInterval))
 	}
 	n.syncBucket = result.NextBucket
 	if !result.More {
-		n.joined = true
+		n.joined = n.joined || n.inserted == inserted
 		return nil
 	}
 	if n.joined || result.Responder.ID != pending.to {
@@ -118,7 +119,7 @@
 	return []Request{n.newSync(result.Responder, result.NextBucket)}
 }
 
-// afterContact compares tables with a first contact, until one comparison has ended.
+// afterContact compares tables until a whole comparison has brought no new member.
 func (n *Nodes) afterContact() []Request {
 	if n.joined || n.syncing() {
 		return nil
@@ -169,10 +170,21 @@
 	}
 }
 
+// Candidates lists the nodes that the machine list names and that were not
+// heard of yet, sorted by ID.
+func (n *Nodes) Candidates() []Member {
+	candidates := make([]Member, 0, len(n.candidates))
+	for _, candidate := range n.candidates {
+		candidates = append(candidates, candidate)
+	}
+	slices.SortFunc(candidates, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	return candidates
+}
+
 // joinContacts is the number of listed nodes that a joining node contacts at once.
 const joinContacts = 3
 
-// reconnectInterval is short until a first comparison has ended.
+// reconnectInterval is short until the node has joined.
 func (n *Nodes) reconnectInterval() time.Duration {
 	if n.joined {
 		return n.options.ReconnectInterval
