Agent under failure, fuzzing of peer messages, pauses of the node itself

A probe that failed while the node itself was paused no longer counts against the target (the test failed before: suspect). The queue of updates and the traffic of reading a large machine list have bounds.

--- a/membership/broadcast.go
+++ b/membership/broadcast.go
@@ -26,6 +26,9 @@
 	queue []broadcast
 }
 
+// maximumQueued bounds the queue. What does not fit spreads by comparisons.
+const maximumQueued = 2048
+
 // add queues a member's entry afresh.
 func (b *broadcasts) add(id string, u urgency) {
 	for i := range b.queue {
@@ -35,6 +38,9 @@
 			return
 		}
 	}
+	if len(b.queue) >= maximumQueued {
+		return
+	}
 	b.queue = append(b.queue, broadcast{id: id, urgency: u})
 }
 
--- a/membership/nodes_test.go
+++ b/membership/nodes_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/banksail/banksail/membership"
 )
 
@@ -206,3 +208,111 @@
 		t.Fatal("a tombstone stays for ever")
 	}
 }
+
+// pair returns a node that knows one other node, and is about to probe it.
+func pair(t *testing.T) (*membership.Nodes, membership.Member) {
+	t.Helper()
+	self := membership.Member{ID: "self", Address: "10.0.0.1:7300", Incarnation: 5}
+	other := membership.Member{ID: "other", Address: "10.0.0.2:7300", Incarnation: 5, State: membership.Live}
+	core := membership.NewNodes(membership.NodesOptions{Self: self, Seed: 1})
+	core.Tick(0)
+	core.Receive(0, other, nil)
+	return core, other
+}
+
+// probeOf ticks until the node sends a direct probe.
+func probeOf(t *testing.T, core *membership.Nodes, now time.Duration) (membership.Request, time.Duration) {
+	t.Helper()
+	for end := now + 5*time.Second; now < end; now += 100 * time.Millisecond {
+		for _, request := range core.Tick(now) {
+			if request.Kind == membership.DirectProbe {
+				return request, now
+			}
+		}
+	}
+	t.Fatal("no direct probe")
+	return membership.Request{}, 0
+}
+
+func TestProbeThatFailedDuringAPauseOfTheNodeItself(t *testing.T) {
+	core, other := pair(t)
+	request, now := probeOf(t, core, 0)
+	core.Complete(now+time.Minute, membership.Result{ID: request.ID, Failed: true})
+	if known, _ := core.Lookup(other.ID); known.State != membership.Live {
+		t.Fatalf("after its own pause the node takes the other one for %v", known.State)
+	}
+}
+
+func TestReplyOfAnotherNodeAtTheAddress(t *testing.T) {
+	core, other := pair(t)
+	request, now := probeOf(t, core, 0)
+	stranger := membership.Member{ID: "new", Address: other.Address, Incarnation: 9, State: membership.Live}
+	for _, indirect := range core.Complete(now, membership.Result{ID: request.ID, Responder: stranger}) {
+		core.Complete(now, membership.Result{ID: indirect.ID, Failed: true})
+	}
+	if known, _ := core.Lookup(other.ID); known.State != membership.Suspect {
+		t.Fatalf("the node whose address another one has is %v", known.State)
+	}
+	if known, _ := core.Lookup("new"); known.State != membership.Live {
+		t.Fatalf("the node that replied is %v", known.State)
+	}
+}
+
+func TestUpdatesInAnyOrderEndAlike(t *testing.T) {
+	updates := []membership.Member{
+		{ID: "other", Address: "a:1", Incarnation: 7, State: membership.Live},
+		{ID: "other", Address: "a:1", Incarnation: 6, State: membership.Gone},
+		{ID: "other", Address: "a:1", Incarnation: 7, State: membership.Suspect, Revision: 2},
+		{ID: "other", Address: "a:1", Incarnation: 5, State: membership.Leaving, Revision: 9},
+	}
+	for first := range updates {
+		core, other := pair(t)
+		for i := range updates {
+			core.Receive(0, membership.Member{ID: "x", Address: "x:1", State: membership.Live},
+				updates[(first+i)%len(updates):][:1])
+		}
+		known, _ := core.Lookup(other.ID)
+		if known.Incarnation != 7 || known.State != membership.Suspect || known.Revision != 2 {
+			t.Fatalf("order from %d ends with %+v", first, known)
+		}
+	}
+}
+
+func TestUpdatesOutOfBoundsAreDropped(t *testing.T) {
+	core, other := pair(t)
+	updates := []membership.Member{
+		{ID: other.ID, Address: other.Address, Incarnation: membership.MaximumIncarnation + 1, State: membership.Gone},
+		{ID: "no state", Address: "a:1", Incarnation: 1},
+		{ID: "", Address: "a:1", Incarnation: 1, State: membership.Live},
+	}
+	core.Receive(0, other, updates)
+	if got := core.Table(); len(got) != 2 {
+		t.Fatalf("the table holds %v", got)
+	}
+	if known, _ := core.Lookup(other.ID); known.State != membership.Live {
+		t.Fatalf("the other node is %v", known.State)
+	}
+}
+
+func TestMessagesAndTableStayWithinTheirBounds(t *testing.T) {
+	core, other := pair(t)
+	for i := range 2 * membership.MaximumMembers {
+		update := membership.Member{ID: nodeID(i), Address: addressOf(i), Incarnation: 1, State: membership.Live}
+		core.Receive(0, other, []membership.Member{update})
+	}
+	if size := len(core.Table()); size > membership.MaximumMembers+1 {
+		t.Fatalf("the table holds %d members", size)
+	}
+	_, updates := core.Receive(0, other, nil)
+	size := 0
+	for _, update := range wireAll(updates) {
+		size += proto.Size(update)
+	}
+	if len(updates) > membership.MaximumUpdates || size > membership.MaximumUpdateBytes {
+		t.Fatalf("%d updates of %d bytes in a message", len(updates), size)
+	}
+	reply := core.ReceiveSync(0, other, nil, 0)
+	if len(reply.Members) > membership.MaximumSyncMembers || !reply.More {
+		t.Fatalf("%d members in a comparison, more: %v", len(reply.Members), reply.More)
+	}
+}
--- a/membership/tick.go
+++ b/membership/tick.go
@@ -26,7 +26,6 @@
 func (n *Nodes) Tick(now time.Duration) []Request {
 	n.start(now)
 	n.excusePause(now)
-	n.lastTick = now
 	n.expire(now)
 	var requests []Request
 	if now >= n.nextProbe {
@@ -68,6 +67,7 @@
 // failed for that reason, and suspects had no chance to be heard.
 func (n *Nodes) excusePause(now time.Duration) {
 	gap := now - n.lastTick
+	n.lastTick = now
 	if gap <= pauseIntervals*n.options.ProbeInterval {
 		return
 	}
@@ -162,6 +162,7 @@
 
 // Complete takes in what became of a request and returns those that follow.
 func (n *Nodes) Complete(now time.Duration, result Result) []Request {
+	n.excusePause(now)
 	pending, ok := n.pending[result.ID]
 	if !ok {
 		return nil
--- a/peer/agent.go
+++ b/peer/agent.go
@@ -91,9 +91,9 @@
 	return a.nodes.core.Members()
 }
 
-// SubscribeServers calls the function for every server's state that is not
-// live, and then for every change, in order and one call at a time. The
-// function may call the agent's methods.
+// SubscribeServers calls the function for every known server, and then for
+// every change, in order and one call at a time. A server of which it was told
+// nothing is live. The function may call the agent's methods.
 func (a *Agent) SubscribeServers(notify func(id string, state dispatch.ServerState)) {
 	a.servers.subscribe(notify)
 }
--- a/peer/agent_test.go
+++ b/peer/agent_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/banksail/banksail/dispatch"
+	"github.com/banksail/banksail/machinelist"
 	"github.com/banksail/banksail/membership"
 	"github.com/banksail/banksail/policy"
 )
@@ -65,16 +66,33 @@
 }
 
 func startNodes(t *testing.T, network *memoryNetwork, ids ...string) map[string]*testNode {
+	t.Helper()
+	return startNodesWithList(t, network, listOf(ids...), ids...)
+}
+
+func startNodesWithList(t *testing.T, network *memoryNetwork, list machinelist.Conn, ids ...string) map[string]*testNode {
 	t.Helper()
 	nodes := make(map[string]*testNode)
 	for i, id := range ids {
 		nodes[id] = startNode(t, network, AgentOptions{
-			Self: member(id), MachineList: listOf(ids...), Seed: uint64(i + 1), Configurations: &memoryKeeper{},
+			Self: member(id), MachineList: list, Seed: uint64(i + 1), Configurations: &memoryKeeper{},
 		})
 	}
 	return nodes
 }
 
+// wantAllLive fails unless every node sees all of them as live and no other one.
+func wantAllLive(t *testing.T, nodes map[string]*testNode) {
+	t.Helper()
+	want := make(map[string]membership.State)
+	for id := range nodes {
+		want[id] = membership.Live
+	}
+	for _, node := range nodes {
+		wantStates(t, node.agent, want)
+	}
+}
+
 func stopNodes(nodes map[string]*testNode) {
 	for _, node := range nodes {
 		node.stop()
@@ -87,11 +105,7 @@
 		nodes := startNodes(t, network, "n1", "n2", "n3", "n4")
 		defer stopNodes(nodes)
 		time.Sleep(10 * time.Second)
-		for _, node := range nodes {
-			wantStates(t, node.agent, map[string]membership.State{
-				"n1": membership.Live, "n2": membership.Live, "n3": membership.Live, "n4": membership.Live,
-			})
-		}
+		wantAllLive(t, nodes)
 	})
 }
 
@@ -168,3 +182,121 @@
 		t.Fatalf("subscriber saw %v, want %v", seen, want)
 	}
 }
+
+func TestAgentsUnderFailure(t *testing.T) {
+	ids := []string{"n1", "n2", "n3", "n4"}
+	tests := map[string]func(t *testing.T, network *memoryNetwork, list *machinelist.Static, nodes map[string]*testNode){
+		"a node cut off for long comes back": func(t *testing.T, network *memoryNetwork, _ *machinelist.Static, nodes map[string]*testNode) {
+			network.setParted(ids[:1], ids[1:], true)
+			time.Sleep(time.Minute)
+			wantStates(t, nodes["n1"].agent, map[string]membership.State{"n1": membership.Live})
+			network.setParted(ids[:1], ids[1:], false)
+		},
+		"two halves part and come together": func(t *testing.T, network *memoryNetwork, _ *machinelist.Static, nodes map[string]*testNode) {
+			network.setParted(ids[:2], ids[2:], true)
+			time.Sleep(time.Hour)
+			wantStates(t, nodes["n1"].agent, map[string]membership.State{"n1": membership.Live, "n2": membership.Live})
+			network.setParted(ids[:2], ids[2:], false)
+		},
+		"a one-way cut": func(t *testing.T, network *memoryNetwork, _ *machinelist.Static, nodes map[string]*testNode) {
+			network.setCut("n1", "n2", true)
+			time.Sleep(time.Minute)
+			wantAllLive(t, nodes)
+		},
+		"an empty machine list, then none": func(t *testing.T, _ *memoryNetwork, list *machinelist.Static, nodes map[string]*testNode) {
+			list.Set()
+			time.Sleep(time.Minute)
+			list.SetDown(true)
+			time.Sleep(time.Minute)
+			wantAllLive(t, nodes)
+			list.SetDown(false)
+		},
+		"a machine list that names the dead": func(t *testing.T, _ *memoryNetwork, list *machinelist.Static, _ map[string]*testNode) {
+			list.Set(machines("dead-1", "dead-2", "n1")...)
+			time.Sleep(time.Minute)
+		},
+	}
+	for name, provoke := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				network, list := newMemoryNetwork(), listOf(ids...)
+				nodes := startNodesWithList(t, network, list, ids...)
+				defer stopNodes(nodes)
+				time.Sleep(10 * time.Second)
+				wantAllLive(t, nodes)
+				provoke(t, network, list, nodes)
+				time.Sleep(time.Minute)
+				wantAllLive(t, nodes)
+			})
+		})
+	}
+}
+
+func TestRestartedNodeReplacesItsEarlierLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := newMemoryNetwork()
+		nodes := startNodes(t, network, "n1", "n2", "n3")
+		defer stopNodes(nodes)
+		for range 2 {
+			time.Sleep(10 * time.Second)
+			nodes["n3"].stop()
+			self := member("n3")
+			self.Incarnation = 1 // a clock that was set back
+			nodes["n3"] = startNode(t, network, AgentOptions{Self: self, MachineList: listOf("n1"), Seed: 9})
+		}
+		time.Sleep(time.Minute)
+		wantAllLive(t, nodes)
+	})
+}
+
+func TestServersOfTheMachineListReachSubscribers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		machine := machinelist.Machine{
+			ID: "s1", Address: "s1:80", Role: machinelist.RoleServer, State: machinelist.StateLive, Incarnation: "a",
+		}
+		list := machinelist.NewStatic(machine)
+		node := startNode(t, newMemoryNetwork(), AgentOptions{Self: member("n1"), MachineList: list, Seed: 1})
+		defer node.stop()
+		var mutex sync.Mutex
+		seen := make(map[string]dispatch.ServerState)
+		node.agent.SubscribeServers(func(id string, state dispatch.ServerState) {
+			mutex.Lock()
+			defer mutex.Unlock()
+			seen[id] = state
+		})
+		time.Sleep(5 * time.Second)
+		machine.State = machinelist.StateLeaving
+		list.Set(machine)
+		time.Sleep(3 * time.Second) // the bound on new work for a leaving server
+		mutex.Lock()
+		defer mutex.Unlock()
+		if seen["s1"] != dispatch.ServerLeaving {
+			t.Fatalf("the leaving server is in state %d", seen["s1"])
+		}
+	})
+}
+
+func TestConnectionSharesFollowTheMembers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := newMemoryNetwork()
+		nodes := startNodes(t, network, "n1", "n2", "n3")
+		defer stopNodes(nodes)
+		place := membership.ServerPlace{ID: "s1", Zone: "a", Limit: 70}
+		shared := membership.ShareableConnections(place.Limit)
+		total := func(ids ...string) int {
+			sum := 0
+			for _, id := range ids {
+				sum += nodes[id].agent.ConnectionShare(place).Maximum
+			}
+			return sum
+		}
+		time.Sleep(10 * time.Second)
+		if got := total("n1", "n2", "n3"); got != shared {
+			t.Fatalf("three nodes share %d of %d connections", got, shared)
+		}
+		nodes["n3"].agent.Leave(t.Context())
+		if got := total("n1", "n2"); got != shared {
+			t.Fatalf("the two that stay share %d of %d connections", got, shared)
+		}
+	})
+}
--- /dev/null
+++ b/peer/fuzz_test.go
@@ -0,0 +1,119 @@
+package peer
+
+import (
+	"bytes"
+	"math"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/banksail/banksail/membership"
+)
+
+// post sends bytes to one of the agent's methods.
+func post(agent *Agent, method string, body []byte) *httptest.ResponseRecorder {
+	request := httptest.NewRequest(http.MethodPost, PeerPathPrefix+method, bytes.NewReader(body))
+	request.Header.Set("Content-Type", "application/protobuf")
+	recorder := httptest.NewRecorder()
+	agent.Handler().ServeHTTP(recorder, request)
+	return recorder
+}
+
+func encoded(t testing.TB, message proto.Message) []byte {
+	t.Helper()
+	body, err := proto.Marshal(message)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return body
+}
+
+// manyMembers is a message with far more entries than are taken.
+func manyMembers() []*Member {
+	return make([]*Member, 5000)
+}
+
+func wireMember(id string) *Member {
+	self := member(id)
+	self.State = membership.Live
+	return toWire(self)
+}
+
+func FuzzHandler(f *testing.F) {
+	methods := []string{"Gossip", "ListMembers", "FetchConfiguration", "PushConfiguration"}
+	strange := wireMember("n2")
+	strange.Incarnation = math.MaxUint64
+	strange.State = 99
+	f.Add(0, encoded(f, &GossipRequest{Sender: wireMember("n2"), Updates: []*Member{strange, wireMember("n1")}}))
+	f.Add(0, encoded(f, &GossipRequest{Sender: wireMember("n2"), Updates: manyMembers()}))
+	f.Add(1, encoded(f, &ListMembersRequest{Sender: wireMember("n2"), Digests: make([]uint64, 5000), FirstBucket: math.MaxUint32}))
+	f.Add(2, encoded(f, &FetchConfigurationRequest{Above: math.MaxUint64}))
+	f.Add(3, encoded(f, &Configuration{Revision: math.MaxUint64, Record: []byte("{")}))
+	f.Add(0, []byte{0x0a, 0xff, 0xff, 0xff, 0xff, 0x0f})
+	f.Fuzz(func(t *testing.T, method int, body []byte) {
+		agent := NewAgent(AgentOptions{Self: member("n1"), Configurations: &memoryKeeper{}, Seed: 1})
+		recorder := post(agent, methods[uint(method)%uint(len(methods))], body)
+		if recorder.Code == http.StatusInternalServerError {
+			t.Fatalf("internal error: %s", recorder.Body)
+		}
+		if known := len(agent.Members()); known > membership.MaximumUpdates+2 {
+			t.Fatalf("one message brought %d members", known)
+		}
+		for _, known := range agent.Members() {
+			if !known.Valid() {
+				t.Fatalf("the table holds %+v", known)
+			}
+		}
+	})
+}
+
+func TestBodiesOverTheirBoundAreRefused(t *testing.T) {
+	agent := NewAgent(AgentOptions{Self: member("n1"), Configurations: &memoryKeeper{}})
+	for method, size := range map[string]int{
+		"Gossip": maximumGossipBytes + 1, "PushConfiguration": maximumRequestBytes + 1,
+	} {
+		if recorder := post(agent, method, make([]byte, size)); recorder.Code == http.StatusOK {
+			t.Fatalf("%s took a body of %d bytes", method, size)
+		}
+	}
+}
+
+func FuzzReplies(f *testing.F) {
+	f.Add(encoded(f, &GossipResponse{Responder: wireMember("n2"), Updates: manyMembers()}))
+	f.Add(encoded(f, &ListMembersResponse{Responder: wireMember("n2"), Members: manyMembers(), More: true, NextBucket: math.MaxUint32}))
+	f.Add(encoded(f, &ProbeIndirectResponse{Reached: true}))
+	f.Add(encoded(f, &Configuration{Revision: 1}))
+	f.Add([]byte{0x12, 0xff})
+	kinds := []membership.RequestKind{membership.DirectProbe, membership.IndirectProbe, membership.Sync}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		client := &http.Client{Transport: replying(body)}
+		agent := NewAgent(AgentOptions{Self: member("n1"), HTTPClient: client, Seed: 1})
+		to := member("n2")
+		to.State = membership.Live
+		agent.nodes.core.Receive(0, to, nil)
+		for _, kind := range kinds {
+			request := membership.Request{Kind: kind, To: to, Target: to, Sender: agent.Self()}
+			result, err := agent.exchange(t.Context(), request)
+			if err == nil && len(result.Updates) > membership.MaximumSyncMembers {
+				t.Fatalf("%d updates of one reply", len(result.Updates))
+			}
+		}
+		if revision, record, err := agent.Fetch(t.Context(), "n2", 0); err == nil && revision > 0 && len(record) == 0 {
+			t.Fatal("a revision without a record")
+		}
+	})
+}
+
+// replying answers every request with the same body.
+type replying []byte
+
+func (r replying) RoundTrip(request *http.Request) (*http.Response, error) {
+	recorder := httptest.NewRecorder()
+	recorder.Header().Set("Content-Type", "application/protobuf")
+	recorder.Write(r)
+	response := recorder.Result()
+	response.Request = request
+	return response, nil
+}
--- a/peer/list.go
+++ b/peer/list.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/banksail/banksail/machinelist"
 	"github.com/banksail/banksail/membership"
 )
@@ -17,6 +19,7 @@
 // listLoop follows the machine list.
 func (a *Agent) listLoop(ctx context.Context) {
 	random := rand.New(rand.NewPCG(a.seed, listStream))
+	limiter := rate.NewLimiter(listBytesPerSecond, listBurstBytes)
 	var version uint64
 	delay := listRetryBase
 	for ctx.Err() == nil {
@@ -26,6 +29,7 @@
 			version = list.Version
 			delay = listRetryBase
 			a.observeList(list)
+			pay(ctx, limiter, len(list.Machines)*listMachineBytes)
 			sleep(ctx, jitter(random, listRetryBase))
 		case errors.Is(err, machinelist.ErrUnchanged):
 			delay = listRetryBase
@@ -39,6 +43,26 @@
 	}
 }
 
+// Bounds of the traffic of reading the machine list. A list that is larger than
+// the burst is read less often.
+const (
+	listBytesPerSecond = 2048
+	listBurstBytes     = 64 << 10
+	// listMachineBytes is about the size of a machine in the list.
+	listMachineBytes = 128
+)
+
+// pay waits until the limiter has let through the bytes that were read.
+func pay(ctx context.Context, limiter *rate.Limiter, bytes int) {
+	for bytes > 0 && ctx.Err() == nil {
+		part := min(bytes, listBurstBytes)
+		if limiter.WaitN(ctx, part) != nil {
+			return
+		}
+		bytes -= part
+	}
+}
+
 // readList reads the list at once when no version of it is known, and waits
 // for a newer one otherwise.
 func (a *Agent) readList(ctx context.Context, version uint64) (machinelist.List, error) {
--- a/peer/network_test.go
+++ b/peer/network_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"sync"
 	"testing"
-	"time"
 
 	"github.com/banksail/banksail/machinelist"
 	"github.com/banksail/banksail/membership"
@@ -68,11 +67,12 @@
 	}
 }
 
-// setCut cuts or heals the way from one address to another.
+// setCut cuts or heals the way from one node to another: connections end, and
+// new ones hang.
 func (n *memoryNetwork) setCut(from, to string, cut bool) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	pair := [2]string{from, to}
+	pair := [2]string{addressOf(from), addressOf(to)}
 	n.cut[pair] = cut
 	for _, connection := range n.open[pair] {
 		connection.Close()
@@ -80,6 +80,16 @@
 	delete(n.open, pair)
 }
 
+// setParted cuts or heals the ways between two sets of nodes.
+func (n *memoryNetwork) setParted(left, right []string, cut bool) {
+	for _, a := range left {
+		for _, b := range right {
+			n.setCut(a, b, cut)
+			n.setCut(b, a, cut)
+		}
+	}
+}
+
 type pipeListener struct {
 	address  string
 	accepted chan net.Conn
@@ -133,24 +143,17 @@
 	})}
 }
 
-// fixedList is a machine list that never changes.
-type fixedList struct{ list machinelist.List }
-
-func (f fixedList) Get(context.Context) (machinelist.List, error) { return f.list, nil }
-
-func (f fixedList) Watch(ctx context.Context, after uint64, _ time.Duration) (machinelist.List, error) {
-	<-ctx.Done()
-	return machinelist.List{}, machinelist.ErrUnchanged
-}
+// listOf returns a machine list of live nodes.
+func listOf(ids ...string) *machinelist.Static { return machinelist.NewStatic(machines(ids...)...) }
 
-func listOf(ids ...string) fixedList {
-	list := machinelist.List{Version: 1}
+func machines(ids ...string) []machinelist.Machine {
+	var listed []machinelist.Machine
 	for _, id := range ids {
-		list.Machines = append(list.Machines, machinelist.Machine{
+		listed = append(listed, machinelist.Machine{
 			ID: id, Address: addressOf(id), Role: machinelist.RoleNode, State: machinelist.StateLive,
 		})
 	}
-	return fixedList{list: list}
+	return listed
 }
 
 func addressOf(id string) string { return id + ":7000" }
