--- a/membership/apply.go
+++ b/membership/apply.go
@@ -94,12 +94,12 @@
 	known.deadline = n.deadlineOf(now, member.State)
 	n.nextExpiry = min(n.nextExpiry, known.deadline)
 	n.changes = append(n.changes, member)
-	n.news++
 	kind := stateUpdate
 	if before.Incarnation == member.Incarnation && before.State == member.State {
 		kind = revisionUpdate
 	} else {
 		n.version++
+		n.stateNews++
 	}
 	if from != fromSync {
 		n.updates.add(member.ID, kind)
--- a/membership/nodes.go
+++ b/membership/nodes.go
@@ -54,10 +54,13 @@
 	started       bool
 
 	version uint64
-	// news counts all changes of entries, inserted only new ones.
-	news     uint64
-	inserted uint64
-	changes  []Member
+	// stateNews counts all changes of entries but those of a revision,
+	// inserted only new entries, passInserted those before the current pass
+	// of comparisons over all buckets.
+	stateNews    uint64
+	inserted     uint64
+	passInserted uint64
+	changes      []Member
 }
 
 // NewNodes returns a table that holds the node itself only.
--- a/membership/nodes_test.go
+++ b/membership/nodes_test.go
@@ -1,6 +1,7 @@
 package membership_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -97,6 +98,7 @@
 		t.Fatal("a side does not see the other one as gone and itself as live")
 	}
 	s.blocked = func(_, _ *simulatedNode) bool { return false }
+	neverGone(t, s, time.Minute, s.nodes[:half], s.nodes[:half])
 	eventually(t, s, 2*time.Minute, "all see each other as live", func() bool {
 		return allSee(s.nodes, s.nodes, membership.Live)
 	})
@@ -202,6 +204,11 @@
 	if sees(s.nodes[0], s.nodes[5]) != membership.Gone {
 		t.Fatal("a gone member that the list names is forgotten")
 	}
+	s.list()
+	s.runUntil(s.now + 2*tombstoneTime)
+	if sees(s.nodes[0], s.nodes[5]) != membership.Gone {
+		t.Fatal("an empty list made a node forget a gone member")
+	}
 	s.list(listed(0), listed(1))
 	s.runUntil(s.now + 2*tombstoneTime)
 	if _, known := s.nodes[0].core.Lookup(nodeID(5)); known {
@@ -271,6 +278,11 @@
 			core.Receive(0, membership.Member{ID: "x", Address: "x:1", State: membership.Live},
 				updates[(first+i)%len(updates):][:1])
 		}
+		version := core.Version()
+		core.Receive(0, membership.Member{ID: "x", Address: "x:1", State: membership.Live}, updates)
+		if core.Version() != version {
+			t.Fatal("updates that are not newer changed the table")
+		}
 		known, _ := core.Lookup(other.ID)
 		if known.Incarnation != 7 || known.State != membership.Suspect || known.Revision != 2 {
 			t.Fatalf("order from %d ends with %+v", first, known)
@@ -316,3 +328,59 @@
 		t.Fatalf("%d members in a comparison, more: %v", len(reply.Members), reply.More)
 	}
 }
+
+func TestOnlyOtherNodeDies(t *testing.T) {
+	s := joined(t, 2, 12)
+	s.nodes[1].alive = false
+	eventually(t, s, 30*time.Second, "the survivor sees the node as gone", func() bool {
+		return sees(s.nodes[0], s.nodes[1]) == membership.Gone
+	})
+}
+
+func TestEachRoundProbesEveryMemberOnceInAnotherOrder(t *testing.T) {
+	const others = 10
+	core, _ := pair(t)
+	for i := range others - 1 {
+		sender := membership.Member{ID: nodeID(i), Address: addressOf(i), Incarnation: 1, State: membership.Live}
+		core.Receive(0, sender, nil)
+	}
+	var rounds [2][]string
+	now := time.Duration(0)
+	for round := range rounds {
+		for range others {
+			var request membership.Request
+			request, now = probeOf(t, core, now)
+			rounds[round] = append(rounds[round], request.To.ID)
+			core.Complete(now, membership.Result{ID: request.ID, Responder: request.To})
+		}
+		if sorted := slices.Compact(slices.Sorted(slices.Values(rounds[round]))); len(sorted) != others {
+			t.Fatalf("a round probed %v", rounds[round])
+		}
+	}
+	if slices.Equal(rounds[0], rounds[1]) {
+		t.Fatal("two rounds have the same order")
+	}
+}
+
+func TestLargeTablesAreComparedInBoundedPasses(t *testing.T) {
+	const size = 1000
+	s := joined(t, 2, 13)
+	for i := 2; i < size; i++ {
+		update := membership.Member{ID: nodeID(i), Address: "10.9.9.9:1", Incarnation: 1, State: membership.Leaving}
+		s.nodes[0].core.Receive(s.now, s.nodes[1].core.Self(), []membership.Member{update})
+	}
+	passes, bucket := 1, 0
+	reply := s.nodes[0].core.ReceiveSync(s.now, s.nodes[1].core.Self(), nil, bucket)
+	seen := len(reply.Members)
+	for ; reply.More; passes++ {
+		if passes > size/membership.MaximumSyncMembers+2 {
+			t.Fatalf("%d comparisons did not end", passes)
+		}
+		bucket = reply.NextBucket
+		reply = s.nodes[0].core.ReceiveSync(s.now, s.nodes[1].core.Self(), nil, bucket)
+		seen += len(reply.Members)
+	}
+	if seen != size {
+		t.Fatalf("the passes brought %d of %d members", seen, size)
+	}
+}
--- a/membership/scale_bench_test.go
+++ b/membership/scale_bench_test.go
@@ -84,7 +84,7 @@
 func allHaveRevision(observers, subjects []*simulatedNode, revision policy.Revision) bool {
 	for _, observer := range observers {
 		for _, subject := range subjects {
-			known, ok := observer.core.Lookup(nodeID(subject.index))
+			known, ok := observer.core.Lookup(subject.id)
 			if !ok || known.Revision < revision {
 				return false
 			}
--- a/membership/servers_test.go
+++ b/membership/servers_test.go
@@ -94,6 +94,10 @@
 		"a lying list names a strange incarnation as leaving": {
 			[]serverStep{{at: 1, report: answered("b")}, {at: 2, list: listLeaving("z")}}, membership.Live,
 		},
+		"an older list names the incarnation before as leaving": {
+			[]serverStep{{at: 1, list: listLive("a")}, {at: 2, list: listLive("b")}, {at: 3, list: listLeaving("a")}},
+			membership.Live,
+		},
 		"a list without the server": {
 			[]serverStep{{at: 1, list: listLive("a")}, {at: 2, report: reply}, {at: 3, list: listOfOthers}}, membership.Live,
 		},
--- a/membership/simulation_test.go
+++ b/membership/simulation_test.go
@@ -34,6 +34,7 @@
 
 type simulatedNode struct {
 	index       int
+	id          string
 	core        *membership.Nodes
 	alive       bool
 	frozenUntil time.Duration
@@ -79,7 +80,7 @@
 		tombstoneTime: tombstoneTime,
 	}
 	for i := range size {
-		node := &simulatedNode{index: i}
+		node := &simulatedNode{index: i, id: nodeID(i)}
 		s.nodes = append(s.nodes, node)
 		s.start(node, seed, 1)
 	}
@@ -314,7 +315,7 @@
 			if observer == subject {
 				continue
 			}
-			known, ok := observer.core.Lookup(nodeID(subject.index))
+			known, ok := observer.core.Lookup(subject.id)
 			if !ok || known.State != state {
 				return false
 			}
@@ -325,6 +326,6 @@
 
 // sees gives an observer's state of a subject; zero when it is unknown.
 func sees(observer, subject *simulatedNode) membership.State {
-	known, _ := observer.core.Lookup(nodeID(subject.index))
+	known, _ := observer.core.Lookup(subject.id)
 	return known.State
 }
--- a/membership/sync.go
+++ b/membership/sync.go
@@ -25,6 +25,9 @@
 	request.Timeout = syncTimeoutFactor * n.options.ProbeTimeout
 	request.Digests = n.digests()
 	request.FirstBucket = firstBucket
+	pending := n.pending[request.ID]
+	pending.firstBucket = firstBucket
+	n.pending[request.ID] = pending
 	return request
 }
 
@@ -52,13 +55,12 @@
 }
 
 // ReceiveSync answers another node's Sync with the entries of the buckets that
-// differ, at most MaximumSyncMembers.
+// differ, from firstBucket on, at most MaximumSyncMembers.
 func (n *Nodes) ReceiveSync(now time.Duration, sender Member, digests []uint64, firstBucket int) SyncReply {
 	n.apply(now, sender, fromSender)
 	reply := SyncReply{Responder: n.self}
 	buckets := n.differing(digests)
-	for offset := range DigestBuckets {
-		bucket := (max(0, firstBucket) + offset) % DigestBuckets
+	for bucket := max(0, firstBucket); bucket < DigestBuckets; bucket++ {
 		members := buckets[bucket]
 		if len(reply.Members) > 0 && len(reply.Members)+len(members) > MaximumSyncMembers {
 			reply.More = true
@@ -70,7 +72,7 @@
 	return reply
 }
 
-// A comparison that brought a member that gossip had not, or manyNews entries,
+// A comparison that brought a member that gossip had not, or manyNews changes of state,
 // is followed by another one after hurriedSyncIntervals probe intervals: many
 // nodes have just started, or parted regions have come together.
 const (
@@ -102,14 +104,18 @@
 	if result.Failed {
 		return nil
 	}
-	news, inserted := n.news, n.inserted
+	if pending.firstBucket == 0 {
+		n.passInserted = n.inserted
+	}
+	news := n.stateNews
 	n.takeIn(now, result.Responder, result.Updates, fromSync)
-	if n.news-news >= manyNews || n.inserted > inserted {
+	if n.stateNews-news >= manyNews || n.inserted > n.passInserted {
 		n.nextSync = min(n.nextSync, now+n.jittered(hurriedSyncIntervals*n.options.ProbeInterval))
 	}
 	n.syncBucket = result.NextBucket
 	if !result.More {
-		n.joined = n.joined || n.inserted == inserted
+		n.syncBucket = 0
+		n.joined = n.joined || n.inserted == n.passInserted
 		return nil
 	}
 	if n.joined || result.Responder.ID != pending.to {
--- a/membership/tick.go
+++ b/membership/tick.go
@@ -11,6 +11,8 @@
 	target string
 	// incarnation is that of the member whose answer is awaited.
 	incarnation uint64
+	// firstBucket is set for Sync.
+	firstBucket int
 }
 
 // pauseIntervals is the number of probe intervals after which a gap between
