Seeded bugs in whole runs, overload, and bursts before planned stops

Each invariant has a bug that TestSeededBugs seeds into a whole run and that the checker must catch; -bug NAME shows the violation. A reader that was frozen while its connection was reset never woke (a reset stream was forgotten while in use); the test failed with a deadlock before.

--- a/lab/network/conn.go
+++ b/lab/network/conn.go
@@ -89,13 +89,16 @@
 	s.wake()
 }
 
-// end puts the end of the stream on its way, once. The lock is held.
+// end puts the end of the stream on its way, once; a nil reason is a machine
+// that vanished, of which nothing is heard. The lock is held.
 func (s *stream) end(reason error) {
-	if s.ended || s.broken {
+	if s.ended {
 		return
 	}
 	s.ended = true
-	s.push(nil, reason)
+	if !s.broken && reason != nil {
+		s.push(nil, reason)
+	}
 	s.forget()
 }
 
@@ -112,10 +115,9 @@
 func (s *stream) reset() {
 	s.broken = true
 	s.wake()
-	delete(s.network.streams, s)
 }
 
-// forget lets go of a stream that no control can touch any more. The lock is held.
+// forget lets go of a stream that nobody reads or writes any more. The lock is held.
 func (s *stream) forget() {
 	if s.ended && s.abandoned {
 		delete(s.network.streams, s)
@@ -128,6 +130,8 @@
 	if s.from == process {
 		if mode == KillReset {
 			s.end(syscall.ECONNRESET)
+		} else {
+			s.end(nil)
 		}
 		s.wake()
 	}
--- a/lab/network/network_test.go
+++ b/lab/network/network_test.go
@@ -111,6 +111,19 @@
 	})
 }
 
+func TestFrozenReaderNoticesResetAfterThaw(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := New(Options{})
+		_, far := pair(t, n)
+		n.Freeze(hostB)
+		time.AfterFunc(time.Second, func() { n.Reset(hostA, hostB) })
+		time.AfterFunc(2*time.Second, func() { n.Thaw(hostB) })
+		if _, err := far.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+			t.Fatalf("read: %v", err)
+		}
+	})
+}
+
 func TestWriteAfterPeerClosed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := New(Options{})
--- a/lab/schedule/schedule.go
+++ b/lab/schedule/schedule.go
@@ -67,6 +67,8 @@
 	MachineListEmpty  Kind = "machine_list_empty"
 	// OperatorRace has two operators confirm plans from the same base.
 	OperatorRace Kind = "operator_race"
+	// Overload has the callers of all nodes send far more than usual.
+	Overload Kind = "overload"
 	// PlannedStop stops a node as its platform would; it starts anew at Until.
 	PlannedStop Kind = "planned_stop"
 )
@@ -79,7 +81,7 @@
 		LateReplies, CrossedReplies, CloseAfterRead, ConnectionLimit, Shed,
 		ColdStart, Drain, HealthLies, LoadLies, Repartition, SnapshotChange,
 		StoreOutage, StoreSlow, StoreLostReply, StoreStale, MachineListOutage,
-		MachineListLag, MachineListEmpty, OperatorRace, PlannedStop,
+		MachineListLag, MachineListEmpty, OperatorRace, Overload, PlannedStop,
 	}
 }
 
--- a/lab/schedule/schedule_test.go
+++ b/lab/schedule/schedule_test.go
@@ -55,7 +55,7 @@
 				t.Errorf("seed %d: times of %v", seed, fault)
 			}
 			last = fault.At
-			needsHost := fault.Kind != Repartition && fault.Kind != SnapshotChange
+			needsHost := fault.Kind != Repartition && fault.Kind != SnapshotChange && fault.Kind != Overload
 			if needsHost && fault.Target == "" {
 				t.Errorf("seed %d: no target in %v", seed, fault)
 			}
--- a/lab/simulation/bugs_test.go
+++ b/lab/simulation/bugs_test.go
@@ -1,10 +1,290 @@
 package simulation
 
-import "fmt"
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
 
-func bugHooks(name string) (Hooks, error) {
+	"github.com/banksail/banksail/backend"
+	"github.com/banksail/banksail/caller"
+	"github.com/banksail/banksail/lab/history"
+	"github.com/banksail/banksail/lab/network"
+	"github.com/banksail/banksail/lab/schedule"
+)
+
+// bug is a fault of the system under test that the checker must catch.
+type bug struct {
+	name      string
+	invariant history.Invariant
+	hooks     Hooks
+	// kinds are faults that bring the bug out; each hits its first target.
+	kinds []schedule.Kind
+}
+
+func bugs() []bug {
+	return []bug{
+		{"snapshot-echo-unchecked", history.OneSnapshot, Hooks{Server: rewriteReplies(echoSnapshot)}, []schedule.Kind{schedule.CrossedReplies}},
+		{"coverage-inflated", history.TrueCoverage, Hooks{Caller: rewriteAnswers(inflateCoverage)}, []schedule.Kind{schedule.FreezeServer, schedule.SlowGroup}},
+		{"coverage-deflated", history.TrueCoverage, Hooks{Caller: rewriteAnswers(deflateCoverage)}, nil},
+		{"attempt-echo-unchecked", history.OwnAnswer, Hooks{Server: rewriteReplies(echoAttempt)}, []schedule.Kind{schedule.CrossedReplies}},
+		{"unknown-told-as-not-run", history.NotRun, Hooks{Caller: rewriteProblems(claimNotRun)}, []schedule.Kind{schedule.CloseAfterRead}},
+		{"silent-resend", history.AtMostOnce, Hooks{Server: deliverTwice}, nil},
+		{"drain-ignored", history.LeavingServer, Hooks{Fault: leaveInSilence}, []schedule.Kind{schedule.Drain}},
+		{"stop-cuts", history.PlannedStop, Hooks{Stop: stopAtOnce}, []schedule.Kind{schedule.PlannedStop}},
+		{"configuration-not-spread", history.Configuration, Hooks{Fault: partForGood}, []schedule.Kind{schedule.Cut}},
+		{"late-answers", history.OneFinalAnswer, Hooks{Caller: delayAnswers}, nil},
+		{"group-never-back", history.Recovery, Hooks{Fault: loseGroupForGood}, []schedule.Kind{schedule.LoseServer}},
+	}
+}
+
+func bugNamed(name string) (bug, error) {
 	if name == "" {
-		return Hooks{}, nil
+		return bug{}, nil
+	}
+	var names []string
+	for _, one := range bugs() {
+		if one.name == name {
+			return one, nil
+		}
+		names = append(names, one.name)
+	}
+	return bug{}, fmt.Errorf("no bug %q; there are %v", name, names)
+}
+
+// schedule brings the bug out: its faults at the first targets.
+func (b bug) schedule() []schedule.Fault {
+	faults := []schedule.Fault{}
+	for _, kind := range b.kinds {
+		faults = append(faults, schedule.Fault{
+			Kind: kind, Target: targetOf(kind), Peer: serverIP(0), Delay: 900 * time.Millisecond,
+			At: 2 * time.Second, Until: 8 * time.Second,
+		})
+	}
+	return faults
+}
+
+// tableFaults replaces the seeds' own schedules unless -seeds asks for those.
+func (b bug) tableFaults() []schedule.Fault {
+	if b.name == "" || *seedCount > 0 {
+		return nil
+	}
+	return b.schedule()
+}
+
+func targetOf(kind schedule.Kind) string {
+	switch kind {
+	case schedule.PlannedStop, schedule.Cut:
+		return nodeIP(0)
+	default:
+		return serverIP(0)
+	}
+}
+
+// TestSeededBugs shows that the checker catches each bug in whole runs.
+func TestSeededBugs(t *testing.T) {
+	for _, one := range bugs() {
+		t.Run(one.name, func(t *testing.T) {
+			t.Parallel()
+			result := runSeed(t, Options{Seed: 1, Hooks: one.hooks, Faults: one.schedule()})
+			for _, violation := range result.Report.Violations {
+				if violation.Invariant == one.invariant {
+					t.Logf("caught: %v", violation)
+					return
+				}
+			}
+			t.Fatalf("not caught; violations: %v", result.Report.Violations)
+		})
+	}
+}
+
+// rewriteReplies wraps a back end so that its replies are altered, knowing the request.
+func rewriteReplies(alter func(*backend.Request, *backend.Reply)) func(string, http.Handler) http.Handler {
+	return func(_ string, inner http.Handler) http.Handler {
+		return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+			if request.URL.Path != backend.QueryPath {
+				inner.ServeHTTP(writer, request)
+				return
+			}
+			data, _ := io.ReadAll(request.Body)
+			request.Body = io.NopCloser(bytes.NewReader(data))
+			var query backend.Request
+			json.Unmarshal(data, &query)
+			recorded := httptest.NewRecorder()
+			inner.ServeHTTP(recorded, request)
+			var reply backend.Reply
+			if json.Unmarshal(recorded.Body.Bytes(), &reply) == nil {
+				alter(&query, &reply)
+				altered, _ := json.Marshal(reply)
+				recorded.Body = bytes.NewBuffer(altered)
+			}
+			writer.WriteHeader(recorded.Code)
+			writer.Write(recorded.Body.Bytes())
+		})
+	}
+}
+
+// echoSnapshot is what a node sees that does not compare snapshots.
+func echoSnapshot(query *backend.Request, reply *backend.Reply) {
+	if reply.Snapshot != nil {
+		reply.Snapshot = &query.Snapshot
+	}
+}
+
+// echoAttempt is what a node sees that does not compare attempt IDs and ranges.
+func echoAttempt(query *backend.Request, reply *backend.Reply) {
+	reply.AttemptID = query.AttemptID
+	if reply.Range != nil {
+		reply.Range = &query.Range
+	}
+}
+
+// deliverTwice is what a transport does that sends again silently.
+func deliverTwice(_ string, inner http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		data, _ := io.ReadAll(request.Body)
+		if request.URL.Path == backend.QueryPath {
+			request.Body = io.NopCloser(bytes.NewReader(data))
+			inner.ServeHTTP(httptest.NewRecorder(), request)
+		}
+		request.Body = io.NopCloser(bytes.NewReader(data))
+		inner.ServeHTTP(writer, request)
+	})
+}
+
+// roundTripper makes a function a transport.
+type roundTripper func(*http.Request) (*http.Response, error)
+
+func (f roundTripper) RoundTrip(request *http.Request) (*http.Response, error) { return f(request) }
+
+// rewriteBodies alters the bodies of responses.
+func rewriteBodies(alter func(status int, body []byte) []byte) func(http.RoundTripper) http.RoundTripper {
+	return func(inner http.RoundTripper) http.RoundTripper {
+		return roundTripper(func(request *http.Request) (*http.Response, error) {
+			response, err := inner.RoundTrip(request)
+			if err != nil {
+				return nil, err
+			}
+			body, err := io.ReadAll(response.Body)
+			response.Body.Close()
+			if err != nil {
+				return nil, err
+			}
+			response.Body = io.NopCloser(bytes.NewReader(alter(response.StatusCode, body)))
+			return response, nil
+		})
+	}
+}
+
+func rewriteAnswers(alter func(*caller.Answer)) func(http.RoundTripper) http.RoundTripper {
+	return rewriteBodies(func(status int, body []byte) []byte {
+		var answer caller.Answer
+		if status != http.StatusOK || json.Unmarshal(body, &answer) != nil {
+			return body
+		}
+		alter(&answer)
+		altered, _ := json.Marshal(answer)
+		return altered
+	})
+}
+
+func rewriteProblems(alter func(*caller.Problem)) func(http.RoundTripper) http.RoundTripper {
+	return rewriteBodies(func(status int, body []byte) []byte {
+		var problem caller.Problem
+		if status == http.StatusOK || json.Unmarshal(body, &problem) != nil {
+			return body
+		}
+		alter(&problem)
+		altered, _ := json.Marshal(problem)
+		return altered
+	})
+}
+
+// inflateCoverage reports every answer as whole.
+func inflateCoverage(answer *caller.Answer) {
+	answer.Coverage, answer.Complete, answer.Missing = 1, true, nil
+}
+
+// deflateCoverage loses a part but goes on reporting it.
+func deflateCoverage(answer *caller.Answer) {
+	if len(answer.Parts) > 1 {
+		answer.Parts = answer.Parts[1:]
+	}
+}
+
+// claimNotRun says that whatever failed did not run.
+func claimNotRun(problem *caller.Problem) { problem.Execution = string(history.ExecutionNotRun) }
+
+// delayAnswers holds answers back beyond the deadline.
+func delayAnswers(inner http.RoundTripper) http.RoundTripper {
+	return roundTripper(func(request *http.Request) (*http.Response, error) {
+		response, err := inner.RoundTrip(request)
+		if err == nil {
+			time.Sleep(2 * time.Second)
+		}
+		return response, err
+	})
+}
+
+// leaveInSilence makes a server leave without any node being told.
+func leaveInSilence(s *System, fault schedule.Fault) bool {
+	if fault.Kind != schedule.Drain {
+		return false
+	}
+	one := s.serverAt(fault.Target)
+	one.mutex.Lock()
+	one.leavingSince = s.recorder.Now()
+	one.mutex.Unlock()
+	s.sleepUntil(fault.Until)
+	one.endLeaving()
+	return true
+}
+
+// stopAtOnce stops a node without letting it finish.
+func stopAtOnce(s *System, name string) {
+	for _, one := range s.nodes {
+		if one.name != name {
+			continue
+		}
+		cancel, _, _ := one.take()
+		now := s.recorder.Now()
+		one.editRun(func(run *history.NodeRun) { run.StopAsked, run.End = now, now })
+		s.network.Kill(one.ip, network.KillReset)
+		cancel()
+	}
+}
+
+// partForGood cuts a node off from the store and all its peers, for good and
+// without a record of it.
+func partForGood(s *System, fault schedule.Fault) bool {
+	one := s.nodeAt(fault.Target)
+	if fault.Kind != schedule.Cut || one == nil {
+		return false
+	}
+	others := []string{storeIP}
+	for _, other := range s.nodes {
+		if other != one {
+			others = append(others, other.ip)
+		}
+	}
+	for _, other := range others {
+		s.network.Cut(one.ip, other)
+		s.network.Cut(other, one.ip)
+	}
+	return true
+}
+
+// loseGroupForGood loses all replicas of a group, which never come back.
+func loseGroupForGood(s *System, fault schedule.Fault) bool {
+	if fault.Kind != schedule.LoseServer {
+		return false
+	}
+	for _, one := range s.groupOf(s.serverAt(fault.Target)) {
+		one.kill(network.KillVanish)
 	}
-	return Hooks{}, fmt.Errorf("no bug %q", name)
+	return true
 }
--- a/lab/simulation/caller.go
+++ b/lab/simulation/caller.go
@@ -95,6 +95,14 @@
 	}
 }
 
+// burst sends a number of requests at once.
+func (c *callerHost) burst(count int) {
+	for range count {
+		next := c.draw(false)
+		c.calls.Go(func() { c.send(context.Background(), next) })
+	}
+}
+
 func (c *callerHost) jitter(mean time.Duration) time.Duration {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/lab/simulation/faults.go
+++ b/lab/simulation/faults.go
@@ -26,6 +26,13 @@
 	repartitionShift  = 3 * itemStride
 	newSnapshot       = 2
 	operatorsPatience = 20 * time.Second
+	// stopBurst is sent to a node shortly before its planned stop, so that
+	// requests are in flight then.
+	stopBurst     = 8
+	stopBurstLead = 15 * time.Millisecond
+	// overloadBurst is sent to each node at once, overloadPause before the next.
+	overloadBurst = 60
+	overloadPause = 100 * time.Millisecond
 )
 
 // inject carries out one fault, from its start to its end.
@@ -47,6 +54,8 @@
 	case schedule.KillServer, schedule.LoseServer, schedule.FreezeServer, schedule.ColdStart,
 		schedule.ConnectionLimit, schedule.Drain:
 		s.injectServerProcess(fault)
+	case schedule.Overload:
+		s.overload(fault)
 	default:
 		s.injectServerSwitch(fault)
 	}
@@ -81,6 +90,8 @@
 			_ = one.start()
 		}
 	case schedule.PlannedStop:
+		s.callers[one.index].burst(stopBurst)
+		time.Sleep(stopBurstLead)
 		stopped := true
 		if hook := s.options.Hooks.Stop; hook != nil {
 			hook(s, one.name)
@@ -99,6 +110,16 @@
 	}
 }
 
+// overload has every caller send bursts until the fault's end.
+func (s *System) overload(fault schedule.Fault) {
+	for s.recorder.Now() < fault.Until {
+		for _, one := range s.callers {
+			one.burst(overloadBurst)
+		}
+		time.Sleep(overloadPause)
+	}
+}
+
 func (s *System) injectLink(fault schedule.Fault) {
 	switch fault.Kind {
 	case schedule.ResetConnections:
--- a/lab/simulation/seeds_test.go
+++ b/lab/simulation/seeds_test.go
@@ -60,7 +60,7 @@
 
 // TestSeeds runs whole nodes under the fault schedules of a table of seeds.
 func TestSeeds(t *testing.T) {
-	hooks, err := bugHooks(*bugName)
+	seeded, err := bugNamed(*bugName)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -71,7 +71,7 @@
 			t.Run(fmt.Sprint(seed), func(t *testing.T) {
 				t.Parallel()
 				for range *repeats {
-					result := runSeed(t, Options{Seed: seed, Hooks: hooks})
+					result := runSeed(t, Options{Seed: seed, Hooks: seeded.hooks, Faults: seeded.tableFaults()})
 					summary.Add(result)
 					report(t, result)
 				}
--- a/lab/simulation/simulation.go
+++ b/lab/simulation/simulation.go
@@ -43,6 +43,8 @@
 	probing = time.Second
 	// settling is how long the processes may take to stop at the end.
 	settling = 3 * time.Second
+	// lingering is longer than any timer of a process that has ended.
+	lingering = 3 * time.Minute
 )
 
 // Options sets up a run.
@@ -223,6 +225,9 @@
 	}
 	s.platform.end()
 	s.network.Close()
+	// Virtual time ends with the goroutine that called Run; what still waits for
+	// a timer must come to its end before.
+	time.Sleep(lingering)
 }
 
 func (s *System) sleepUntil(moment time.Duration) {
