--- a/lab/history/checker_test.go
+++ b/lab/history/checker_test.go
@@ -189,6 +189,10 @@
 			h.Leaving[0].Server = "s1"
 			h.Leaving[0].At = 23 * second
 		}},
+		{"node that just thawed", func(h *History) {
+			h.Leaving[0].Server, h.Leaving[0].At = "s1", 20*second
+			h.Disturbances = []Disturbance{{Kind: "freeze", Host: "n1", From: 21 * second, To: 24 * second}}
+		}},
 		{"not run, and sent again", func(h *History) {
 			h.Calls = append(h.Calls, Call{ID: 6, RequestID: "r3", Node: "n1", Service: "search", Deadline: second, At: 4 * second})
 			low, high := coverage.Range{Start: 0, End: 50}, coverage.Range{Start: 50, End: 100}
