--- a/cmd/banksail-lab/main.go
+++ b/cmd/banksail-lab/main.go
@@ -31,6 +31,8 @@
 	commander.Register(&storeCommand{}, "stand-ins")
 	commander.Register(&machinesCommand{}, "stand-ins")
 	commander.Register(&profileCommand{}, "stand-ins")
+	commander.Register(&faultCommand{}, "stand-ins")
+	commander.Register(&loadCommand{}, "load")
 	commander.Register(&spreadCommand{}, "measurements")
 	commander.Register(&experimentCommand{}, "experiments")
 	commander.Register(&scaleCommand{}, "experiments")
