Rank a server's nodes by zone before weighing them

Excluded: copying the nodes of the zone first (1.48 s, the copies cost more than the sort). Change: only the nodes of the server's zone are weighed; the others only when the zone has too few. The owners are the same as before.

--- a/membership/connections.go
+++ b/membership/connections.go
@@ -76,9 +76,11 @@
 	if shared == 0 || len(nodes) == 0 {
 		return nil
 	}
-	ranked := rank(server, nodes, len(nodes) > shared)
+	var ranked []string
 	if len(nodes) > shared {
-		ranked = ranked[:min(OwnersPerServer, shared)]
+		ranked = rankZoneFirst(server, nodes, min(OwnersPerServer, shared))
+	} else {
+		ranked = rank(server, nodes, anyZone)
 	}
 	owners := make([]Owner, 0, len(ranked))
 	for position, id := range ranked {
@@ -92,29 +94,38 @@
 	return owners
 }
 
-// rank orders nodes by their rendezvous weight for the server, if asked with
-// those of the server's zone first.
-func rank(server ServerPlace, nodes []Member, zoneFirst bool) []string {
+// rankZoneFirst returns the first count nodes in rendezvous order, those of the
+// server's zone before all others. The others are ranked only when the zone
+// has too few.
+func rankZoneFirst(server ServerPlace, nodes []Member, count int) []string {
+	ranked := rank(server, nodes, func(zone string) bool { return zone == server.Zone })
+	if len(ranked) < count {
+		ranked = append(ranked, rank(server, nodes, func(zone string) bool { return zone != server.Zone })...)
+	}
+	return ranked[:count]
+}
+
+func anyZone(string) bool { return true }
+
+// rank orders the nodes of the wanted zones by their rendezvous weight for the
+// server.
+func rank(server ServerPlace, nodes []Member, wanted func(zone string) bool) []string {
 	type weighted struct {
 		id     string
-		remote bool
 		weight uint64
 	}
-	candidates := make([]weighted, 0, len(nodes))
-	for _, node := range nodes {
+	var candidates []weighted
+	for index := range nodes {
+		node := &nodes[index]
+		if !wanted(node.Zone) {
+			continue
+		}
 		candidates = append(candidates, weighted{
 			id:     node.ID,
-			remote: zoneFirst && node.Zone != server.Zone,
 			weight: xxhash.Sum64String(server.ID + "\x00" + node.ID),
 		})
 	}
 	slices.SortFunc(candidates, func(x, y weighted) int {
-		if x.remote != y.remote {
-			if x.remote {
-				return 1
-			}
-			return -1
-		}
 		return cmp.Or(cmp.Compare(y.weight, x.weight), cmp.Compare(x.id, y.id))
 	})
 	ids := make([]string, 0, len(candidates))
