--- a/membership/simulation_test.go
+++ b/membership/simulation_test.go
@@ -28,10 +28,13 @@
 	// blocked tells whether a message between two nodes is lost.
 	blocked func(from, to *simulatedNode) bool
 	order   uint64
+	// tombstoneTime overrides the default unless it is zero.
+	tombstoneTime time.Duration
 }
 
 type simulatedNode struct {
 	index       int
+	id          string
 	core        *membership.Nodes
 	alive       bool
 	frozenUntil time.Duration
@@ -66,13 +69,18 @@
 }
 
 func newSimulation(size int, seed uint64) *simulation {
+	return newSimulationWith(size, seed, 0)
+}
+
+func newSimulationWith(size int, seed uint64, tombstoneTime time.Duration) *simulation {
 	s := &simulation{
-		random:  rand.New(rand.NewPCG(seed, 1)),
-		delay:   2 * time.Millisecond,
-		blocked: func(_, _ *simulatedNode) bool { return false },
+		random:        rand.New(rand.NewPCG(seed, 1)),
+		delay:         2 * time.Millisecond,
+		blocked:       func(_, _ *simulatedNode) bool { return false },
+		tombstoneTime: tombstoneTime,
 	}
 	for i := range size {
-		node := &simulatedNode{index: i}
+		node := &simulatedNode{index: i, id: nodeID(i)}
 		s.nodes = append(s.nodes, node)
 		s.start(node, seed, 1)
 	}
@@ -94,7 +102,8 @@
 		Self: membership.Member{
 			ID: nodeID(node.index), Address: addressOf(node.index), Zone: zoneOf(node.index), Incarnation: incarnation,
 		},
-		Seed: seed*1_000_003 + uint64(node.index),
+		Seed:          seed*1_000_003 + uint64(node.index),
+		TombstoneTime: s.tombstoneTime,
 	})
 	node.alive = true
 	node.frozenUntil = 0
@@ -306,7 +315,7 @@
 			if observer == subject {
 				continue
 			}
-			known, ok := observer.core.Lookup(nodeID(subject.index))
+			known, ok := observer.core.Lookup(subject.id)
 			if !ok || known.State != state {
 				return false
 			}
@@ -317,6 +326,6 @@
 
 // sees gives an observer's state of a subject; zero when it is unknown.
 func sees(observer, subject *simulatedNode) membership.State {
-	known, _ := observer.core.Lookup(nodeID(subject.index))
+	known, _ := observer.core.Lookup(subject.id)
 	return known.State
 }
