--- /dev/null
+++ b/lab/experiment/progress.go
@@ -0,0 +1,23 @@
+package experiment
+
+import (
+	"fmt"
+	"io"
+	"strings"
+)
+
+const progressWidth = 40
+
+// ProgressBar returns a function for Options.Progress that draws a bar on a
+// terminal.
+func ProgressBar(out io.Writer) func(done, all int) {
+	return func(done, all int) {
+		filled := progressWidth * done / all
+		bar := strings.Repeat("#", filled) + strings.Repeat("-", progressWidth-filled)
+		end := ""
+		if done == all {
+			end = "\n"
+		}
+		_, _ = fmt.Fprintf(out, "\r[%s] %d/%d runs%s", bar, done, all, end)
+	}
+}
