--- a/peer/claim_test.go
+++ b/peer/claim_test.go
@@ -79,7 +79,7 @@
 
 func TestNoClaimBeforeOtherNodesAreKnown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		empty := fixedList{list: machinelist.List{Version: 1}}
+		empty := machinelist.NewStatic()
 		node := startNode(t, newMemoryNetwork(), AgentOptions{Self: member("a"), MachineList: empty, Seed: 1})
 		defer node.stop()
 		time.Sleep(time.Minute)
