--- /dev/null
+++ b/caller/parse.go
@@ -0,0 +1,115 @@
+package caller
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/banksail/banksail/internal/jsonfields"
+)
+
+// maximumDepth bounds the nesting of a request's document.
+const maximumDepth = 128
+
+// documentField stands for the whole document where no single field is at fault.
+const documentField = "document"
+
+// parseRequest reads and checks a request's JSON document. Every error is a
+// *FieldError. The request ID is returned as far as it is known.
+func parseRequest(service string, body io.Reader, limit int64) (Request, error) {
+	document, err := readDocument(body, limit)
+	if err != nil {
+		return Request{}, err
+	}
+	request := Request{Service: service, Body: document.Body}
+	if err := request.takeIdentity(document); err != nil {
+		return request, err
+	}
+	return request, request.takeConditions(document)
+}
+
+func readDocument(body io.Reader, limit int64) (requestDocument, error) {
+	var document requestDocument
+	raw, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err != nil {
+		return document, &FieldError{Field: documentField, Detail: "the body could not be read whole"}
+	}
+	limits := jsonfields.Limits{Bytes: int(limit), Depth: maximumDepth}
+	if err := jsonfields.Decode(raw, limits, &document); err != nil {
+		return document, documentFault(err, limit)
+	}
+	return document, nil
+}
+
+// documentFault names the first faulty field.
+func documentFault(err error, limit int64) *FieldError {
+	var fields *jsonfields.FieldsError
+	switch {
+	case errors.As(err, &fields) && len(fields.Faults) > 0:
+		first := fields.Faults[0]
+		if first.Path == "" {
+			first.Path = documentField
+		}
+		return &FieldError{Field: first.Path, Detail: first.Problem}
+	case errors.Is(err, jsonfields.ErrTooLarge):
+		return &FieldError{
+			Field: documentField, Detail: fmt.Sprintf("the body is over the limit of %d bytes", limit),
+			Status: http.StatusRequestEntityTooLarge, Reason: reasonBodyTooLarge,
+		}
+	case errors.Is(err, jsonfields.ErrTooDeep):
+		return &FieldError{Field: documentField, Detail: fmt.Sprintf("objects and lists nest deeper than %d", maximumDepth)}
+	default:
+		return &FieldError{Field: documentField, Detail: "the body is not one JSON object"}
+	}
+}
+
+func (r *Request) takeIdentity(document requestDocument) error {
+	if !validRequestID(document.RequestID) {
+		detail := fmt.Sprintf("must be 1 to %d printable ASCII characters without spaces", MaximumRequestIDLength)
+		return &FieldError{Field: "request_id", Detail: detail}
+	}
+	r.RequestID = document.RequestID
+	if document.Class == "" {
+		return &FieldError{Field: "class", Detail: "must not be empty"}
+	}
+	r.Class = document.Class
+	r.Repeatable = document.Repeatable
+	return nil
+}
+
+func (r *Request) takeConditions(document requestDocument) error {
+	if document.DeadlineMillis != nil {
+		deadline, err := parseDeadline(*document.DeadlineMillis)
+		if err != nil {
+			return err
+		}
+		r.Deadline = deadline
+	}
+	r.MinimumCoverage = document.MinimumCoverage
+	if r.MinimumCoverage < 0 || r.MinimumCoverage > 1 {
+		return &FieldError{Field: "minimum_coverage", Detail: "must be from 0 to 1"}
+	}
+	return nil
+}
+
+func parseDeadline(milliseconds float64) (time.Duration, error) {
+	limit := float64(MaximumDeadline / time.Millisecond)
+	if milliseconds < 1 || milliseconds > limit {
+		return 0, &FieldError{Field: "deadline_ms", Detail: fmt.Sprintf("must be from 1 to %.0f", limit)}
+	}
+	return time.Duration(milliseconds * float64(time.Millisecond)), nil
+}
+
+func validRequestID(id string) bool {
+	if id == "" || len(id) > MaximumRequestIDLength {
+		return false
+	}
+	for _, character := range []byte(id) {
+		if character <= ' ' || character > '~' {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/cmd/banksail-lab/profile.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"os"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/subcommands"
+
+	"github.com/banksail/banksail/policy"
+)
+
+// profileCommand prints a profile's configuration.
+type profileCommand struct {
+	placement placementFlags
+	intent    bool
+	author    string
+}
+
+// Name returns the subcommand's name.
+func (*profileCommand) Name() string { return "profile" }
+
+// Synopsis returns one line of help.
+func (*profileCommand) Synopsis() string { return "print the configuration of a profile" }
+
+// Usage returns the help.
+func (*profileCommand) Usage() string {
+	return `profile [flags]:
+  Print a profile's configuration as JSON, with the addresses that the
+  subcommand backends serves under the same flags.
+
+  Example: banksail-lab profile --profile bluemahoe > configuration.json
+  Example: banksail-lab profile --intent > intent.json && banksailctl plan intent.json
+
+`
+}
+
+// SetFlags declares the flags.
+func (c *profileCommand) SetFlags(flags *flag.FlagSet) {
+	c.placement.register(flags)
+	flags.BoolVar(&c.intent, "intent", false, "print an intent that replaces the whole configuration")
+	flags.StringVar(&c.author, "author", "banksail-lab", "author of the intent")
+}
+
+// Execute runs the subcommand.
+func (c *profileCommand) Execute(_ context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := noArguments(flags); err != nil {
+		return finish(err)
+	}
+	chosen, config, err := c.placement.load()
+	if err != nil {
+		return finish(err)
+	}
+	var document any = config
+	if c.intent {
+		document = policy.Intent{
+			Author:  c.author,
+			Note:    "profile " + chosen.Name,
+			Changes: []policy.Change{{Replace: &config}},
+		}
+	}
+	encoder := json.NewEncoder(os.Stdout)
+	encoder.SetIndent("", "  ")
+	return finish(encoder.Encode(document))
+}
+
+// hashID gives each server its own seed.
+func hashID(id string) uint64 {
+	return xxhash.Sum64String(id)
+}
--- /dev/null
+++ b/peer/agent_test.go
@@ -0,0 +1,302 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/banksail/banksail/dispatch"
+	"github.com/banksail/banksail/machinelist"
+	"github.com/banksail/banksail/membership"
+	"github.com/banksail/banksail/policy"
+)
+
+// memoryKeeper is a ConfigurationSource.
+type memoryKeeper struct {
+	mutex    sync.Mutex
+	revision policy.Revision
+	record   []byte
+}
+
+func (k *memoryKeeper) Revision() policy.Revision {
+	revision, _ := k.Record()
+	return revision
+}
+
+func (k *memoryKeeper) Record() (policy.Revision, []byte) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.revision, k.record
+}
+
+func (k *memoryKeeper) Offer(revision policy.Revision, record []byte) error {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if revision > k.revision {
+		k.revision, k.record = revision, record
+	}
+	return nil
+}
+
+// states gives what an agent sees, by ID.
+func states(agent *Agent) map[string]membership.State {
+	seen := make(map[string]membership.State)
+	for _, known := range agent.Members() {
+		seen[known.ID] = known.State
+	}
+	return seen
+}
+
+func wantStates(t *testing.T, agent *Agent, want map[string]membership.State) {
+	t.Helper()
+	got := states(agent)
+	if len(got) != len(want) {
+		t.Fatalf("%s sees %v, want %v", agent.Self().ID, got, want)
+	}
+	for id, state := range want {
+		if got[id] != state {
+			t.Fatalf("%s sees %v, want %v", agent.Self().ID, got, want)
+		}
+	}
+}
+
+func startNodes(t *testing.T, network *memoryNetwork, ids ...string) map[string]*testNode {
+	t.Helper()
+	return startNodesWithList(t, network, listOf(ids...), ids...)
+}
+
+func startNodesWithList(t *testing.T, network *memoryNetwork, list machinelist.Conn, ids ...string) map[string]*testNode {
+	t.Helper()
+	nodes := make(map[string]*testNode)
+	for i, id := range ids {
+		nodes[id] = startNode(t, network, AgentOptions{
+			Self: member(id), MachineList: list, Seed: uint64(i + 1), Configurations: &memoryKeeper{},
+		})
+	}
+	return nodes
+}
+
+// wantAllLive fails unless every node sees all of them as live and no other one.
+func wantAllLive(t *testing.T, nodes map[string]*testNode) {
+	t.Helper()
+	want := make(map[string]membership.State)
+	for id := range nodes {
+		want[id] = membership.Live
+	}
+	for _, node := range nodes {
+		wantStates(t, node.agent, want)
+	}
+}
+
+func stopNodes(nodes map[string]*testNode) {
+	for _, node := range nodes {
+		node.stop()
+	}
+}
+
+func TestAgentsJoinThroughTheMachineList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := newMemoryNetwork()
+		nodes := startNodes(t, network, "n1", "n2", "n3", "n4")
+		defer stopNodes(nodes)
+		time.Sleep(10 * time.Second)
+		wantAllLive(t, nodes)
+	})
+}
+
+func TestRevisionsRideOnGossipAndRecordsAreFetchedAndPushed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := newMemoryNetwork()
+		nodes := startNodes(t, network, "n1", "n2", "n3")
+		defer stopNodes(nodes)
+		time.Sleep(10 * time.Second)
+		record := []byte(`{"revision":4}`)
+		revision, err := nodes["n1"].agent.Push(t.Context(), "n2", 4, record)
+		if err != nil || revision != 4 {
+			t.Fatalf("push: revision %d, error %v", revision, err)
+		}
+		if revision, _ = nodes["n1"].agent.Push(t.Context(), "n2", 3, []byte("old")); revision != 4 {
+			t.Fatalf("an older push left revision %d", revision)
+		}
+		revision, got, err := nodes["n3"].agent.Fetch(t.Context(), "n2", 3)
+		if err != nil || revision != 4 || !bytes.Equal(got, record) {
+			t.Fatalf("fetch: revision %d, record %q, error %v", revision, got, err)
+		}
+		if revision, _, err = nodes["n3"].agent.Fetch(t.Context(), "n2", 4); err != nil || revision != 0 {
+			t.Fatalf("fetch above the newest: revision %d, error %v", revision, err)
+		}
+		if _, _, err = nodes["n3"].agent.Fetch(t.Context(), "n9", 0); !errors.Is(err, ErrUnknownMember) {
+			t.Fatalf("fetch from a stranger: %v", err)
+		}
+		time.Sleep(10 * time.Second)
+		seen := nodes["n3"].agent.Members()
+		at := slices.IndexFunc(seen, func(m membership.Member) bool { return m.ID == "n2" })
+		if seen[at].Revision != 4 {
+			t.Fatalf("n3 sees revision %d at n2", seen[at].Revision)
+		}
+	})
+}
+
+func TestPlannedLeaveIsAnnounced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := newMemoryNetwork()
+		nodes := startNodes(t, network, "n1", "n2", "n3")
+		defer stopNodes(nodes)
+		time.Sleep(10 * time.Second)
+		nodes["n3"].agent.Leave(context.Background())
+		for _, id := range []string{"n1", "n2"} {
+			wantStates(t, nodes[id].agent, map[string]membership.State{
+				"n1": membership.Live, "n2": membership.Live, "n3": membership.Leaving,
+			})
+		}
+		nodes["n3"].stop()
+		for _, id := range []string{"n1", "n2"} {
+			wantStates(t, nodes[id].agent, map[string]membership.State{"n1": membership.Live, "n2": membership.Live})
+		}
+	})
+}
+
+func TestServerChangesReachSubscribersInOrder(t *testing.T) {
+	agent := NewAgent(AgentOptions{Self: member("n1")})
+	var seen []dispatch.ServerState
+	agent.SubscribeServers(func(id string, state dispatch.ServerState) {
+		seen = append(seen, state)
+		if state == dispatch.ServerSuspect {
+			agent.ReportServer(id, membership.ServerReport{
+				Source: membership.FromReply, Condition: membership.ServerDraining,
+			})
+		}
+	})
+	for range membership.DefaultSuspectFailures {
+		agent.ReportServer("s1", membership.ServerReport{
+			Source: membership.FromConnect, Condition: membership.ServerUnreachable,
+		})
+	}
+	want := []dispatch.ServerState{dispatch.ServerSuspect, dispatch.ServerLeaving}
+	if !slices.Equal(seen, want) {
+		t.Fatalf("subscriber saw %v, want %v", seen, want)
+	}
+}
+
+func TestAgentsUnderFailure(t *testing.T) {
+	ids := []string{"n1", "n2", "n3", "n4"}
+	tests := map[string]func(t *testing.T, network *memoryNetwork, list *machinelist.Static, nodes map[string]*testNode){
+		"a node cut off for long comes back": func(t *testing.T, network *memoryNetwork, _ *machinelist.Static, nodes map[string]*testNode) {
+			network.setParted(ids[:1], ids[1:], true)
+			time.Sleep(time.Minute)
+			wantStates(t, nodes["n1"].agent, map[string]membership.State{"n1": membership.Live})
+			network.setParted(ids[:1], ids[1:], false)
+		},
+		"two halves part and come together": func(t *testing.T, network *memoryNetwork, _ *machinelist.Static, nodes map[string]*testNode) {
+			network.setParted(ids[:2], ids[2:], true)
+			time.Sleep(time.Hour)
+			wantStates(t, nodes["n1"].agent, map[string]membership.State{"n1": membership.Live, "n2": membership.Live})
+			network.setParted(ids[:2], ids[2:], false)
+		},
+		"a one-way cut": func(t *testing.T, network *memoryNetwork, _ *machinelist.Static, nodes map[string]*testNode) {
+			network.setCut("n1", "n2", true)
+			time.Sleep(time.Minute)
+			wantAllLive(t, nodes)
+		},
+		"an empty machine list, then none": func(t *testing.T, _ *memoryNetwork, list *machinelist.Static, nodes map[string]*testNode) {
+			list.Set()
+			time.Sleep(time.Minute)
+			list.SetDown(true)
+			time.Sleep(time.Minute)
+			wantAllLive(t, nodes)
+			list.SetDown(false)
+		},
+		"a machine list that names the dead": func(t *testing.T, _ *memoryNetwork, list *machinelist.Static, _ map[string]*testNode) {
+			list.Set(machines("dead-1", "dead-2", "n1")...)
+			time.Sleep(time.Minute)
+		},
+	}
+	for name, provoke := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				network, list := newMemoryNetwork(), listOf(ids...)
+				nodes := startNodesWithList(t, network, list, ids...)
+				defer stopNodes(nodes)
+				time.Sleep(10 * time.Second)
+				wantAllLive(t, nodes)
+				provoke(t, network, list, nodes)
+				time.Sleep(time.Minute)
+				wantAllLive(t, nodes)
+			})
+		})
+	}
+}
+
+func TestRestartedNodeReplacesItsEarlierLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := newMemoryNetwork()
+		nodes := startNodes(t, network, "n1", "n2", "n3")
+		defer stopNodes(nodes)
+		for range 2 {
+			time.Sleep(10 * time.Second)
+			nodes["n3"].stop()
+			self := member("n3")
+			self.Incarnation = 1 // a clock that was set back
+			nodes["n3"] = startNode(t, network, AgentOptions{Self: self, MachineList: listOf("n1"), Seed: 9})
+		}
+		time.Sleep(time.Minute)
+		wantAllLive(t, nodes)
+	})
+}
+
+func TestServersOfTheMachineListReachSubscribers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		machine := machinelist.Machine{
+			ID: "s1", Address: "s1:80", Role: machinelist.RoleServer, State: machinelist.StateLive, Incarnation: "a",
+		}
+		list := machinelist.NewStatic(machine)
+		node := startNode(t, newMemoryNetwork(), AgentOptions{Self: member("n1"), MachineList: list, Seed: 1})
+		defer node.stop()
+		var mutex sync.Mutex
+		seen := make(map[string]dispatch.ServerState)
+		node.agent.SubscribeServers(func(id string, state dispatch.ServerState) {
+			mutex.Lock()
+			defer mutex.Unlock()
+			seen[id] = state
+		})
+		time.Sleep(5 * time.Second)
+		machine.State = machinelist.StateLeaving
+		list.Set(machine)
+		time.Sleep(3 * time.Second) // the bound on new work for a leaving server
+		mutex.Lock()
+		defer mutex.Unlock()
+		if seen["s1"] != dispatch.ServerLeaving {
+			t.Fatalf("the leaving server is in state %d", seen["s1"])
+		}
+	})
+}
+
+func TestConnectionSharesFollowTheMembers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := newMemoryNetwork()
+		nodes := startNodes(t, network, "n1", "n2", "n3")
+		defer stopNodes(nodes)
+		place := membership.ServerPlace{ID: "s1", Zone: "a", Limit: 70}
+		shared := membership.ShareableConnections(place.Limit)
+		total := func(ids ...string) int {
+			sum := 0
+			for _, id := range ids {
+				sum += nodes[id].agent.ConnectionShare(place).Maximum
+			}
+			return sum
+		}
+		time.Sleep(10 * time.Second)
+		if got := total("n1", "n2", "n3"); got != shared {
+			t.Fatalf("three nodes share %d of %d connections", got, shared)
+		}
+		nodes["n3"].agent.Leave(t.Context())
+		if got := total("n1", "n2"); got != shared {
+			t.Fatalf("the two that stay share %d of %d connections", got, shared)
+		}
+	})
+}
--- /dev/null
+++ b/peer/list.go
@@ -0,0 +1,112 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/banksail/banksail/machinelist"
+	"github.com/banksail/banksail/membership"
+)
+
+// listStream keeps the random numbers of the list's reader apart from other
+// users of the same seed.
+const listStream = 0x6c697374
+
+// listLoop follows the machine list.
+func (a *Agent) listLoop(ctx context.Context) {
+	random := rand.New(rand.NewPCG(a.seed, listStream))
+	limiter := rate.NewLimiter(listBytesPerSecond, listBurstBytes)
+	var version uint64
+	delay := listRetryBase
+	for ctx.Err() == nil {
+		list, err := a.readList(ctx, version)
+		switch {
+		case err == nil:
+			version = list.Version
+			delay = listRetryBase
+			a.observeList(list)
+			pay(ctx, limiter, len(list.Machines)*listMachineBytes)
+			sleep(ctx, jitter(random, listRetryBase))
+		case errors.Is(err, machinelist.ErrUnchanged):
+			delay = listRetryBase
+			sleep(ctx, jitter(random, listRetryBase))
+		default:
+			a.logger.Debug().Err(err).Msg("machine list not read")
+			version = 0
+			sleep(ctx, jitter(random, delay))
+			delay = min(2*delay, listRetryMaximum)
+		}
+	}
+}
+
+// Bounds of the traffic of reading the machine list. A list that is larger than
+// the burst is read less often.
+const (
+	listBytesPerSecond = 2048
+	listBurstBytes     = 64 << 10
+	// listMachineBytes is about the size of a machine in the list.
+	listMachineBytes = 128
+)
+
+// pay waits until the limiter has let through the bytes that were read.
+func pay(ctx context.Context, limiter *rate.Limiter, bytes int) {
+	for bytes > 0 && ctx.Err() == nil {
+		part := min(bytes, listBurstBytes)
+		if limiter.WaitN(ctx, part) != nil {
+			return
+		}
+		bytes -= part
+	}
+}
+
+// readList reads the list at once when no version of it is known, and waits
+// for a newer one otherwise.
+func (a *Agent) readList(ctx context.Context, version uint64) (machinelist.List, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	if version == 0 {
+		return a.machineList.Get(ctx)
+	}
+	return a.machineList.Watch(ctx, version, listWait)
+}
+
+// observeList hands the list to both tables. A list without machines tells
+// nothing.
+func (a *Agent) observeList(list machinelist.List) {
+	var nodes []membership.ListedNode
+	var servers []membership.ListedServer
+	for _, machine := range list.Machines {
+		switch machine.Role {
+		case machinelist.RoleNode:
+			if machine.State == machinelist.StateLive {
+				nodes = append(nodes, membership.ListedNode{ID: machine.ID, Address: machine.Address, Zone: machine.Zone})
+			}
+		case machinelist.RoleServer:
+			servers = append(servers, membership.ListedServer{
+				ID:          machine.ID,
+				Leaving:     machine.State == machinelist.StateLeaving,
+				Incarnation: machine.Incarnation,
+			})
+		}
+	}
+	a.nodes.mutex.Lock()
+	a.nodes.core.ObserveList(nodes)
+	a.nodes.mutex.Unlock()
+	if len(list.Machines) > 0 {
+		a.listed.Store(true)
+	}
+	a.servers.update(func(core *membership.Servers) { core.ObserveList(a.now(), servers) })
+}
+
+func sleep(ctx context.Context, delay time.Duration) {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/policy/codec.go
@@ -0,0 +1,32 @@
+package policy
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/banksail/banksail/internal/jsonfields"
+)
+
+// maximumDepth bounds how deep documents nest.
+const maximumDepth = 16
+
+// decodeStrict reads one JSON document of bounded size and depth; its errors
+// name the faulty fields.
+func decodeStrict(data []byte, maximumBytes int, target any) error {
+	err := jsonfields.Decode(data, jsonfields.Limits{Bytes: maximumBytes, Depth: maximumDepth}, target)
+	var fields *jsonfields.FieldsError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &fields):
+		faults := make([]Fault, 0, len(fields.Faults))
+		for _, fault := range fields.Faults {
+			faults = append(faults, Fault{Field: fault.Path, Problem: fault.Problem})
+		}
+		return &ValidationError{Faults: faults}
+	case errors.Is(err, jsonfields.ErrTooLarge):
+		return fmt.Errorf("%w: %w", ErrTooLarge, err)
+	default:
+		return fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+}
