--- /dev/null
+++ b/dispatch/benchmark_test.go
@@ -0,0 +1,66 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// benchmarkQuery measures one query over all groups, from its arrival to its
+// final answer, with every sub-request answered once.
+func benchmarkQuery(b *testing.B, groups int) {
+	d := started(Options{}, groups, 2)
+	now := time.Duration(0)
+	id := QueryID(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		id++
+		now += 10 * time.Millisecond
+		sent := d.Step(now, ask(id))
+		for _, action := range sent {
+			if s, ok := action.(Send); ok {
+				d.Step(now+5*time.Millisecond, done(s))
+			}
+		}
+	}
+	if len(d.running) > 0 {
+		b.Fatalf("%d queries still run", len(d.running))
+	}
+	perSubRequest := float64(b.Elapsed().Nanoseconds()) / float64(b.N) / float64(groups)
+	b.ReportMetric(perSubRequest, "ns/sub-request")
+}
+
+func BenchmarkDispatchQuery8Groups(b *testing.B)   { benchmarkQuery(b, 8) }
+func BenchmarkDispatchQuery64Groups(b *testing.B)  { benchmarkQuery(b, 64) }
+func BenchmarkDispatchQuery350Groups(b *testing.B) { benchmarkQuery(b, 350) }
+
+// BenchmarkRefusal measures a query that is refused at once.
+func BenchmarkRefusal(b *testing.B) {
+	d := started(Options{MaximumRunning: 1, MaximumQueued: 1}, 64, 2)
+	for id := range QueryID(4) {
+		d.Step(0, ask(id+1))
+	}
+	id := QueryID(10)
+	b.ReportAllocs()
+	for b.Loop() {
+		id++
+		if len(d.Step(0, ask(id))) != 1 {
+			b.Fatal("not refused")
+		}
+	}
+}
+
+// BenchmarkServerChanged measures an event of one server among many.
+func BenchmarkServerChanged(b *testing.B) {
+	for _, groups := range []int{64, 1000} {
+		b.Run(fmt.Sprint(groups*2, "Servers"), func(b *testing.B) {
+			d := started(Options{}, groups, 2)
+			states := []ServerState{ServerSuspect, ServerLive}
+			i := 0
+			for b.Loop() {
+				d.Step(0, ServerChanged{Server: "0/0", State: states[i%2]})
+				i++
+			}
+		})
+	}
+}
--- /dev/null
+++ b/dispatch/scenario_test.go
@@ -0,0 +1,411 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/banksail/banksail/coverage"
+	"github.com/banksail/banksail/gather"
+	"github.com/banksail/banksail/limit"
+	"github.com/banksail/banksail/retry"
+)
+
+const hedgeAfter = 10 * time.Millisecond
+
+func hedging() Options {
+	return Options{HedgePolicy: retry.FixedHedge{After: hedgeAfter}, StopPolicy: gather.StopAtDeadline{}}
+}
+
+// funded gives the urgent class a budget for hedges.
+func funded(d *Dispatcher) *Dispatcher {
+	d.budget.Credit(0, 100, 0.1)
+	return d
+}
+
+func cancels(actions []Action) []AttemptID {
+	var found []AttemptID
+	for _, a := range actions {
+		if c, ok := a.(Cancel); ok {
+			found = append(found, c.Attempt)
+		}
+	}
+	return found
+}
+
+func status(s Send, status ReplyStatus) Replied {
+	return Replied{Attempt: s.Attempt, Reply: Reply{Status: status}}
+}
+
+// outcome returns the one final answer among the actions.
+func outcome(t *testing.T, actions []Action) Outcome {
+	t.Helper()
+	ended := finishes(actions)
+	if len(ended) != 1 {
+		t.Fatalf("%d final answers in %+v", len(ended), actions)
+	}
+	return ended[0].Outcome
+}
+
+func TestHedgeAsksTheOtherReplicaAndTheFirstReplyWins(t *testing.T) {
+	d := funded(started(hedging(), 1, 2))
+	first := sends(d.Step(0, ask(1)))[0]
+	hedges := sends(d.Step(hedgeAfter, Woken{}))
+	if len(hedges) != 1 || hedges[0].Kind != HedgeSend || hedges[0].Server == first.Server {
+		t.Fatalf("hedges %+v", hedges)
+	}
+	actions := d.Step(2*hedgeAfter, done(hedges[0]))
+	if got := cancels(actions); len(got) != 1 || got[0] != first.Attempt {
+		t.Fatalf("cancelled %v", got)
+	}
+	if o := outcome(t, actions); !o.Complete || o.Parts[0].Server != hedges[0].Server {
+		t.Fatalf("outcome %+v", o)
+	}
+	if late := d.Step(3*hedgeAfter, done(first)); len(sends(late))+len(finishes(late)) != 0 {
+		t.Fatalf("a late reply had an effect: %+v", late)
+	}
+	if got := d.servers[first.Server].latency; got != float64(3*hedgeAfter) {
+		t.Fatalf("latency of the late reply not learned: %v", time.Duration(got))
+	}
+}
+
+func TestNoHedge(t *testing.T) {
+	tests := []struct {
+		name    string
+		prepare func(d *Dispatcher, first Send)
+		ask     func(*Query)
+		broke   bool
+	}{
+		{name: "of a query that is not repeatable", ask: func(q *Query) { q.Repeatable = false }},
+		{name: "without budget", broke: true},
+		{name: "to a server that sheds", prepare: func(d *Dispatcher, first Send) {
+			for _, s := range d.groups[0].servers {
+				if s.ID != first.Server {
+					d.shed(s, time.Second)
+					d.account(s)
+				}
+			}
+		}},
+		{name: "to a suspect server", prepare: func(d *Dispatcher, first Send) {
+			for _, s := range d.groups[0].servers {
+				if s.ID != first.Server {
+					d.Step(0, ServerChanged{Server: s.ID, State: ServerSuspect})
+				}
+			}
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			d := started(hedging(), 1, 2)
+			if !test.broke {
+				funded(d)
+			}
+			q := ask(1)
+			if test.ask != nil {
+				test.ask(&q.Query)
+			}
+			first := sends(d.Step(0, q))[0]
+			if test.prepare != nil {
+				test.prepare(d, first)
+			}
+			if got := sends(d.Step(2*hedgeAfter, Woken{})); len(got) != 0 {
+				t.Fatalf("sent %+v", got)
+			}
+		})
+	}
+}
+
+func TestLeavingServersGetNothingNewUntilTheyAreLiveAgain(t *testing.T) {
+	events := map[string]func(d *Dispatcher, s Send){
+		"membership says leaving": func(d *Dispatcher, s Send) { d.Step(0, ServerChanged{Server: s.Server, State: ServerLeaving}) },
+		"membership says gone":    func(d *Dispatcher, s Send) { d.Step(0, ServerChanged{Server: s.Server, State: ServerGone}) },
+		"draining reply":          func(d *Dispatcher, s Send) { d.Step(0, status(s, ReplyDraining)) },
+	}
+	for name, event := range events {
+		t.Run(name, func(t *testing.T) {
+			d := started(Options{}, 1, 2)
+			away := sends(d.Step(0, ask(1)))[0]
+			event(d, away)
+			for id := range QueryID(10) {
+				for _, s := range sends(d.Step(time.Millisecond, ask(id+2))) {
+					if s.Server == away.Server {
+						t.Fatal("sent to a server that leaves")
+					}
+				}
+				d.Step(time.Millisecond, CallerGone{Query: id + 2})
+			}
+			d.Step(time.Millisecond, Observed{Server: away.Server, Snapshots: []SnapshotID{7, 8}})
+			if !d.servers[away.Server].leaving() {
+				t.Fatal("its own account ended its leaving")
+			}
+			d.Step(time.Millisecond, ServerChanged{Server: away.Server, State: ServerLive})
+			if d.servers[away.Server].leaving() {
+				t.Fatal("still leaving after it came back")
+			}
+		})
+	}
+}
+
+func TestGroupOfOutliersIsStillAsked(t *testing.T) {
+	d := started(Options{}, 1, 2)
+	for _, s := range d.groups[0].servers {
+		s.avoidUntil = time.Hour
+	}
+	if got := sends(d.Step(0, ask(1))); len(got) != 1 {
+		t.Fatalf("sent %+v", got)
+	}
+}
+
+func TestOutlierIsAvoidedWhileOthersAreLeft(t *testing.T) {
+	d := started(Options{}, 1, 2)
+	d.groups[0].servers[1].avoidUntil = time.Hour
+	for id := range QueryID(5) {
+		sent := sends(d.Step(0, ask(id+1)))[0]
+		if sent.Server != "0/0" {
+			t.Fatalf("sent to %s", sent.Server)
+		}
+	}
+}
+
+func TestRepartitionInFlightDividesTheRange(t *testing.T) {
+	d := started(Options{}, 1, 2)
+	first := sends(d.Step(0, ask(1)))[0]
+	again := sends(d.Step(0, status(first, ReplyNotOwner)))[0]
+	if rest := d.Step(0, status(again, ReplyNotOwner)); len(finishes(rest)) != 0 {
+		t.Fatal("gave up before the new configuration came")
+	}
+	divided := configuration(2, 2)
+	divided.Service.KeySpace.End = keysPerGroup
+	divided.Service.Groups[0].Range = coverage.Range{Start: 0, End: 30}
+	divided.Service.Groups[1].Range = coverage.Range{Start: 30, End: keysPerGroup}
+	sent := sends(d.Step(time.Millisecond, divided))
+	sent = append(sent, sends(d.Step(2*time.Millisecond, Observed{Server: "1/0", Snapshots: []SnapshotID{7}}))...)
+	if len(sent) != 2 {
+		t.Fatalf("sent %+v", sent)
+	}
+	d.Step(3*time.Millisecond, done(sent[0]))
+	o := outcome(t, d.Step(3*time.Millisecond, done(sent[1])))
+	if !o.Complete || len(o.Parts) != 2 || o.Parts[0].Range.End != 30 {
+		t.Fatalf("outcome %+v", o)
+	}
+}
+
+func TestQueryStartsOverWholeOnAnotherSnapshot(t *testing.T) {
+	d := started(Options{}, 2, 1)
+	sent := sends(d.Step(0, ask(1)))
+	d.Step(0, done(sent[0]))
+	d.Step(0, Observed{Server: "0/0", Snapshots: []SnapshotID{8}})
+	lacking := status(sent[1], ReplyUnknownSnapshot)
+	lacking.Reply.Snapshots = []SnapshotID{8}
+	over := sends(d.Step(0, lacking))
+	if len(over) != 2 || over[0].Snapshot != 8 || over[1].Snapshot != 8 {
+		t.Fatalf("sent %+v", over)
+	}
+	d.Step(0, done(over[0]))
+	o := outcome(t, d.Step(0, done(over[1])))
+	if !o.Complete || o.Snapshot != 8 || len(o.Parts) != 2 {
+		t.Fatalf("outcome %+v", o)
+	}
+}
+
+func TestNotRepeatableDoesNotStartOverOnceItRan(t *testing.T) {
+	d := started(Options{}, 2, 1)
+	q := ask(1)
+	q.Query.Repeatable = false
+	sent := sends(d.Step(0, q))
+	d.Step(0, done(sent[0]))
+	d.Step(0, Observed{Server: "0/0", Snapshots: []SnapshotID{8}})
+	lacking := status(sent[1], ReplyUnknownSnapshot)
+	lacking.Reply.Snapshots = []SnapshotID{8}
+	actions := d.Step(0, lacking)
+	if len(sends(actions)) != 0 {
+		t.Fatal("started over")
+	}
+	if o := outcome(t, actions); o.Coverage != 0.5 || o.Snapshot != 7 {
+		t.Fatalf("outcome %+v", o)
+	}
+}
+
+func TestCrossedReplyIsNotTaken(t *testing.T) {
+	d := started(Options{}, 2, 1)
+	sent := sends(d.Step(0, ask(1)))
+	crossed := done(sent[0])
+	crossed.Reply.Range = sent[1].Range
+	d.Step(0, crossed)
+	other := done(sent[1])
+	other.Reply.Snapshot = 6
+	d.Step(0, other)
+	o := outcome(t, d.Step(time.Second, Woken{}))
+	if len(o.Parts) != 0 || o.Execution != ExecutionUnknown {
+		t.Fatalf("outcome %+v", o)
+	}
+}
+
+func TestStopsWithEnoughCoverageWhenTheRestIsSlow(t *testing.T) {
+	d := started(Options{HedgePolicy: retry.NoHedge{}}, 8, 1)
+	for range 100 {
+		d.latencies.Add(5 * time.Millisecond)
+	}
+	sent := sends(d.Step(0, ask(1)))
+	for _, s := range sent[:7] {
+		d.Step(5*time.Millisecond, done(s))
+	}
+	if early := d.Step(10*time.Millisecond, Woken{}); len(finishes(early)) != 0 {
+		t.Fatal("stopped while the rest may come")
+	}
+	o := outcome(t, d.Step(30*time.Millisecond, Woken{}))
+	if o.Reason != ReasonEnoughCoverage || o.Complete || o.Coverage != 0.875 || o.Execution != ExecutionDone {
+		t.Fatalf("outcome %+v", o)
+	}
+}
+
+func TestEndsEarlyWhenTheMinimumIsOutOfReach(t *testing.T) {
+	d := started(Options{}, 2, 1)
+	q := ask(1)
+	q.Query.MinimumCoverage = 0.9
+	sent := sends(d.Step(0, q))
+	d.Step(0, done(sent[0]))
+	actions := d.Step(0, status(sent[1], ReplyDraining))
+	if o := outcome(t, actions); o.Execution != ExecutionPartial || o.Reason != ReasonNoServer || o.RetryAfter <= 0 {
+		t.Fatalf("outcome %+v", o)
+	}
+}
+
+func TestUrgentQueryRunsBeforeOneThatCameEarlier(t *testing.T) {
+	d := started(Options{MaximumRunning: 1}, 1, 1)
+	running := sends(d.Step(0, ask(1)))
+	batch := ask(2)
+	batch.Query.Class = "batch"
+	d.Step(0, batch)
+	d.Step(0, ask(3))
+	next := sends(d.Step(time.Millisecond, done(running[0])))
+	if len(next) != 1 || next[0].Query != 3 {
+		t.Fatalf("sent %+v", next)
+	}
+}
+
+func TestQueuedQueryIsRefusedAfterItsLongestWait(t *testing.T) {
+	d := started(Options{MaximumRunning: 1}, 1, 1)
+	d.Step(0, ask(1))
+	actions := d.Step(0, ask(2))
+	if len(finishes(actions)) != 0 {
+		t.Fatal("not queued")
+	}
+	o := outcome(t, d.Step(50*time.Millisecond, Woken{}))
+	if o.Execution != ExecutionNotRun || o.Reason != ReasonQueueWait || o.RetryAfter <= 0 {
+		t.Fatalf("outcome %+v", o)
+	}
+}
+
+func TestQueuedQueryWhoseCallerWentIsNotRun(t *testing.T) {
+	d := started(Options{MaximumRunning: 1}, 1, 1)
+	running := sends(d.Step(0, ask(1)))
+	d.Step(0, ask(2))
+	o := outcome(t, d.Step(0, CallerGone{Query: 2}))
+	if o.Execution != ExecutionNotRun || o.Reason != ReasonCallerGone {
+		t.Fatalf("outcome %+v", o)
+	}
+	if got := sends(d.Step(time.Millisecond, done(running[0]))); len(got) != 0 {
+		t.Fatalf("sent %+v", got)
+	}
+}
+
+func TestStoppingRefusesWhatWaitsAndLetsTheRestFinish(t *testing.T) {
+	d := started(Options{MaximumRunning: 1}, 1, 1)
+	running := sends(d.Step(0, ask(1)))
+	d.Step(0, ask(2))
+	if o := outcome(t, d.Step(0, Stopping{})); o.Reason != ReasonStopping || o.Execution != ExecutionNotRun {
+		t.Fatalf("outcome %+v", o)
+	}
+	if o := outcome(t, d.Step(0, ask(3))); o.Reason != ReasonStopping {
+		t.Fatalf("outcome %+v", o)
+	}
+	if o := outcome(t, d.Step(0, done(running[0]))); !o.Complete {
+		t.Fatalf("outcome %+v", o)
+	}
+}
+
+func TestSegmentWaitsForAServerThatShed(t *testing.T) {
+	d := started(Options{}, 1, 1)
+	sent := sends(d.Step(0, ask(1)))
+	shed := status(sent[0], ReplyShed)
+	shed.Reply.RetryAfter = 10 * time.Millisecond
+	if got := d.Step(0, shed); len(sends(got))+len(finishes(got)) != 0 {
+		t.Fatalf("did %+v", got)
+	}
+	if early := sends(d.Step(9*time.Millisecond, Woken{})); len(early) != 0 {
+		t.Fatal("sent again before the server may be tried")
+	}
+	again := sends(d.Step(20*time.Millisecond, Woken{}))
+	if len(again) != 1 || again[0].Kind != RetrySend {
+		t.Fatalf("sent %+v", again)
+	}
+}
+
+func TestConnectionShareBoundsWhatIsInFlight(t *testing.T) {
+	d := started(Options{LimitPolicy: limit.Options{Policy: limit.Fixed}}, 1, 1)
+	d.Step(0, NodesChanged{Live: 30})
+	sent := 0
+	for id := range QueryID(5) {
+		sent += len(sends(d.Step(0, ask(id+1))))
+	}
+	if sent != 2 { // 70 connections less a tenth, over 30 nodes
+		t.Fatalf("%d in flight, want 2", sent)
+	}
+}
+
+func TestHeadroomIsKeptForTheUrgentClass(t *testing.T) {
+	d := started(Options{LimitPolicy: limit.Options{Policy: limit.Fixed}}, 1, 2)
+	batch, urgent := 0, 0
+	for id := range QueryID(20) {
+		q := ask(id + 1)
+		q.Query.Class = "batch"
+		batch += len(sends(d.Step(0, q)))
+	}
+	for id := range QueryID(20) {
+		urgent += len(sends(d.Step(0, ask(id+100))))
+	}
+	if batch != 8 || urgent != 2 {
+		t.Fatalf("%d batch and %d urgent in flight, want 8 and 2", batch, urgent)
+	}
+}
+
+func TestServerOfTheOwnZoneIsPreferred(t *testing.T) {
+	c := configuration(1, 2)
+	c.Service.Groups[0].Servers[1].Zone = "near"
+	d := New(Options{Zone: "near"})
+	d.Step(0, c)
+	for _, id := range []string{"0/0", "0/1"} {
+		d.Step(0, Observed{Server: id, Snapshots: []SnapshotID{7}})
+	}
+	for id := range QueryID(10) {
+		sent := sends(d.Step(0, ask(id+1)))[0]
+		if sent.Server != "0/1" {
+			t.Fatalf("sent to %s", sent.Server)
+		}
+		d.Step(0, done(sent))
+	}
+}
+
+func TestAttemptAtAServerThatIsGoneIsTriedElsewhereAndStillCounts(t *testing.T) {
+	d := started(Options{}, 1, 2)
+	first := sends(d.Step(0, ask(1)))[0]
+	again := sends(d.Step(0, ServerChanged{Server: first.Server, State: ServerGone}))
+	if len(again) != 1 || again[0].Server == first.Server {
+		t.Fatalf("sent %+v", again)
+	}
+	if o := outcome(t, d.Step(0, done(first))); !o.Complete || o.Parts[0].Server != first.Server {
+		t.Fatalf("outcome %+v", o)
+	}
+}
+
+func TestConfigurationThatIsRemovedRefuses(t *testing.T) {
+	d := started(Options{}, 1, 1)
+	running := sends(d.Step(0, ask(1)))
+	d.Step(0, Configured{Removed: true})
+	if o := outcome(t, d.Step(0, ask(2))); o.Reason != ReasonNoConfiguration || o.Execution != ExecutionNotRun {
+		t.Fatalf("outcome %+v", o)
+	}
+	if o := outcome(t, d.Step(0, done(running[0]))); !o.Complete {
+		t.Fatalf("outcome %+v", o)
+	}
+}
--- a/dispatch/world_test.go
+++ b/dispatch/world_test.go
@@ -217,30 +217,30 @@
 	reply := Reply{Snapshot: s.Snapshot, Range: s.Range, Snapshots: []SnapshotID{7, 8}[:1+w.random.IntN(2)]}
 	choice := w.random.IntN(40)
 	mayRun := true
-	switch {
-	case choice == 0:
+	switch choice {
+	case 0:
 		w.touch(s)
 		s.query.forbidden = !s.query.Repeatable
 		w.step(Failed{Attempt: s.Attempt, Delivery: DeliveryUnknown, Reason: "cut"})
 		return
-	case choice == 1:
+	case 1:
 		w.step(Failed{Attempt: s.Attempt, Delivery: NotDelivered, Reason: "refused"})
 		return
-	case choice == 2:
+	case 2:
 		reply.Status, reply.RetryAfter, mayRun = ReplyShed, w.within(10*time.Millisecond), false
-	case choice == 3:
+	case 3:
 		reply.Status, reply.Snapshots, mayRun = ReplyUnknownSnapshot, nil, false
-	case choice == 4:
+	case 4:
 		reply.Status, mayRun = ReplyNotOwner, false
-	case choice == 5:
+	case 5:
 		reply.Status, mayRun = ReplyDraining, false
 		w.leaving[s.Server] = true
 		w.after(w.within(50*time.Millisecond), func() { w.change(s.Server, ServerLive) })
-	case choice == 6:
+	case 6:
 		reply.Status = ReplyError
-	case choice == 7: // another query's reply
+	case 7: // another query's reply
 		reply.Status, reply.Range = ReplyDone, coverage.Range{Start: 1, End: 2}
-	case choice == 8:
+	case 8:
 		reply.Status, reply.Snapshot = ReplyDone, 99
 	default:
 		reply.Status = ReplyDone
