Bound what waits for a group, and let only the most urgent class stop early

A sub-request that goes first is given up at once when too many wait for its group, and when its turn comes too late for the group's latency: a longer queue answers no more of them, only later, and runs work in vain.

--- a/dispatch/environment.go
+++ b/dispatch/environment.go
@@ -29,9 +29,13 @@
 	if placement == gather.Placed {
 		return chosen, placement
 	}
-	if placement == gather.Busy && kind != HedgeSend {
-		d.enqueue(g, s)
+	if placement != gather.Busy || kind == HedgeSend {
+		return nil, placement
 	}
+	if kind == FirstSend && d.crowded(g, owner(s.Query())) {
+		return nil, gather.Overloaded
+	}
+	d.enqueue(g, s)
 	return nil, placement
 }
 
--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -119,6 +119,30 @@
 	heap.Push(&g.waiting, w)
 }
 
+// leastWaiting is the number of first sub-requests that may always wait for a group.
+const leastWaiting = 4
+
+// crowded reports whether too many sub-requests that go first wait for the group
+// already. A longer queue would answer no more of them, only later.
+func (d *Dispatcher) crowded(g *group, r *running) bool {
+	most := max(int(float64(g.limit)*d.options.WaitingPerLimit), leastWaiting)
+	if len(g.waiting) < most || d.pumped == g {
+		return false
+	}
+	before := 0
+	for _, w := range g.waiting {
+		if w.running.query != nil && w.segment.Waiting() && !r.key.Less(w.key) {
+			before++
+		}
+	}
+	return before >= most
+}
+
+// tooLate reports that the group is not likely to answer before the query's deadline.
+func (d *Dispatcher) tooLate(g *group, q *gather.Query) bool {
+	return q.Deadline()-d.now < g.latencies.Quantile(medianQuantile)
+}
+
 // markRoomy lists the groups, to be pumped once the query at hand is done with.
 func (d *Dispatcher) markRoomy(groups []*group) {
 	for _, g := range groups {
@@ -152,6 +176,8 @@
 		case first.running.query == nil || !first.segment.Waiting():
 		case g.usable > 0 && g.level <= first.running.class.rank:
 			d.passed = append(d.passed, first)
+		case d.tooLate(g, first.running.query):
+			first.running.query.GiveUp(d.now, first.segment)
 		default:
 			first.running.query.Resume(d.now, first.segment)
 			d.schedule(first.running)
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -30,6 +30,10 @@
 	// what the class can do without: a class that needs full coverage starts only
 	// when every group has room. Default 0.25; negative is none.
 	BlockedShare float64
+	// WaitingPerLimit bounds the first sub-requests that wait for room in a group,
+	// as a multiple of the group's limit; those over it are given up at once.
+	// Default 2.
+	WaitingPerLimit float64
 	// LeastClassShare bounds from below the share of a limit that headroom leaves
 	// to any class; default 0.1.
 	LeastClassShare float64
@@ -79,6 +83,7 @@
 	DefaultRetryAfter      = time.Second
 	DefaultMaximumRunning  = 10_000
 	DefaultBlockedShare    = 0.25
+	DefaultWaitingPerLimit = 2.0
 	DefaultLeastClassShare = 0.1
 	DefaultLoadWeight      = 0.1
 	DefaultLoadHalfLife    = 20 * time.Millisecond
@@ -93,6 +98,7 @@
 	setDefault(&o.RetryAfter, DefaultRetryAfter)
 	setDefault(&o.MaximumRunning, DefaultMaximumRunning)
 	setDefault(&o.BlockedShare, DefaultBlockedShare)
+	setDefault(&o.WaitingPerLimit, DefaultWaitingPerLimit)
 	setDefault(&o.LeastClassShare, DefaultLeastClassShare)
 	setDefault(&o.SpareConnections, limit.DefaultSpareConnections)
 	setDefault(&o.LoadWeight, DefaultLoadWeight)
--- a/dispatch/query.go
+++ b/dispatch/query.go
@@ -133,6 +133,7 @@
 		Arrived:         item.Arrived,
 		Deadline:        item.Deadline,
 		Minimum:         minimum(c, asked),
+		Rank:            c.rank,
 		Repeatable:      asked.Repeatable,
 		Stop:            d.options.StopPolicy,
 		MaximumRestarts: d.options.MaximumRestarts,
--- a/gather/attempts.go
+++ b/gather/attempts.go
@@ -146,6 +146,8 @@
 		s.kind = kind
 	case Tried:
 		q.rest(s, kind)
+	case Overloaded:
+		q.giveUp(s, ReasonOverload)
 	default:
 		q.unservable(s)
 	}
@@ -293,6 +295,16 @@
 	q.conclude()
 }
 
+// GiveUp tells that a segment that waits can't be answered in time.
+func (q *Query) GiveUp(now time.Duration, s *Segment) {
+	if q.finished || s.state != waiting {
+		return
+	}
+	q.now = now
+	q.giveUp(s, ReasonOverload)
+	q.conclude()
+}
+
 // Reroute tells that Targets may answer otherwise than before, or that servers
 // came: segments that wait or rest are tried again.
 func (q *Query) Reroute(now time.Duration) {
--- a/gather/environment.go
+++ b/gather/environment.go
@@ -32,6 +32,8 @@
 	Tried
 	// Unservable means that no server is known that could take it.
 	Unservable
+	// Overloaded means that too much waits for room already.
+	Overloaded
 )
 
 // Environment is what a query needs from its owner. Its methods are called from
--- a/gather/query.go
+++ b/gather/query.go
@@ -22,6 +22,8 @@
 	Deadline time.Duration
 	// Minimum is the least coverage that makes an answer.
 	Minimum float64
+	// Rank is the position of the query's class, zero for the most urgent.
+	Rank int
 	// Repeatable says that sub-requests may run more than once.
 	Repeatable bool
 	// Stop decides when to stop waiting; nil stands for StopAtDeadline.
@@ -253,6 +255,7 @@
 		return
 	}
 	after, ok := q.options.Stop.StopAfter(Progress{
+		Rank:     q.options.Rank,
 		Coverage: fraction,
 		Minimum:  q.options.Minimum,
 		Open:     len(q.open),
--- a/gather/stop.go
+++ b/gather/stop.go
@@ -4,6 +4,8 @@
 
 // Progress is what a StopPolicy decides on.
 type Progress struct {
+	// Rank is the position of the query's class, zero for the most urgent.
+	Rank int
 	// Coverage is the fraction of the key space that was replied.
 	Coverage float64
 	// Minimum is the least fraction that makes an answer.
@@ -39,6 +41,9 @@
 	// UnsentPatience is the multiple while the rest could not even be sent; zero
 	// stands for DefaultUnsentPatience.
 	UnsentPatience float64
+	// Classes is the number of classes, the most urgent first, that stop early;
+	// the others wait until their deadline. Zero stands for one.
+	Classes int
 	// Least is the coverage below which it never stops early, also when the
 	// caller accepts less; zero stands for DefaultLeastCoverage.
 	Least float64
@@ -58,7 +63,7 @@
 		patience = orDefault(p.UnsentPatience, DefaultUnsentPatience)
 	}
 	least := orDefault(p.Least, DefaultLeastCoverage)
-	if progress.Typical <= 0 || progress.Coverage < least {
+	if progress.Rank >= max(p.Classes, 1) || progress.Typical <= 0 || progress.Coverage < least {
 		return 0, false
 	}
 	return time.Duration(float64(progress.Typical) * patience), true
