Urgent class may exceed a small limit by one, and never waits for what others may use

With limits of one or two per server, headroom below the limit rounds to nothing; the most urgent class now has one request above each server's limit, within the connection share. A class also starts whenever a less urgent one would: the share of groups that may be without room grows with urgency.

TestHeadroomIsKeptForTheUrgentClass expected two urgent requests beside eight others; it now demands these two without the reserve, and four with it.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -27,9 +27,10 @@
 	service    policy.Service
 	space      coverage.Range
 	classes    map[string]*class
-	ranked     []*class // by rank
-	groups     []*group // by range
-	generation uint64   // of groups
+	ranked     []*class  // by rank
+	spareable  []float64 // by rank, share of groups that may be without room
+	groups     []*group  // by range
+	generation uint64    // of groups
 	servers    map[string]*server
 	states     map[string]ServerState // of servers that are not configured
 
--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -28,10 +28,19 @@
 // in flight. Headroom is kept over the group, so that small limits don't round
 // it away.
 func (g *group) room(rank int, share float64) bool {
-	if g.free == 0 {
-		return false
+	if rank == 0 {
+		return g.reserve > 0
+	}
+	return g.free > 0 && g.inFlight < limit.Allowed(g.limit, share)
+}
+
+// reserve is the number of requests above a server's limit that a class may have
+// in flight: small limits leave no room for headroom below them.
+func (d *Dispatcher) reserve(rank int) int {
+	if rank > 0 || len(d.ranked) == 0 || d.ranked[0].Headroom <= 0 {
+		return 0
 	}
-	return rank == 0 || g.inFlight < limit.Allowed(g.limit, share)
+	return d.options.UrgentReserve
 }
 
 // level brings the group's level, and the counts of blocked groups, up to date.
@@ -61,13 +70,13 @@
 }
 
 // hasRoom reports whether a query of the given rank may start now: whether the
-// groups that have room can give an answer of its class.
+// groups that have room can give an answer of its class, or of a less urgent
+// one, which would take that room.
 func (d *Dispatcher) hasRoom(rank int) bool {
 	if len(d.running) >= d.options.MaximumRunning {
 		return false
 	}
-	share := min(d.options.BlockedShare, 1-d.ranked[rank].MinimumCoverage)
-	return d.blocked[rank] <= int(share*float64(len(d.groups)))
+	return d.blocked[rank] <= int(d.spareable[rank]*float64(len(d.groups)))
 }
 
 // waiter is a segment that waits for room in a group.
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -38,6 +38,11 @@
 	// to any class; default 0.1.
 	LeastClassShare float64
 
+	// UrgentReserve is the number of requests above a server's limit that the most
+	// urgent class may have in flight there, when it keeps headroom; default 1;
+	// negative is none.
+	UrgentReserve int
+
 	// LimitPolicy sets how the limit of requests in flight is found, per server.
 	LimitPolicy limit.Options
 	// SpareConnections is the share of each server's connections that is left
@@ -85,6 +90,7 @@
 	DefaultBlockedShare    = 0.25
 	DefaultWaitingPerLimit = 2.0
 	DefaultLeastClassShare = 0.1
+	DefaultUrgentReserve   = 1
 	DefaultLoadWeight      = 0.1
 	DefaultLoadHalfLife    = 20 * time.Millisecond
 	DefaultLatencyHalfLife = 2 * time.Second
@@ -100,6 +106,7 @@
 	setDefault(&o.BlockedShare, DefaultBlockedShare)
 	setDefault(&o.WaitingPerLimit, DefaultWaitingPerLimit)
 	setDefault(&o.LeastClassShare, DefaultLeastClassShare)
+	setDefault(&o.UrgentReserve, DefaultUrgentReserve)
 	setDefault(&o.SpareConnections, limit.DefaultSpareConnections)
 	setDefault(&o.LoadWeight, DefaultLoadWeight)
 	setDefault(&o.LoadHalfLife, DefaultLoadHalfLife)
--- a/dispatch/replica.go
+++ b/dispatch/replica.go
@@ -42,6 +42,10 @@
 	candidates := buffer[:0]
 	usable, untried := false, false
 	best := standingUnobserved
+	reserve := 0
+	if kind != HedgeSend {
+		reserve = d.reserve(owner(s.Query()).class.rank)
+	}
 	avoid := d.mayAvoid(g)
 	id := s.Query().Snapshot()
 	for _, replica := range g.servers {
@@ -53,7 +57,7 @@
 			continue
 		}
 		untried = true
-		if !replica.free(d.now) || len(candidates) == maximumCandidates {
+		if !replica.free(d.now, reserve) || len(candidates) == maximumCandidates {
 			continue
 		}
 		rank := d.standing(replica, id, avoid)
--- a/dispatch/scenario_test.go
+++ b/dispatch/scenario_test.go
@@ -354,18 +354,30 @@
 }
 
 func TestHeadroomIsKeptForTheUrgentClass(t *testing.T) {
-	d := started(Options{LimitPolicy: limit.Options{Policy: limit.Fixed}}, 1, 2)
-	batch, urgent := 0, 0
-	for id := range QueryID(20) {
-		q := ask(id + 1)
-		q.Query.Class = "batch"
-		batch += len(sends(d.Step(0, q)))
-	}
-	for id := range QueryID(20) {
-		urgent += len(sends(d.Step(0, ask(id+100))))
-	}
-	if batch != 8 || urgent != 2 {
-		t.Fatalf("%d batch and %d urgent in flight, want 8 and 2", batch, urgent)
+	tests := []struct {
+		name    string
+		reserve int
+		urgent  int
+	}{
+		{"within the limit", -1, 2},
+		{"and one above each server's limit", 1, 4},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			d := started(Options{LimitPolicy: limit.Options{Policy: limit.Fixed}, UrgentReserve: test.reserve}, 1, 2)
+			batch, urgent := 0, 0
+			for id := range QueryID(20) {
+				q := ask(id + 1)
+				q.Query.Class = "batch"
+				batch += len(sends(d.Step(0, q)))
+			}
+			for id := range QueryID(20) {
+				urgent += len(sends(d.Step(0, ask(id+100))))
+			}
+			if batch != 8 || urgent != test.urgent {
+				t.Fatalf("%d batch and %d urgent in flight, want 8 and %d", batch, urgent, test.urgent)
+			}
+		})
 	}
 }
 
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -37,7 +37,8 @@
 type contribution struct {
 	inFlight int
 	limit    int
-	free     int // 1 when it may take one more
+	free     int // 1 when it may take one more of any class
+	reserve  int // 1 when it may take one more of the most urgent class
 	usable   int // 1 when it is not leaving
 }
 
@@ -71,9 +72,10 @@
 	return s.holder.Holds(id) || !s.holder.Observed()
 }
 
-// free reports whether the server may take one more request at now.
-func (s *server) free(now time.Duration) bool {
-	return s.shedUntil <= now && s.limiter.Free()
+// free reports whether the server may take one more request at now, when that
+// many more than its limit may be in flight.
+func (s *server) free(now time.Duration, reserve int) bool {
+	return s.shedUntil <= now && s.limiter.FreeAbove(reserve)
 }
 
 // observeLatency takes the latency of an answer.
@@ -144,9 +146,12 @@
 	if !s.leaving() {
 		allowed := s.limiter.Limit()
 		now = contribution{inFlight: min(s.limiter.InFlight(), allowed), limit: allowed, usable: 1}
-		if s.free(d.now) {
+		if s.free(d.now, 0) {
 			now.free = 1
 		}
+		if s.free(d.now, d.reserve(0)) {
+			now.reserve = 1
+		}
 	}
 	before := s.counted
 	if now == before {
@@ -157,6 +162,7 @@
 		g.inFlight += now.inFlight - before.inFlight
 		g.limit += now.limit - before.limit
 		g.free += now.free - before.free
+		g.reserve += now.reserve - before.reserve
 		g.usable += now.usable - before.usable
 		d.level(g)
 	}
@@ -167,5 +173,5 @@
 
 // roomier reports whether something that waited may find room, or no server any more.
 func (c contribution) roomier(before contribution) bool {
-	return c.free > before.free || c.inFlight < before.inFlight || c.limit > before.limit || c.usable != before.usable
+	return c.free > before.free || c.reserve > before.reserve || c.inFlight < before.inFlight || c.limit > before.limit || c.usable != before.usable
 }
--- a/limit/limiter.go
+++ b/limit/limiter.go
@@ -170,7 +170,13 @@
 func (l *Limiter) InFlight() int { return l.inFlight }
 
 // Free reports whether one more request may start.
-func (l *Limiter) Free() bool { return l.inFlight < l.Limit() }
+func (l *Limiter) Free() bool { return l.FreeAbove(0) }
+
+// FreeAbove reports whether one more request may start when that many more than
+// the limit may be in flight. The ceiling by connections holds all the same.
+func (l *Limiter) FreeAbove(reserve int) bool {
+	return l.inFlight < l.bounded(l.Limit()+reserve)
+}
 
 // Start notes that a request started. It may exceed the limit: the caller asks
 // Free before.
