--- a/node/world_test.go
+++ b/node/world_test.go
@@ -149,8 +149,12 @@
 	if change != nil {
 		change(&chosen)
 	}
+	listed := machinelist.Machine{
+		ID: chosen.Node.ID, Address: chosen.Listen.Peer, Zone: chosen.Node.Zone,
+		Role: machinelist.RoleNode, State: machinelist.StateLive,
+	}
 	w.node, err = node.New(node.Options{
-		Settings: chosen, Network: process, Store: w.memory, MachineList: machinelist.NewStatic(),
+		Settings: chosen, Network: process, Store: w.memory, MachineList: machinelist.NewStatic(listed),
 		Logger: zerolog.New(w.log).Level(zerolog.InfoLevel), Seed: 1,
 	})
 	w.check(err)
