Leaving servers ride on gossip

A node learned only from its own replies, health reads or the machine list that a server is leaving. Now one node's finding reaches the others with their probes; like the machine list it does not count against another incarnation that the server told itself.

--- a/membership/servers.go
+++ b/membership/servers.go
@@ -119,6 +119,8 @@
 	entries map[string]*serverEntry
 	ids     []string
 	changes []ServerChange
+	// leavings wait to be told to other nodes.
+	leavings []leavingBroadcast
 }
 
 // NewServers returns an empty table; a server that it doesn't hold is live.
@@ -275,6 +277,9 @@
 	known.sticky = known.incarnation != ""
 	known.deadline = now + s.options.LeavingTime
 	s.set(id, known, Leaving)
+	if known.sticky {
+		s.spread(id, known.incarnation)
+	}
 }
 
 // observeIncarnation takes the list's word for the incarnation of a server that
--- a/peer/client.go
+++ b/peer/client.go
@@ -62,12 +62,14 @@
 
 func (a *Agent) gossip(ctx context.Context, request membership.Request) (membership.Result, error) {
 	reply, err := a.stub(request.To.Address).Gossip(ctx, &GossipRequest{
-		Sender:  toWire(request.Sender),
-		Updates: allToWire(request.Updates),
+		Sender:         toWire(request.Sender),
+		Updates:        allToWire(request.Updates),
+		LeavingServers: a.takeLeavings(),
 	})
 	if err != nil {
 		return membership.Result{}, unreachable(err)
 	}
+	a.receiveLeavings(reply.GetLeavingServers())
 	responder, ok := fromWire(reply.GetResponder())
 	if !ok {
 		return membership.Result{}, fmt.Errorf("%w: responder", ErrMalformed)
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -67,3 +67,23 @@
 	}
 	return members
 }
+
+func leavingsToWire(leavings []membership.ServerLeaving) []*ServerLeaving {
+	messages := make([]*ServerLeaving, 0, len(leavings))
+	for _, leaving := range leavings {
+		messages = append(messages, &ServerLeaving{Id: leaving.ID, Incarnation: leaving.Incarnation})
+	}
+	return messages
+}
+
+func leavingsFromWire(messages []*ServerLeaving) []membership.ServerLeaving {
+	messages = messages[:min(len(messages), membership.MaximumServerLeavings)]
+	leavings := make([]membership.ServerLeaving, 0, len(messages))
+	for _, message := range messages {
+		leaving := membership.ServerLeaving{ID: message.GetId(), Incarnation: message.GetIncarnation()}
+		if leaving.Valid() {
+			leavings = append(leavings, leaving)
+		}
+	}
+	return leavings
+}
--- a/peer/fuzz_test.go
+++ b/peer/fuzz_test.go
@@ -48,6 +48,7 @@
 	strange.State = 99
 	f.Add(0, encoded(f, &GossipRequest{Sender: wireMember("n2"), Updates: []*Member{strange, wireMember("n1")}}))
 	f.Add(0, encoded(f, &GossipRequest{Sender: wireMember("n2"), Updates: manyMembers()}))
+	f.Add(0, encoded(f, &GossipRequest{Sender: wireMember("n2"), LeavingServers: make([]*ServerLeaving, 5000)}))
 	f.Add(1, encoded(f, &ListMembersRequest{Sender: wireMember("n2"), Digests: make([]uint64, 5000), FirstBucket: math.MaxUint32}))
 	f.Add(2, encoded(f, &FetchConfigurationRequest{Above: math.MaxUint64}))
 	f.Add(3, encoded(f, &Configuration{Revision: math.MaxUint64, Record: []byte("{")}))
--- a/peer/handler.go
+++ b/peer/handler.go
@@ -42,7 +42,12 @@
 	table.mutex.Lock()
 	self, reply := table.core.Receive(s.agent.now(), sender, updates)
 	table.mutex.Unlock()
-	return &GossipResponse{Responder: toWire(self), Updates: allToWire(reply)}, nil
+	s.agent.receiveLeavings(request.GetLeavingServers())
+	return &GossipResponse{
+		Responder:      toWire(self),
+		Updates:        allToWire(reply),
+		LeavingServers: s.agent.takeLeavings(),
+	}, nil
 }
 
 // ProbeIndirect implements Peer.
--- a/peer/servers.go
+++ b/peer/servers.go
@@ -35,6 +35,22 @@
 	t.deliver()
 }
 
+// receiveLeavings takes in the leavings that another node told.
+func (a *Agent) receiveLeavings(messages []*ServerLeaving) {
+	leavings := leavingsFromWire(messages)
+	if len(leavings) == 0 {
+		return
+	}
+	a.servers.update(func(core *membership.Servers) { core.ReceiveLeavings(a.now(), leavings) })
+}
+
+// takeLeavings returns the leavings to tell another node.
+func (a *Agent) takeLeavings() []*ServerLeaving {
+	a.servers.mutex.Lock()
+	defer a.servers.mutex.Unlock()
+	return leavingsToWire(a.servers.core.TakeLeavings())
+}
+
 func (t *serverTable) subscribe(notify subscriber) {
 	t.mutex.Lock()
 	t.subscribers = append(t.subscribers[:len(t.subscribers):len(t.subscribers)], notify)
