--- a/peer/agent_test.go
+++ b/peer/agent_test.go
@@ -199,7 +199,7 @@
 			network.setParted(ids[:2], ids[2:], false)
 		},
 		"a one-way cut": func(t *testing.T, network *memoryNetwork, _ *machinelist.Static, nodes map[string]*testNode) {
-			network.setCut("n1", "n2", true)
+			network.setCut(addressOf("n1"), addressOf("n2"), true)
 			time.Sleep(time.Minute)
 			wantAllLive(t, nodes)
 		},
--- a/peer/network_test.go
+++ b/peer/network_test.go
@@ -67,12 +67,12 @@
 	}
 }
 
-// setCut cuts or heals the way from one node to another: connections end, and
+// setCut cuts or heals the way from one address to another: connections end, and
 // new ones hang.
 func (n *memoryNetwork) setCut(from, to string, cut bool) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	pair := [2]string{addressOf(from), addressOf(to)}
+	pair := [2]string{from, to}
 	n.cut[pair] = cut
 	for _, connection := range n.open[pair] {
 		connection.Close()
@@ -84,8 +84,8 @@
 func (n *memoryNetwork) setParted(left, right []string, cut bool) {
 	for _, a := range left {
 		for _, b := range right {
-			n.setCut(a, b, cut)
-			n.setCut(b, a, cut)
+			n.setCut(addressOf(a), addressOf(b), cut)
+			n.setCut(addressOf(b), addressOf(a), cut)
 		}
 	}
 }
