--- a/lab/history/checker_test.go
+++ b/lab/history/checker_test.go
@@ -199,6 +199,14 @@
 			h.Attempts = append(h.Attempts, ran("b1", "r3", low, 4*second), ran("b2", "r3", high, 4*second))
 			h.Answers = append(h.Answers, result(6, "r3", 4100*time.Millisecond, part(low, "r3"), part(high, "r3")))
 		}},
+		{"not run, told late by a frozen node, and sent again", func(h *History) {
+			low, high := coverage.Range{Start: 0, End: 50}, coverage.Range{Start: 50, End: 100}
+			h.Calls = append(h.Calls, Call{ID: 6, RequestID: "r3", Node: "n1", Service: "search", Deadline: second, At: 3100 * time.Millisecond})
+			h.Attempts = append(h.Attempts, ran("b1", "r3", low, 4*second), ran("b2", "r3", high, 4*second))
+			h.Answers[2].At = 3800 * time.Millisecond
+			h.Answers = append(h.Answers, result(6, "r3", 4*second, part(low, "r3"), part(high, "r3")))
+			h.Disturbances = []Disturbance{{Kind: "freeze", Host: "n1", From: 3050 * time.Millisecond, To: 3800 * time.Millisecond}}
+		}},
 		{"server that came back", func(h *History) {
 			h.Leaving[0].Server = "s1"
 			h.Leaving[0].Until = 10 * second
