--- a/gather/query.go
+++ b/gather/query.go
@@ -22,6 +22,8 @@
 	Deadline time.Duration
 	// Minimum is the least coverage that makes an answer.
 	Minimum float64
+	// Rank is the position of the query's class, zero for the most urgent.
+	Rank int
 	// Repeatable says that sub-requests may run more than once.
 	Repeatable bool
 	// Stop decides when to stop waiting; nil stands for StopAtDeadline.
@@ -253,9 +255,11 @@
 		return
 	}
 	after, ok := q.options.Stop.StopAfter(Progress{
+		Rank:     q.options.Rank,
 		Coverage: fraction,
 		Minimum:  q.options.Minimum,
 		Open:     len(q.open),
+		Unsent:   q.unsent(),
 		Typical:  q.environment.Typical(),
 		Budget:   q.options.Deadline - q.started,
 	})
@@ -268,6 +272,17 @@
 	}
 }
 
+// unsent counts the segments that no server has room for.
+func (q *Query) unsent() int {
+	count := 0
+	for _, s := range q.open {
+		if s.state == waiting {
+			count++
+		}
+	}
+	return count
+}
+
 func (q *Query) fraction(keys uint64) float64 {
 	return coverage.Fraction(keys, q.options.Space.Size())
 }
