Clients: more tests of delivery, and a read lock on the way of each request

Cause: the table of connection pools had one lock that each request took alone; a kept connection that takes no byte, and a change whose connection closes after it was read, had no test of their own.

Change: requests read the table under a read lock.

--- a/backend/client.go
+++ b/backend/client.go
@@ -64,7 +64,7 @@
 
 	// mutex guards pools. Invariant: at most one pool per address takes new
 	// requests; the bound of that pool is the one last asked for.
-	mutex sync.Mutex
+	mutex sync.RWMutex
 	pools map[string]*pool
 }
 
--- a/backend/client_test.go
+++ b/backend/client_test.go
@@ -238,6 +238,47 @@
 	}
 }
 
+// failingConn refuses every write once it is told to, as a connection does
+// whose end is not noticed yet.
+type failingConn struct {
+	net.Conn
+	fails *atomic.Bool
+}
+
+func (c *failingConn) Write(data []byte) (int, error) {
+	if c.fails.Load() {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(data)
+}
+
+func TestQueryTakesAnotherConnectionWhenAKeptOneTakesNoByte(t *testing.T) {
+	server := startScripted(t, "")
+	var kept atomic.Bool
+	dials := 0
+	client := newClient(t, backend.ClientOptions{
+		SparesPerServer: -1,
+		Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+			fails := &kept
+			if dials++; dials > 1 {
+				fails = &atomic.Bool{}
+			}
+			return &failingConn{Conn: conn, fails: fails}, err
+		},
+	})
+	if _, err := client.Query(t.Context(), server.address, newQuery("a1")); err != nil {
+		t.Fatal(err)
+	}
+	kept.Store(true)
+	if _, err := client.Query(t.Context(), server.address, newQuery("a2")); err != nil {
+		t.Fatal(err)
+	}
+	if seen := server.seen(); seen != "a1 a2" || dials != 2 {
+		t.Errorf("the server read %q over %d connections, want each attempt once over 2", seen, dials)
+	}
+}
+
 func TestQueryCancelClosesTheConnection(t *testing.T) {
 	arrived := make(chan struct{})
 	gone := make(chan struct{})
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -29,16 +29,11 @@
 // caller must release it.
 func (c *Client) acquire(address string) *pool {
 	bound := max(1, c.options.ConnectionsPerServer(address))
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	open, ok := c.pools[address]
-	if ok && open.bound != bound {
-		open.retire()
-		ok = false
-	}
-	if !ok {
-		open = c.newPool(bound)
-		c.pools[address] = open
+	c.mutex.RLock()
+	open := c.pools[address]
+	c.mutex.RUnlock()
+	if open == nil || open.bound != bound {
+		open = c.replace(address, bound)
 	}
 	open.mutex.Lock()
 	defer open.mutex.Unlock()
@@ -46,6 +41,22 @@
 	return open
 }
 
+// replace makes a pool of the given bound the server's one.
+func (c *Client) replace(address string, bound int) *pool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	open := c.pools[address]
+	if open != nil && open.bound == bound {
+		return open
+	}
+	if open != nil {
+		open.retire()
+	}
+	open = c.newPool(bound)
+	c.pools[address] = open
+	return open
+}
+
 // newPool shares the bound out between spares and connections in use.
 func (c *Client) newPool(bound int) *pool {
 	extra := &spares{
--- a/store/conn_test.go
+++ b/store/conn_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
+	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -203,6 +206,72 @@
 	})
 }
 
+func TestPutIsNotSentAgainOnAClosedKeptConnection(t *testing.T) {
+	var mutex sync.Mutex
+	var methods []string
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		mutex.Lock()
+		methods = append(methods, request.Method)
+		mutex.Unlock()
+		if request.Method == http.MethodPut {
+			_, _ = io.Copy(io.Discard, request.Body)
+			panic(http.ErrAbortHandler)
+		}
+		writer.WriteHeader(http.StatusNotFound)
+	}))
+	defer server.Close()
+	conn := store.NewHTTP(store.HTTPOptions{Address: server.Listener.Addr().String(), Connections: 1})
+	if _, err := conn.Get(t.Context(), key); !errors.Is(err, store.ErrNotFound) {
+		t.Fatal(err)
+	}
+	if _, err := conn.Put(t.Context(), key, []byte("one"), 0, ""); !errors.Is(err, store.ErrOutcomeUnknown) {
+		t.Errorf("error is %v, want ErrOutcomeUnknown", err)
+	}
+	if _, err := conn.Get(t.Context(), key); !errors.Is(err, store.ErrNotFound) {
+		t.Fatal(err)
+	}
+	mutex.Lock()
+	defer mutex.Unlock()
+	if got := strings.Join(methods, " "); got != "GET PUT GET" {
+		t.Errorf("the service read %q", got)
+	}
+}
+
+func TestRepliesToAPut(t *testing.T) {
+	cases := []struct {
+		name string
+		code int
+		tag  string
+		want error
+	}{
+		{name: "swapped", code: 200, tag: `"8"`},
+		{name: "conflict", code: 409, want: store.ErrConflict},
+		{name: "precondition failed", code: 412, want: store.ErrConflict},
+		{name: "rate limited", code: 429, want: store.ErrRateLimited},
+		{name: "outage", code: 503, want: store.ErrUnavailable},
+		{name: "internal error", code: 500, want: store.ErrOutcomeUnknown},
+		{name: "time-out of something in between", code: 504, want: store.ErrOutcomeUnknown},
+		{name: "redirect", code: 307, want: store.ErrOutcomeUnknown},
+		{name: "no entity tag", code: 200, want: store.ErrOutcomeUnknown},
+		{name: "weak entity tag", code: 200, tag: `W/"8"`, want: store.ErrOutcomeUnknown},
+		{name: "revision that does not grow", code: 200, tag: `"7"`, want: store.ErrOutcomeUnknown},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+				writer.Header().Set("ETag", test.tag)
+				writer.Header().Set("Location", "/")
+				writer.WriteHeader(test.code)
+			}))
+			defer server.Close()
+			conn := store.NewHTTP(store.HTTPOptions{Address: server.Listener.Addr().String()})
+			if _, err := conn.Put(t.Context(), key, []byte("one"), 7, ""); !errors.Is(err, test.want) {
+				t.Errorf("error is %v, want %v", err, test.want)
+			}
+		})
+	}
+}
+
 func TestUnreachableServiceIsUnavailable(t *testing.T) {
 	refuse := func(context.Context, string, string) (net.Conn, error) { return nil, net.ErrClosed }
 	conn := store.NewHTTP(store.HTTPOptions{Address: "10.0.0.1:1", Dial: refuse})
