--- a/lab/emulator/faults.go
+++ b/lab/emulator/faults.go
@@ -54,6 +54,8 @@
 	Draining bool `json:"draining"`
 	// HealthState is what the health endpoint says instead of the truth.
 	HealthState backend.HealthState `json:"health_state" validate:"omitempty,oneof=starting ready draining"`
+	// HealthLagMilliseconds makes the health that the endpoint tells that old.
+	HealthLagMilliseconds float64 `json:"health_lag_ms" validate:"min=0,max=600000"`
 	// LoadFactor multiplies the load that the server reports; zero means one.
 	LoadFactor float64 `json:"load_factor" validate:"min=0,max=100000"`
 	// LoadLagMilliseconds makes reported load that old.
--- a/lab/emulator/load.go
+++ b/lab/emulator/load.go
@@ -81,15 +81,51 @@
 	})
 }
 
+// healthState is the server's account of its health, with lag and lie.
 func (s *Server) healthState(faults ServerFaults) backend.HealthState {
+	at := time.Now().Add(-durationOf(faults.HealthLagMilliseconds))
 	switch {
 	case faults.HealthState != "":
 		return faults.HealthState
-	case faults.Draining:
+	case s.drainingAt(at):
 		return backend.HealthDraining
-	case time.Since(s.started) < s.options.ColdStart:
+	case at.Sub(s.started) < s.options.ColdStart:
 		return backend.HealthStarting
 	default:
 		return backend.HealthReady
 	}
 }
+
+// drainChange is a switch of the Draining fault.
+type drainChange struct {
+	at       time.Time
+	draining bool
+}
+
+// maximumDrainChanges bounds what is kept for lagging reports.
+const maximumDrainChanges = 256
+
+// noteDraining keeps a change of the Draining fault; mutex is held.
+func (s *Server) noteDraining(draining bool) {
+	if draining == s.faults.Draining {
+		return
+	}
+	s.drains = append(s.drains, drainChange{at: time.Now(), draining: draining})
+	if excess := len(s.drains) - maximumDrainChanges; excess > 0 {
+		s.drains = append([]drainChange(nil), s.drains[excess:]...)
+	}
+}
+
+// drainingAt reports whether the server drained at a time.
+func (s *Server) drainingAt(at time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	draining := false
+	for _, change := range s.drains {
+		if change.at.After(at) {
+			break
+		}
+		draining = change.draining
+	}
+	return draining
+}
--- a/lab/emulator/server.go
+++ b/lab/emulator/server.go
@@ -79,11 +79,12 @@
 	ended    *lifetime
 
 	// mutex guards the fields below. Invariant: thawed is closed whenever
-	// faults.Freeze is off.
+	// faults.Freeze is off; drains holds the changes of faults.Draining in order.
 	mutex  sync.Mutex
 	random *rand.Rand
 	faults ServerFaults
 	thawed chan struct{}
+	drains []drainChange
 	last   *backend.Reply
 }
 
@@ -200,6 +201,7 @@
 	if !faults.Freeze && s.faults.Freeze {
 		close(s.thawed)
 	}
+	s.noteDraining(faults.Draining)
 	s.faults = faults
 }
 
--- a/lab/emulator/server_test.go
+++ b/lab/emulator/server_test.go
@@ -271,6 +271,29 @@
 	})
 }
 
+func TestServerHealthLagsAndLies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := newServer(t, emulator.ServerOptions{ColdStart: time.Second})
+		check := func(want backend.HealthState) {
+			t.Helper()
+			recorder, _ := serveInMemory(server, httptest.NewRequest(http.MethodGet, backend.HealthPath, nil))
+			health := backend.Health{}
+			if err := json.Unmarshal(recorder.Body.Bytes(), &health); err != nil || health.State != want {
+				t.Errorf("health is %q, %v, want %q", health.State, err, want)
+			}
+		}
+		check(backend.HealthStarting)
+		time.Sleep(time.Minute)
+		check(backend.HealthReady)
+		server.SetFaults(emulator.ServerFaults{Draining: true, HealthLagMilliseconds: 5000})
+		check(backend.HealthReady)
+		time.Sleep(5 * time.Second)
+		check(backend.HealthDraining)
+		server.SetFaults(emulator.ServerFaults{Draining: true, HealthState: backend.HealthReady})
+		check(backend.HealthReady)
+	})
+}
+
 func TestFaultsAreValidated(t *testing.T) {
 	handlers := map[string]http.Handler{
 		"server":       newServer(t, emulator.ServerOptions{}),
@@ -315,6 +338,27 @@
 	}
 }
 
+func FuzzFaults(f *testing.F) {
+	f.Add([]byte(`{"shed_share":0.5,"snapshots":[1,2],"ranges":[{"start":0,"end":5}]}`))
+	f.Add([]byte(`{"shed_share":NaN}`))
+	f.Add([]byte(`{"ranges":[{"start":5,"end":5}]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		server, err := emulator.NewServer(emulator.ServerOptions{ID: "s1"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer server.Close()
+		code, reply := setFaults(t, server, string(body))
+		if code != http.StatusOK && code != http.StatusBadRequest {
+			t.Fatalf("code %d: %s", code, reply)
+		}
+		changed := !reflect.DeepEqual(server.Faults(), emulator.ServerFaults{})
+		if code == http.StatusBadRequest && changed {
+			t.Fatalf("a refused body changed the switches: %+v", server.Faults())
+		}
+	})
+}
+
 func FuzzServerQuery(f *testing.F) {
 	valid, _ := json.Marshal(newQuery("a1"))
 	f.Add(valid)
