--- a/lab/emulator/faults.go
+++ b/lab/emulator/faults.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -119,7 +120,10 @@
 
 // merge sets the switches that the body names and leaves the others.
 func (h faultsHandler[F]) merge(request *http.Request) error {
-	faults := h.get()
+	faults, err := copyOf(h.get())
+	if err != nil {
+		return err
+	}
 	if err := strictjson.Decode(request.Body, maximumFaultsBytes, &faults); err != nil {
 		return fmt.Errorf("%w: %w", ErrInvalidFaults, err)
 	}
@@ -129,3 +133,16 @@
 	h.set(faults)
 	return nil
 }
+
+// copyOf copies switches with their lists, which decoding would overwrite.
+func copyOf[F any](faults F) (F, error) {
+	var copied F
+	data, err := json.Marshal(faults)
+	if err == nil {
+		err = json.Unmarshal(data, &copied)
+	}
+	if err != nil {
+		return copied, fmt.Errorf("%w: copying the switches: %w", ErrInvalidFaults, err)
+	}
+	return copied, nil
+}
--- a/lab/emulator/server_test.go
+++ b/lab/emulator/server_test.go
@@ -338,6 +338,17 @@
 	}
 }
 
+func TestRefusedFaultsChangeNothing(t *testing.T) {
+	server := newServer(t, emulator.ServerOptions{})
+	setFaults(t, server, `{"snapshots":[1,2]}`)
+	if code, _ := setFaults(t, server, `{"snapshots":[9,0]}`); code != http.StatusBadRequest {
+		t.Errorf("code is %d", code)
+	}
+	if snapshots := server.Faults().Snapshots; !reflect.DeepEqual(snapshots, []uint64{1, 2}) {
+		t.Errorf("snapshots are %v after a refusal", snapshots)
+	}
+}
+
 func FuzzFaults(f *testing.F) {
 	f.Add([]byte(`{"shed_share":0.5,"snapshots":[1,2],"ranges":[{"start":0,"end":5}]}`))
 	f.Add([]byte(`{"shed_share":NaN}`))
