Bound what recorded outcomes of not-repeatable requests take

Each of up to 100,000 remembered requests held its whole answer. Results now share a bound in bytes; a repetition of a request whose result is gone gets 409 result_forgotten and is not run again. The window is bounded by the time for which other nodes keep claims.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -230,7 +231,8 @@
 	f.Fuzz(func(t *testing.T, document []byte) {
 		request, err := parseRequest("catalog", bytes.NewReader(document), testLimit)
 		if err != nil {
-			if _, ok := err.(*FieldError); !ok {
+			var fault *FieldError
+			if !errors.As(err, &fault) {
 				t.Errorf("error %v is no *FieldError", err)
 			}
 			return
--- a/caller/problem.go
+++ b/caller/problem.go
@@ -18,6 +18,9 @@
 	// ReasonHeldElsewhere means that another node has claimed the request ID,
 	// and may have run the request.
 	ReasonHeldElsewhere dispatch.Reason = "held_elsewhere"
+	// ReasonResultForgotten means that the request ran to its end, but its
+	// result is no longer kept.
+	ReasonResultForgotten dispatch.Reason = "result_forgotten"
 	// ReasonNoQuorum means that too few other nodes could record the claim of
 	// the request ID.
 	ReasonNoQuorum dispatch.Reason = "no_quorum"
@@ -160,7 +163,7 @@
 		return http.StatusTooManyRequests
 	case dispatch.ReasonDeadline:
 		return http.StatusGatewayTimeout
-	case ReasonHeldElsewhere:
+	case ReasonHeldElsewhere, ReasonResultForgotten:
 		return http.StatusConflict
 	case dispatch.ReasonOutcomeUnknown, dispatch.ReasonServerError:
 		return http.StatusBadGateway
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -200,6 +200,20 @@
 	})
 }
 
+func TestForgottenResultIsNotRunAgain(t *testing.T) {
+	keepNone := func(chosen *settings.Settings) { chosen.AtMostOnce.ResultBytes = 0 }
+	inWorld(t, 1, keepNone, func(t *testing.T, w *world) {
+		w.query(t.Context(), "return-1", false, "linen")
+		got := w.query(t.Context(), "return-1", false, "linen")
+		if got.status != http.StatusConflict || got.problem.Reason != "result_forgotten" || got.problem.Execution != "unknown" {
+			t.Errorf("asked again: %+v", got)
+		}
+		if count := w.executions("return-1"); count != 1 {
+			t.Errorf("%d executions", count)
+		}
+	})
+}
+
 func TestRequestThatRanNowhereMayComeAgain(t *testing.T) {
 	inWorld(t, 1, nil, func(t *testing.T, w *world) {
 		faults := w.servers[0].Faults()
--- a/node/once.go
+++ b/node/once.go
@@ -32,6 +32,8 @@
 	// requests that the guard has in progress.
 	guard   *retry.Guard
 	running map[string]*onceRun
+	// outcomes bounds what the guard's recorded outcomes take.
+	outcomes recordedOutcomes
 }
 
 // onceRun is a not-repeatable request in progress.
@@ -47,6 +49,10 @@
 	for index := range guard.parts {
 		guard.parts[index].guard = retry.NewGuard(retry.GuardOptions{Window: window.Window, Maximum: perPart})
 		guard.parts[index].running = make(map[string]*onceRun)
+		guard.parts[index].outcomes = recordedOutcomes{
+			limit:  int(window.ResultBytes / onceParts),
+			window: window.Window,
+		}
 	}
 	return guard
 }
@@ -93,10 +99,9 @@
 		part.mutex.Unlock()
 		return n.joinOnce(ctx, run, request), nil
 	case retry.Recorded:
+		result := recorded.(*recordedOutcome).again()
 		part.mutex.Unlock()
 		n.metrics.Duplicates.Inc()
-		result := recorded.(caller.Result)
-		result.Duplicate = true
 		return result, nil
 	case retry.Full:
 		retryAfter := part.guard.RetryAfter(n.now())
@@ -117,7 +122,8 @@
 	defer part.mutex.Unlock()
 	delete(part.running, key)
 	if ran {
-		part.guard.Complete(n.now(), key, run.result)
+		now := n.now()
+		part.guard.Complete(now, key, part.outcomes.add(now, run.result))
 	} else {
 		part.guard.Abandon(key)
 	}
--- /dev/null
+++ b/node/recorded_internal_test.go
@@ -0,0 +1,36 @@
+package node
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/banksail/banksail/caller"
+	"github.com/banksail/banksail/dispatch"
+)
+
+func TestRecordedOutcomesStayWithinTheirBound(t *testing.T) {
+	const body, limit, count = 1000, 10_000, 100
+	outcomes := recordedOutcomes{limit: limit, window: time.Minute}
+	var added []*recordedOutcome
+	for index := range count {
+		result := caller.Result{Outcome: dispatch.Outcome{
+			Execution: dispatch.ExecutionDone,
+			Parts:     []dispatch.Part{{Body: json.RawMessage(make([]byte, body))}},
+		}}
+		added = append(added, outcomes.add(time.Duration(index)*time.Second, result))
+		if outcomes.bytes > limit {
+			t.Fatalf("%d bytes after %d outcomes", outcomes.bytes, index+1)
+		}
+	}
+	if newest := added[count-1]; newest.forgotten || len(newest.again().Outcome.Parts) != 1 {
+		t.Errorf("the newest is forgotten: %+v", newest)
+	}
+	if oldest := added[0]; !oldest.forgotten || oldest.again().Outcome.Execution != dispatch.ExecutionUnknown {
+		t.Errorf("the oldest is kept: %+v", oldest)
+	}
+	outcomes.add(time.Hour, caller.Result{})
+	if len(outcomes.kept) != 1 {
+		t.Errorf("%d outcomes are kept after the window", len(outcomes.kept))
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -76,11 +76,16 @@
 // AtMostOnce sets the window in which request IDs of not-repeatable requests
 // are remembered.
 type AtMostOnce struct {
-	// Window is how long an outcome is remembered after the request ended.
-	Window time.Duration `koanf:"window" validate:"min=1s,max=24h"`
+	// Window is how long an outcome is remembered after the request ended. Other
+	// nodes keep their claims for 20 minutes, so that a longer one could not be
+	// kept up when this node ends.
+	Window time.Duration `koanf:"window" validate:"min=1s,max=20m"`
 	// Requests bounds the requests remembered; when all places are taken,
 	// further not-repeatable requests are refused as not run.
 	Requests int `koanf:"requests" validate:"min=1,max=10000000"`
+	// ResultBytes bounds the results that are kept for repetitions, in bytes;
+	// the oldest go first, and one that takes more than a sixteenth is not kept.
+	ResultBytes int64 `koanf:"result_bytes" validate:"min=0,max=8589934592"`
 }
 
 // Explanation sets how many explanations of finished requests are kept.
@@ -117,7 +122,7 @@
 			HealthConcurrency: 16,
 			SpareConnections:  2,
 		},
-		AtMostOnce:  AtMostOnce{Window: 10 * time.Minute, Requests: 100_000},
+		AtMostOnce:  AtMostOnce{Window: 10 * time.Minute, Requests: 100_000, ResultBytes: 64 << 20},
 		Explanation: Explanation{Requests: 4096},
 		Stop:        Stop{Grace: time.Second},
 		Log:         Log{Level: "info"},
