--- a/node/shard.go
+++ b/node/shard.go
@@ -63,7 +63,7 @@
 	id      dispatch.QueryID
 	request caller.Request
 	arrived time.Duration
-	// keySpace is the service's when the query arrived.
+	// keySpace is the service's when the first sub-request left.
 	keySpace coverage.Range
 	// sent says that a sub-request has left for a server.
 	sent bool
@@ -125,11 +125,10 @@
 	defer s.mutex.Unlock()
 	s.lastQuery++
 	query := &pendingQuery{
-		id:       s.lastQuery,
-		request:  request,
-		arrived:  s.options.now(),
-		keySpace: s.keySpace,
-		done:     make(chan finished, 1),
+		id:      s.lastQuery,
+		request: request,
+		arrived: s.options.now(),
+		done:    make(chan finished, 1),
 	}
 	s.queries[query.id] = query
 	s.stepLocked(dispatch.Arrived{Query: dispatch.Query{
@@ -168,7 +167,10 @@
 	if query.context == nil {
 		query.context, query.release = context.WithTimeout(s.options.background, action.Remaining)
 	}
-	query.sent = true
+	if !query.sent {
+		query.sent = true
+		query.keySpace = s.keySpace
+	}
 	query.running++
 	s.options.counters.count(action.Kind)
 	ctx, cancel := context.WithCancel(query.context)
