Cut callers that do not read their response in time

A caller that stops reading held its handler, and so a planned stop, for ever. Each response now has a write deadline. A test fixes that a query may last longer than the time allowed for reading it.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -205,6 +205,34 @@
 	}
 }
 
+// deadlineWriter is a connection of which the deadlines are known.
+type deadlineWriter struct {
+	*httptest.ResponseRecorder
+	write, read []time.Time
+}
+
+func (d *deadlineWriter) SetWriteDeadline(at time.Time) error {
+	d.write = append(d.write, at)
+	return nil
+}
+
+func (d *deadlineWriter) SetReadDeadline(at time.Time) error {
+	d.read = append(d.read, at)
+	return nil
+}
+
+func TestCallersThatDoNotReadAreCutInTime(t *testing.T) {
+	for name, body := range map[string]string{"answer": validBody, "refusal": "{"} {
+		writer := &deadlineWriter{ResponseRecorder: httptest.NewRecorder()}
+		node := &nodeStub{result: Result{Outcome: dispatch.Outcome{Execution: dispatch.ExecutionDone}}}
+		request := httptest.NewRequest(http.MethodPost, "/v1/services/catalog/queries", strings.NewReader(body))
+		NewHandler(Options{Node: node, BodyBytes: testLimit}).ServeHTTP(writer, request)
+		if len(writer.write) != 1 || writer.write[0].IsZero() {
+			t.Errorf("%s: write deadlines %v", name, writer.write)
+		}
+	}
+}
+
 func TestExplanationAndUnknownPaths(t *testing.T) {
 	handler := NewHandler(Options{Node: &nodeStub{}, BodyBytes: testLimit})
 	for path, status := range map[string]int{
--- a/caller/problem.go
+++ b/caller/problem.go
@@ -29,6 +29,9 @@
 // problemTypePrefix starts the type of every problem; the reason follows it.
 const problemTypePrefix = "https://banksail.dev/problems/"
 
+// writeTimeout bounds the writing of one response.
+const writeTimeout = 30 * time.Second
+
 // Names of executions in problem documents.
 const (
 	executionNotRun  = "not_run"
@@ -184,6 +187,7 @@
 	}
 	header := writer.Header()
 	header.Set("Content-Type", ProblemMediaType)
+	boundWriting(writer)
 	if problem.RetryAfterMilliseconds > 0 {
 		header.Set("Retry-After", wholeSeconds(problem.RetryAfterMilliseconds))
 	}
@@ -191,6 +195,12 @@
 	_, _ = writer.Write(document)
 }
 
+// boundWriting cuts a caller that does not read its response in time: it must
+// not hold up a planned stop.
+func boundWriting(writer http.ResponseWriter) {
+	_ = http.NewResponseController(writer).SetWriteDeadline(time.Now().Add(writeTimeout))
+}
+
 // wholeSeconds rounds up, because Retry-After has no fractions.
 func wholeSeconds(milliseconds float64) string {
 	return strconv.Itoa(int(math.Ceil(milliseconds / float64(time.Second/time.Millisecond))))
--- a/caller/service.go
+++ b/caller/service.go
@@ -150,6 +150,7 @@
 		return
 	}
 	writer.Header().Set("Content-Type", "application/json")
+	boundWriting(writer)
 	_, _ = writer.Write(document)
 }
 
@@ -169,5 +170,6 @@
 		return
 	}
 	writer.Header().Set("Content-Type", "application/json")
+	boundWriting(writer)
 	_, _ = writer.Write(document)
 }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -235,6 +235,16 @@
 	})
 }
 
+func TestQueryMayLastLongerThanItsReading(t *testing.T) {
+	shorten := func(chosen *settings.Settings) { chosen.Caller.ReadTimeout = 2 * time.Second }
+	inWorld(t, 1, shorten, func(t *testing.T, w *world) {
+		w.straggle(0, 15*time.Second)
+		if got := w.query(t.Context(), "r-1", true, "linen"); got.status != http.StatusOK || !got.answer.Complete {
+			t.Errorf("got %+v", got)
+		}
+	})
+}
+
 func TestCallerGone(t *testing.T) {
 	tests := map[string]struct{ repeatable, completes bool }{
 		"repeatable request is cancelled":        {repeatable: true, completes: false},
