--- /dev/null
+++ b/node/shard_bench_internal_test.go
@@ -0,0 +1,67 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/banksail/banksail/caller"
+	"github.com/banksail/banksail/coverage"
+	"github.com/banksail/banksail/dispatch"
+	"github.com/banksail/banksail/policy"
+	"github.com/banksail/banksail/telemetry"
+)
+
+// instantAsker replies at once, without a network.
+type instantAsker struct{ body json.RawMessage }
+
+func (i instantAsker) ask(_ context.Context, outgoing *subRequest) dispatch.Event {
+	return dispatch.Replied{Attempt: outgoing.send.Attempt, Reply: dispatch.Reply{
+		Status: dispatch.ReplyDone, Snapshot: outgoing.send.Snapshot, Range: outgoing.send.Range, Body: i.body,
+	}}
+}
+
+// BenchmarkShard measures the driver and the dispatcher without any network.
+func BenchmarkShard(b *testing.B) {
+	for _, groups := range []int{1, 8, 64, 256} {
+		b.Run(strconv.Itoa(groups)+"-groups", func(b *testing.B) { benchmarkShard(b, groups) })
+	}
+}
+
+func benchmarkShard(b *testing.B, groups int) {
+	const size = 100
+	var running sync.WaitGroup
+	epoch := time.Now()
+	carrier := newShard(shardOptions{
+		service: "catalog", attemptPrefix: "node-1-0-1-", machine: dispatch.New(dispatch.Options{Seed: 1}),
+		asker: instantAsker{body: json.RawMessage(`{}`)}, now: func() time.Duration { return time.Since(epoch) },
+		counters: newSendCounters(telemetry.NewMetrics(), "catalog"), background: b.Context(), running: &running,
+	})
+	service := policy.Service{Name: "catalog", KeySpace: coverage.Range{End: uint64(groups * size)}}
+	for index := range groups {
+		service.Groups = append(service.Groups, policy.Group{
+			Name:    strconv.Itoa(index),
+			Range:   coverage.Range{Start: uint64(index * size), End: uint64((index + 1) * size)},
+			Servers: []policy.Server{{ID: strconv.Itoa(index), Address: "127.0.0.1:1", Slots: 100, Connections: 100}},
+		})
+	}
+	class := policy.Class{Name: "normal", Deadline: 10_000, LongestWait: 1000}
+	carrier.configure(dispatch.Configured{Revision: 1, Service: service, Classes: []policy.Class{class}})
+	for index := range groups {
+		carrier.step(dispatch.Observed{Server: strconv.Itoa(index), Snapshots: []dispatch.SnapshotID{1}})
+	}
+	request := caller.Request{Service: "catalog", RequestID: "r", Class: "normal", Deadline: 10 * time.Second, MinimumCoverage: 1, Repeatable: true}
+	b.ReportAllocs()
+	for b.Loop() {
+		query := carrier.arrive(request)
+		if end := <-query.done; !end.outcome.Complete {
+			b.Fatalf("outcome %+v", end.outcome)
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*groups), "ns/send")
+	running.Wait()
+	carrier.close()
+}
