--- a/node/node.go
+++ b/node/node.go
@@ -110,6 +110,10 @@
 		unreachable: n.serverUnreachable,
 	})
 	n.connectPeers()
+	n.watchControl()
+	if options.ProcessMetrics {
+		n.metrics.WatchProcess()
+	}
 	return n, nil
 }
 
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
 
@@ -67,6 +68,28 @@
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{Registry: m.registry})
 }
 
+// Watch adds a gauge that is read whenever the metrics are.
+func (m *Metrics) Watch(name, help string, read func() float64) {
+	gauge := prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}
+	m.registry.MustRegister(prometheus.NewGaugeFunc(gauge, read))
+}
+
+// WatchTotal adds a counter that is kept elsewhere and read whenever the
+// metrics are.
+func (m *Metrics) WatchTotal(name, help string, read func() uint64) {
+	counter := func() float64 { return float64(read()) }
+	m.registry.MustRegister(prometheus.NewCounterFunc(options(name, help), counter))
+}
+
+// WatchProcess adds the process's and the Go runtime's own metrics; only one
+// node of a process may have them.
+func (m *Metrics) WatchProcess() {
+	m.registry.MustRegister(
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+}
+
 func options(name, help string) prometheus.CounterOpts {
 	return prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}
 }
--- /dev/null
+++ b/telemetry/telemetry_test.go
@@ -0,0 +1,74 @@
+package telemetry
+
+import (
+	"bytes"
+	"errors"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+func TestExplanationsKeepTheLatest(t *testing.T) {
+	const capacity, count = 4, 10
+	explanations := NewExplanations(capacity)
+	for index := range count {
+		explanations.Add(Explanation{RequestID: strconv.Itoa(index)})
+	}
+	for index := range count {
+		_, found := explanations.Find(strconv.Itoa(index))
+		if kept := index >= count-capacity; found != kept {
+			t.Errorf("request %d: found %t, expected %t", index, found, kept)
+		}
+	}
+	if len(explanations.byRequest) != capacity {
+		t.Errorf("the index holds %d entries", len(explanations.byRequest))
+	}
+}
+
+func TestExplanationOfRepeatedRequestIsTheNewest(t *testing.T) {
+	explanations := NewExplanations(2)
+	explanations.Add(Explanation{RequestID: "r", Reason: "first"})
+	explanations.Add(Explanation{RequestID: "r", Reason: "second"})
+	explanations.Add(Explanation{RequestID: "other"})
+	if got, found := explanations.Find("r"); !found || got.Reason != "second" {
+		t.Errorf("got %+v, %t", got, found)
+	}
+	explanations.Add(Explanation{RequestID: "third"})
+	if _, found := explanations.Find("r"); found {
+		t.Error("an explanation was found whose place is taken")
+	}
+}
+
+func TestLoggerObeysItsLevel(t *testing.T) {
+	var output bytes.Buffer
+	logger, err := NewLogger(&output, "warn", "node-1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	logger.Info().Msg("quiet")
+	logger.Warn().Str(FieldRequestID, "r-1").Msg("loud")
+	if text := output.String(); strings.Contains(text, "quiet") || !strings.Contains(text, `"node":"node-1"`) {
+		t.Errorf("log %s", text)
+	}
+	for _, level := range []string{"", "loud"} {
+		if _, err := NewLogger(&output, level, "node-1"); !errors.Is(err, ErrLevel) {
+			t.Errorf("level %q: %v", level, err)
+		}
+	}
+}
+
+func TestNodesHaveMetricsOfTheirOwn(t *testing.T) {
+	first, second := NewMetrics(), NewMetrics()
+	first.Revision.Set(7)
+	second.Watch("members_live", "Nodes that membership knows as live.", func() float64 { return 3 })
+	for metrics, expected := range map[*Metrics]string{
+		first: "banksail_configuration_revision 7", second: "banksail_members_live 3",
+	} {
+		recorder := httptest.NewRecorder()
+		metrics.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
+		if !strings.Contains(recorder.Body.String(), expected) {
+			t.Errorf("no %q in %s", expected, recorder.Body)
+		}
+	}
+}
