--- a/cmd/banksaild/serve.go
+++ b/cmd/banksaild/serve.go
@@ -80,7 +80,9 @@
 	defer signal.Stop(signals)
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	go d.obey(ctx, signals, stop)
+	ended := make(chan struct{})
+	defer close(ended)
+	go d.obey(signals, ended, stop)
 	err := d.node.Run(ctx)
 	if err == nil {
 		d.logger.Info().Msg("stopped")
@@ -93,17 +95,20 @@
 }
 
 // obey stops the node at the first signal and aborts it at the second.
-func (d *daemon) obey(ctx context.Context, signals <-chan os.Signal, stop func()) {
+func (d *daemon) obey(signals <-chan os.Signal, ended <-chan struct{}, stop func()) {
 	select {
-	case <-ctx.Done():
+	case <-ended:
 		return
 	case received := <-signals:
 		d.logger.Info().Stringer("signal", received).Msg("planned stop")
 		stop()
 	}
-	received := <-signals
-	d.logger.Warn().Stringer("signal", received).Msg("ending at once")
-	d.node.Abort()
+	select {
+	case <-ended:
+	case received := <-signals:
+		d.logger.Warn().Stringer("signal", received).Msg("ending at once")
+		d.node.Abort()
+	}
 }
 
 // noArguments complains about arguments that are not flags.
