--- a/node/ask.go
+++ b/node/ask.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/banksail/banksail/backend"
-	"github.com/banksail/banksail/caller"
 	"github.com/banksail/banksail/dispatch"
 )
 
@@ -18,11 +17,13 @@
 	Load(ctx context.Context, address string) (*backend.Load, error)
 }
 
-// subRequest is all that one sub-request needs.
+// subRequest is one sub-request that was sent and not yet reported back.
 type subRequest struct {
 	send          dispatch.Send
-	query         *caller.Request
+	query         *pendingQuery
 	attemptPrefix string
+	// cancel ends the sub-request's context.
+	cancel context.CancelFunc
 }
 
 // backendAsker sends sub-requests through the client towards back ends.
@@ -49,16 +50,17 @@
 }
 
 func (s *subRequest) request() *backend.Request {
+	asked := &s.query.request
 	return &backend.Request{
 		AttemptID:             s.attemptPrefix + strconv.FormatUint(uint64(s.send.Attempt), 10),
-		RequestID:             s.query.RequestID,
-		Service:               s.query.Service,
-		Class:                 s.query.Class,
+		RequestID:             asked.RequestID,
+		Service:               asked.Service,
+		Class:                 asked.Class,
 		Snapshot:              uint64(s.send.Snapshot),
 		Range:                 s.send.Range,
 		RemainingMilliseconds: milliseconds(s.send.Remaining),
-		Repeatable:            s.query.Repeatable,
-		Body:                  s.query.Body,
+		Repeatable:            asked.Repeatable,
+		Body:                  asked.Body,
 	}
 }
 
--- a/node/shard.go
+++ b/node/shard.go
@@ -50,7 +50,7 @@
 	// holds exactly the attempts that were sent and not yet reported back; the
 	// timer does not run once closed is set.
 	queries   map[dispatch.QueryID]*pendingQuery
-	attempts  map[dispatch.AttemptID]*sentAttempt
+	attempts  map[dispatch.AttemptID]*subRequest
 	lastQuery dispatch.QueryID
 	wake      *time.Timer
 	// keySpace is that of the service as it is configured now.
@@ -76,12 +76,6 @@
 	done chan finished
 }
 
-// sentAttempt is a sub-request that was sent and not yet reported back.
-type sentAttempt struct {
-	query  *pendingQuery
-	cancel context.CancelFunc
-}
-
 // finished is a query's final answer with the time that it took.
 type finished struct {
 	outcome dispatch.Outcome
@@ -92,7 +86,7 @@
 	return &shard{
 		options:  options,
 		queries:  make(map[dispatch.QueryID]*pendingQuery),
-		attempts: make(map[dispatch.AttemptID]*sentAttempt),
+		attempts: make(map[dispatch.AttemptID]*subRequest),
 	}
 }
 
@@ -174,12 +168,13 @@
 	query.running++
 	s.options.counters.count(action.Kind)
 	ctx, cancel := context.WithCancel(query.context)
-	s.attempts[action.Attempt] = &sentAttempt{query: query, cancel: cancel}
 	outgoing := &subRequest{
 		send:          action,
-		query:         &query.request,
+		query:         query,
 		attemptPrefix: s.options.attemptPrefix,
+		cancel:        cancel,
 	}
+	s.attempts[action.Attempt] = outgoing
 	s.options.running.Add(1)
 	go s.carry(ctx, outgoing)
 }
@@ -193,12 +188,11 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	attempt := s.attempts[outgoing.send.Attempt]
 	delete(s.attempts, outgoing.send.Attempt)
-	attempt.cancel()
+	outgoing.cancel()
 	s.stepLocked(event)
-	attempt.query.running--
-	s.releaseIfOver(attempt.query)
+	outgoing.query.running--
+	s.releaseIfOver(outgoing.query)
 }
 
 func (s *shard) cancel(attempt dispatch.AttemptID) {
