--- a/node/configuration.go
+++ b/node/configuration.go
@@ -50,6 +50,7 @@
 	n.view.Store(next)
 	n.metrics.Revision.Set(float64(revision))
 	n.poller.setServers(next.servers)
+	n.forgetServers(previous, next)
 	n.log.Info().Uint64("revision", uint64(revision)).Int("services", len(config.Services)).Msg("configuration in force")
 }
 
@@ -127,6 +128,23 @@
 	n.retired = slices.Clip(n.retired)
 }
 
+// forgetServers closes the idle connections to addresses that are no longer
+// configured.
+func (n *Node) forgetServers(previous, next *view) {
+	if previous == nil {
+		return
+	}
+	kept := make(map[string]bool, len(next.servers))
+	for _, server := range next.servers {
+		kept[server.address] = true
+	}
+	for _, server := range previous.servers {
+		if !kept[server.address] {
+			n.client.Forget(server.address)
+		}
+	}
+}
+
 // tellStates repeats to a shard what membership said of its servers.
 func (n *Node) tellStates(carrier *shard, service policy.Service) {
 	for _, group := range service.Groups {
