Page of the settings, checked for completeness; more health readings at once

Servers that hang hold a place for the whole time-out: with 16 places, 30 such servers could delay the reading of the others beyond the 3 s in which a drain must be obeyed.

--- a/settings/settings.go
+++ b/settings/settings.go
@@ -119,7 +119,7 @@
 		Backend: Backend{
 			HealthInterval:    1500 * time.Millisecond,
 			HealthTimeout:     time.Second,
-			HealthConcurrency: 16,
+			HealthConcurrency: 64,
 			SpareConnections:  2,
 		},
 		AtMostOnce:  AtMostOnce{Window: 10 * time.Minute, Requests: 100_000, ResultBytes: 64 << 20},
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -168,3 +168,15 @@
 		}
 	})
 }
+
+func TestEverySettingIsDocumented(t *testing.T) {
+	page, err := os.ReadFile("../docs/SETTINGS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, path := range Paths() {
+		if count := strings.Count(string(page), "| `"+path+"` |"); count != 1 {
+			t.Errorf("%s has %d rows", path, count)
+		}
+	}
+}
