--- a/node/node_test.go
+++ b/node/node_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/banksail/banksail/lab/emulator"
 	"github.com/banksail/banksail/node"
 	"github.com/banksail/banksail/policy"
 	"github.com/banksail/banksail/settings"
@@ -286,6 +287,27 @@
 	})
 }
 
+func TestDrainIsSeenBesideManyServersThatHang(t *testing.T) {
+	const servers, draining = 100, 99
+	inWorld(t, servers, nil, func(t *testing.T, w *world) {
+		for index := range draining {
+			w.servers[index].SetFaults(emulator.ServerFaults{Freeze: true})
+		}
+		time.Sleep(10 * time.Second)
+		w.servers[draining].SetFaults(emulator.ServerFaults{HealthState: "draining"})
+		time.Sleep(3 * time.Second)
+		ctx, leave := context.WithTimeout(t.Context(), time.Second)
+		defer leave()
+		w.query(ctx, "r-1", true, "linen")
+		if executions := w.servers[draining].Executions(); len(executions) != 0 {
+			t.Errorf("3 s after the drain: %+v", executions)
+		}
+		for index := range draining {
+			w.servers[index].SetFaults(emulator.ServerFaults{})
+		}
+	})
+}
+
 func TestConfigurationChangesWhileRunning(t *testing.T) {
 	inWorld(t, 2, nil, func(t *testing.T, w *world) {
 		w.straggle(0, 8*time.Second)
