--- a/rollout/cluster_test.go
+++ b/rollout/cluster_test.go
@@ -224,8 +224,8 @@
 func inBubble(t *testing.T, run func(t *testing.T, ctx context.Context, c *cluster)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
+		defer synctest.Wait()
+		defer cancel()
 		run(t, ctx, newCluster(t))
-		cancel()
-		synctest.Wait()
 	})
 }
