banksailctl: one line a difference, faults of documents field by field, explain as a table

Cause: a plan that adds a service printed its whole JSON, and a fault in an intent file was reported as wrong usage (exit status 2), though the same fault found by the node is a refusal (1).

--- a/cmd/banksailctl/command.go
+++ b/cmd/banksailctl/command.go
@@ -13,6 +13,7 @@
 	"github.com/google/subcommands"
 
 	"github.com/banksail/banksail/operator"
+	"github.com/banksail/banksail/policy"
 )
 
 // exitUnknown says that a change may or may not be in effect.
@@ -104,11 +105,27 @@
 	return subcommands.ExitFailure
 }
 
-func (c *common) printProblem(problem operator.Problem) {
-	c.complain("%s", problem.Title)
-	for _, fault := range problem.Faults {
+// failDocument reports a document that can't be read; nothing was sent.
+func (c *common) failDocument(path string, err error) subcommands.ExitStatus {
+	var invalid *policy.ValidationError
+	if !errors.As(err, &invalid) {
+		c.complain("%s: %v", path, err)
+		return subcommands.ExitFailure
+	}
+	c.complain("%s is not valid", path)
+	c.printFaults(invalid.Faults)
+	return subcommands.ExitFailure
+}
+
+func (c *common) printFaults(faults []policy.Fault) {
+	for _, fault := range faults {
 		c.complain("  %s: %s", fault.Field, fault.Problem)
 	}
+}
+
+func (c *common) printProblem(problem operator.Problem) {
+	c.complain("%s", problem.Title)
+	c.printFaults(problem.Faults)
 	if len(problem.Faults) == 0 {
 		c.complain("  %s", problem.Detail)
 	}
--- a/cmd/banksailctl/confirm.go
+++ b/cmd/banksailctl/confirm.go
@@ -43,8 +43,7 @@
 	}
 	plan, err := policy.DecodePlan(data)
 	if err != nil {
-		c.complain("%s: %v", path, err)
-		return subcommands.ExitFailure
+		return c.failDocument(path, err)
 	}
 	receipt, err := c.client().Confirm(ctx, plan)
 	if errors.Is(err, operator.ErrNoAnswer) {
--- /dev/null
+++ b/cmd/banksailctl/explain.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"text/tabwriter"
+
+	"github.com/google/subcommands"
+
+	"github.com/banksail/banksail/dispatch"
+	"github.com/banksail/banksail/telemetry"
+)
+
+// explainCommand tells why a request was answered as it was.
+type explainCommand struct{ common }
+
+func (*explainCommand) Name() string     { return "explain" }
+func (*explainCommand) Synopsis() string { return "tell why a request got the answer it got" }
+func (*explainCommand) Usage() string {
+	return `banksailctl explain [flags] REQUEST-ID
+
+Prints which servers were asked, hedged and cancelled for a request, and why it
+stopped. Ask the node that served the request: it keeps the latest ones.
+
+Example:
+  banksailctl explain --node 10.0.0.5:7102 req-42
+
+Flags:
+`
+}
+
+func (e *explainCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	id, err := oneArgument(flags)
+	if err != nil {
+		return e.usage("%v: the request ID", err)
+	}
+	document, err := e.client().Explanation(ctx, id)
+	if err != nil {
+		return e.fail(err)
+	}
+	var explanation telemetry.Explanation
+	if err := json.Unmarshal(document, &explanation); err != nil || e.json {
+		return e.printJSON(document)
+	}
+	e.show(explanation)
+	return subcommands.ExitSuccess
+}
+
+func (e *explainCommand) show(explanation telemetry.Explanation) {
+	e.print("request %s: service %s, class %s, answered by %s\n",
+		explanation.RequestID, explanation.Service, explanation.Class, explanation.Node)
+	e.print("execution %s, because %s; snapshot %d, coverage %g\n\n",
+		explanation.Execution, explanation.Reason, explanation.Snapshot, explanation.Coverage)
+	table := tabwriter.NewWriter(e.output, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "AFTER\tWHAT\tATTEMPT\tSERVER\tRANGE")
+	for _, step := range explanation.Steps {
+		_, _ = fmt.Fprintf(table, "%v\t%s\t%s\t%s\t%s\n", step.At, step.What, attemptText(step), step.Server, rangeText(step))
+	}
+	_ = table.Flush()
+}
+
+func attemptText(step dispatch.Step) string {
+	if step.Attempt == 0 {
+		return ""
+	}
+	return fmt.Sprint(uint64(step.Attempt))
+}
+
+func rangeText(step dispatch.Step) string {
+	if step.Range.Size() == 0 {
+		return ""
+	}
+	return step.Range.String()
+}
--- a/cmd/banksailctl/plan.go
+++ b/cmd/banksailctl/plan.go
@@ -1,12 +1,12 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"flag"
 	"fmt"
 	"io"
 	"os"
-	"strings"
 
 	"github.com/goccy/go-yaml"
 	"github.com/google/subcommands"
@@ -14,6 +14,10 @@
 	"github.com/banksail/banksail/policy"
 )
 
+// maximumLine bounds the bytes of a difference that is printed; the plan
+// document holds it whole.
+const maximumLine = 160
+
 // planCommand asks a node what an intent would change.
 type planCommand struct {
 	common
@@ -57,9 +61,13 @@
 	if err != nil {
 		return p.usage("%v: the intent file", err)
 	}
-	intent, err := readIntent(path)
+	data, err := readFile(path, policy.MaximumIntentBytes)
 	if err != nil {
-		return p.usage("%s: %v", path, err)
+		return p.usage("%v", err)
+	}
+	intent, err := decodeIntent(data)
+	if err != nil {
+		return p.failDocument(path, err)
 	}
 	p.setAuthor(&intent)
 	plan, err := p.client().Plan(ctx, intent)
@@ -92,7 +100,7 @@
 		p.print("  (no difference)\n")
 	}
 	for _, difference := range plan.Differences {
-		p.print("  %s\n", difference)
+		p.print("  %s\n", difference.Short(maximumLine))
 	}
 	for _, warning := range plan.Warnings {
 		p.print("warning: %s: %s\n", warning.Field, warning.Message)
@@ -100,19 +108,16 @@
 	p.print("written to %s; put it into effect with: banksailctl confirm %s\n", p.out, p.out)
 }
 
-// readIntent reads an intent in YAML, of which JSON is a part.
-func readIntent(path string) (policy.Intent, error) {
-	data, err := readFile(path, policy.MaximumIntentBytes)
-	if err != nil {
-		return policy.Intent{}, err
+// decodeIntent reads an intent in YAML or JSON.
+func decodeIntent(data []byte) (policy.Intent, error) {
+	if bytes.HasPrefix(bytes.TrimSpace(data), []byte("{")) {
+		return policy.DecodeIntent(data)
 	}
-	if !strings.HasPrefix(strings.TrimSpace(string(data)), "{") {
-		data, err = yaml.YAMLToJSON(data)
-		if err != nil {
-			return policy.Intent{}, fmt.Errorf("read YAML: %w", err)
-		}
+	converted, err := yaml.YAMLToJSON(data)
+	if err != nil {
+		return policy.Intent{}, fmt.Errorf("read YAML: %w", err)
 	}
-	return policy.DecodeIntent(data)
+	return policy.DecodeIntent(converted)
 }
 
 func writePlan(path string, plan policy.Plan) error {
--- a/cmd/banksailctl/show.go
+++ b/cmd/banksailctl/show.go
@@ -98,33 +98,3 @@
 		}
 	}
 }
-
-// explainCommand tells why a request was answered as it was.
-type explainCommand struct{ common }
-
-func (*explainCommand) Name() string     { return "explain" }
-func (*explainCommand) Synopsis() string { return "tell why a request got the answer it got" }
-func (*explainCommand) Usage() string {
-	return `banksailctl explain [flags] REQUEST-ID
-
-Prints which servers were asked, hedged and cancelled for a request, and why it
-stopped. Ask the node that served the request: it keeps the latest ones.
-
-Example:
-  banksailctl explain --node 10.0.0.5:7102 req-42
-
-Flags:
-`
-}
-
-func (e *explainCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	id, err := oneArgument(flags)
-	if err != nil {
-		return e.usage("%v: the request ID", err)
-	}
-	document, err := e.client().Explanation(ctx, id)
-	if err != nil {
-		return e.fail(err)
-	}
-	return e.printJSON(document)
-}
--- a/policy/difference.go
+++ b/policy/difference.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 )
@@ -16,18 +17,30 @@
 	After json.RawMessage `json:"after,omitempty"`
 }
 
-// String formats the difference for people.
+// String formats the difference on one line.
 func (d Difference) String() string {
 	switch {
 	case d.Before == nil:
-		return fmt.Sprintf("+ %s = %s", d.Field, d.After)
+		return fmt.Sprintf("+ %s = %s", d.Field, compact(d.After))
 	case d.After == nil:
-		return fmt.Sprintf("- %s (was %s)", d.Field, d.Before)
+		return fmt.Sprintf("- %s (was %s)", d.Field, compact(d.Before))
 	default:
-		return fmt.Sprintf("~ %s: %s -> %s", d.Field, d.Before, d.After)
+		return fmt.Sprintf("~ %s: %s -> %s", d.Field, compact(d.Before), compact(d.After))
 	}
 }
 
+// Short formats the difference on one line of at most this many bytes.
+func (d Difference) Short(limit int) string { return truncate(d.String(), limit) }
+
+// compact drops the white space between the tokens of a JSON value.
+func compact(value json.RawMessage) string {
+	var buffer bytes.Buffer
+	if err := json.Compact(&buffer, value); err != nil {
+		return string(value)
+	}
+	return buffer.String()
+}
+
 // Compare lists the differences between two configurations, in an order that
 // depends on their content only.
 func Compare(before, after Config) []Difference {
--- a/policy/plan.go
+++ b/policy/plan.go
@@ -210,7 +210,7 @@
 func summarize(differences []Difference) []string {
 	summary := []string{}
 	for _, difference := range differences[:min(len(differences), maximumSummary)] {
-		summary = append(summary, truncate(difference.String(), maximumSummaryLine))
+		summary = append(summary, difference.Short(maximumSummaryLine))
 	}
 	return summary
 }
