Confirm writes the record in force back to a store that lost it

Cause: after a loss at the store, every confirmation was refused for good, as the store's revision lay below the one in force. Change: the keeper swaps its record in on the base that it read; the swap fails if the read was only old.

--- a/rollout/confirm.go
+++ b/rollout/confirm.go
@@ -173,13 +173,36 @@
 			return policy.Record{}, 0, err
 		}
 	}
-	known, _ := k.Record()
-	if record.Revision < max(known, plan.BaseRevision) {
-		return policy.Record{}, 0, fmt.Errorf("%w: %d, known is %d", ErrStoreBehind, record.Revision, max(known, plan.BaseRevision))
+	current := k.snapshot()
+	switch {
+	case current != nil && record.Revision < current.record.Revision:
+		return policy.Record{}, 0, k.restore(ctx, current, record.Revision, stored.Revision)
+	case record.Revision < plan.BaseRevision:
+		return policy.Record{}, 0, behind(record.Revision, plan.BaseRevision)
 	}
 	return record, stored.Revision, nil
 }
 
+func behind(stored, known policy.Revision) error {
+	return fmt.Errorf("%w: %d, known is %d", ErrStoreBehind, stored, known)
+}
+
+// restore writes the record in force back to a store that lost it. The swap
+// fails when the store only answered an old revision. It always returns
+// ErrStoreBehind or ErrStoreUnavailable, after which the caller reads again.
+func (k *Keeper) restore(ctx context.Context, current *state, found policy.Revision, base uint64) error {
+	_, err := k.options.Store.Put(ctx, policy.StoreKey, current.bytes, base, "")
+	if err != nil && !errors.Is(err, store.ErrConflict) {
+		return fmt.Errorf("%w: %w", ErrStoreUnavailable, err)
+	}
+	if err == nil {
+		k.metrics.restored.Add(1)
+		k.options.Logger.Warn().Uint64("found", uint64(found)).Uint64("restored", uint64(current.record.Revision)).
+			Msg("the store had lost revisions; the one in force was written back")
+	}
+	return behind(found, current.record.Revision)
+}
+
 // swap writes the next record if the store still holds the base.
 func (c *confirmation) swap(ctx context.Context, next policy.Record, base uint64) (policy.Revision, error) {
 	k := c.keeper
--- a/rollout/keeper_test.go
+++ b/rollout/keeper_test.go
@@ -156,6 +156,9 @@
 		if !errors.Is(err, ErrStoreBehind) || receipt.Outcome != policy.OutcomeNotApplied {
 			t.Fatalf("got %+v, %v", receipt, err)
 		}
+		if restored := keepers[1].Counters().Restored; restored != 0 {
+			t.Fatal("a stale read was taken for a loss")
+		}
 		c.store.SetFaults(store.MemoryFaults{})
 		mustConfirm(t, keepers[1], plan)
 		time.Sleep(spreadTime)
@@ -163,6 +166,26 @@
 	})
 }
 
+func TestStoreThatLostTheRecordGetsItBack(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, c *cluster) {
+		before := c.start(ctx, c.store)
+		mustConfirm(t, before, mustPlan(t, before, initialIntent()))
+		mustConfirm(t, before, mustPlan(t, before, deadlineIntent("ann", 80)))
+		revision, record := before.Record()
+
+		empty := store.NewMemory(store.MemoryOptions{})
+		keeper := newCluster(t).start(ctx, empty)
+		keeper.options.NewPlanID = func() string { return "after-the-loss" }
+		if err := keeper.Offer(revision, record); err != nil {
+			t.Fatal(err)
+		}
+		receipt := mustConfirm(t, keeper, mustPlan(t, keeper, deadlineIntent("bob", 60)))
+		if receipt.Revision != 3 || keeper.Counters().Restored != 1 {
+			t.Fatalf("got %+v, %+v", receipt, keeper.Counters())
+		}
+	})
+}
+
 func TestNodeCutOffTheStoreStaysCurrentByPeers(t *testing.T) {
 	inBubble(t, func(t *testing.T, ctx context.Context, c *cluster) {
 		keepers := c.startMany(ctx, 3)
--- a/rollout/metrics.go
+++ b/rollout/metrics.go
@@ -14,6 +14,7 @@
 	deltaMisfits, pushFailures    atomic.Uint64
 	comparisons, compareFailures  atomic.Uint64
 	confirmations, unknownOutcome atomic.Uint64
+	restored                      atomic.Uint64
 }
 
 // Counters is a reading of what a keeper has done since it started.
@@ -31,6 +32,8 @@
 	// Confirmations counts plans to confirm; UnknownOutcome, those whose
 	// outcome stayed unknown.
 	Confirmations, UnknownOutcome uint64
+	// Restored counts records written back to a store that had lost them.
+	Restored uint64
 }
 
 // Counters reads the counters.
@@ -49,6 +52,7 @@
 		CompareFailures: k.metrics.compareFailures.Load(),
 		Confirmations:   k.metrics.confirmations.Load(),
 		UnknownOutcome:  k.metrics.unknownOutcome.Load(),
+		Restored:        k.metrics.restored.Load(),
 	}
 }
 
@@ -77,6 +81,7 @@
 		counter("comparison_failures_total", "Comparisons with peers that failed.", &k.metrics.compareFailures),
 		counter("confirmations_total", "Plans that this node was asked to confirm.", &k.metrics.confirmations),
 		counter("unknown_outcomes_total", "Confirmations whose outcome stayed unknown.", &k.metrics.unknownOutcome),
+		counter("restored_total", "Records written back to a store that had lost them.", &k.metrics.restored),
 	}
 }
 
