--- a/policy/delta.go
+++ b/policy/delta.go
@@ -79,28 +79,28 @@
 	return envelope.Delta, nil
 }
 
-// ApplyDelta returns the bytes of the record that follows base. It returns
+// ApplyDelta returns the record that follows base, and its bytes. It returns
 // ErrDeltaMismatch when base is not the record that the delta was made for.
-func ApplyDelta(base Record, delta Delta) ([]byte, error) {
+func ApplyDelta(base Record, delta Delta) (next Record, data []byte, err error) {
 	if base.Revision+1 != delta.Revision {
-		return nil, fmt.Errorf("%w: it makes revision %d, the base is %d", ErrDeltaMismatch, delta.Revision, base.Revision)
+		return Record{}, nil, fmt.Errorf("%w: it makes revision %d, the base is %d", ErrDeltaMismatch, delta.Revision, base.Revision)
 	}
 	config, err := Apply(base.Config, delta.Intent)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrDeltaMismatch, err)
+		return Record{}, nil, fmt.Errorf("%w: %w", ErrDeltaMismatch, err)
 	}
-	next := base.next(config, accepted{
+	next = base.next(config, accepted{
 		planID:      delta.PlanID,
 		intent:      delta.Intent,
 		differences: Compare(base.Config, config),
 		at:          delta.ConfirmedAt,
 	})
-	data, err := EncodeRecord(next)
+	data, err = EncodeRecord(next)
 	if err != nil {
-		return nil, err
+		return Record{}, nil, err
 	}
 	if digest := RecordDigest(data); digest != delta.RecordDigest {
-		return nil, fmt.Errorf("%w: it leads to %s, and names %s", ErrDeltaMismatch, digest, delta.RecordDigest)
+		return Record{}, nil, fmt.Errorf("%w: it leads to %s, and names %s", ErrDeltaMismatch, digest, delta.RecordDigest)
 	}
-	return data, nil
+	return next, data, nil
 }
--- a/rollout/confirm.go
+++ b/rollout/confirm.go
@@ -215,7 +215,7 @@
 	_, err = k.options.Store.Put(ctx, policy.StoreKey, data, base, "")
 	switch {
 	case err == nil:
-		return next.Revision, k.offer(next.Revision, data, "")
+		return next.Revision, k.adopt(stateOf(next, data), "")
 	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrRateLimited), errors.Is(err, store.ErrUnavailable):
 		return 0, fmt.Errorf("%w: %w", ErrStoreUnavailable, err)
 	default:
--- a/rollout/delta_test.go
+++ b/rollout/delta_test.go
@@ -37,18 +37,20 @@
 func TestNodeThatMissedARevisionGetsTheWholeRecord(t *testing.T) {
 	inBubble(t, func(t *testing.T, ctx context.Context, c *cluster) {
 		source := c.start(ctx, c.store)
+		c.start(ctx, &gatedStore{Conn: c.store, cut: true})
+		c.isolate("node-1", true)
 		mustConfirm(t, source, mustPlan(t, source, initialIntent()))
 		mustConfirm(t, source, mustPlan(t, source, deadlineIntent("ann", 80)))
-		behind := newCluster(t).start(ctx, c.store)
-		c.keepers = append(c.keepers, behind)
-		behind.options.Core.Self = "behind"
-		revision, err := source.pushState(ctx, "behind", source.snapshot())
+		time.Sleep(spreadTime)
+		c.isolate("node-1", false)
+		before := source.Counters()
+		revision, err := source.pushState(ctx, "node-1", source.snapshot())
 		if err != nil || revision != 2 {
 			t.Fatalf("revision %d in force after the push, %v", revision, err)
 		}
 		counters := source.Counters()
-		if counters.DeltaPushes != 1 || counters.RecordPushes != 1 {
-			t.Fatalf("got %+v", counters)
+		if counters.DeltaPushes != before.DeltaPushes+1 || counters.RecordPushes != before.RecordPushes+1 {
+			t.Fatalf("got %+v, then %+v", before, counters)
 		}
 	})
 }
--- a/rollout/keeper.go
+++ b/rollout/keeper.go
@@ -228,26 +228,32 @@
 		k.metrics.rejected.Add(1)
 		return fmt.Errorf("%w: %w", ErrRejected, err)
 	}
-	record, err := policy.ApplyDelta(current.record, delta)
+	record, encoded, err := policy.ApplyDelta(current.record, delta)
 	if err != nil {
 		k.metrics.deltaMisfits.Add(1)
 		k.options.Logger.Warn().Err(err).Uint64("revision", uint64(revision)).Msg("delta refused")
 		return nil
 	}
-	return k.offer(revision, record, "")
+	return k.adopt(&state{record: record, bytes: encoded, digest: delta.RecordDigest, delta: data}, "")
 }
 
+// newState reads a record's bytes.
 func newState(data []byte) (*state, error) {
 	record, err := policy.DecodeRecord(data)
 	if err != nil {
 		return nil, err
 	}
+	return stateOf(record, data), nil
+}
+
+// stateOf is the state of a record that was checked already.
+func stateOf(record policy.Record, data []byte) *state {
 	digest := policy.RecordDigest(data)
 	delta, ok := policy.EncodeDelta(record, digest)
 	if !ok {
 		delta = nil
 	}
-	return &state{record: record, bytes: data, digest: digest, delta: delta}, nil
+	return &state{record: record, bytes: data, digest: digest, delta: delta}
 }
 
 // adopt lets the core decide on a checked record.
