Deaths that others tell become suspicions; shares while joining and near the limit

A node that hears nobody could bury live members at others by gossip (test failed before: gone, want suspect). Nodes between the shared-out part and the limit of a server had no connection although there were enough. A node that just started, and saw only itself, took a whole server's share. Changes that nobody takes are bounded, and the agent logs them.

--- a/membership/apply.go
+++ b/membership/apply.go
@@ -50,7 +50,7 @@
 		n.insert(now, update, from)
 		return
 	}
-	if from == fromSync {
+	if from == fromSync || from == fromGossip {
 		update = softened(known.member, update)
 	}
 	if !update.Supersedes(known.member) {
@@ -61,9 +61,9 @@
 	n.changed(now, known, before, from)
 }
 
-// softened turns a death that is only known from a table comparison into a
-// suspicion, so that two halves of a parted region that come together do not
-// bury each other's members before these could refute.
+// softened turns a death of a live member that only others tell into a
+// suspicion, so that it can refute: the two halves of a parted region that come
+// together, or a node that hears nobody, would bury each other's members.
 func softened(known, update Member) Member {
 	if update.State == Gone && known.State == Live {
 		update.State = Suspect
@@ -93,7 +93,9 @@
 	member := known.member
 	known.deadline = n.deadlineOf(now, member.State)
 	n.nextExpiry = min(n.nextExpiry, known.deadline)
-	n.changes = append(n.changes, member)
+	if len(n.changes) < maximumChanges {
+		n.changes = append(n.changes, member)
+	}
 	kind := stateUpdate
 	if before.Incarnation == member.Incarnation && before.State == member.State {
 		kind = revisionUpdate
--- a/membership/connections.go
+++ b/membership/connections.go
@@ -47,12 +47,13 @@
 // ConnectionShare returns the share that a node has of a server's connections,
 // given the nodes that are neither leaving nor gone.
 //
-// Nodes that see the same members never hold more than the limit together. When
-// a member leaves, no other node's share falls, and what the others gain is
-// what it held. Nodes whose views differ may exceed the shared-out part; each
-// holds at most ShareableConnections divided by the size of its own view,
-// rounded up, so with N nodes that each miss at most M others the sum is at
-// most N times that quotient at N-M.
+// Nodes that see the same members never hold more than the limit together.
+// While the nodes do not outnumber the limit, each has a connection, and when
+// one leaves, no other one's share falls, and what they gain is what it held.
+// Nodes whose views differ may exceed the shared-out part: each holds at most
+// ShareableConnections divided by the size of its own view, rounded up, so N
+// nodes that each miss at most M others hold at most N times that quotient at
+// N-M together, as long as N is at most ShareableConnections.
 func ConnectionShare(self string, server ServerPlace, nodes []Member) Share {
 	for _, owner := range Owners(server, nodes) {
 		if owner.ID == self {
@@ -72,10 +73,14 @@
 // shares, in rendezvous order. All nodes do while the connections suffice;
 // otherwise a few do, those in the server's zone first.
 func Owners(server ServerPlace, nodes []Member) []Owner {
-	shared := ShareableConnections(server.Limit)
-	if shared == 0 || len(nodes) == 0 {
+	if server.Limit < 1 || len(nodes) == 0 {
 		return nil
 	}
+	shared := ShareableConnections(server.Limit)
+	if len(nodes) <= server.Limit {
+		// The reserve is given up before nodes go without a connection.
+		shared = max(shared, len(nodes))
+	}
 	var ranked []string
 	if len(nodes) > shared {
 		ranked = rankZoneFirst(server, nodes, min(OwnersPerServer, shared))
--- a/membership/nodes.go
+++ b/membership/nodes.go
@@ -132,6 +132,9 @@
 	return known.member, true
 }
 
+// maximumChanges bounds the changes that wait to be taken; later ones are lost.
+const maximumChanges = 2 * MaximumMembers
+
 // TakeChanges returns the entries that changed since the last call, in order.
 func (n *Nodes) TakeChanges() []Member {
 	changes := n.changes
--- a/membership/nodes_test.go
+++ b/membership/nodes_test.go
@@ -89,6 +89,19 @@
 	neverGone(t, s, 2*time.Minute, s.nodes, s.nodes)
 }
 
+func TestDeafNodeBuriesNobodyElse(t *testing.T) {
+	s := joined(t, testSize, 14)
+	s.blocked = func(_, to *simulatedNode) bool { return to.index == 1 }
+	others := append(s.nodes[:1:1], s.nodes[2:]...)
+	neverGone(t, s, 3*time.Minute, others, others)
+	if !allSee(others, s.nodes[1:2], membership.Gone) {
+		t.Fatal("the deaf node is not gone")
+	}
+	if !allSee(others, others, membership.Live) {
+		t.Fatal("the others do not see each other as live")
+	}
+}
+
 func TestRegionsPartedForAnHourComeTogether(t *testing.T) {
 	s := joined(t, testSize, 5)
 	half := testSize / 2
@@ -265,6 +278,27 @@
 	}
 }
 
+func TestDeathThatAnotherNodeTells(t *testing.T) {
+	tests := map[string]struct{ known, want membership.State }{
+		"of a live member":     {membership.Live, membership.Suspect},
+		"of a suspect member":  {membership.Suspect, membership.Gone},
+		"of a leaving member":  {membership.Leaving, membership.Gone},
+		"of an unknown member": {0, membership.Gone},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			core, other := pair(t)
+			third := membership.Member{ID: "third", Address: "10.0.0.3:7300", Incarnation: 5, State: test.known}
+			core.Receive(0, other, []membership.Member{third})
+			third.State = membership.Gone
+			core.Receive(0, other, []membership.Member{third})
+			if known, _ := core.Lookup("third"); known.State != test.want {
+				t.Fatalf("the member is %v, want %v", known.State, test.want)
+			}
+		})
+	}
+}
+
 func TestUpdatesInAnyOrderEndAlike(t *testing.T) {
 	updates := []membership.Member{
 		{ID: "other", Address: "a:1", Incarnation: 7, State: membership.Live},
--- a/membership/sync.go
+++ b/membership/sync.go
@@ -116,7 +116,7 @@
 	n.syncBucket = result.NextBucket
 	if !result.More {
 		n.syncBucket = 0
-		n.joined = n.joined || n.inserted == n.passInserted
+		n.finishPass()
 		return nil
 	}
 	if n.joined || result.Responder.ID != pending.to {
@@ -125,6 +125,19 @@
 	return []Request{n.newSync(result.Responder, result.NextBucket)}
 }
 
+// finishPass ends a pass of comparisons over all buckets.
+func (n *Nodes) finishPass() {
+	if n.joined || n.inserted != n.passInserted {
+		return
+	}
+	n.joined = true
+	n.version++
+}
+
+// Joined reports whether a whole comparison with another node has brought no
+// new member. Until then the table may lack most nodes.
+func (n *Nodes) Joined() bool { return n.joined }
+
 // afterContact compares tables until a whole comparison has brought no new member.
 func (n *Nodes) afterContact() []Request {
 	if n.joined || n.syncing() {
--- a/peer/agent.go
+++ b/peer/agent.go
@@ -174,11 +174,26 @@
 	now := a.now()
 	requests := a.nodes.core.Tick(now)
 	next := a.nodes.core.Next()
+	changes := a.nodes.core.TakeChanges()
 	a.nodes.mutex.Unlock()
+	a.logChanges(changes)
 	a.send(ctx, requests)
 	return min(max(0, next-now), maximumTick)
 }
 
+// logChanges writes what changed in the table of nodes.
+func (a *Agent) logChanges(changes []membership.Member) {
+	for _, member := range changes {
+		a.logger.Debug().
+			Str("member", member.ID).
+			Str("address", member.Address).
+			Stringer("state", member.State).
+			Uint64("incarnation", member.Incarnation).
+			Uint64("revision", uint64(member.Revision)).
+			Msg("member changed")
+	}
+}
+
 // refreshRevision takes over the revision in force, which rides on gossip.
 func (a *Agent) refreshRevision() {
 	if a.configurations == nil {
--- a/peer/agent_test.go
+++ b/peer/agent_test.go
@@ -336,3 +336,17 @@
 	defer a.servers.mutex.Unlock()
 	return a.servers.core.State(id)
 }
+
+func TestNodeThatHasNotJoinedSharesWithListedNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		list := listOf("n1", "n2", "n3")
+		node := startNode(t, newMemoryNetwork(), AgentOptions{Self: member("n1"), MachineList: list, Seed: 1})
+		defer node.stop()
+		time.Sleep(time.Second)
+		place := membership.ServerPlace{ID: "s1", Zone: "a", Limit: 70}
+		want := membership.ShareableConnections(place.Limit) / 3
+		if got := node.agent.ConnectionShare(place).Maximum; got != want {
+			t.Fatalf("a node that reached none of the other two takes %d connections, want %d", got, want)
+		}
+	})
+}
