--- a/peer/agent_test.go
+++ b/peer/agent_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/banksail/banksail/dispatch"
+	"github.com/banksail/banksail/lab/network"
 	"github.com/banksail/banksail/machinelist"
 	"github.com/banksail/banksail/membership"
 	"github.com/banksail/banksail/policy"
@@ -65,12 +66,12 @@
 	}
 }
 
-func startNodes(t *testing.T, network *memoryNetwork, ids ...string) map[string]*testNode {
+func startNodes(t *testing.T, network memoryNetwork, ids ...string) map[string]*testNode {
 	t.Helper()
 	return startNodesWithList(t, network, listOf(ids...), ids...)
 }
 
-func startNodesWithList(t *testing.T, network *memoryNetwork, list machinelist.Conn, ids ...string) map[string]*testNode {
+func startNodesWithList(t *testing.T, network memoryNetwork, list machinelist.Conn, ids ...string) map[string]*testNode {
 	t.Helper()
 	nodes := make(map[string]*testNode)
 	for i, id := range ids {
@@ -185,25 +186,33 @@
 
 func TestAgentsUnderFailure(t *testing.T) {
 	ids := []string{"n1", "n2", "n3", "n4"}
-	tests := map[string]func(t *testing.T, network *memoryNetwork, list *machinelist.Static, nodes map[string]*testNode){
-		"a node cut off for long comes back": func(t *testing.T, network *memoryNetwork, _ *machinelist.Static, nodes map[string]*testNode) {
+	tests := map[string]func(t *testing.T, network memoryNetwork, list *machinelist.Static, nodes map[string]*testNode){
+		"a node cut off for long comes back": func(t *testing.T, network memoryNetwork, _ *machinelist.Static, nodes map[string]*testNode) {
 			network.setParted(ids[:1], ids[1:], true)
 			time.Sleep(time.Minute)
 			wantStates(t, nodes["n1"].agent, map[string]membership.State{"n1": membership.Live})
 			network.setParted(ids[:1], ids[1:], false)
 		},
-		"two halves part and come together": func(t *testing.T, network *memoryNetwork, _ *machinelist.Static, nodes map[string]*testNode) {
+		"two halves part and come together": func(t *testing.T, network memoryNetwork, _ *machinelist.Static, nodes map[string]*testNode) {
 			network.setParted(ids[:2], ids[2:], true)
 			time.Sleep(5 * time.Minute)
 			wantStates(t, nodes["n1"].agent, map[string]membership.State{"n1": membership.Live, "n2": membership.Live})
 			network.setParted(ids[:2], ids[2:], false)
 		},
-		"a one-way cut": func(t *testing.T, network *memoryNetwork, _ *machinelist.Static, nodes map[string]*testNode) {
+		"a one-way cut": func(t *testing.T, network memoryNetwork, _ *machinelist.Static, nodes map[string]*testNode) {
 			network.setCut(addressOf("n1"), addressOf("n2"), true)
 			time.Sleep(time.Minute)
 			wantAllLive(t, nodes)
 		},
-		"an empty machine list, then none": func(t *testing.T, _ *memoryNetwork, list *machinelist.Static, nodes map[string]*testNode) {
+		"a node whose process is frozen and thaws": func(t *testing.T, network memoryNetwork, _ *machinelist.Static, nodes map[string]*testNode) {
+			network.Freeze(hostOf(addressOf("n2")))
+			time.Sleep(time.Minute)
+			wantStates(t, nodes["n1"].agent, map[string]membership.State{
+				"n1": membership.Live, "n3": membership.Live, "n4": membership.Live,
+			})
+			network.Thaw(hostOf(addressOf("n2")))
+		},
+		"an empty machine list, then none": func(t *testing.T, _ memoryNetwork, list *machinelist.Static, nodes map[string]*testNode) {
 			list.Set()
 			time.Sleep(time.Minute)
 			list.SetDown(true)
@@ -211,7 +220,7 @@
 			wantAllLive(t, nodes)
 			list.SetDown(false)
 		},
-		"a machine list that names the dead": func(t *testing.T, _ *memoryNetwork, list *machinelist.Static, _ map[string]*testNode) {
+		"a machine list that names the dead": func(t *testing.T, _ memoryNetwork, list *machinelist.Static, _ map[string]*testNode) {
 			list.Set(machines("dead-1", "dead-2", "n1")...)
 			time.Sleep(time.Minute)
 		},
@@ -232,6 +241,20 @@
 	}
 }
 
+func TestKilledMachineIsFoundGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hosts := newMemoryNetwork()
+		nodes := startNodes(t, hosts, "n1", "n2", "n3")
+		defer stopNodes(nodes)
+		time.Sleep(10 * time.Second)
+		hosts.Kill(hostOf(addressOf("n3")), network.KillVanish)
+		time.Sleep(20 * time.Second)
+		for _, id := range []string{"n1", "n2"} {
+			wantStates(t, nodes[id].agent, map[string]membership.State{"n1": membership.Live, "n2": membership.Live})
+		}
+	})
+}
+
 func TestRestartedNodeReplacesItsEarlierLife(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		network := newMemoryNetwork()
--- a/peer/claim_test.go
+++ b/peer/claim_test.go
@@ -10,7 +10,7 @@
 )
 
 // startAll starts a node for each ID, each with a list of all of them.
-func startAll(t *testing.T, network *memoryNetwork, ids ...string) map[string]*testNode {
+func startAll(t *testing.T, network memoryNetwork, ids ...string) map[string]*testNode {
 	t.Helper()
 	nodes := make(map[string]*testNode)
 	for _, id := range ids {
@@ -72,7 +72,7 @@
 		network := newMemoryNetwork()
 		nodes := startAll(t, network, "a", "b")
 		defer stopAll(nodes)
-		network.setCut("a", "b", true)
+		network.setCut(addressOf("a"), addressOf("b"), true)
 		wantDecision(t, nodes["a"], "request", claim.Unavailable)
 	})
 }
@@ -96,7 +96,7 @@
 		defer func() { stopAll(nodes) }()
 		wantDecision(t, nodes["a"], "request", claim.Won)
 		nodes["a"].stop()
-		network.setCut("a", "b", true)
+		network.setCut(addressOf("a"), addressOf("b"), true)
 		restarted := member("a")
 		restarted.Incarnation = uint64(time.Now().UnixMilli())
 		nodes["a"] = startNode(t, network, AgentOptions{Self: restarted, MachineList: listOf("a", "b"), Seed: 2})
--- a/peer/network_test.go
+++ b/peer/network_test.go
@@ -2,86 +2,45 @@
 
 import (
 	"context"
-	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
 	"testing"
 
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/banksail/banksail/lab/network"
 	"github.com/banksail/banksail/machinelist"
 	"github.com/banksail/banksail/membership"
 )
 
-// memoryNetwork connects agents by pipes and can cut them from each other.
-type memoryNetwork struct {
-	mutex     sync.Mutex
-	listeners map[string]*pipeListener
-	// cut holds pairs {from, to} between which no byte passes.
-	cut  map[[2]string]bool
-	open map[[2]string][]net.Conn
-}
-
-var errCut = errors.New("network: cut")
+// memoryNetwork is an in-memory network on which hosts go by the nodes' IDs.
+type memoryNetwork struct{ *network.Network }
 
-func newMemoryNetwork() *memoryNetwork {
-	return &memoryNetwork{
-		listeners: make(map[string]*pipeListener),
-		cut:       make(map[[2]string]bool),
-		open:      make(map[[2]string][]net.Conn),
-	}
-}
-
-func (n *memoryNetwork) listen(address string) net.Listener {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	listener := &pipeListener{address: address, accepted: make(chan net.Conn), closed: make(chan struct{})}
-	n.listeners[address] = listener
-	return listener
-}
+func newMemoryNetwork() memoryNetwork { return memoryNetwork{network.New(network.Options{Seed: 1})} }
 
-func (n *memoryNetwork) dialFrom(from string) func(context.Context, string, string) (net.Conn, error) {
-	return func(ctx context.Context, _, to string) (net.Conn, error) {
-		n.mutex.Lock()
-		listener, ok := n.listeners[to]
-		cut := n.cut[[2]string{from, to}]
-		n.mutex.Unlock()
-		if cut {
-			<-ctx.Done()
-			return nil, errCut
-		}
-		if !ok {
-			return nil, errors.New("network: refused")
-		}
-		client, server := net.Pipe()
-		select {
-		case listener.accepted <- server:
-		case <-listener.closed:
-			return nil, errors.New("network: refused")
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		}
-		n.mutex.Lock()
-		defer n.mutex.Unlock()
-		n.open[[2]string{from, to}] = append(n.open[[2]string{from, to}], client)
-		return client, nil
+// dialFrom dials as a process on the host of an address.
+func (n memoryNetwork) dialFrom(t *testing.T, address string) func(context.Context, string, string) (net.Conn, error) {
+	t.Helper()
+	process, err := n.Start(hostOf(address))
+	if err != nil {
+		t.Fatal(err)
 	}
+	return process.DialContext
 }
 
-// setCut cuts or heals the way from one address to another: connections end, and
-// new ones hang.
-func (n *memoryNetwork) setCut(from, to string, cut bool) {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	pair := [2]string{from, to}
-	n.cut[pair] = cut
-	for _, connection := range n.open[pair] {
-		connection.Close()
+// setCut cuts or heals the way from one address to another.
+func (n memoryNetwork) setCut(from, to string, cut bool) {
+	if cut {
+		n.Cut(hostOf(from), hostOf(to))
+		return
 	}
-	delete(n.open, pair)
+	n.Heal(hostOf(from), hostOf(to))
 }
 
 // setParted cuts or heals the ways between two sets of nodes.
-func (n *memoryNetwork) setParted(left, right []string, cut bool) {
+func (n memoryNetwork) setParted(left, right []string, cut bool) {
 	for _, a := range left {
 		for _, b := range right {
 			n.setCut(addressOf(a), addressOf(b), cut)
@@ -90,47 +49,26 @@
 	}
 }
 
-type pipeListener struct {
-	address  string
-	accepted chan net.Conn
-	closed   chan struct{}
-	once     sync.Once
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case connection := <-l.accepted:
-		return connection, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return nil
-}
-
-func (l *pipeListener) Addr() net.Addr { return pipeAddress(l.address) }
-
-type pipeAddress string
-
-func (pipeAddress) Network() string  { return "pipe" }
-func (a pipeAddress) String() string { return string(a) }
-
 // testNode is an agent with its server on a memory network.
 type testNode struct {
 	agent *Agent
 	stop  func()
 }
 
-func startNode(t *testing.T, network *memoryNetwork, options AgentOptions) *testNode {
+func startNode(t *testing.T, hosts memoryNetwork, options AgentOptions) *testNode {
 	t.Helper()
-	transport := &http.Transport{DialContext: network.dialFrom(options.Self.Address)}
+	process, err := hosts.Start(hostOf(options.Self.Address))
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener, err := process.Listen(options.Self.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	transport := &http.Transport{DialContext: process.DialContext}
 	options.HTTPClient = &http.Client{Transport: transport}
 	agent := NewAgent(options)
 	server := &http.Server{Handler: agent.Handler()}
-	listener := network.listen(options.Self.Address)
 	ctx, cancel := context.WithCancel(t.Context())
 	var running sync.WaitGroup
 	running.Go(func() { server.Serve(listener) })
@@ -140,6 +78,7 @@
 		server.Close()
 		running.Wait()
 		transport.CloseIdleConnections()
+		hosts.Kill(hostOf(options.Self.Address), network.KillReset)
 	})}
 }
 
@@ -156,7 +95,16 @@
 	return listed
 }
 
-func addressOf(id string) string { return id + ":7000" }
+// addressOf gives each ID a host of its own.
+func addressOf(id string) string {
+	sum := xxhash.Sum64String(id)
+	return fmt.Sprintf("10.%d.%d.%d:7300", byte(sum), byte(sum>>8), byte(sum>>16))
+}
+
+func hostOf(address string) string {
+	host, _, _ := net.SplitHostPort(address)
+	return host
+}
 
 func member(id string) membership.Member {
 	return membership.Member{ID: id, Address: addressOf(id), Zone: "a"}
--- a/peer/overhead_test.go
+++ b/peer/overhead_test.go
@@ -41,7 +41,7 @@
 		target := startNode(t, network, AgentOptions{Self: member("n1")})
 		defer target.stop()
 		var bytes atomic.Int64
-		dial := network.dialFrom("elsewhere")
+		dial := network.dialFrom(t, addressOf("elsewhere"))
 		transport := &http.Transport{DialContext: func(ctx context.Context, kind, address string) (net.Conn, error) {
 			connection, err := dial(ctx, kind, address)
 			return countingConn{Conn: connection, bytes: &bytes}, err
