Suspects are probed again before they are buried

With a tenth of all messages lost a live node was buried (test failed before). The node that found a suspect now probes it again each period, and those who heard of the suspicion from others wait half as long again.

--- a/membership/apply.go
+++ b/membership/apply.go
@@ -91,8 +91,6 @@
 // changed sets the deadline that goes with a new state and queues the update.
 func (n *Nodes) changed(now time.Duration, known *entry, before Member, from source) {
 	member := known.member
-	known.deadline = n.deadlineOf(now, member.State)
-	n.nextExpiry = min(n.nextExpiry, known.deadline)
 	if len(n.changes) < maximumChanges {
 		n.changes = append(n.changes, member)
 	}
@@ -102,16 +100,24 @@
 	} else {
 		n.version++
 		n.stateNews++
+		known.own = from == fromDetector
+		known.deadline = n.deadlineOf(now, member.State, known.own)
+		n.nextExpiry = min(n.nextExpiry, known.deadline)
 	}
 	if from != fromSync {
 		n.updates.add(member.ID, kind)
 	}
 }
 
-func (n *Nodes) deadlineOf(now time.Duration, state State) time.Duration {
+// deadlineOf gives a suspicion that others told more time than an own finding,
+// as the refutation may reach those who found it first.
+func (n *Nodes) deadlineOf(now time.Duration, state State, own bool) time.Duration {
 	switch state {
 	case Suspect:
-		return now + n.suspicionTime()
+		if own {
+			return now + n.suspicionTime()
+		}
+		return now + n.suspicionTime()*3/2
 	case Leaving:
 		return now + n.options.LeavingTime
 	case Gone:
--- a/membership/nodes.go
+++ b/membership/nodes.go
@@ -17,6 +17,8 @@
 	deadline time.Duration
 	// listed says that the machine list names the member as live.
 	listed bool
+	// own says that the state is this node's own finding.
+	own bool
 }
 
 // Nodes is the failure detector and member table of one node.
@@ -222,10 +224,14 @@
 
 // pick returns up to count members that fit, at random.
 func (n *Nodes) pick(count int, fits func(Member) bool) []Member {
+	return n.pickEntries(count, func(known *entry) bool { return fits(known.member) })
+}
+
+func (n *Nodes) pickEntries(count int, fits func(*entry) bool) []Member {
 	fitting := make([]Member, 0, len(n.ids))
 	for _, id := range n.ids {
-		if member := n.entries[id].member; fits(member) {
-			fitting = append(fitting, member)
+		if known := n.entries[id]; fits(known) {
+			fitting = append(fitting, known.member)
 		}
 	}
 	n.random.Shuffle(len(fitting), func(i, j int) { fitting[i], fitting[j] = fitting[j], fitting[i] })
--- a/membership/request.go
+++ b/membership/request.go
@@ -13,7 +13,7 @@
 	DirectProbe RequestKind = iota + 1
 	// IndirectProbe asks To to probe Target.
 	IndirectProbe
-	// ReconnectProbe is a direct probe of a gone member, or of a node that
+	// ReconnectProbe is a direct probe of a gone or suspect member, or of a node that
 	// only the machine list names.
 	ReconnectProbe
 	// Sync asks To for the entries that differ from the own table.
--- a/membership/tick.go
+++ b/membership/tick.go
@@ -33,6 +33,7 @@
 	if now >= n.nextProbe {
 		n.nextProbe = now + n.jittered(n.options.ProbeInterval)
 		requests = append(requests, n.probe()...)
+		requests = append(requests, n.probeSuspect()...)
 	}
 	if now >= n.nextReconnect {
 		n.nextReconnect = now + n.jittered(n.reconnectInterval())
@@ -143,6 +144,22 @@
 	return []Request{request}
 }
 
+// probeSuspect asks one of the members again that this node itself suspects.
+// One lost message then buries nobody, as the reply of a live member refutes.
+func (n *Nodes) probeSuspect() []Request {
+	if n.nextExpiry == never {
+		return nil
+	}
+	targets := n.pickEntries(1, func(known *entry) bool { return known.own && known.member.State == Suspect })
+	var requests []Request
+	for _, target := range targets {
+		request := n.newRequest(ReconnectProbe, target)
+		request.Updates = n.payload(target.ID)
+		requests = append(requests, request)
+	}
+	return requests
+}
+
 // nextTarget walks through all members in an order that is shuffled anew for
 // each round.
 func (n *Nodes) nextTarget() (Member, bool) {
