--- a/membership/nodes_test.go
+++ b/membership/nodes_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/banksail/banksail/membership"
+	"github.com/banksail/banksail/policy"
 )
 
 const testSize = 24
@@ -259,3 +260,20 @@
 
 // controlBudget is what control may cost a node, in bytes a second.
 const controlBudget = 9000
+
+func TestTrafficStaysWithinTheBudgetWhenAllChangesAllTheTime(t *testing.T) {
+	s := joined(t, 2*testSize, 18)
+	before, begin := s.meanBytes(), s.now
+	for revision := range policy.Revision(60) {
+		for _, node := range s.nodes {
+			node.core.SetRevision(revision + 1)
+		}
+		s.nodes[int(revision)%len(s.nodes)].frozenUntil = s.now + 3*time.Second
+		s.runUntil(s.now + time.Second)
+	}
+	rate := (s.meanBytes() - before) / (s.now - begin).Seconds()
+	t.Logf("%.0f bytes a second and node", rate)
+	if rate > controlBudget {
+		t.Fatalf("%.0f bytes a second and node, the budget is %d", rate, controlBudget)
+	}
+}
