Repetitions and claims end by the deadline; none is told not run wrongly

Excluded: lateness of the network or of the simulated caller, as node-level tests without faults show the same. Each has a test that failed before.

--- a/node/claim.go
+++ b/node/claim.go
@@ -17,12 +17,16 @@
 // false when this node certainly did not run it, so that it may be asked again.
 func (n *Node) runClaimed(ctx context.Context, carrier *shard, request caller.Request, key string) (result caller.Result, ran bool) {
 	asked := n.now()
-	made := n.agent.ClaimRequest(ctx, key)
+	claimContext, cancel := context.WithTimeout(ctx, request.Deadline)
+	made := n.agent.ClaimRequest(claimContext, key)
+	cancel()
 	request.Deadline -= n.now() - asked
-	switch made.Decision {
-	case claim.Lost:
+	switch {
+	case made.Decision == claim.Lost:
 		result = n.heldElsewhere(request, made.Holder)
-	case claim.Unavailable:
+	case request.Deadline <= 0:
+		result = n.refused(request, dispatch.ReasonDeadline)
+	case made.Decision == claim.Unavailable:
 		result = n.refused(request, caller.ReasonNoQuorum)
 	default:
 		result = n.run(ctx, carrier, request)
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/banksail/banksail/machinelist"
 	"github.com/banksail/banksail/node"
 	"github.com/banksail/banksail/policy"
 	"github.com/banksail/banksail/settings"
@@ -183,6 +184,52 @@
 	})
 }
 
+func TestRepetitionIsAnsweredByItsOwnDeadline(t *testing.T) {
+	inWorld(t, 1, nil, func(t *testing.T, w *world) {
+		w.straggle(0, time.Second)
+		first := w.start(t.Context(), "return-1", false)
+		got, took := w.queryOnce(t.Context(), "return-1", 200*time.Millisecond)
+		if got.problem.Execution != "unknown" || took > 250*time.Millisecond {
+			t.Errorf("after %v got %+v", took, got)
+		}
+		if got := <-first; got.status != http.StatusOK {
+			t.Errorf("the first one got %+v", got)
+		}
+	})
+}
+
+func TestRepetitionOverTheBoundIsNotToldNotRun(t *testing.T) {
+	bound := func(chosen *settings.Settings) { chosen.Caller.Queries = 1 }
+	inWorld(t, 1, bound, func(t *testing.T, w *world) {
+		w.straggle(0, time.Second)
+		first := w.start(t.Context(), "return-1", false)
+		if got := w.query(t.Context(), "return-1", false, "linen"); got.problem.Execution != "unknown" {
+			t.Errorf("while it runs: %+v", got)
+		}
+		<-first
+		holder := w.start(t.Context(), "other", true)
+		if got := w.query(t.Context(), "return-1", false, "linen"); got.problem.Execution != "unknown" {
+			t.Errorf("after it ran: %+v", got)
+		}
+		<-holder
+	})
+}
+
+func TestClaimEndsByTheDeadline(t *testing.T) {
+	inWorld(t, 1, nil, func(t *testing.T, w *world) {
+		w.machines.Upsert(machinelist.Machine{
+			ID: "node-2", Address: "10.0.0.9:7103", Zone: "zone-a",
+			Role: machinelist.RoleNode, State: machinelist.StateLive, Incarnation: "1",
+		})
+		w.network.Cut(nodeIP, "10.0.0.9")
+		time.Sleep(settle)
+		got, took := w.queryOnce(t.Context(), "return-1", 50*time.Millisecond)
+		if got.problem.Execution != "not_run" || took > 100*time.Millisecond {
+			t.Errorf("after %v got %+v", took, got)
+		}
+	})
+}
+
 func TestWindowOfRequestIDsEnds(t *testing.T) {
 	shorten := func(chosen *settings.Settings) { chosen.AtMostOnce.Window = 30 * time.Second }
 	inWorld(t, 1, shorten, func(t *testing.T, w *world) {
--- a/node/once.go
+++ b/node/once.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"math"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -124,19 +125,39 @@
 	close(run.ended)
 }
 
-// joinOnce waits for the outcome of the same request in progress.
+// knows says that the request with this key is in progress here or ran within
+// the window.
+func (o *once) knows(now time.Duration, key string) bool {
+	part := o.part(key)
+	part.mutex.Lock()
+	defer part.mutex.Unlock()
+	return part.guard.Knows(now, key)
+}
+
+// joinOnce waits for the outcome of the same request in progress, at most until
+// the deadline of its own caller.
 func (n *Node) joinOnce(ctx context.Context, run *onceRun, request caller.Request) caller.Result {
 	n.metrics.Duplicates.Inc()
+	deadline := time.NewTimer(request.Deadline)
+	defer deadline.Stop()
 	select {
 	case <-run.ended:
 		result := run.result
 		result.Duplicate = true
 		return result
+	case <-deadline.C:
+		return unknownRepetition(dispatch.ReasonDeadline)
 	case <-ctx.Done():
-		return caller.Result{Outcome: dispatch.Outcome{
-			Execution:  dispatch.ExecutionUnknown,
-			Reason:     dispatch.ReasonCallerGone,
-			RetryAfter: refusalRetryAfter,
-		}, Duplicate: true}
+		return unknownRepetition(dispatch.ReasonCallerGone)
 	}
 }
+
+// unknownRepetition is the answer to the repetition of a request whose outcome
+// is not told.
+func unknownRepetition(reason dispatch.Reason) caller.Result {
+	return caller.Result{Duplicate: true, Outcome: dispatch.Outcome{
+		Execution:  dispatch.ExecutionUnknown,
+		Reason:     reason,
+		RetryAfter: refusalRetryAfter,
+	}}
+}
--- a/node/query.go
+++ b/node/query.go
@@ -18,7 +18,7 @@
 func (n *Node) Query(ctx context.Context, request caller.Request) (caller.Result, error) {
 	if n.held.Add(1) > int64(n.options.Settings.Caller.Queries) {
 		n.held.Add(-1)
-		return n.refused(request, dispatch.ReasonOverload), nil
+		return n.refusedOverBound(request), nil
 	}
 	n.metrics.Held.Inc()
 	defer func() {
@@ -46,6 +46,16 @@
 	return n.runOnce(ctx, shard, request)
 }
 
+// refusedOverBound refuses a request for which the node has no room. A request
+// that ran here before, or runs, must not be told that it did not.
+func (n *Node) refusedOverBound(request caller.Request) caller.Result {
+	if !request.Repeatable && n.once.knows(n.now(), onceKey(request)) {
+		n.metrics.Duplicates.Inc()
+		return unknownRepetition(dispatch.ReasonOverload)
+	}
+	return n.refused(request, dispatch.ReasonOverload)
+}
+
 // takeDeadline gives the request the class's deadline when it names none.
 func takeDeadline(request *caller.Request, class policy.Class) error {
 	longest := class.Deadline.Duration()
--- a/node/world_test.go
+++ b/node/world_test.go
@@ -54,6 +54,8 @@
 	ended   chan error
 	client  *http.Client
 	log     *lockedBuffer
+	// machines is the machine list.
+	machines *machinelist.Static
 }
 
 // lockedBuffer is a log that may be read while it grows.
@@ -149,12 +151,12 @@
 	if change != nil {
 		change(&chosen)
 	}
+	w.machines = machinelist.NewStatic(machinelist.Machine{
+		ID: "node-1", Address: chosen.Listen.Peer, Zone: "zone-a",
+		Role: machinelist.RoleNode, State: machinelist.StateLive, Incarnation: "1",
+	})
 	w.node, err = node.New(node.Options{
-		Settings: chosen, Network: process, Store: w.memory,
-		MachineList: machinelist.NewStatic(machinelist.Machine{
-			ID: "node-1", Address: chosen.Listen.Peer, Zone: "zone-a",
-			Role: machinelist.RoleNode, State: machinelist.StateLive, Incarnation: "1",
-		}),
+		Settings: chosen, Network: process, Store: w.memory, MachineList: w.machines,
 		Logger: zerolog.New(w.log).Level(zerolog.InfoLevel), Seed: 1,
 	})
 	w.check(err)
@@ -203,7 +205,19 @@
 
 // query posts a request and waits for the answer.
 func (w *world) query(ctx context.Context, requestID string, repeatable bool, body string) response {
-	document := fmt.Sprintf(`{"request_id":%q,"class":"normal","repeatable":%t,"body":%q}`, requestID, repeatable, body)
+	return w.post(ctx, fmt.Sprintf(`{"request_id":%q,"class":"normal","repeatable":%t,"body":%q}`, requestID, repeatable, body))
+}
+
+// queryOnce posts a request that is not repeatable, with a deadline, and tells
+// how long the answer took.
+func (w *world) queryOnce(ctx context.Context, requestID string, deadline time.Duration) (response, time.Duration) {
+	sent := time.Now()
+	got := w.post(ctx, fmt.Sprintf(`{"request_id":%q,"class":"normal","deadline_ms":%d,"repeatable":false,"body":"linen"}`,
+		requestID, deadline.Milliseconds()))
+	return got, time.Since(sent)
+}
+
+func (w *world) post(ctx context.Context, document string) response {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost,
 		"http://"+callerAt+"/v1/services/"+service+"/queries", strings.NewReader(document))
 	w.check(err)
--- a/retry/guard.go
+++ b/retry/guard.go
@@ -88,6 +88,12 @@
 	}
 }
 
+// Knows reports whether the request is in progress or ended within the window.
+func (g *Guard) Knows(now time.Duration, id string) bool {
+	g.Expire(now)
+	return g.entries[id] != nil
+}
+
 // Complete records the outcome of a request that ran or may have run. It is
 // remembered for the window from now on.
 func (g *Guard) Complete(now time.Duration, id string, outcome any) {
