--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
 
@@ -42,7 +43,8 @@
 	registry *prometheus.Registry
 }
 
-// NewMetrics creates a node's metrics.
+// NewMetrics creates a node's metrics, with those of its process and of the Go
+// runtime.
 func NewMetrics() *Metrics {
 	metrics := &Metrics{
 		Queries:    newCounters("queries_total", "Finished queries.", "service", "class", "execution", "reason"),
@@ -58,6 +60,7 @@
 	metrics.registry.MustRegister(
 		metrics.Queries, metrics.Latency, metrics.Coverage, metrics.Sends,
 		metrics.Failures, metrics.Held, metrics.Revision, metrics.Duplicates,
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector(),
 	)
 	return metrics
 }
