--- a/lab/scale/sweeps_test.go
+++ b/lab/scale/sweeps_test.go
@@ -45,6 +45,7 @@
 		"spread of a configuration":    func() ([]Sample, error) { return measureSpread(16, acceptedChange{record: make([]byte, 1000)}) },
 		"shares of fewer connections":  func() ([]Sample, error) { return measureShares(100, 20) },
 		"shares of enough connections": func() ([]Sample, error) { return measureShares(10, 20) },
+		"connection owners":            func() ([]Sample, error) { return measureOwners(50), nil },
 		"table of servers":             func() ([]Sample, error) { return measureServerTable(20) },
 	}
 }
