--- a/lab/scale/members.go
+++ b/lab/scale/members.go
@@ -14,6 +14,7 @@
 	firstIncarnation = 1_764_660_000_000 // milliseconds of a wall clock
 	membershipSeed   = 7
 	oneWayDelay      = time.Millisecond
+	zonesPerRegion   = 3
 	syncChunk        = membership.MaximumSyncMembers
 )
 
@@ -26,6 +27,8 @@
 	sizes  envelope
 	nodes  []*hollowMember
 	byID   map[string]*hollowMember
+	// parted says that nodes of different regions don't reach each other.
+	parted bool
 	counts memberCounts
 	failed error
 }
@@ -38,6 +41,7 @@
 // hollowMember is one node: its core, and whether it runs.
 type hollowMember struct {
 	id      string
+	zone    int
 	core    *membership.Nodes
 	running bool
 	// life tells a wake-up of an earlier life from one of this life.
@@ -66,7 +70,7 @@
 		everyone = append(everyone, memberOf(index))
 	}
 	for index := range count {
-		node := &hollowMember{id: everyone[index].ID, core: joinedCore(index, everyone), running: true}
+		node := &hollowMember{id: everyone[index].ID, zone: index % zoneCount, core: joinedCore(index, everyone), running: true}
 		network.nodes = append(network.nodes, node)
 		network.byID[node.id] = node
 		network.queue.After(0, func() { network.tick(node, node.life) })
@@ -123,7 +127,7 @@
 func (h *hollowMembers) deliver(from, to *hollowMember, request membership.Request) {
 	size, err := h.requestSize(request)
 	h.note(size, err)
-	if to == nil || !to.running {
+	if !h.reaches(from, to) {
 		h.queue.After(request.Timeout, func() { h.complete(from, membership.Result{ID: request.ID, Failed: true}) })
 		return
 	}
@@ -135,15 +139,26 @@
 	h.queue.After(oneWayDelay, func() { h.complete(from, result) })
 }
 
+// reaches tells whether a message gets to a node.
+func (h *hollowMembers) reaches(from, to *hollowMember) bool {
+	if from == nil || to == nil || !to.running {
+		return false
+	}
+	return !h.parted || regionOf(from.zone) == regionOf(to.zone)
+}
+
+// regionOf puts the eight zones into three regions of three, three and two.
+func regionOf(zone int) int { return zone / zonesPerRegion }
+
 // probeFor stands for the helper's own probe of the target.
 func (h *hollowMembers) probeFor(from *hollowMember, request membership.Request) {
-	target := h.byID[request.Target.ID]
+	helper, target := h.byID[request.To.ID], h.byID[request.Target.ID]
 	probe := membership.Request{Kind: membership.DirectProbe, Sender: request.Sender}
 	size, err := h.requestSize(probe)
 	h.note(size, err)
 	result := membership.Result{ID: request.ID}
 	delay := request.Timeout
-	if target != nil && target.running {
+	if h.reaches(helper, target) {
 		result.Reached, result.Responder = true, target.core.Self()
 		delay = 3 * oneWayDelay
 	}
--- a/lab/scale/sweeps.go
+++ b/lab/scale/sweeps.go
@@ -12,7 +12,10 @@
 
 // Sweeps lists all sweeps, in the order of the page of capacity.
 func Sweeps() []Sweep {
-	return slices.Concat(dispatchSweeps(), membershipSweeps(), recordSweeps(), spreadSweeps(), shareSweeps(), ownerSweeps())
+	return slices.Concat(
+		dispatchSweeps(), exchangeSweeps(), shareSweeps(), ownerSweeps(),
+		membershipSweeps(), outageSweeps(), recordSweeps(), spreadSweeps(),
+	)
 }
 
 // Select keeps the sweeps whose names start with one of the prefixes, which are
--- a/lab/scale/sweeps_test.go
+++ b/lab/scale/sweeps_test.go
@@ -45,6 +45,10 @@
 		"spread of a configuration":    func() ([]Sample, error) { return measureSpread(16, acceptedChange{record: make([]byte, 1000)}) },
 		"shares of fewer connections":  func() ([]Sample, error) { return measureShares(100, 20) },
 		"shares of enough connections": func() ([]Sample, error) { return measureShares(10, 20) },
+		"a lost zone":                  func() ([]Sample, error) { return measureZoneLost(16) },
+		"parted regions":               func() ([]Sample, error) { return measureParted(16) },
+		"exchange with servers":        func() ([]Sample, error) { return measureExchange(4) },
+		"health readings":              func() ([]Sample, error) { return measureHealth(30) },
 		"connection owners":            func() ([]Sample, error) { return measureOwners(50), nil },
 		"table of servers":             func() ([]Sample, error) { return measureServerTable(20) },
 	}
@@ -85,6 +89,7 @@
 		"one query":                    {"complete answers/query", 1},
 		"shares of enough connections": {"share of groups that the node reaches", 1},
 		"spread of a configuration":    {"store records read/change", zoneCount},
+		"health readings":              {"readings/s", 20},
 		"membership under changes":     {"share of table behind after 14 s", 0},
 	} {
 		t.Run(name, func(t *testing.T) {
