Change one group of a service by set_group

Cause: the intent of a change of one server held its whole service. Change: a change may name a service and give one group of it; the delta then holds that group only. What is left is whole records that nodes fetch by comparison.

--- a/lab/scale/record.go
+++ b/lab/scale/record.go
@@ -65,6 +65,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("scale: record: %w", err)
 	}
+	heap, err := heapOfRecord(encoded)
+	if err != nil {
+		return nil, err
+	}
 	compressed, err := compress(encoded)
 	if err != nil {
 		return nil, err
@@ -77,6 +81,10 @@
 	if err != nil {
 		return nil, err
 	}
+	ofGroup, err := change(record, changeGroup)
+	if err != nil {
+		return nil, err
+	}
 	steps := []timedStep{
 		{"encode µs", func() error { _, err := policy.EncodeRecord(record); return err }},
 		{"decode and validate µs", func() error { _, err := policy.DecodeRecord(encoded); return err }},
@@ -84,29 +92,45 @@
 		{"gzip µs", func() error { _, err := compress(encoded); return err }},
 		{"gunzip µs", func() error { return decompress(compressed) }},
 		{"plan and decide, one class, µs", func() error { _, err := change(record, changeClass); return err }},
-		{"plan and decide, one server, µs", func() error { _, err := change(record, changeServer); return err }},
+		{"plan and decide, one server by its service, µs", func() error { _, err := change(record, changeServer); return err }},
+		{"plan and decide, one server by its group, µs", func() error { _, err := change(record, changeGroup); return err }},
 		{"apply delta of a class µs", ofClass.apply},
+		{"apply delta of a group µs", ofGroup.apply},
 	}
 	times, err := timeSteps(steps, recordRepeats)
 	if err != nil {
 		return nil, err
 	}
-	_, heap := heapOf(func() *policy.Record {
-		decoded, _ := policy.DecodeRecord(bytes.Clone(encoded))
-		return &decoded
-	})
 	samples := []Sample{
 		{"record bytes", float64(len(encoded))},
 		{"record bytes, gzip", float64(len(compressed))},
 		{"plan bytes, one class", float64(len(ofClass.plan))},
-		{"plan bytes, one server", float64(len(ofServer.plan))},
+		{"plan bytes, one server by its service", float64(len(ofServer.plan))},
+		{"plan bytes, one server by its group", float64(len(ofGroup.plan))},
 		{"pushed bytes, one class", float64(len(ofClass.pushed()))},
-		{"pushed bytes, one server", float64(len(ofServer.pushed()))},
+		{"pushed bytes, one server by its service", float64(len(ofServer.pushed()))},
+		{"pushed bytes, one server by its group", float64(len(ofGroup.pushed()))},
 		{"heap bytes", heap},
 	}
 	return append(samples, times...), nil
 }
 
+// heapOfRecord is the memory of a record in force: its bytes and what they
+// decode to.
+func heapOfRecord(encoded []byte) (float64, error) {
+	type inForce struct {
+		bytes  []byte
+		record policy.Record
+		err    error
+	}
+	kept, heap := heapOf(func() *inForce {
+		made := &inForce{bytes: bytes.Clone(encoded)}
+		made.record, made.err = policy.DecodeRecord(made.bytes)
+		return made
+	})
+	return heap, kept.err
+}
+
 // intentKind is what an operator changes.
 type intentKind int
 
@@ -115,6 +139,8 @@
 	changeClass intentKind = iota + 1
 	// changeServer changes one server, for which the intent holds its service whole.
 	changeServer
+	// changeGroup changes one server, for which the intent holds its group.
+	changeGroup
 )
 
 func (k intentKind) intent(config policy.Config) policy.Intent {
@@ -130,6 +156,10 @@
 	service.Groups[0].Servers = slices.Clone(service.Groups[0].Servers)
 	service.Groups[0].Servers[0].Slots++
 	intent.Changes = []policy.Change{{SetService: &service}}
+	if k == changeGroup {
+		change := policy.GroupChange{Service: service.Name, Group: service.Groups[0]}
+		intent.Changes = []policy.Change{{SetGroup: &change}}
+	}
 	return intent
 }
 
--- a/lab/scale/spread.go
+++ b/lab/scale/spread.go
@@ -231,21 +231,21 @@
 	servers := []float64{700, 1400, 2800, 4200, 5500}
 	return []Sweep{
 		{
-			Name: "spread-nodes", Role: "configuration", Size: "nodes", Fixed: "5,500 servers, one class changed",
+			Name: "spread-nodes", Role: "configuration", Size: "nodes", Fixed: "5,500 servers, one server changed by its group",
 			Sizes: []float64{88, 175, 350, 700, 1400}, Today: 24, Planned: plannedNodes,
 			Measure: func(_ context.Context, size float64) ([]Sample, error) {
-				return measure(int(size), recordServers, changeClass)
+				return measure(int(size), recordServers, changeGroup)
 			},
 		},
 		{
-			Name: "spread-class", Role: "configuration", Size: "servers", Fixed: "350 nodes, one class changed",
+			Name: "spread-group", Role: "configuration", Size: "servers", Fixed: "350 nodes, one server changed by its group",
 			Sizes: servers, Today: 70, Planned: plannedServers,
 			Measure: func(_ context.Context, size float64) ([]Sample, error) {
-				return measure(350, int(size), changeClass)
+				return measure(350, int(size), changeGroup)
 			},
 		},
 		{
-			Name: "spread-server", Role: "configuration", Size: "servers", Fixed: "350 nodes, one server changed",
+			Name: "spread-service", Role: "configuration", Size: "servers", Fixed: "350 nodes, one server changed by its service",
 			Sizes: servers, Today: 70, Planned: plannedServers,
 			Measure: func(_ context.Context, size float64) ([]Sample, error) {
 				return measure(350, int(size), changeServer)
--- a/policy/intent.go
+++ b/policy/intent.go
@@ -25,12 +25,23 @@
 	// SetService adds a service, or replaces the one of the same name. Groups
 	// are split, merged and moved by giving the new list of groups.
 	SetService *Service `json:"set_service,omitempty"`
+	// SetGroup replaces one group of a service: its servers and its range. The
+	// change stays small however many groups the service has, and so does what
+	// nodes carry to each other.
+	SetGroup *GroupChange `json:"set_group,omitempty"`
 	// RemoveService removes the service of this name.
 	RemoveService string `json:"remove_service,omitempty"`
 	// Replace replaces the whole configuration.
 	Replace *Config `json:"replace,omitempty"`
 }
 
+// GroupChange names a service and gives the group that replaces the one of the
+// same name there.
+type GroupChange struct {
+	Service string `json:"service" validate:"required,max=64"`
+	Group   Group  `json:"group"`
+}
+
 // Apply makes the intent's changes to a configuration. It returns the new one
 // in canonical order, or a *ValidationError; base is left as it is.
 func Apply(base Config, intent Intent) (Config, error) {
@@ -52,7 +63,7 @@
 
 func applyChange(faults *faultList, path string, config Config, change Change) Config {
 	if count := change.count(); count != 1 {
-		faults.add(path, "must hold exactly one of set_class, remove_class, set_service, remove_service, replace; it holds %d", count)
+		faults.add(path, "must hold exactly one of set_class, remove_class, set_service, set_group, remove_service, replace; it holds %d", count)
 		return config
 	}
 	switch {
@@ -62,6 +73,9 @@
 	case change.SetService != nil:
 		checkTags(faults, path+".set_service.", *change.SetService)
 		config.Services = upsert(config.Services, change.SetService.clone(), func(service Service) string { return service.Name })
+	case change.SetGroup != nil:
+		checkTags(faults, path+".set_group.", *change.SetGroup)
+		setGroup(faults, path+".set_group", config, *change.SetGroup)
 	case change.Replace != nil:
 		checkTags(faults, path+".replace.", *change.Replace)
 		return change.Replace.clone()
@@ -81,9 +95,26 @@
 	return config
 }
 
+// setGroup replaces a group of a configuration whose lists are not shared.
+func setGroup(faults *faultList, path string, config Config, change GroupChange) {
+	service := slices.IndexFunc(config.Services, func(known Service) bool { return known.Name == change.Service })
+	if service < 0 {
+		faults.add(path+".service", "there is no service %q", change.Service)
+		return
+	}
+	groups := config.Services[service].Groups
+	group := slices.IndexFunc(groups, func(known Group) bool { return known.Name == change.Group.Name })
+	if group < 0 {
+		faults.add(path+".group.name", "service %q has no group %q", change.Service, change.Group.Name)
+		return
+	}
+	groups[group] = change.Group
+	groups[group].Servers = slices.Clone(change.Group.Servers)
+}
+
 func (c Change) count() int {
 	count := 0
-	for _, set := range []bool{c.SetClass != nil, c.RemoveClass != "", c.SetService != nil, c.RemoveService != "", c.Replace != nil} {
+	for _, set := range []bool{c.SetClass != nil, c.RemoveClass != "", c.SetService != nil, c.SetGroup != nil, c.RemoveService != "", c.Replace != nil} {
 		if set {
 			count++
 		}
--- a/policy/validate_test.go
+++ b/policy/validate_test.go
@@ -71,6 +71,9 @@
 	class := testConfig().Classes[0]
 	faulty := class
 	faulty.Deadline = -1
+	group := testConfig().Services[0].Groups[0]
+	unknown, empty := group, group
+	unknown.Name, empty.Servers = "none", nil
 	cases := map[string]struct {
 		intent Intent
 		field  string
@@ -81,6 +84,9 @@
 		"two changes in one":      {Intent{Author: "ann", Changes: []Change{{SetClass: &class, RemoveClass: "billing"}}}, "changes[0]"},
 		"unknown class removed":   {Intent{Author: "ann", Changes: []Change{{RemoveClass: "none"}}}, "changes[0].remove_class"},
 		"unknown service removed": {Intent{Author: "ann", Changes: []Change{{RemoveService: "none"}}}, "changes[0].remove_service"},
+		"group of no service":     {Intent{Author: "ann", Changes: []Change{{SetGroup: &GroupChange{Service: "none", Group: group}}}}, "changes[0].set_group.service"},
+		"unknown group":           {Intent{Author: "ann", Changes: []Change{{SetGroup: &GroupChange{Service: "search", Group: unknown}}}}, "changes[0].set_group.group.name"},
+		"faulty group":            {Intent{Author: "ann", Changes: []Change{{SetGroup: &GroupChange{Service: "search", Group: empty}}}}, "changes[0].set_group.group.servers"},
 		"faulty class":            {Intent{Author: "ann", Changes: []Change{{SetClass: &class}, {SetClass: &faulty}}}, "changes[1].set_class.deadline_ms"},
 	}
 	for name, test := range cases {
@@ -113,6 +119,26 @@
 	}
 }
 
+func TestGroupChangeReplacesOneGroup(t *testing.T) {
+	base := testConfig()
+	group := base.Services[0].clone().Groups[0]
+	group.Servers[0].Slots++
+	next, err := Apply(base, Intent{Author: "ann", Changes: []Change{{SetGroup: &GroupChange{Service: base.Services[0].Name, Group: group}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if differences := Compare(base, next); len(differences) != 1 {
+		t.Fatalf("one server's slots changed, got %v", differences)
+	}
+	if differences := Compare(testConfig(), base); len(differences) != 0 {
+		t.Fatalf("base changed: %v", differences)
+	}
+	group.Range.End++
+	if _, err := Apply(base, Intent{Author: "ann", Changes: []Change{{SetGroup: &GroupChange{Service: base.Services[0].Name, Group: group}}}}); !errors.Is(err, ErrInvalid) {
+		t.Fatalf("a range that overlaps the next group: %v", err)
+	}
+}
+
 func TestApplyLeavesItsBaseAlone(t *testing.T) {
 	base := testConfig()
 	class := base.Classes[0]
