--- a/peer/claim_test.go
+++ b/peer/claim_test.go
@@ -10,7 +10,7 @@
 )
 
 // startAll starts a node for each ID, each with a list of all of them.
-func startAll(t *testing.T, network *memoryNetwork, ids ...string) map[string]*testNode {
+func startAll(t *testing.T, network memoryNetwork, ids ...string) map[string]*testNode {
 	t.Helper()
 	nodes := make(map[string]*testNode)
 	for _, id := range ids {
