--- a/cmd/banksailctl/command_test.go
+++ b/cmd/banksailctl/command_test.go
@@ -153,9 +153,10 @@
 		"no such file":        {[]string{"plan", "none.yaml"}, 2, "none.yaml"},
 		"unknown flag":        {[]string{"status", "--nope"}, 2, "Flags:"},
 		"unknown command":     {[]string{"nope"}, 2, ""},
-		"plan not applied":    {[]string{"status", "--node", s.address, "--plan", "other"}, 1, ""},
+		"plan not applied":    {[]string{"status", "--node", s.address, "--plan", "other", "--base", "0"}, 1, ""},
 		"node not reachable":  {[]string{"status", "--node", "127.0.0.1:1"}, 1, "can't be reached"},
-		"outcome not told":    {[]string{"status", "--node", "127.0.0.1:1", "--plan", "p"}, 3, "can't be reached"},
+		"outcome not told":    {[]string{"status", "--node", "127.0.0.1:1", "--plan", "p", "--base", "0"}, 3, "can't be reached"},
+		"plan without base":   {[]string{"status", "--plan", "p"}, 2, "--base"},
 		"request not known":   {[]string{"explain", "--node", s.address, "r"}, 1, "not known here"},
 		"confirm unreachable": {[]string{"confirm", "--node", "127.0.0.1:1", other}, 1, "can't be reached"},
 	}
--- a/cmd/banksailctl/status.go
+++ b/cmd/banksailctl/status.go
@@ -17,7 +17,7 @@
 type statusCommand struct {
 	common
 	plan string
-	base uint64
+	base int64
 }
 
 func (*statusCommand) Name() string     { return "status" }
@@ -40,7 +40,7 @@
 func (s *statusCommand) SetFlags(flags *flag.FlagSet) {
 	s.common.SetFlags(flags)
 	flags.StringVar(&s.plan, "plan", "", "ID of a plan whose outcome is asked for")
-	flags.Uint64Var(&s.base, "base", 0, "the plan's base revision, if known")
+	flags.Int64Var(&s.base, "base", -1, "the plan's base revision; needed with --plan")
 }
 
 func (s *statusCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
@@ -61,6 +61,9 @@
 	if err := noArguments(flags); err != nil {
 		return s.usage("%v", err)
 	}
+	if s.base < 0 {
+		return s.usage("--plan needs --base, the plan's base revision")
+	}
 	receipt, err := s.client().Outcome(ctx, s.plan, policy.Revision(s.base))
 	if err != nil {
 		s.fail(err)
--- a/operator/client.go
+++ b/operator/client.go
@@ -73,7 +73,7 @@
 	return receipt, err
 }
 
-// Outcome asks whether a plan is in effect; base is zero if it is not known.
+// Outcome asks whether a plan made for a base revision is in effect.
 func (c *Client) Outcome(ctx context.Context, planID string, base policy.Revision) (policy.Receipt, error) {
 	var receipt policy.Receipt
 	path := "/plans/" + url.PathEscape(planID) + "?base=" + strconv.FormatUint(uint64(base), 10)
--- a/operator/problem.go
+++ b/operator/problem.go
@@ -109,7 +109,7 @@
 func (s *Service) failReceipt(response *restful.Response, receipt policy.Receipt, plan policy.Plan, err error) {
 	problem := problemFor(err)
 	problem.Receipt = &receipt
-	if receipt.Outcome == policy.OutcomeUnknown {
+	if errors.Is(err, rollout.ErrOutcomeUnknown) {
 		problem.AskAgain = fmt.Sprintf("banksailctl status --plan %s --base %d", plan.ID, plan.BaseRevision)
 	}
 	s.problem(response, problem)
--- a/operator/service.go
+++ b/operator/service.go
@@ -25,7 +25,7 @@
 	Plan(ctx context.Context, intent policy.Intent) (policy.Plan, error)
 	// Confirm puts a plan into effect.
 	Confirm(ctx context.Context, plan policy.Plan) (policy.Receipt, error)
-	// Outcome looks up whether a plan is in effect; base is zero if not known.
+	// Outcome looks up whether a plan made for a base revision is in effect.
 	Outcome(ctx context.Context, planID string, base policy.Revision) (policy.Receipt, error)
 	// Current is the configuration in force at this node.
 	Current() (policy.Revision, policy.Config, bool)
@@ -161,14 +161,10 @@
 }
 
 func (s *Service) outcome(request *restful.Request, response *restful.Response) {
-	base := uint64(0)
-	if text := request.QueryParameter("base"); text != "" {
-		var err error
-		base, err = strconv.ParseUint(text, 10, 64)
-		if err != nil {
-			s.fail(response, &policy.ValidationError{Faults: []policy.Fault{{Field: "base", Problem: "must be a revision number"}}})
-			return
-		}
+	base, err := strconv.ParseUint(request.QueryParameter("base"), 10, 64)
+	if err != nil {
+		s.fail(response, &policy.ValidationError{Faults: []policy.Fault{{Field: "base", Problem: "must be the plan's base revision"}}})
+		return
 	}
 	receipt, err := s.options.Configurations.Outcome(request.Request.Context(), request.PathParameter("plan"), policy.Revision(base))
 	if err != nil {
--- a/operator/service_test.go
+++ b/operator/service_test.go
@@ -203,6 +203,7 @@
 		"no JSON":             {"POST", "/plans", `hello`, 400, ""},
 		"too large":           {"POST", "/plans", `"` + strings.Repeat("a", policy.MaximumIntentBytes) + `"`, 413, ""},
 		"plan without digest": {"POST", "/confirmations", `{}`, 400, "format"},
+		"no base":             {"GET", "/plans/p", ``, 400, "base"},
 		"base no number":      {"GET", "/plans/p?base=x", ``, 400, "base"},
 		"unknown request":     {"GET", "/explanations/r2", ``, 404, "request"},
 	}
--- a/policy/plan.go
+++ b/policy/plan.go
@@ -146,7 +146,13 @@
 	}
 	if current.Revision != plan.BaseRevision {
 		between, truncated := current.since(plan.BaseRevision)
-		return Decision{}, &ConflictError{Base: plan.BaseRevision, Current: current.Revision, Between: between, Truncated: truncated}
+		return Decision{}, &ConflictError{
+			Base:      plan.BaseRevision,
+			Current:   current.Revision,
+			Between:   between,
+			Truncated: truncated,
+			Forgotten: current.Forgot(plan.BaseRevision),
+		}
 	}
 	config, err := Apply(current.Config, plan.Intent)
 	if err != nil {
--- a/policy/receipt.go
+++ b/policy/receipt.go
@@ -7,10 +7,10 @@
 const (
 	// OutcomeApplied: the plan made the receipt's revision.
 	OutcomeApplied Outcome = "applied"
-	// OutcomeNotApplied: the plan is not in effect, and can't take effect any more
-	// unless it is confirmed again.
+	// OutcomeNotApplied: the plan is not in effect, and won't be unless it is
+	// confirmed again.
 	OutcomeNotApplied Outcome = "not_applied"
-	// OutcomeUnknown: the store can't be asked now; the plan may be in effect.
+	// OutcomeUnknown: the plan may be in effect, or may still take effect.
 	OutcomeUnknown Outcome = "unknown"
 )
 
--- a/policy/record.go
+++ b/policy/record.go
@@ -124,7 +124,7 @@
 	return items
 }
 
-// Forgot tells whether plans made for a base revision, zero for any, may have
+// Forgot tells whether plans made for a base revision may have
 // been applied and dropped from RecentPlans since.
 func (r Record) Forgot(base Revision) bool {
 	if len(r.RecentPlans) == 0 {
--- a/rollout/confirm.go
+++ b/rollout/confirm.go
@@ -89,13 +89,23 @@
 		receipt.Repeated = confirmation.found && !confirmation.maybeSent
 		return receipt, nil
 	}
-	if confirmation.maybeSent && !errors.Is(err, policy.ErrConflict) {
+	var conflict *policy.ConflictError
+	switch {
+	case errors.As(err, &conflict) && conflict.Forgotten:
+		receipt := k.receipt(plan, policy.OutcomeUnknown)
+		receipt.Detail = forgottenDetail
+		return receipt, err
+	case confirmation.maybeSent && conflict == nil:
 		k.metrics.unknownOutcome.Add(1)
 		return k.receipt(plan, policy.OutcomeUnknown), fmt.Errorf("%w: plan %s: %w", ErrOutcomeUnknown, plan.ID, err)
+	default:
+		return k.receipt(plan, policy.OutcomeNotApplied), err
 	}
-	return k.receipt(plan, policy.OutcomeNotApplied), err
 }
 
+// forgottenDetail explains an outcome that can't be known any more.
+const forgottenDetail = "the record no longer names plans that old"
+
 func (k *Keeper) receipt(plan policy.Plan, outcome policy.Outcome) policy.Receipt {
 	revision, _ := k.Record()
 	return policy.Receipt{PlanID: plan.ID, Outcome: outcome, Current: revision}
@@ -224,12 +234,12 @@
 	}
 }
 
-// Outcome looks up whether a plan is in effect. base is the plan's base
-// revision, zero if it is not known.
+// Outcome looks up whether a plan made for a base revision is in effect. It
+// says not applied only when another plan took its place: as long as the base
+// stands, a swap may be under way, or the store may answer an old revision.
 func (k *Keeper) Outcome(ctx context.Context, planID string, base policy.Revision) (policy.Receipt, error) {
-	plan := policy.Plan{ID: planID}
 	storeErr := k.refresh(ctx)
-	receipt := k.receipt(plan, policy.OutcomeUnknown)
+	receipt := k.receipt(policy.Plan{ID: planID}, policy.OutcomeUnknown)
 	current := k.snapshot()
 	if current != nil {
 		if revision, found := current.record.FindPlan(planID); found {
@@ -241,11 +251,13 @@
 	switch {
 	case storeErr != nil:
 		receipt.Detail = storeErr.Error()
-	case current != nil && current.record.Forgot(base):
-		receipt.Detail = "the record no longer names plans that old"
+	case receipt.Current <= base:
+		receipt.Detail = "nothing took its place yet; confirm it again: it is applied once at most"
+	case current.record.Forgot(base):
+		receipt.Detail = forgottenDetail
 	default:
 		receipt.Outcome = policy.OutcomeNotApplied
-		receipt.Detail = "confirming it again applies it once at most"
+		receipt.Detail = "another plan took its place; make a new plan from the same intent"
 	}
 	return receipt, nil
 }
--- a/rollout/keeper.go
+++ b/rollout/keeper.go
@@ -71,7 +71,7 @@
 	DefaultStoreTimeout    = 3 * time.Second
 	DefaultPeerTimeout     = 1500 * time.Millisecond
 	DefaultConfirmTimeout  = 8 * time.Second
-	DefaultMembersInterval = 500 * time.Millisecond
+	DefaultMembersInterval = time.Second
 )
 
 // state is one adopted record; it is never changed once made.
@@ -228,7 +228,7 @@
 		k.metrics.rejected.Add(1)
 		return fmt.Errorf("%w: %w", ErrRejected, err)
 	}
-	record, encoded, err := policy.ApplyDelta(current.record, delta)
+	record, encoded, err := policy.NextRecord(current.record, delta)
 	if err != nil {
 		k.metrics.deltaMisfits.Add(1)
 		k.options.Logger.Warn().Err(err).Uint64("revision", uint64(revision)).Msg("delta refused")
--- a/rollout/keeper_test.go
+++ b/rollout/keeper_test.go
@@ -128,8 +128,8 @@
 		}
 		conn.down = false
 		asked, err = keeper.Outcome(ctx, plan.ID, plan.BaseRevision)
-		if err != nil || asked.Outcome != policy.OutcomeNotApplied {
-			t.Fatalf("once the store is back: %+v, %v", asked, err)
+		if err != nil || asked.Outcome != policy.OutcomeUnknown {
+			t.Fatalf("once the store is back, while the base stands: %+v, %v", asked, err)
 		}
 		mustConfirm(t, keeper, plan)
 		asked, err = keeper.Outcome(ctx, plan.ID, plan.BaseRevision)
@@ -139,6 +139,49 @@
 	})
 }
 
+func TestOutcomeIsNotAppliedOnceAnotherPlanTookItsPlace(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, c *cluster) {
+		keeper := c.start(ctx, c.store)
+		lost := mustPlan(t, keeper, initialIntent())
+		mustConfirm(t, keeper, mustPlan(t, keeper, initialIntent()))
+		asked, err := keeper.Outcome(ctx, lost.ID, lost.BaseRevision)
+		if err != nil || asked.Outcome != policy.OutcomeNotApplied {
+			t.Fatalf("got %+v, %v", asked, err)
+		}
+	})
+}
+
+func TestPlanOfLongAgoIsNotCalledNotApplied(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, c *cluster) {
+		keeper := c.start(ctx, c.store)
+		old := mustPlan(t, keeper, initialIntent())
+		mustConfirm(t, keeper, old)
+		for extra := range policy.MaximumRecentPlans {
+			mustConfirm(t, keeper, mustPlan(t, keeper, deadlineIntent("ann", policy.Milliseconds(200+extra))))
+		}
+		receipt, err := keeper.Confirm(ctx, old)
+		if !errors.Is(err, policy.ErrConflict) || receipt.Outcome != policy.OutcomeUnknown {
+			t.Fatalf("got %+v, %v", receipt, err)
+		}
+	})
+}
+
+func TestOutcomeFromAStaleStoreIsNotCalledNotApplied(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, c *cluster) {
+		first := c.start(ctx, c.store)
+		mustConfirm(t, first, mustPlan(t, first, initialIntent()))
+		plan := mustPlan(t, first, deadlineIntent("ann", 80))
+		mustConfirm(t, first, plan)
+		c.store.SetFaults(store.MemoryFaults{StaleRevisions: 1})
+		c.isolate("node-1", true)
+		other := c.start(ctx, c.store)
+		asked, err := other.Outcome(ctx, plan.ID, plan.BaseRevision)
+		if err != nil || asked.Outcome != policy.OutcomeUnknown {
+			t.Fatalf("got %+v, %v", asked, err)
+		}
+	})
+}
+
 func TestStaleStoreReadBringsNothingBack(t *testing.T) {
 	inBubble(t, func(t *testing.T, ctx context.Context, c *cluster) {
 		keepers := c.startMany(ctx, 3)
