--- a/lab/network/conn.go
+++ b/lab/network/conn.go
@@ -26,8 +26,14 @@
 	// ended is set once no byte can follow: the sender closed or died.
 	ended bool
 	// abandoned is set when the receiver closed or died: bytes are dropped.
-	abandoned   bool
-	broken      bool
+	abandoned bool
+	broken    bool
+	// reverse is the connection's other direction.
+	reverse *stream
+	// unheard says that data was sent to a machine that has vanished; refused,
+	// that the process which took its place has answered with a reset.
+	unheard     bool
+	refused     bool
 	lastArrival time.Time
 	jitter      *rand.Rand
 	changed     chan struct{}
@@ -46,6 +52,7 @@
 func (n *Network) newConnection(dialer, acceptor *Process, local, remote net.Addr) (near, far *conn) {
 	n.opened++
 	there, back := n.newStream(dialer, acceptor), n.newStream(acceptor, dialer)
+	there.reverse, back.reverse = back, there
 	near = &conn{process: dialer, local: local, remote: remote, in: back, out: there}
 	far = &conn{process: acceptor, local: remote, remote: local, in: there, out: back}
 	return near, far
@@ -140,6 +147,15 @@
 	}
 }
 
+// refuse answers what was sent to a vanished machine once another process runs
+// there, which knows nothing of the connection. The lock is held.
+func (s *stream) refuse() {
+	if s.unheard && !s.refused && !s.to.host.vanished {
+		s.refused = true
+		s.reverse.push(nil, syscall.ECONNRESET)
+	}
+}
+
 // passable reports whether the link lets the segment through. The lock is held.
 func (s *stream) passable(next segment) bool {
 	if next.held && s.from.host.frozen {
@@ -233,6 +249,10 @@
 			continue
 		}
 		count := min(len(data)-written, bufferLimit-c.out.buffered)
+		if c.out.to.killed {
+			c.out.unheard = true
+			c.out.refuse()
+		}
 		if !c.out.abandoned {
 			c.out.push(append([]byte(nil), data[written:written+count]...), nil)
 		}
--- a/lab/network/network.go
+++ b/lab/network/network.go
@@ -117,6 +117,11 @@
 	h.frozen = false
 	h.vanished = false
 	h.process = &Process{network: n, host: h, listeners: make(map[int]*listener), dead: make(chan struct{})}
+	for s := range n.streams {
+		if s.to.host == h {
+			s.refuse()
+		}
+	}
 	n.wakeHost(h)
 	return h.process, nil
 }
--- a/lab/network/network_test.go
+++ b/lab/network/network_test.go
@@ -142,6 +142,30 @@
 	})
 }
 
+func TestVanishedMachineResetsOldConnectionsOnceItIsBack(t *testing.T) {
+	tests := []struct {
+		name       string
+		writeAfter time.Duration
+	}{
+		{"sent while it was away", 0},
+		{"sent once it is back", 2 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := New(Options{})
+				near, _ := pair(t, n)
+				n.Kill(hostB, KillVanish)
+				time.AfterFunc(time.Second, func() { n.Start(hostB) })
+				time.AfterFunc(test.writeAfter, func() { near.Write([]byte("x")) })
+				if _, err := readOne(near, 5*time.Second); !errors.Is(err, syscall.ECONNRESET) {
+					t.Fatalf("read: %v", err)
+				}
+			})
+		})
+	}
+}
+
 func TestFullBufferBlocksWriter(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := New(Options{})
