--- a/caller/service.go
+++ b/caller/service.go
@@ -144,12 +144,13 @@
 }
 
 func writeAnswer(writer http.ResponseWriter, answer Answer) {
-	document, err := json.Marshal(answer)
+	document, err := answer.encode()
 	if err != nil {
 		http.Error(writer, "encoding failed", http.StatusInternalServerError)
 		return
 	}
 	writer.Header().Set("Content-Type", "application/json")
+	boundWriting(writer)
 	_, _ = writer.Write(document)
 }
 
@@ -169,5 +170,6 @@
 		return
 	}
 	writer.Header().Set("Content-Type", "application/json")
+	boundWriting(writer)
 	_, _ = writer.Write(document)
 }
--- a/node/ask.go
+++ b/node/ask.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/banksail/banksail/backend"
-	"github.com/banksail/banksail/caller"
 	"github.com/banksail/banksail/dispatch"
 )
 
@@ -18,11 +17,13 @@
 	Load(ctx context.Context, address string) (*backend.Load, error)
 }
 
-// subRequest is all that one sub-request needs.
+// subRequest is one sub-request that was sent and not yet reported back.
 type subRequest struct {
 	send          dispatch.Send
-	query         caller.Request
+	query         *pendingQuery
 	attemptPrefix string
+	// cancel ends the sub-request's context.
+	cancel context.CancelFunc
 }
 
 // backendAsker sends sub-requests through the client towards back ends.
@@ -35,7 +36,7 @@
 }
 
 // ask sends one sub-request and waits for its end.
-func (b *backendAsker) ask(ctx context.Context, outgoing subRequest) dispatch.Event {
+func (b *backendAsker) ask(ctx context.Context, outgoing *subRequest) dispatch.Event {
 	attempt := outgoing.send.Attempt
 	reply, err := b.client.Query(ctx, outgoing.send.Address, outgoing.request())
 	if err != nil {
@@ -48,17 +49,18 @@
 	return dispatch.Replied{Attempt: attempt, Reply: replyOf(outgoing.send, reply)}
 }
 
-func (s subRequest) request() *backend.Request {
+func (s *subRequest) request() *backend.Request {
+	asked := &s.query.request
 	return &backend.Request{
 		AttemptID:             s.attemptPrefix + strconv.FormatUint(uint64(s.send.Attempt), 10),
-		RequestID:             s.query.RequestID,
-		Service:               s.query.Service,
-		Class:                 s.query.Class,
+		RequestID:             asked.RequestID,
+		Service:               asked.Service,
+		Class:                 asked.Class,
 		Snapshot:              uint64(s.send.Snapshot),
 		Range:                 s.send.Range,
 		RemainingMilliseconds: milliseconds(s.send.Remaining),
-		Repeatable:            s.query.Repeatable,
-		Body:                  s.query.Body,
+		Repeatable:            asked.Repeatable,
+		Body:                  asked.Body,
 	}
 }
 
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -50,6 +50,7 @@
 	n.view.Store(next)
 	n.metrics.Revision.Set(float64(revision))
 	n.poller.setServers(next.servers)
+	n.forgetServers(previous, next)
 	n.log.Info().Uint64("revision", uint64(revision)).Int("services", len(config.Services)).Msg("configuration in force")
 }
 
@@ -104,8 +105,7 @@
 		machine:       n.newMachine(seed),
 		asker:         n.asker,
 		now:           n.now,
-		sent:          n.countSend,
-		failed:        func(service string) { n.metrics.Failures.WithLabelValues(service).Inc() },
+		counters:      newSendCounters(n.metrics, service),
 		background:    n.background,
 		running:       &n.running,
 	})
@@ -128,6 +128,23 @@
 	n.retired = slices.Clip(n.retired)
 }
 
+// forgetServers closes the idle connections to addresses that are no longer
+// configured.
+func (n *Node) forgetServers(previous, next *view) {
+	if previous == nil {
+		return
+	}
+	kept := make(map[string]bool, len(next.servers))
+	for _, server := range next.servers {
+		kept[server.address] = true
+	}
+	for _, server := range previous.servers {
+		if !kept[server.address] {
+			n.client.Forget(server.address)
+		}
+	}
+}
+
 // tellStates repeats to a shard what membership said of its servers.
 func (n *Node) tellStates(carrier *shard, service policy.Service) {
 	for _, group := range service.Groups {
@@ -168,18 +185,3 @@
 		carrier.step(dispatch.ServerChanged{Server: server, State: state})
 	}
 }
-
-func (n *Node) countSend(service string, kind dispatch.SendKind) {
-	n.metrics.Sends.WithLabelValues(service, sendKindName(kind)).Inc()
-}
-
-func sendKindName(kind dispatch.SendKind) string {
-	switch kind {
-	case dispatch.HedgeSend:
-		return "hedge"
-	case dispatch.RetrySend:
-		return "retry"
-	default:
-		return "first"
-	}
-}
--- a/node/once.go
+++ b/node/once.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"math"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -32,6 +33,8 @@
 	// requests that the guard has in progress.
 	guard   *retry.Guard
 	running map[string]*onceRun
+	// outcomes bounds what the guard's recorded outcomes take.
+	outcomes recordedOutcomes
 }
 
 // onceRun is a not-repeatable request in progress.
@@ -47,6 +50,10 @@
 	for index := range guard.parts {
 		guard.parts[index].guard = retry.NewGuard(retry.GuardOptions{Window: window.Window, Maximum: perPart})
 		guard.parts[index].running = make(map[string]*onceRun)
+		guard.parts[index].outcomes = recordedOutcomes{
+			limit:  int(window.ResultBytes / onceParts),
+			window: window.Window,
+		}
 	}
 	return guard
 }
@@ -93,10 +100,9 @@
 		part.mutex.Unlock()
 		return n.joinOnce(ctx, run, request), nil
 	case retry.Recorded:
+		result := recorded.(*recordedOutcome).again()
 		part.mutex.Unlock()
 		n.metrics.Duplicates.Inc()
-		result := recorded.(caller.Result)
-		result.Duplicate = true
 		return result, nil
 	case retry.Full:
 		retryAfter := part.guard.RetryAfter(n.now())
@@ -117,26 +123,47 @@
 	defer part.mutex.Unlock()
 	delete(part.running, key)
 	if ran {
-		part.guard.Complete(n.now(), key, run.result)
+		now := n.now()
+		part.guard.Complete(now, key, part.outcomes.add(now, run.result))
 	} else {
 		part.guard.Abandon(key)
 	}
 	close(run.ended)
 }
 
-// joinOnce waits for the outcome of the same request in progress.
+// knows says that the request with this key is in progress here or ran within
+// the window.
+func (o *once) knows(now time.Duration, key string) bool {
+	part := o.part(key)
+	part.mutex.Lock()
+	defer part.mutex.Unlock()
+	return part.guard.Knows(now, key)
+}
+
+// joinOnce waits for the outcome of the same request in progress, at most until
+// the deadline of its own caller.
 func (n *Node) joinOnce(ctx context.Context, run *onceRun, request caller.Request) caller.Result {
 	n.metrics.Duplicates.Inc()
+	deadline := time.NewTimer(request.Deadline)
+	defer deadline.Stop()
 	select {
 	case <-run.ended:
 		result := run.result
 		result.Duplicate = true
 		return result
+	case <-deadline.C:
+		return unknownRepetition(dispatch.ReasonDeadline)
 	case <-ctx.Done():
-		return caller.Result{Outcome: dispatch.Outcome{
-			Execution:  dispatch.ExecutionUnknown,
-			Reason:     dispatch.ReasonCallerGone,
-			RetryAfter: refusalRetryAfter,
-		}, Duplicate: true}
+		return unknownRepetition(dispatch.ReasonCallerGone)
 	}
 }
+
+// unknownRepetition is the answer to the repetition of a request whose outcome
+// is not told.
+func unknownRepetition(reason dispatch.Reason) caller.Result {
+	return caller.Result{Duplicate: true, Outcome: dispatch.Outcome{
+		Execution:  dispatch.ExecutionUnknown,
+		Reason:     reason,
+		RetryAfter: refusalRetryAfter,
+	}}
+}
--- a/rollout/confirm.go
+++ b/rollout/confirm.go
@@ -89,13 +89,23 @@
 		receipt.Repeated = confirmation.found && !confirmation.maybeSent
 		return receipt, nil
 	}
-	if confirmation.maybeSent && !errors.Is(err, policy.ErrConflict) {
+	var conflict *policy.ConflictError
+	switch {
+	case errors.As(err, &conflict) && conflict.Forgotten:
+		receipt := k.receipt(plan, policy.OutcomeUnknown)
+		receipt.Detail = forgottenDetail
+		return receipt, err
+	case confirmation.maybeSent && conflict == nil:
 		k.metrics.unknownOutcome.Add(1)
 		return k.receipt(plan, policy.OutcomeUnknown), fmt.Errorf("%w: plan %s: %w", ErrOutcomeUnknown, plan.ID, err)
+	default:
+		return k.receipt(plan, policy.OutcomeNotApplied), err
 	}
-	return k.receipt(plan, policy.OutcomeNotApplied), err
 }
 
+// forgottenDetail explains an outcome that can't be known any more.
+const forgottenDetail = "the record no longer names plans that old"
+
 func (k *Keeper) receipt(plan policy.Plan, outcome policy.Outcome) policy.Receipt {
 	revision, _ := k.Record()
 	return policy.Receipt{PlanID: plan.ID, Outcome: outcome, Current: revision}
@@ -173,13 +183,36 @@
 			return policy.Record{}, 0, err
 		}
 	}
-	known, _ := k.Record()
-	if record.Revision < max(known, plan.BaseRevision) {
-		return policy.Record{}, 0, fmt.Errorf("%w: %d, known is %d", ErrStoreBehind, record.Revision, max(known, plan.BaseRevision))
+	current := k.snapshot()
+	switch {
+	case current != nil && record.Revision < current.record.Revision:
+		return policy.Record{}, 0, k.restore(ctx, current, record.Revision, stored.Revision)
+	case record.Revision < plan.BaseRevision:
+		return policy.Record{}, 0, behind(record.Revision, plan.BaseRevision)
 	}
 	return record, stored.Revision, nil
 }
 
+func behind(stored, known policy.Revision) error {
+	return fmt.Errorf("%w: %d, known is %d", ErrStoreBehind, stored, known)
+}
+
+// restore writes the record in force back to a store that lost it. The swap
+// fails when the store only answered an old revision. It always returns
+// ErrStoreBehind or ErrStoreUnavailable, after which the caller reads again.
+func (k *Keeper) restore(ctx context.Context, current *state, found policy.Revision, base uint64) error {
+	_, err := k.options.Store.Put(ctx, policy.StoreKey, current.bytes, base, "")
+	if err != nil && !errors.Is(err, store.ErrConflict) {
+		return fmt.Errorf("%w: %w", ErrStoreUnavailable, err)
+	}
+	if err == nil {
+		k.metrics.restored.Add(1)
+		k.options.Logger.Warn().Uint64("found", uint64(found)).Uint64("restored", uint64(current.record.Revision)).
+			Msg("the store had lost revisions; the one in force was written back")
+	}
+	return behind(found, current.record.Revision)
+}
+
 // swap writes the next record if the store still holds the base.
 func (c *confirmation) swap(ctx context.Context, next policy.Record, base uint64) (policy.Revision, error) {
 	k := c.keeper
@@ -192,7 +225,7 @@
 	_, err = k.options.Store.Put(ctx, policy.StoreKey, data, base, "")
 	switch {
 	case err == nil:
-		return next.Revision, k.offer(next.Revision, data, "")
+		return next.Revision, k.adopt(stateOf(next, data), "")
 	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrRateLimited), errors.Is(err, store.ErrUnavailable):
 		return 0, fmt.Errorf("%w: %w", ErrStoreUnavailable, err)
 	default:
@@ -201,12 +234,12 @@
 	}
 }
 
-// Outcome looks up whether a plan is in effect. base is the plan's base
-// revision, zero if it is not known.
+// Outcome looks up whether a plan made for a base revision is in effect. It
+// says not applied only when another plan took its place: as long as the base
+// stands, a swap may be under way, or the store may answer an old revision.
 func (k *Keeper) Outcome(ctx context.Context, planID string, base policy.Revision) (policy.Receipt, error) {
-	plan := policy.Plan{ID: planID}
 	storeErr := k.refresh(ctx)
-	receipt := k.receipt(plan, policy.OutcomeUnknown)
+	receipt := k.receipt(policy.Plan{ID: planID}, policy.OutcomeUnknown)
 	current := k.snapshot()
 	if current != nil {
 		if revision, found := current.record.FindPlan(planID); found {
@@ -218,11 +251,13 @@
 	switch {
 	case storeErr != nil:
 		receipt.Detail = storeErr.Error()
-	case current != nil && current.record.Forgot(base):
-		receipt.Detail = "the record no longer names plans that old"
+	case receipt.Current <= base:
+		receipt.Detail = "nothing took its place yet; confirm it again: it is applied once at most"
+	case current.record.Forgot(base):
+		receipt.Detail = forgottenDetail
 	default:
 		receipt.Outcome = policy.OutcomeNotApplied
-		receipt.Detail = "confirming it again applies it once at most"
+		receipt.Detail = "another plan took its place; make a new plan from the same intent"
 	}
 	return receipt, nil
 }
--- a/rollout/keeper.go
+++ b/rollout/keeper.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -71,7 +72,7 @@
 	DefaultStoreTimeout    = 3 * time.Second
 	DefaultPeerTimeout     = 1500 * time.Millisecond
 	DefaultConfirmTimeout  = 8 * time.Second
-	DefaultMembersInterval = 500 * time.Millisecond
+	DefaultMembersInterval = time.Second
 )
 
 // state is one adopted record; it is never changed once made.
@@ -205,6 +206,9 @@
 	if current != nil && revision < current.record.Revision {
 		return nil
 	}
+	if current != nil && revision == current.record.Revision && bytes.Equal(data, current.bytes) {
+		return k.adopt(current, from) // checked already; tells the core what the sender has
+	}
 	next, err := newState(data)
 	if err != nil {
 		k.metrics.rejected.Add(1)
@@ -228,26 +232,32 @@
 		k.metrics.rejected.Add(1)
 		return fmt.Errorf("%w: %w", ErrRejected, err)
 	}
-	record, err := policy.ApplyDelta(current.record, delta)
+	record, encoded, err := policy.NextRecord(current.record, delta)
 	if err != nil {
 		k.metrics.deltaMisfits.Add(1)
 		k.options.Logger.Warn().Err(err).Uint64("revision", uint64(revision)).Msg("delta refused")
 		return nil
 	}
-	return k.offer(revision, record, "")
+	return k.adopt(&state{record: record, bytes: encoded, digest: delta.RecordDigest, delta: data}, "")
 }
 
+// newState reads a record's bytes.
 func newState(data []byte) (*state, error) {
 	record, err := policy.DecodeRecord(data)
 	if err != nil {
 		return nil, err
 	}
+	return stateOf(record, data), nil
+}
+
+// stateOf is the state of a record that was checked already.
+func stateOf(record policy.Record, data []byte) *state {
 	digest := policy.RecordDigest(data)
 	delta, ok := policy.EncodeDelta(record, digest)
 	if !ok {
 		delta = nil
 	}
-	return &state{record: record, bytes: data, digest: digest, delta: delta}, nil
+	return &state{record: record, bytes: data, digest: digest, delta: delta}
 }
 
 // adopt lets the core decide on a checked record.
