Count unsent segments as they change; run at most 1,000 queries

Counting them at each reply cost time in proportion to the segments that were open: quadratic over a query of 350 groups that accepts any coverage. A query of 350 groups holds some 218 KB, so 10,000 running ones were too many for a node.

--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -23,7 +23,7 @@
 	QueueOrder admission.QueueOrder
 	// MaximumQueued bounds the queries that wait, per class; default 1,000.
 	MaximumQueued int
-	// MaximumRunning bounds the queries that run; default 10,000.
+	// MaximumRunning bounds the queries that run; default 1,000.
 	MaximumRunning int
 	// BlockedShare bounds the share of groups that may be without room when a
 	// query starts; its sub-requests there wait for room. It is further bounded by
@@ -86,7 +86,7 @@
 // Defaults of Options.
 const (
 	DefaultRetryAfter      = time.Second
-	DefaultMaximumRunning  = 10_000
+	DefaultMaximumRunning  = 1_000
 	DefaultBlockedShare    = 0.25
 	DefaultWaitingPerLimit = 2.0
 	DefaultLeastClassShare = 0.1
--- a/gather/attempts.go
+++ b/gather/attempts.go
@@ -142,7 +142,7 @@
 	case Placed:
 		q.send(s, server, kind)
 	case Busy:
-		s.state = waiting
+		q.setState(s, waiting)
 		s.kind = kind
 	case Tried:
 		q.rest(s, kind)
@@ -198,7 +198,7 @@
 		SentAt:   q.now,
 		live:     true,
 	}
-	s.state = awaited
+	q.setState(s, awaited)
 	s.live = append(s.live, a)
 	s.tried = append(s.tried, server)
 	q.planHedge(s, kind)
@@ -262,7 +262,7 @@
 		return
 	}
 	s.rounds++
-	s.state = resting
+	q.setState(s, resting)
 	s.kind = kind
 	s.retryAt = at
 	q.wakeFor(s)
@@ -290,7 +290,7 @@
 		return
 	}
 	q.now = now
-	s.state = awaited
+	q.setState(s, awaited)
 	q.place(s, s.kind)
 	q.conclude()
 }
@@ -321,7 +321,7 @@
 		}
 		s.retryAt = 0
 		s.tried = s.tried[:0]
-		s.state = awaited
+		q.setState(s, awaited)
 		q.place(s, s.kind)
 	}
 	q.conclude()
--- a/gather/finish.go
+++ b/gather/finish.go
@@ -61,7 +61,7 @@
 		if s.isOpen() {
 			q.cancelLive(s)
 		}
-		s.state = closed
+		q.setState(s, closed)
 	}
 	q.restarts++
 	q.dropped = tried
--- a/gather/query.go
+++ b/gather/query.go
@@ -50,6 +50,7 @@
 	due         []*Segment // scratch of Tick
 	covered     uint64     // keys of answered segments
 	lost        uint64     // keys of segments given up
+	unsent      int        // segments that no server has room for
 	restarts    int
 	// ran says that a server certainly ran a sub-request.
 	ran bool
@@ -124,7 +125,7 @@
 
 // remove takes the segment off those still awaited.
 func (q *Query) remove(s *Segment, state segmentState) {
-	s.state = state
+	q.setState(s, state)
 	s.hedgeAt, s.retryAt = 0, 0
 	last := len(q.open) - 1
 	q.open[s.place] = q.open[last]
@@ -259,7 +260,7 @@
 		Coverage: fraction,
 		Minimum:  q.options.Minimum,
 		Open:     len(q.open),
-		Unsent:   q.unsent(),
+		Unsent:   q.unsent,
 		Typical:  q.environment.Typical(),
 		Budget:   q.options.Deadline - q.started,
 	})
@@ -272,15 +273,15 @@
 	}
 }
 
-// unsent counts the segments that no server has room for.
-func (q *Query) unsent() int {
-	count := 0
-	for _, s := range q.open {
-		if s.state == waiting {
-			count++
-		}
+// setState changes how far the segment got.
+func (q *Query) setState(s *Segment, state segmentState) {
+	if s.state == waiting {
+		q.unsent--
 	}
-	return count
+	if state == waiting {
+		q.unsent++
+	}
+	s.state = state
 }
 
 func (q *Query) fraction(keys uint64) float64 {
