--- a/backend/pool.go
+++ b/backend/pool.go
@@ -9,9 +9,13 @@
 	"github.com/banksail/banksail/internal/delivery"
 )
 
+// spareFraction is the least number of connections per spare one.
+const spareFraction = 4
+
 // pool holds the connections to one server under one bound.
 type pool struct {
 	transport *http.Transport
+	spares    *spares
 	bound     int
 
 	// mutex guards the fields below. Invariant: a retired pool takes no new
@@ -25,16 +29,11 @@
 // caller must release it.
 func (c *Client) acquire(address string) *pool {
 	bound := max(1, c.options.ConnectionsPerServer(address))
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	open, ok := c.pools[address]
-	if ok && open.bound != bound {
-		open.retire()
-		ok = false
-	}
-	if !ok {
-		open = c.newPool(bound)
-		c.pools[address] = open
+	c.mutex.RLock()
+	open := c.pools[address]
+	c.mutex.RUnlock()
+	if open == nil || open.bound != bound {
+		open = c.replace(address, bound)
 	}
 	open.mutex.Lock()
 	defer open.mutex.Unlock()
@@ -42,13 +41,36 @@
 	return open
 }
 
+// replace makes a pool of the given bound the server's one.
+func (c *Client) replace(address string, bound int) *pool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	open := c.pools[address]
+	if open != nil && open.bound == bound {
+		return open
+	}
+	if open != nil {
+		open.retire()
+	}
+	open = c.newPool(bound)
+	c.pools[address] = open
+	return open
+}
+
+// newPool shares the bound out between spares and connections in use.
 func (c *Client) newPool(bound int) *pool {
+	extra := &spares{
+		dial: c.dial,
+		size: min(max(0, c.options.SparesPerServer), bound/spareFraction),
+		idle: c.options.IdleTimeout,
+	}
 	return &pool{
-		bound: bound,
+		bound:  bound,
+		spares: extra,
 		transport: &http.Transport{
-			DialContext:            delivery.WrapDial(c.dial),
-			MaxConnsPerHost:        bound,
-			MaxIdleConnsPerHost:    bound,
+			DialContext:            delivery.WrapDial(extra.DialContext),
+			MaxConnsPerHost:        bound - extra.size,
+			MaxIdleConnsPerHost:    bound - extra.size,
 			IdleConnTimeout:        c.options.IdleTimeout,
 			MaxResponseHeaderBytes: maximumHeaderBytes,
 			DisableCompression:     true,
@@ -75,5 +97,6 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.retired = true
+	p.spares.close()
 	p.transport.CloseIdleConnections()
 }
--- a/gather/query.go
+++ b/gather/query.go
@@ -22,6 +22,8 @@
 	Deadline time.Duration
 	// Minimum is the least coverage that makes an answer.
 	Minimum float64
+	// Rank is the position of the query's class, zero for the most urgent.
+	Rank int
 	// Repeatable says that sub-requests may run more than once.
 	Repeatable bool
 	// Stop decides when to stop waiting; nil stands for StopAtDeadline.
@@ -48,6 +50,7 @@
 	due         []*Segment // scratch of Tick
 	covered     uint64     // keys of answered segments
 	lost        uint64     // keys of segments given up
+	unsent      int        // segments that no server has room for
 	restarts    int
 	// ran says that a server certainly ran a sub-request.
 	ran bool
@@ -122,7 +125,7 @@
 
 // remove takes the segment off those still awaited.
 func (q *Query) remove(s *Segment, state segmentState) {
-	s.state = state
+	q.setState(s, state)
 	s.hedgeAt, s.retryAt = 0, 0
 	last := len(q.open) - 1
 	q.open[s.place] = q.open[last]
@@ -253,9 +256,11 @@
 		return
 	}
 	after, ok := q.options.Stop.StopAfter(Progress{
+		Rank:     q.options.Rank,
 		Coverage: fraction,
 		Minimum:  q.options.Minimum,
 		Open:     len(q.open),
+		Unsent:   q.unsent,
 		Typical:  q.environment.Typical(),
 		Budget:   q.options.Deadline - q.started,
 	})
@@ -268,6 +273,17 @@
 	}
 }
 
+// setState changes how far the segment got.
+func (q *Query) setState(s *Segment, state segmentState) {
+	if s.state == waiting {
+		q.unsent--
+	}
+	if state == waiting {
+		q.unsent++
+	}
+	s.state = state
+}
+
 func (q *Query) fraction(keys uint64) float64 {
 	return coverage.Fraction(keys, q.options.Space.Size())
 }
--- a/lab/emulator/server.go
+++ b/lab/emulator/server.go
@@ -79,11 +79,12 @@
 	ended    *lifetime
 
 	// mutex guards the fields below. Invariant: thawed is closed whenever
-	// faults.Freeze is off.
+	// faults.Freeze is off; drains holds the changes of faults.Draining in order.
 	mutex  sync.Mutex
 	random *rand.Rand
 	faults ServerFaults
 	thawed chan struct{}
+	drains []drainChange
 	last   *backend.Reply
 }
 
@@ -151,13 +152,34 @@
 	s.mux.ServeHTTP(writer, request)
 }
 
-// Serve serves connections of the listener under the connection limit until
-// the server is closed.
+// Serve serves connections of the listener until the server is closed. Those
+// above the connection limit are cut, unless they read or set fault switches or
+// read the execution history: a full or frozen server can still be switched.
 func (s *Server) Serve(listener net.Listener) error {
-	return s.ended.serve(s, newLimitedListener(listener, s.options.Connections, s.options.ConnectionSetup))
+	limited := newLimitedListener(listener, s.options.Connections, s.options.ConnectionSetup)
+	control := make(chan error, 1)
+	go func() { control <- s.ended.serveControl(http.HandlerFunc(s.serveControl), limited.above) }()
+	err := s.ended.serve(s, limited)
+	_ = limited.above.Close()
+	return errors.Join(err, ignoreClosed(<-control))
 }
 
-// Close ends Serve and cuts its connections.
+// serveControl serves a connection above the limit.
+func (s *Server) serveControl(writer http.ResponseWriter, request *http.Request) {
+	if request.URL.Path != FaultsPath && request.URL.Path != ExecutionsPath {
+		panic(http.ErrAbortHandler)
+	}
+	s.mux.ServeHTTP(writer, request)
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// Close ends Serve, cuts its connections and ends what is frozen.
 func (s *Server) Close() error {
 	return s.ended.close()
 }
@@ -179,6 +201,7 @@
 	if !faults.Freeze && s.faults.Freeze {
 		close(s.thawed)
 	}
+	s.noteDraining(faults.Draining)
 	s.faults = faults
 }
 
@@ -237,16 +260,23 @@
 	return slices.ContainsFunc(ranges, func(held coverage.Range) bool { return held.Contains(keys) })
 }
 
-// waitThawed waits until the server is not frozen.
-func (s *Server) waitThawed(ctx context.Context) error {
+// thawedContext waits until the server is not frozen. A frozen process does
+// not see its callers go, so what arrived while it was frozen runs afterwards
+// under a context that only the server's end cancels.
+func (s *Server) thawedContext(ctx context.Context) (context.Context, error) {
 	s.mutex.Lock()
 	thawed := s.thawed
 	s.mutex.Unlock()
 	select {
 	case <-thawed:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+		return ctx, nil
+	default:
+	}
+	select {
+	case <-thawed:
+		return s.ended.ctx, nil
+	case <-s.ended.ctx.Done():
+		return nil, s.ended.ctx.Err()
 	}
 }
 
--- a/peer/peer.twirp.go
+++ b/peer/peer.twirp.go
@@ -46,8 +46,18 @@
 	// PushConfiguration offers a configuration; a lower revision is ignored.
 	PushConfiguration(context.Context, *Configuration) (*PushConfigurationResponse, error)
 
-	// ListMembers returns the whole member table, for a node that joins.
+	// ListMembers returns the entries of the member table that differ from the
+	// caller's, a bounded number at a time.
 	ListMembers(context.Context, *ListMembersRequest) (*ListMembersResponse, error)
+
+	// ClaimRequest records at an owner that a node may run a request.
+	ClaimRequest(context.Context, *RequestClaim) (*RequestClaimAnswer, error)
+
+	// ReleaseRequest takes a claim back whose request certainly did not run.
+	ReleaseRequest(context.Context, *RequestClaim) (*ReleaseRequestResponse, error)
+
+	// AdoptClaims hands over claims that a leaving node kept.
+	AdoptClaims(context.Context, *AdoptClaimsRequest) (*AdoptClaimsResponse, error)
 }
 
 // ====================
@@ -56,7 +66,7 @@
 
 type peerProtobufClient struct {
 	client      HTTPClient
-	urls        [5]string
+	urls        [8]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -84,12 +94,15 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "banksail.peer.v1", "Peer")
-	urls := [5]string{
+	urls := [8]string{
 		serviceURL + "Gossip",
 		serviceURL + "ProbeIndirect",
 		serviceURL + "FetchConfiguration",
 		serviceURL + "PushConfiguration",
 		serviceURL + "ListMembers",
+		serviceURL + "ClaimRequest",
+		serviceURL + "ReleaseRequest",
+		serviceURL + "AdoptClaims",
 	}
 
 	return &peerProtobufClient{
@@ -330,13 +343,151 @@
 	return out, nil
 }
 
+func (c *peerProtobufClient) ClaimRequest(ctx context.Context, in *RequestClaim) (*RequestClaimAnswer, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "banksail.peer.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "ClaimRequest")
+	caller := c.callClaimRequest
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *RequestClaim) (*RequestClaimAnswer, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RequestClaim)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RequestClaim) when calling interceptor")
+					}
+					return c.callClaimRequest(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*RequestClaimAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*RequestClaimAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerProtobufClient) callClaimRequest(ctx context.Context, in *RequestClaim) (*RequestClaimAnswer, error) {
+	out := new(RequestClaimAnswer)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerProtobufClient) ReleaseRequest(ctx context.Context, in *RequestClaim) (*ReleaseRequestResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "banksail.peer.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "ReleaseRequest")
+	caller := c.callReleaseRequest
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *RequestClaim) (*ReleaseRequestResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RequestClaim)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RequestClaim) when calling interceptor")
+					}
+					return c.callReleaseRequest(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReleaseRequestResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReleaseRequestResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerProtobufClient) callReleaseRequest(ctx context.Context, in *RequestClaim) (*ReleaseRequestResponse, error) {
+	out := new(ReleaseRequestResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[6], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerProtobufClient) AdoptClaims(ctx context.Context, in *AdoptClaimsRequest) (*AdoptClaimsResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "banksail.peer.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "AdoptClaims")
+	caller := c.callAdoptClaims
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *AdoptClaimsRequest) (*AdoptClaimsResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AdoptClaimsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AdoptClaimsRequest) when calling interceptor")
+					}
+					return c.callAdoptClaims(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*AdoptClaimsResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*AdoptClaimsResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerProtobufClient) callAdoptClaims(ctx context.Context, in *AdoptClaimsRequest) (*AdoptClaimsResponse, error) {
+	out := new(AdoptClaimsResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[7], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ================
 // Peer JSON Client
 // ================
 
 type peerJSONClient struct {
 	client      HTTPClient
-	urls        [5]string
+	urls        [8]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -364,12 +515,15 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "banksail.peer.v1", "Peer")
-	urls := [5]string{
+	urls := [8]string{
 		serviceURL + "Gossip",
 		serviceURL + "ProbeIndirect",
 		serviceURL + "FetchConfiguration",
 		serviceURL + "PushConfiguration",
 		serviceURL + "ListMembers",
+		serviceURL + "ClaimRequest",
+		serviceURL + "ReleaseRequest",
+		serviceURL + "AdoptClaims",
 	}
 
 	return &peerJSONClient{
@@ -610,6 +764,144 @@
 	return out, nil
 }
 
+func (c *peerJSONClient) ClaimRequest(ctx context.Context, in *RequestClaim) (*RequestClaimAnswer, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "banksail.peer.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "ClaimRequest")
+	caller := c.callClaimRequest
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *RequestClaim) (*RequestClaimAnswer, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RequestClaim)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RequestClaim) when calling interceptor")
+					}
+					return c.callClaimRequest(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*RequestClaimAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*RequestClaimAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerJSONClient) callClaimRequest(ctx context.Context, in *RequestClaim) (*RequestClaimAnswer, error) {
+	out := new(RequestClaimAnswer)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerJSONClient) ReleaseRequest(ctx context.Context, in *RequestClaim) (*ReleaseRequestResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "banksail.peer.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "ReleaseRequest")
+	caller := c.callReleaseRequest
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *RequestClaim) (*ReleaseRequestResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RequestClaim)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RequestClaim) when calling interceptor")
+					}
+					return c.callReleaseRequest(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReleaseRequestResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReleaseRequestResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerJSONClient) callReleaseRequest(ctx context.Context, in *RequestClaim) (*ReleaseRequestResponse, error) {
+	out := new(ReleaseRequestResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[6], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerJSONClient) AdoptClaims(ctx context.Context, in *AdoptClaimsRequest) (*AdoptClaimsResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "banksail.peer.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "AdoptClaims")
+	caller := c.callAdoptClaims
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *AdoptClaimsRequest) (*AdoptClaimsResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AdoptClaimsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AdoptClaimsRequest) when calling interceptor")
+					}
+					return c.callAdoptClaims(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*AdoptClaimsResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*AdoptClaimsResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerJSONClient) callAdoptClaims(ctx context.Context, in *AdoptClaimsRequest) (*AdoptClaimsResponse, error) {
+	out := new(AdoptClaimsResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[7], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ===================
 // Peer Server Handler
 // ===================
@@ -722,6 +1014,15 @@
 	case "ListMembers":
 		s.serveListMembers(ctx, resp, req)
 		return
+	case "ClaimRequest":
+		s.serveClaimRequest(ctx, resp, req)
+		return
+	case "ReleaseRequest":
+		s.serveReleaseRequest(ctx, resp, req)
+		return
+	case "AdoptClaims":
+		s.serveAdoptClaims(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -1629,6 +1930,546 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *peerServer) serveClaimRequest(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveClaimRequestJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveClaimRequestProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *peerServer) serveClaimRequestJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "ClaimRequest")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(RequestClaim)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Peer.ClaimRequest
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *RequestClaim) (*RequestClaimAnswer, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RequestClaim)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RequestClaim) when calling interceptor")
+					}
+					return s.Peer.ClaimRequest(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*RequestClaimAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*RequestClaimAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *RequestClaimAnswer
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *RequestClaimAnswer and nil error while calling ClaimRequest. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveClaimRequestProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "ClaimRequest")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(RequestClaim)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Peer.ClaimRequest
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *RequestClaim) (*RequestClaimAnswer, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RequestClaim)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RequestClaim) when calling interceptor")
+					}
+					return s.Peer.ClaimRequest(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*RequestClaimAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*RequestClaimAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *RequestClaimAnswer
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *RequestClaimAnswer and nil error while calling ClaimRequest. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveReleaseRequest(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveReleaseRequestJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveReleaseRequestProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *peerServer) serveReleaseRequestJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "ReleaseRequest")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(RequestClaim)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Peer.ReleaseRequest
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *RequestClaim) (*ReleaseRequestResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RequestClaim)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RequestClaim) when calling interceptor")
+					}
+					return s.Peer.ReleaseRequest(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReleaseRequestResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReleaseRequestResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ReleaseRequestResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReleaseRequestResponse and nil error while calling ReleaseRequest. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveReleaseRequestProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "ReleaseRequest")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(RequestClaim)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Peer.ReleaseRequest
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *RequestClaim) (*ReleaseRequestResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RequestClaim)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RequestClaim) when calling interceptor")
+					}
+					return s.Peer.ReleaseRequest(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReleaseRequestResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReleaseRequestResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ReleaseRequestResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReleaseRequestResponse and nil error while calling ReleaseRequest. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveAdoptClaims(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveAdoptClaimsJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveAdoptClaimsProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *peerServer) serveAdoptClaimsJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "AdoptClaims")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(AdoptClaimsRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Peer.AdoptClaims
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *AdoptClaimsRequest) (*AdoptClaimsResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AdoptClaimsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AdoptClaimsRequest) when calling interceptor")
+					}
+					return s.Peer.AdoptClaims(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*AdoptClaimsResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*AdoptClaimsResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *AdoptClaimsResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *AdoptClaimsResponse and nil error while calling AdoptClaims. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveAdoptClaimsProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "AdoptClaims")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(AdoptClaimsRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Peer.AdoptClaims
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *AdoptClaimsRequest) (*AdoptClaimsResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AdoptClaimsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AdoptClaimsRequest) when calling interceptor")
+					}
+					return s.Peer.AdoptClaims(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*AdoptClaimsResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*AdoptClaimsResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *AdoptClaimsResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *AdoptClaimsResponse and nil error while calling AdoptClaims. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *peerServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor0, 0
 }
@@ -2210,43 +3051,67 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 595 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x9c, 0x55, 0x5d, 0x4f, 0x13, 0x41,
-	0x14, 0x75, 0xfb, 0x09, 0x17, 0xdb, 0x94, 0x2b, 0x98, 0xa5, 0x89, 0x5a, 0xd7, 0x2f, 0x12, 0x93,
-	0x2a, 0xd5, 0xe8, 0x33, 0x62, 0x21, 0x8d, 0x80, 0xcd, 0x16, 0x78, 0xe0, 0x05, 0xf7, 0xe3, 0x5a,
-	0x26, 0xda, 0x9d, 0x3a, 0x33, 0xcb, 0x83, 0xf1, 0xc7, 0xf8, 0xb3, 0xfc, 0x39, 0xa6, 0x33, 0xbb,
-	0xb6, 0xcb, 0xb6, 0x94, 0xf8, 0x36, 0xf7, 0xe4, 0x9c, 0xfb, 0xb1, 0xe7, 0x24, 0x0b, 0x30, 0x26,
-	0x12, 0xed, 0xb1, 0xe0, 0x8a, 0x63, 0xc3, 0xf7, 0xa2, 0x6f, 0xd2, 0x63, 0xdf, 0xdb, 0x1a, 0xbc,
-	0xda, 0x71, 0x7e, 0x17, 0xa0, 0x72, 0x44, 0x23, 0x9f, 0x04, 0xd6, 0xa1, 0xc0, 0x42, 0xdb, 0x6a,
-	0x59, 0xdb, 0xab, 0x6e, 0x81, 0x85, 0x68, 0x43, 0xd5, 0x0b, 0x43, 0x41, 0x52, 0xda, 0x05, 0x0d,
-	0xa6, 0x25, 0x22, 0x94, 0x7e, 0xf2, 0x88, 0xec, 0xa2, 0x86, 0xf5, 0x1b, 0x5b, 0xb0, 0xc6, 0xa2,
-	0xc0, 0x13, 0x91, 0xa7, 0x18, 0x8f, 0xec, 0x52, 0xcb, 0xda, 0x2e, 0xb9, 0xb3, 0x10, 0xbe, 0x85,
-	0xb2, 0x54, 0x9e, 0x22, 0xbb, 0xdc, 0xb2, 0xb6, 0xeb, 0x9d, 0x87, 0xed, 0xeb, 0xcb, 0xb4, 0xcd,
-	0x22, 0xed, 0xc1, 0x84, 0xe5, 0x1a, 0x32, 0x36, 0x61, 0x45, 0xd0, 0x15, 0x93, 0x93, 0xa6, 0x15,
-	0xdd, 0xf4, 0x5f, 0xed, 0x84, 0x50, 0xd6, 0x5c, 0xdc, 0x84, 0xf5, 0xc1, 0xc9, 0xee, 0x49, 0xf7,
-	0xe2, 0xf4, 0x78, 0xd0, 0xef, 0xee, 0xf5, 0xf6, 0x7b, 0xdd, 0x8f, 0x8d, 0x3b, 0x58, 0x07, 0x30,
-	0xf0, 0x61, 0xef, 0xac, 0xdb, 0xb0, 0x70, 0x1d, 0x6a, 0xa6, 0x1e, 0x9c, 0x4e, 0x68, 0x27, 0x8d,
-	0xc2, 0x14, 0x3a, 0xec, 0xee, 0x9e, 0xf5, 0x8e, 0x0f, 0x1a, 0xc5, 0xa9, 0xea, 0xe0, 0xf3, 0x71,
-	0xb7, 0x51, 0x72, 0x62, 0xa8, 0x1d, 0x70, 0x29, 0xd9, 0xd8, 0xa5, 0x1f, 0x31, 0x49, 0x85, 0xaf,
-	0xa1, 0x22, 0x29, 0x0a, 0x49, 0xe8, 0x8f, 0xb5, 0xd6, 0xb1, 0x17, 0x5d, 0xe2, 0x26, 0x3c, 0xec,
-	0x40, 0x35, 0x1e, 0x87, 0x9e, 0xa2, 0xc9, 0xa7, 0x2c, 0xde, 0x28, 0x49, 0x89, 0xce, 0x2f, 0xa8,
-	0xa7, 0x63, 0xe5, 0x98, 0x47, 0x92, 0xf0, 0x1d, 0xac, 0x0a, 0xfd, 0xbe, 0xcd, 0xe8, 0x29, 0xf5,
-	0xbf, 0xa6, 0x0f, 0x61, 0xa3, 0x2f, 0xb8, 0x4f, 0xbd, 0x28, 0x64, 0x82, 0x02, 0x35, 0x73, 0xbb,
-	0xf2, 0xc4, 0x90, 0xd4, 0xf2, 0xdb, 0x0d, 0x0f, 0x1f, 0x00, 0x28, 0x36, 0x22, 0x1e, 0xab, 0x8b,
-	0x91, 0x49, 0x52, 0xcd, 0x5d, 0x4d, 0x90, 0x23, 0xe9, 0x04, 0xb0, 0x79, 0x6d, 0x50, 0x72, 0xad,
-	0x0d, 0x55, 0x41, 0x5e, 0x70, 0x49, 0x26, 0x93, 0x2b, 0x6e, 0x5a, 0xce, 0xec, 0x50, 0xb8, 0xdd,
-	0x0e, 0xce, 0x0e, 0x6c, 0xed, 0x93, 0x0a, 0x2e, 0xf7, 0x78, 0xf4, 0x95, 0x0d, 0x63, 0xa1, 0x03,
-	0x99, 0x9e, 0xb4, 0x01, 0x65, 0xcf, 0xe7, 0x57, 0xa4, 0xc7, 0x94, 0x5c, 0x53, 0x38, 0x7b, 0x50,
-	0xcb, 0xb0, 0x33, 0x41, 0xb4, 0xb2, 0x41, 0xc4, 0xfb, 0x50, 0x11, 0x14, 0x70, 0x11, 0xea, 0x8d,
-	0xee, 0xba, 0x49, 0xe5, 0xbc, 0x87, 0xad, 0x7e, 0x2c, 0xaf, 0x8f, 0x4d, 0x0e, 0xbc, 0xa1, 0xa1,
-	0xb3, 0x01, 0x78, 0xc8, 0xa4, 0x32, 0x67, 0xc8, 0x64, 0x53, 0xa7, 0x07, 0xf7, 0x32, 0x68, 0xd2,
-	0xa8, 0x03, 0xd5, 0x91, 0x81, 0x6c, 0x6b, 0x99, 0xbf, 0x09, 0xb1, 0xf3, 0xa7, 0x08, 0xa5, 0x3e,
-	0x91, 0xc0, 0x4f, 0x50, 0x31, 0x31, 0xc3, 0x47, 0x79, 0x55, 0x26, 0xf7, 0xcd, 0xd6, 0x62, 0x42,
-	0xb2, 0xc9, 0x17, 0xa8, 0x65, 0xcc, 0xc4, 0xe7, 0x79, 0xc9, 0xbc, 0x58, 0x35, 0x5f, 0x2c, 0xe5,
-	0x25, 0x13, 0x7c, 0xc0, 0xbc, 0x93, 0xf8, 0x32, 0x2f, 0x5f, 0xe8, 0x77, 0x73, 0xce, 0x9d, 0xd9,
-	0x6e, 0x1e, 0xac, 0xe7, 0x5c, 0xc3, 0x65, 0xaa, 0xe6, 0x9c, 0x1d, 0x16, 0x7b, 0x7f, 0x0e, 0x6b,
-	0x33, 0x4e, 0xe2, 0xd3, 0xbc, 0x36, 0x6f, 0x7f, 0xf3, 0xd9, 0x12, 0x96, 0xe9, 0xfd, 0xe1, 0xc9,
-	0xf9, 0xe3, 0x21, 0x53, 0x97, 0xb1, 0xdf, 0x0e, 0xf8, 0xe8, 0x55, 0x2a, 0x99, 0x3e, 0x26, 0x5a,
-	0xbf, 0xa2, 0x7f, 0x08, 0x6f, 0xfe, 0x06, 0x00, 0x00, 0xff, 0xff, 0xa5, 0x8d, 0xdf, 0xd9, 0x1e,
-	0x06, 0x00, 0x00,
+	// 990 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xc4, 0x56, 0xcd, 0x72, 0xe3, 0x44,
+	0x10, 0x46, 0xfe, 0x8d, 0xdb, 0x3f, 0xab, 0x4c, 0x36, 0x8b, 0xd6, 0x14, 0xbb, 0x5e, 0xb1, 0x40,
+	0xaa, 0x00, 0xc3, 0x7a, 0x29, 0x38, 0x7b, 0x1d, 0x27, 0xeb, 0x5a, 0x27, 0xa4, 0xc6, 0x4e, 0x0e,
+	0xe1, 0x60, 0x64, 0xa9, 0xd7, 0x51, 0xc5, 0x96, 0xcc, 0x8c, 0x6c, 0x7e, 0x4e, 0x54, 0xed, 0x8b,
+	0xf0, 0x14, 0x5c, 0xb9, 0xf1, 0x28, 0x3c, 0x07, 0xa5, 0x99, 0x91, 0x23, 0x59, 0x4e, 0x9c, 0xa2,
+	0xa8, 0xe2, 0x36, 0xfd, 0xb9, 0xbb, 0xe7, 0xeb, 0x9e, 0xee, 0x4f, 0x06, 0x98, 0x23, 0xb2, 0xe6,
+	0x9c, 0xf9, 0x81, 0x4f, 0xf4, 0xb1, 0xe5, 0x5d, 0x73, 0xcb, 0x9d, 0x36, 0x05, 0xb8, 0x7c, 0x61,
+	0xfe, 0x9e, 0x81, 0xc2, 0x09, 0xce, 0xc6, 0xc8, 0x48, 0x0d, 0x32, 0xae, 0x63, 0x68, 0x0d, 0xed,
+	0xa0, 0x44, 0x33, 0xae, 0x43, 0x0c, 0x28, 0x5a, 0x8e, 0xc3, 0x90, 0x73, 0x23, 0x23, 0xc0, 0xc8,
+	0x24, 0x04, 0x72, 0xbf, 0xfa, 0x1e, 0x1a, 0x59, 0x01, 0x8b, 0x33, 0x69, 0x40, 0xd9, 0xf5, 0x6c,
+	0x8b, 0x79, 0x56, 0xe0, 0xfa, 0x9e, 0x91, 0x6b, 0x68, 0x07, 0x39, 0x1a, 0x87, 0xc8, 0xd7, 0x90,
+	0xe7, 0x81, 0x15, 0xa0, 0x91, 0x6f, 0x68, 0x07, 0xb5, 0xd6, 0x93, 0xe6, 0x3a, 0x99, 0xa6, 0x24,
+	0xd2, 0x1c, 0x84, 0x5e, 0x54, 0x3a, 0x93, 0x3a, 0xec, 0x30, 0x5c, 0xba, 0x3c, 0x4c, 0x5a, 0x10,
+	0x49, 0x57, 0xb6, 0xe9, 0x40, 0x5e, 0xf8, 0x92, 0x7d, 0xd8, 0x1d, 0x0c, 0xdb, 0xc3, 0xee, 0xe8,
+	0xfc, 0x74, 0x70, 0xd6, 0xed, 0xf4, 0x8e, 0x7a, 0xdd, 0x43, 0xfd, 0x3d, 0x52, 0x03, 0x90, 0x70,
+	0xbf, 0x77, 0xd1, 0xd5, 0x35, 0xb2, 0x0b, 0x55, 0x69, 0x0f, 0xce, 0x43, 0xb7, 0xa1, 0x9e, 0xb9,
+	0x81, 0xfa, 0xdd, 0xf6, 0x45, 0xef, 0xf4, 0x58, 0xcf, 0xde, 0x44, 0x1d, 0x7f, 0x77, 0xda, 0xd5,
+	0x73, 0x66, 0x1b, 0xaa, 0x03, 0x64, 0x4b, 0x64, 0x7d, 0xb4, 0x96, 0xae, 0x37, 0x49, 0x35, 0x6a,
+	0xad, 0x74, 0xd9, 0xac, 0x38, 0x64, 0xfe, 0xa9, 0x41, 0xf5, 0xd8, 0xe7, 0xdc, 0x9d, 0x53, 0xfc,
+	0x71, 0x81, 0x3c, 0x20, 0x5f, 0x41, 0x81, 0xa3, 0xe7, 0x20, 0x13, 0x79, 0xca, 0x2d, 0xe3, 0xb6,
+	0x6e, 0x50, 0xe5, 0x47, 0x5a, 0x50, 0x5c, 0xcc, 0x1d, 0x2b, 0xc0, 0xf0, 0x39, 0xb2, 0x77, 0x86,
+	0x44, 0x8e, 0xe4, 0x35, 0x3c, 0x98, 0x4a, 0xd2, 0x23, 0x2e, 0x4a, 0xe0, 0x46, 0x56, 0xc4, 0x3e,
+	0x4d, 0xc7, 0x26, 0x6a, 0xa4, 0x35, 0x15, 0x27, 0x51, 0x6e, 0xfe, 0xa5, 0x41, 0x2d, 0xaa, 0x80,
+	0xcf, 0x7d, 0x8f, 0x23, 0xf9, 0x06, 0x4a, 0x4c, 0x9c, 0xef, 0x53, 0xc5, 0x8d, 0xeb, 0xff, 0x5c,
+	0xc8, 0x04, 0x1e, 0x9e, 0x31, 0x7f, 0x8c, 0x3d, 0xcf, 0x71, 0x19, 0xda, 0x41, 0xec, 0x41, 0x02,
+	0x8b, 0x4d, 0x30, 0xd8, 0xfe, 0x20, 0xd2, 0x8f, 0x7c, 0x08, 0x10, 0xb8, 0x33, 0xf4, 0x17, 0xc1,
+	0x68, 0x26, 0x57, 0xa4, 0x4a, 0x4b, 0x0a, 0x39, 0xe1, 0xa6, 0x0d, 0xfb, 0x6b, 0x17, 0xa9, 0xbe,
+	0x19, 0x50, 0x64, 0x68, 0xd9, 0x57, 0x28, 0x67, 0x68, 0x87, 0x46, 0x66, 0x8c, 0x43, 0xe6, 0x7e,
+	0x1c, 0xcc, 0x17, 0xf0, 0xf8, 0x08, 0x03, 0xfb, 0xaa, 0xe3, 0x7b, 0x6f, 0xdd, 0xc9, 0x82, 0x89,
+	0x71, 0x8b, 0x4a, 0x7a, 0x08, 0x79, 0x6b, 0xec, 0x2f, 0x51, 0x5c, 0x93, 0xa3, 0xd2, 0x30, 0x3b,
+	0x50, 0x4d, 0x78, 0x27, 0x36, 0x4c, 0x4b, 0x6e, 0x18, 0x79, 0x04, 0x05, 0x86, 0xb6, 0xcf, 0x1c,
+	0xc1, 0xa8, 0x42, 0x95, 0x65, 0x7e, 0x0b, 0x8f, 0xcf, 0x16, 0x7c, 0xfd, 0x5a, 0x55, 0xe0, 0x1d,
+	0x09, 0xcd, 0x77, 0x1a, 0x90, 0xbe, 0xcb, 0x03, 0x59, 0x07, 0xff, 0xf7, 0xeb, 0x60, 0x40, 0xd1,
+	0x71, 0x27, 0xc8, 0x03, 0x39, 0x45, 0x05, 0x1a, 0x99, 0xe4, 0x19, 0x54, 0xde, 0xba, 0x8c, 0x07,
+	0xa3, 0xf1, 0xc2, 0xbe, 0xc6, 0x40, 0xa8, 0x54, 0x95, 0x96, 0x05, 0xf6, 0x4a, 0x40, 0xe6, 0x1f,
+	0x1a, 0xec, 0x25, 0x58, 0x28, 0xe6, 0x2d, 0x28, 0xce, 0x24, 0x64, 0x68, 0xdb, 0x46, 0x53, 0x39,
+	0x26, 0xd7, 0x20, 0x73, 0xff, 0x35, 0x20, 0x90, 0x9b, 0xf9, 0x4c, 0x8a, 0xe8, 0x0e, 0x15, 0x67,
+	0xf2, 0x14, 0xca, 0x1e, 0xfe, 0xbc, 0x62, 0x9e, 0x13, 0xcc, 0x21, 0x84, 0x14, 0xf1, 0x77, 0x1a,
+	0x54, 0x54, 0xcf, 0x3a, 0x53, 0xcb, 0x9d, 0x11, 0x1d, 0xb2, 0xd7, 0xf8, 0x8b, 0x12, 0xa3, 0xf0,
+	0x18, 0x3e, 0xd9, 0x95, 0x3f, 0x8d, 0xc8, 0x94, 0xa8, 0xb2, 0xc8, 0x17, 0x40, 0xe4, 0x69, 0x14,
+	0x17, 0xab, 0xac, 0x78, 0x9f, 0x5d, 0xf9, 0x4b, 0x2f, 0xa6, 0xd6, 0x75, 0xd8, 0xe1, 0xe1, 0x45,
+	0x9e, 0x8d, 0x4a, 0xcc, 0x57, 0xb6, 0xf9, 0x5b, 0x06, 0x48, 0x9c, 0x45, 0xdb, 0xe3, 0x3f, 0x21,
+	0x23, 0x47, 0x50, 0x5c, 0x22, 0x73, 0x5c, 0x5b, 0xee, 0x50, 0xad, 0xf5, 0x79, 0xba, 0x0f, 0xe9,
+	0xb0, 0xe6, 0x85, 0x8c, 0xa1, 0x51, 0xf0, 0x7f, 0x54, 0x81, 0xf9, 0x3d, 0x14, 0x55, 0x6a, 0xf2,
+	0x3e, 0xec, 0x5d, 0x74, 0xe9, 0x61, 0xaf, 0x33, 0x5c, 0xfb, 0x42, 0xec, 0xc1, 0x83, 0xe8, 0x87,
+	0x63, 0xda, 0x3e, 0x1d, 0x76, 0x0f, 0x75, 0x8d, 0xe8, 0x50, 0x89, 0xc0, 0xd7, 0xdd, 0xfe, 0xa1,
+	0x9e, 0x89, 0x23, 0x47, 0xe7, 0xfd, 0xbe, 0x9e, 0x35, 0x0d, 0x78, 0x44, 0x71, 0x8a, 0x16, 0x47,
+	0x55, 0x51, 0x34, 0x43, 0x66, 0x0f, 0x48, 0xdb, 0xf1, 0xe7, 0xb2, 0xc4, 0xd5, 0x80, 0xbf, 0x84,
+	0x82, 0x2d, 0x00, 0x35, 0x58, 0x1f, 0xa4, 0x5b, 0xf3, 0x06, 0x55, 0x10, 0x55, 0xae, 0xa6, 0x03,
+	0xa5, 0x15, 0x18, 0x7e, 0x3e, 0x05, 0xac, 0x36, 0xe4, 0xc9, 0xdd, 0xbd, 0xa5, 0xd2, 0x39, 0x5c,
+	0x06, 0x86, 0x33, 0xcb, 0xf5, 0x42, 0xe9, 0x5c, 0xc9, 0x54, 0x79, 0x85, 0x9d, 0x70, 0x73, 0x1f,
+	0xf6, 0x12, 0x84, 0x65, 0x1d, 0xad, 0xbf, 0xf3, 0x90, 0x3b, 0x43, 0x64, 0xe4, 0x0d, 0x14, 0xa4,
+	0xf2, 0x93, 0x0d, 0x62, 0x9b, 0xf8, 0xaa, 0xd5, 0x1b, 0xb7, 0x3b, 0xa8, 0x0d, 0xfb, 0x01, 0xaa,
+	0x09, 0x55, 0x24, 0x9f, 0xa4, 0x43, 0x36, 0xe9, 0x73, 0xfd, 0xd3, 0xad, 0x7e, 0xea, 0x86, 0x31,
+	0x90, 0xb4, 0x24, 0x92, 0xcf, 0xd2, 0xe1, 0xb7, 0x0a, 0x67, 0x7d, 0x43, 0x9d, 0xc9, 0x6c, 0x16,
+	0xec, 0xa6, 0xe4, 0x8f, 0x6c, 0x8b, 0xaa, 0x6f, 0xe0, 0x70, 0xbb, 0x88, 0x5e, 0x42, 0x39, 0xa6,
+	0x50, 0xe4, 0x79, 0x3a, 0x36, 0x2d, 0xa3, 0xf5, 0x8f, 0xb7, 0x78, 0xa9, 0xdc, 0x43, 0xa8, 0xc8,
+	0x21, 0x51, 0xc3, 0xb9, 0x65, 0x96, 0xea, 0xcf, 0xef, 0xb3, 0xc7, 0xe4, 0x12, 0x6a, 0xc9, 0x95,
+	0xd8, 0x9a, 0xf7, 0x60, 0xd3, 0xef, 0x9b, 0x96, 0x2a, 0xec, 0x46, 0x6c, 0x46, 0x37, 0x75, 0x23,
+	0xbd, 0x73, 0x9b, 0xba, 0xb1, 0x61, 0xd0, 0x5f, 0x7d, 0x74, 0xf9, 0x6c, 0xe2, 0x06, 0x57, 0x8b,
+	0x71, 0xd3, 0xf6, 0x67, 0x5f, 0x46, 0x21, 0x37, 0x87, 0x30, 0x76, 0x5c, 0x10, 0x7f, 0xa0, 0x5f,
+	0xfe, 0x13, 0x00, 0x00, 0xff, 0xff, 0xc8, 0x65, 0xee, 0x99, 0x4e, 0x0b, 0x00, 0x00,
 }
