--- a/lab/experiment/tuning.go
+++ b/lab/experiment/tuning.go
@@ -18,12 +18,16 @@
 	// ClassBoostsMS is for the boosted order, the most urgent class first.
 	ClassBoostsMS []float64 `yaml:"class_boosts_ms" validate:"max=16,dive,min=0,max=600000"`
 	// SizeDecayRate is for the boosted order, per second.
-	SizeDecayRate  float64  `yaml:"size_decay_rate" validate:"min=0"`
-	MaximumQueued  int      `yaml:"maximum_queued" validate:"min=0"`
-	BlockedShare   *float64 `yaml:"blocked_share" validate:"omitempty,min=0,max=1"`
-	Limit          string   `yaml:"limit" validate:"omitempty,oneof=adaptive fixed unlimited"`
-	LimitGrowth    float64  `yaml:"limit_growth" validate:"min=0"`
-	LimitTolerance float64  `yaml:"limit_tolerance" validate:"min=0"`
+	SizeDecayRate float64  `yaml:"size_decay_rate" validate:"min=0"`
+	MaximumQueued int      `yaml:"maximum_queued" validate:"min=0"`
+	BlockedShare  *float64 `yaml:"blocked_share" validate:"omitempty,min=0,max=1"`
+	Limit         string   `yaml:"limit" validate:"omitempty,oneof=adaptive fixed unlimited"`
+	LimitGrowth   float64  `yaml:"limit_growth" validate:"min=0"`
+	// LimitSignal is the sign of congestion: low-latency or mean-latency.
+	LimitSignal     string  `yaml:"limit_signal" validate:"omitempty,oneof=low-latency mean-latency"`
+	LimitQueueShare float64 `yaml:"limit_queue_share" validate:"min=0"`
+	LimitQuantile   float64 `yaml:"limit_quantile" validate:"min=0,max=1"`
+	LimitTolerance  float64 `yaml:"limit_tolerance" validate:"min=0"`
 	// Replica chooses servers: power-of-two, least-delay or random.
 	Replica           string   `yaml:"replica" validate:"omitempty,oneof=power-of-two least-delay random"`
 	LoadWeight        *float64 `yaml:"load_weight" validate:"omitempty,min=0"`
@@ -90,7 +94,10 @@
 }
 
 func (t Tuning) limitPolicy() limit.Options {
-	options := limit.Options{Growth: t.LimitGrowth, Tolerance: t.LimitTolerance}
+	options := limit.Options{Growth: t.LimitGrowth, QueueShare: t.LimitQueueShare, Quantile: t.LimitQuantile, Tolerance: t.LimitTolerance}
+	if t.LimitSignal == "mean-latency" {
+		options.Signal = limit.MeanLatency
+	}
 	switch t.Limit {
 	case "fixed":
 		options.Policy = limit.Fixed
--- a/limit/limiter.go
+++ b/limit/limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -17,6 +18,18 @@
 	Unlimited
 )
 
+// Signal names what a limiter takes as the sign of a queue at the server.
+type Signal int
+
+const (
+	// LowLatency compares a low quantile of a window with that of calm windows:
+	// a lasting queue delays quick requests too, and those vary least. It is the
+	// default.
+	LowLatency Signal = iota
+	// MeanLatency compares the mean of a window with the baseline.
+	MeanLatency
+)
+
 // Options sets up a Limiter. The zero value of a field stands for its default.
 type Options struct {
 	Policy Policy
@@ -25,8 +38,16 @@
 	// Growth bounds the limit as a multiple of the server's slots; default 1.2.
 	// Above 1 it makes up for the time that replies spend on the network.
 	Growth float64
-	// Tolerance is the ratio of a window's mean latency to the baseline above
-	// which the server counts as congested; default 1.2.
+	// Signal is the sign of congestion; default LowLatency.
+	Signal Signal
+	// QueueShare is for LowLatency: the wait in a server's queue above which it
+	// counts as congested, as a share of the baseline; default 0.15.
+	QueueShare float64
+	// Quantile is for LowLatency: the part of a window's requests that are quicker
+	// than the one compared; default 0.25.
+	Quantile float64
+	// Tolerance is for MeanLatency: the ratio of a window's mean latency to the
+	// baseline above which the server counts as congested; default 1.2.
 	Tolerance float64
 	// LatencyBackoff multiplies the limit of a congested server; default 0.9.
 	LatencyBackoff float64
@@ -40,6 +61,8 @@
 const (
 	DefaultMinimum        = 1
 	DefaultGrowth         = 1.2
+	DefaultQueueShare     = 0.15
+	DefaultQuantile       = 0.25
 	DefaultTolerance      = 1.2
 	DefaultLatencyBackoff = 0.9
 	DefaultShedBackoff    = 0.75
@@ -60,6 +83,12 @@
 	if o.Growth <= 0 {
 		o.Growth = DefaultGrowth
 	}
+	if o.QueueShare <= 0 {
+		o.QueueShare = DefaultQueueShare
+	}
+	if o.Quantile <= 0 {
+		o.Quantile = DefaultQuantile
+	}
 	if o.Tolerance <= 0 {
 		o.Tolerance = DefaultTolerance
 	}
@@ -97,7 +126,9 @@
 	limit    float64
 	inFlight int
 	baseline float64
-	window   window
+	// floor is the low quantile of calm windows, in seconds; it rises slowly.
+	floor  float64
+	window window
 	// loweredAt is when the limit was last lowered; requests that started
 	// before then say nothing about the lower limit.
 	loweredAt time.Duration
@@ -106,7 +137,7 @@
 
 // window gathers samples until they make a verdict.
 type window struct {
-	samples int
+	samples []float64 // latencies, in seconds
 	sum     float64
 	peak    int
 	wanted  bool
@@ -206,17 +237,18 @@
 
 // sample adds an answer to the window and judges a full window.
 func (l *Limiter) sample(now, latency time.Duration) {
-	l.window.samples++
+	l.window.samples = append(l.window.samples, latency.Seconds())
 	l.window.sum += latency.Seconds()
-	if l.window.samples < l.options.WindowSamples {
+	if len(l.window.samples) < l.options.WindowSamples {
 		return
 	}
 	l.learned = true
-	mean := l.window.sum / float64(l.window.samples)
+	mean, low := l.window.sum/float64(len(l.window.samples)), l.low()
 	used := l.window.wanted || l.window.peak >= l.Limit()
-	l.window = window{peak: l.inFlight}
-	congested := l.baseline > 0 && mean > l.baseline*l.options.Tolerance
-	l.follow(mean)
+	l.window = window{samples: l.window.samples[:0], peak: l.inFlight}
+	congested := l.congested(mean, low)
+	l.baseline = follow(l.baseline, mean, baselineFall)
+	l.floor = follow(l.floor, low, baselineFall)
 	switch {
 	case congested:
 		l.lower(now, latency, l.options.LatencyBackoff)
@@ -226,15 +258,32 @@
 	}
 }
 
-// follow moves the baseline towards a window's mean.
-func (l *Limiter) follow(mean float64) {
+// low is the low quantile of the window.
+func (l *Limiter) low() float64 {
+	slices.Sort(l.window.samples)
+	return l.window.samples[min(int(l.options.Quantile*float64(len(l.window.samples))), len(l.window.samples)-1)]
+}
+
+// congested judges a window by its mean and its low quantile, in seconds.
+func (l *Limiter) congested(mean, low float64) bool {
+	if l.baseline == 0 {
+		return false
+	}
+	if l.options.Signal == MeanLatency {
+		return mean > l.baseline*l.options.Tolerance
+	}
+	return low-l.floor > l.baseline*l.options.QueueShare
+}
+
+// follow moves a known value towards one just seen, down at the given rate.
+func follow(known, seen, fall float64) float64 {
 	switch {
-	case l.baseline == 0:
-		l.baseline = mean
-	case mean < l.baseline:
-		l.baseline += (mean - l.baseline) * baselineFall
+	case known == 0:
+		return seen
+	case seen < known:
+		return known + (seen-known)*fall
 	default:
-		l.baseline += (mean - l.baseline) * baselineRise
+		return known + (seen-known)*baselineRise
 	}
 }
 
