--- a/lab/experiment/cluster/node.go
+++ b/lab/experiment/cluster/node.go
@@ -16,6 +16,8 @@
 	// idle holds, per server, when each idle connection was last used; the
 	// latest is last.
 	idle [][]time.Duration
+	// opening counts, per server, the spare connections that are being opened.
+	opening []int
 }
 
 // step drives the node's machine with one event and carries out its actions.
@@ -67,6 +69,7 @@
 	if r.unlimited {
 		return 0, true
 	}
+	defer r.openSpares(from, target)
 	idle := from.idle[target.index]
 	if count := len(idle); count > 0 {
 		lastUsed := idle[count-1]
@@ -84,6 +87,29 @@
 	return r.scenario.Network.ConnectTime, true
 }
 
+// openSpares opens connections in advance, while the server accepts them.
+func (r *run) openSpares(from *node, target *server) {
+	for len(from.idle[target.index])+from.opening[target.index] < r.scenario.Network.Spares {
+		if target.connected >= target.connections || target.lost {
+			return
+		}
+		target.connected++
+		from.opening[target.index]++
+		at := r.now + r.scenario.Network.ConnectTime
+		r.events.push(entry{at: at, kind: kindConnected, index: from.index, number: uint64(target.index)})
+	}
+}
+
+// connected makes a spare connection usable.
+func (r *run) connected(at *node, target *server) {
+	at.opening[target.index]--
+	if target.lost {
+		target.connected--
+		return
+	}
+	at.idle[target.index] = append(at.idle[target.index], r.now)
+}
+
 // cancelAttempt closes the attempt's connection.
 func (r *run) cancelAttempt(from *node, id dispatch.AttemptID) {
 	cancelled := from.attempts[id]
--- a/lab/experiment/cluster/queue.go
+++ b/lab/experiment/cluster/queue.go
@@ -19,7 +19,7 @@
 	kindWake
 	kindReport
 	kindFault
-	kindConnectionClosed
+	kindConnected
 )
 
 // entry is one planned event. Entries at the same time run in the order in
@@ -30,8 +30,8 @@
 	kind     kind
 	// index is a class, node, server or fault, by kind.
 	index int
-	// number is an arrival's number within its class, a wake's generation, or
-	// whether a fault ends.
+	// number is an arrival's number within its class, a wake's generation,
+	// whether a fault ends, or the server of a spare connection.
 	number  uint64
 	attempt *attempt
 	event   dispatch.Event
--- a/lab/experiment/cluster/run.go
+++ b/lab/experiment/cluster/run.go
@@ -98,6 +98,8 @@
 		r.wake(next)
 	case kindReport:
 		r.sendReport(next)
+	case kindConnected:
+		r.connected(r.nodes[next.index], r.servers[next.number])
 	case kindFault:
 		r.switchFault(next.index, next.number == faultEnds)
 	}
@@ -146,6 +148,7 @@
 			machine:  decided.New(described),
 			attempts: make(map[dispatch.AttemptID]*attempt),
 			idle:     make([][]time.Duration, len(r.servers)),
+			opening:  make([]int, len(r.servers)),
 		}
 		r.nodes = append(r.nodes, added)
 		r.introduce(added)
--- a/lab/experiment/cluster/scenario.go
+++ b/lab/experiment/cluster/scenario.go
@@ -74,6 +74,8 @@
 	ConnectTime time.Duration
 	// IdleTimeout closes connections that were not used for so long.
 	IdleTimeout time.Duration
+	// Spares is the number of idle connections that a node keeps to a server.
+	Spares int
 }
 
 // Reports tells how servers account for their load.
--- a/lab/experiment/services.go
+++ b/lab/experiment/services.go
@@ -1,8 +1,7 @@
 package experiment
 
 import (
-	"time"
-
+	"github.com/banksail/banksail/backend"
 	"github.com/banksail/banksail/lab/experiment/cluster"
 	"github.com/banksail/banksail/lab/profile"
 	"github.com/banksail/banksail/policy"
@@ -14,10 +13,8 @@
 	service policy.Service
 }
 
-const (
-	idleTimeout = 30 * time.Second
-	jitterShare = 0.1
-)
+// jitterShare spreads network delays.
+const jitterShare = 0.1
 
 // findService looks a service up in the firms' profiles.
 func findService(name string) (deployed, bool) {
@@ -53,7 +50,8 @@
 			Delay:       found.firm.Network.Client,
 			JitterShare: jitterShare,
 			ConnectTime: found.firm.Network.NewConnection,
-			IdleTimeout: idleTimeout,
+			IdleTimeout: backend.DefaultIdleTimeout,
+			Spares:      backend.DefaultSparesPerServer,
 		},
 		Reports: cluster.Reports{
 			Lag:    milliseconds(deployment.ReportLagMS),
--- a/lab/experiment/tuning.go
+++ b/lab/experiment/tuning.go
@@ -27,6 +27,7 @@
 	LimitSignal     string  `yaml:"limit_signal" validate:"omitempty,oneof=low-latency mean-latency"`
 	LimitQueueShare float64 `yaml:"limit_queue_share" validate:"min=0"`
 	LimitQuantile   float64 `yaml:"limit_quantile" validate:"min=0,max=1"`
+	LimitStep       float64 `yaml:"limit_step" validate:"min=0"`
 	LimitTolerance  float64 `yaml:"limit_tolerance" validate:"min=0"`
 	// Replica chooses servers: power-of-two, least-delay or random.
 	Replica           string   `yaml:"replica" validate:"omitempty,oneof=power-of-two least-delay random"`
@@ -94,7 +95,7 @@
 }
 
 func (t Tuning) limitPolicy() limit.Options {
-	options := limit.Options{Growth: t.LimitGrowth, QueueShare: t.LimitQueueShare, Quantile: t.LimitQuantile, Tolerance: t.LimitTolerance}
+	options := limit.Options{Growth: t.LimitGrowth, QueueShare: t.LimitQueueShare, Quantile: t.LimitQuantile, Step: t.LimitStep, Tolerance: t.LimitTolerance}
 	if t.LimitSignal == "mean-latency" {
 		options.Signal = limit.MeanLatency
 	}
--- a/limit/limiter.go
+++ b/limit/limiter.go
@@ -49,6 +49,8 @@
 	// Tolerance is for MeanLatency: the ratio of a window's mean latency to the
 	// baseline above which the server counts as congested; default 1.2.
 	Tolerance float64
+	// Step is added to the limit after a calm window that reached it; default 0.5.
+	Step float64
 	// LatencyBackoff multiplies the limit of a congested server; default 0.9.
 	LatencyBackoff float64
 	// ShedBackoff multiplies the limit after a shed reply; default 0.75.
@@ -64,6 +66,7 @@
 	DefaultQueueShare     = 0.15
 	DefaultQuantile       = 0.25
 	DefaultTolerance      = 1.2
+	DefaultStep           = 0.5
 	DefaultLatencyBackoff = 0.9
 	DefaultShedBackoff    = 0.75
 	DefaultWindowSamples  = 20
@@ -92,6 +95,9 @@
 	if o.Tolerance <= 0 {
 		o.Tolerance = DefaultTolerance
 	}
+	if o.Step <= 0 {
+		o.Step = DefaultStep
+	}
 	if o.LatencyBackoff <= 0 {
 		o.LatencyBackoff = DefaultLatencyBackoff
 	}
@@ -253,7 +259,7 @@
 	case congested:
 		l.lower(now, latency, l.options.LatencyBackoff)
 	case used:
-		l.limit++
+		l.limit += l.options.Step
 		l.clamp()
 	}
 }
--- a/retry/sketch.go
+++ b/retry/sketch.go
@@ -91,17 +91,16 @@
 	}
 	wanted := float32(quantile) * s.total
 	var seen float32
-	last := 0
+	position := 0.0
 	for i, count := range s.counts {
 		if count == 0 {
 			continue
 		}
-		last = i
+		position = float64(i) + float64(min((wanted-seen)/count, 1))
 		seen += count
 		if seen >= wanted {
 			break
 		}
 	}
-	middle := math.Pow(sketchGrowth, float64(last)+0.5)
-	return time.Duration(float64(sketchSmallest) * middle)
+	return time.Duration(float64(sketchSmallest) * math.Pow(sketchGrowth, position))
 }
