Hedges spend four fifths of their share

Hedging at the quantile that spends the whole share left the budget empty at times, just when the slowest sub-requests needed it.

--- a/retry/hedge.go
+++ b/retry/hedge.go
@@ -58,12 +58,13 @@
 	return max(sketch.Quantile(p.Quantile), p.Least), true
 }
 
-// ShareHedge hedges at the quantile that spends the class's share: a class that
-// may send a tenth of its requests again hedges at the 90th percentile. A class
-// with no share never hedges.
+// ShareHedge hedges at the quantile that spends most of the class's share: a
+// class that may send a tenth of its requests again hedges at the 92nd
+// percentile. A class with no share never hedges.
 type ShareHedge struct {
-	// Factor multiplies the share; zero stands for 1. Above 1 it hedges earlier
-	// than the share alone pays for, and the budget cuts the rest.
+	// Factor is the part of the share that hedges are to spend; zero stands for
+	// DefaultShareFactor. Near or above 1, the budget is at times gone when the
+	// slowest requests need it.
 	Factor float64
 	// Lowest bounds the quantile from below; zero stands for 0.5.
 	Lowest float64
@@ -71,6 +72,9 @@
 	Least time.Duration
 }
 
+// DefaultShareFactor leaves a fifth of the share for bursts and retries.
+const DefaultShareFactor = 0.8
+
 // Delay implements HedgePolicy.
 func (p ShareHedge) Delay(situation HedgeSituation) (time.Duration, bool) {
 	if situation.Share <= 0 {
@@ -78,7 +82,7 @@
 	}
 	factor := p.Factor
 	if factor <= 0 {
-		factor = 1
+		factor = DefaultShareFactor
 	}
 	lowest := p.Lowest
 	if lowest <= 0 {
