store.Memory: lease changes can be cut, readers get their own copy

Cause: cut_changes held only for swaps, though leases change too; a reader that changed a value's bytes changed the stored record.

Change: grants, keep-alives and revocations are cut alike; reads copy. Tests of both.

--- a/store/conn_test.go
+++ b/store/conn_test.go
@@ -180,6 +180,38 @@
 	}
 }
 
+func TestFaultsOfLeases(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults store.MemoryFaults
+		want   error
+	}{
+		{name: "down", faults: store.MemoryFaults{Down: true}, want: store.ErrUnavailable},
+		{name: "lost reply", faults: store.MemoryFaults{LoseReplies: 10}, want: store.ErrOutcomeUnknown},
+		{name: "cut change", faults: store.MemoryFaults{CutChanges: 10}, want: store.ErrOutcomeUnknown},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			onBoth(t, func(t *testing.T, conn store.Conn, memory *store.Memory, _ *manualClock) {
+				lease, err := conn.Grant(t.Context(), time.Second)
+				if err != nil {
+					t.Fatal(err)
+				}
+				memory.SetFaults(test.faults)
+				if granted, err := conn.Grant(t.Context(), time.Second); !errors.Is(err, test.want) || granted != "" {
+					t.Errorf("grant: %q, %v, want %v", granted, err, test.want)
+				}
+				if err := conn.KeepAlive(t.Context(), lease); !errors.Is(err, test.want) {
+					t.Errorf("keep-alive: %v, want %v", err, test.want)
+				}
+				if err := conn.Revoke(t.Context(), lease); !errors.Is(err, test.want) {
+					t.Errorf("revoke: %v, want %v", err, test.want)
+				}
+			})
+		})
+	}
+}
+
 func TestStaleReads(t *testing.T) {
 	onBoth(t, func(t *testing.T, conn store.Conn, memory *store.Memory, _ *manualClock) {
 		first := mustPut(t, conn, "one", 0, "")
@@ -189,6 +221,10 @@
 		if err != nil || string(record.Value) != "one" || record.Revision != first.Revision {
 			t.Errorf("stale record is %+v, %v", record, err)
 		}
+		copy(record.Value, "two")
+		if again, err := conn.Get(t.Context(), key); err != nil || string(again.Value) != "one" {
+			t.Errorf("a reader's change shows in %+v, %v", again, err)
+		}
 	})
 }
 
--- a/store/memory.go
+++ b/store/memory.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"sync"
@@ -195,6 +196,9 @@
 	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	if err := m.cutChange(); err != nil {
+		return "", err
+	}
 	m.leaseSeq++
 	id := LeaseID(fmt.Sprintf("lease-%d", m.leaseSeq))
 	m.leases[id] = &memoryLease{timeToLive: timeToLive, expires: m.now().Add(timeToLive)}
@@ -211,6 +215,9 @@
 	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	if err := m.cutChange(); err != nil {
+		return err
+	}
 	m.expire()
 	held, ok := m.leases[lease]
 	if !ok {
@@ -227,6 +234,9 @@
 	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	if err := m.cutChange(); err != nil {
+		return err
+	}
 	m.expire()
 	if _, ok := m.leases[lease]; !ok {
 		return fmt.Errorf("%w: lease %q", ErrNotFound, lease)
@@ -279,7 +289,8 @@
 		return Record{}, false
 	}
 	newest := len(stored.history) - 1
-	return stored.history[max(0, newest-m.faults.StaleRevisions)], true
+	shown := stored.history[max(0, newest-m.faults.StaleRevisions)]
+	return Record{Value: bytes.Clone(shown.Value), Revision: shown.Revision}, true
 }
 
 func (m *Memory) currentRevision(key string) uint64 {
@@ -292,7 +303,7 @@
 
 func (m *Memory) write(key string, value []byte, lease LeaseID) Record {
 	m.revision++
-	record := Record{Value: append([]byte(nil), value...), Revision: m.revision}
+	record := Record{Value: bytes.Clone(value), Revision: m.revision}
 	stored := m.records[key]
 	if stored == nil {
 		stored = &memoryRecord{}
