A repetition is never told not run because the configuration changed

Cause: after its service or class had gone, or the class's deadline had become shorter, the repetition of a not-repeatable request that ran got a 4xx with execution not_run. Change: a request that is known within the window gets execution unknown. The test failed before.

--- a/node/node_test.go
+++ b/node/node_test.go
@@ -216,6 +216,30 @@
 	})
 }
 
+func TestRepetitionAfterAChangeIsNotToldNotRun(t *testing.T) {
+	changes := map[string]func(*policy.Config){
+		"service removed":  func(config *policy.Config) { config.Services = []policy.Service{} },
+		"class renamed":    func(config *policy.Config) { config.Classes[0].Name = "other" },
+		"shorter deadline": func(config *policy.Config) { config.Classes[0].LongestWait, config.Classes[0].Deadline = 10, 10 },
+	}
+	for name, change := range changes {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, 1, nil, func(t *testing.T, w *world) {
+				if got, _ := w.queryOnce(t.Context(), "return-1", time.Second); got.status != http.StatusOK {
+					t.Errorf("first: %+v", got)
+				}
+				config := w.configuration(1)
+				change(&config)
+				w.putConfiguration(2, config)
+				time.Sleep(settle)
+				if got, _ := w.queryOnce(t.Context(), "return-1", time.Second); got.status != http.StatusOK && got.problem.Execution != "unknown" {
+					t.Errorf("again: %+v", got)
+				}
+			})
+		})
+	}
+}
+
 func TestClaimEndsByTheDeadline(t *testing.T) {
 	inWorld(t, 1, nil, func(t *testing.T, w *world) {
 		w.machines.Upsert(machinelist.Machine{
--- a/node/query.go
+++ b/node/query.go
@@ -29,28 +29,45 @@
 	if current == nil {
 		return n.refused(request, dispatch.ReasonNoConfiguration), nil
 	}
-	shard, known := current.shards[request.Service]
-	if !known {
-		return caller.Result{}, caller.UnknownServiceError()
+	shard, err := current.admit(&request)
+	switch {
+	case err != nil && n.isRepetition(request):
+		return unknownRepetition(dispatch.ReasonOutcomeUnknown), nil
+	case err != nil:
+		return caller.Result{}, err
+	case request.Repeatable:
+		return n.run(ctx, shard, request), nil
+	default:
+		return n.runOnce(ctx, shard, request)
 	}
-	class, known := current.classes[request.Class]
+}
+
+// admit checks the request against the configuration and finds its shard.
+func (v *view) admit(request *caller.Request) (*shard, error) {
+	carrier, known := v.shards[request.Service]
 	if !known {
-		return caller.Result{}, caller.UnknownClassError()
+		return nil, caller.UnknownServiceError()
 	}
-	if err := takeDeadline(&request, class); err != nil {
-		return caller.Result{}, err
+	class, known := v.classes[request.Class]
+	if !known {
+		return nil, caller.UnknownClassError()
 	}
-	if request.Repeatable {
-		return n.run(ctx, shard, request), nil
+	return carrier, takeDeadline(request, class)
+}
+
+// isRepetition says that the request ran here before, or runs: it must not be
+// told that it did not, whatever else it is refused for.
+func (n *Node) isRepetition(request caller.Request) bool {
+	if request.Repeatable || !n.once.knows(n.now(), onceKey(request)) {
+		return false
 	}
-	return n.runOnce(ctx, shard, request)
+	n.metrics.Duplicates.Inc()
+	return true
 }
 
-// refusedOverBound refuses a request for which the node has no room. A request
-// that ran here before, or runs, must not be told that it did not.
+// refusedOverBound refuses a request for which the node has no room.
 func (n *Node) refusedOverBound(request caller.Request) caller.Result {
-	if !request.Repeatable && n.once.knows(n.now(), onceKey(request)) {
-		n.metrics.Duplicates.Inc()
+	if n.isRepetition(request) {
 		return unknownRepetition(dispatch.ReasonOverload)
 	}
 	return n.refused(request, dispatch.ReasonOverload)
