--- a/settings/load.go
+++ b/settings/load.go
@@ -120,21 +120,33 @@
 // type and settings that don't exist are faults.
 func decode(tree *koanf.Koanf) (Settings, []Fault) {
 	loaded := Default()
-	var metadata mapstructure.Metadata
 	err := tree.UnmarshalWithConf("", &loaded, koanf.UnmarshalConf{
 		DecoderConfig: &mapstructure.DecoderConfig{
 			DecodeHook:       durationHook,
 			MatchName:        func(key, field string) bool { return key == field },
-			Metadata:         &metadata,
 			Result:           &loaded,
 			WeaklyTypedInput: true,
 		},
 	})
+	return loaded, append(unknownSettings(tree), decodeFaults(err)...)
+}
+
+// unknownSettings lists the paths that lead to no setting. A section in place
+// of a setting, or the other way round, is found when decoding.
+func unknownSettings(tree *koanf.Koanf) []Fault {
 	var faults []Fault
-	for _, path := range metadata.Unused {
-		faults = append(faults, Fault{Path: path, Problem: "unknown setting"})
+	for _, path := range tree.Keys() {
+		if !slices.ContainsFunc(Paths(), func(known string) bool { return related(path, known) }) {
+			faults = append(faults, Fault{Path: path, Problem: "unknown setting"})
+		}
 	}
-	return loaded, append(faults, decodeFaults(err)...)
+	return faults
+}
+
+// related says that the paths are equal or that one leads to the other.
+func related(one, other string) bool {
+	one, other = one+pathDelimiter, other+pathDelimiter
+	return strings.HasPrefix(one, other) || strings.HasPrefix(other, one)
 }
 
 // durationHook reads durations, which must carry a unit: a bare number would
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -64,6 +64,15 @@
 				"stop.grace: needs a unit, such as 250ms, is 5",
 			},
 		},
+		"unknown settings beside wrong types": {
+			change: "colour: red\nstop: {grace: 5, gracious: true}\n",
+			faults: []string{"colour: unknown setting", "stop.grace: needs a unit", "stop.gracious: unknown setting"},
+		},
+		"a section that is no mapping and a setting that is one": {
+			change:    "log: loud\n",
+			overrides: map[string]string{"caller.queries.most": "1"},
+			faults:    []string{"caller.queries: ", "log: "},
+		},
 		"host names in place of IP numbers": {
 			overrides: map[string]string{"listen.peer": "localhost:80", "store.address": "http://10.0.0.1:80"},
 			faults: []string{
