--- a/rollout/keeper_test.go
+++ b/rollout/keeper_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -155,9 +156,16 @@
 	inBubble(t, func(t *testing.T, ctx context.Context, c *cluster) {
 		keeper := c.start(ctx, c.store)
 		old := mustPlan(t, keeper, initialIntent())
-		mustConfirm(t, keeper, old)
-		for extra := range policy.MaximumRecentPlans {
-			mustConfirm(t, keeper, mustPlan(t, keeper, deadlineIntent("ann", policy.Milliseconds(200+extra))))
+		record := policy.Record{}
+		for number := range policy.MaximumRecentPlans + 1 {
+			record = nextRecord(t, record, fmt.Sprintf("plan-%d", number))
+		}
+		data, err := policy.EncodeRecord(record)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.store.Put(ctx, policy.StoreKey, data, 0, ""); err != nil {
+			t.Fatal(err)
 		}
 		receipt, err := keeper.Confirm(ctx, old)
 		if !errors.Is(err, policy.ErrConflict) || receipt.Outcome != policy.OutcomeUnknown {
@@ -166,6 +174,19 @@
 	})
 }
 
+func nextRecord(t *testing.T, base policy.Record, id string) policy.Record {
+	t.Helper()
+	plan, err := policy.NewPlan(policy.PlanOptions{ID: id, Base: base, Intent: initialIntent()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	decision, err := policy.Decide(base, plan, time.Unix(0, 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return decision.Next
+}
+
 func TestOutcomeFromAStaleStoreIsNotCalledNotApplied(t *testing.T) {
 	inBubble(t, func(t *testing.T, ctx context.Context, c *cluster) {
 		first := c.start(ctx, c.store)
@@ -315,19 +336,12 @@
 
 func TestOfferRefuses(t *testing.T) {
 	keeper := NewKeeper(KeeperOptions{Core: CoreOptions{Self: "a"}, Logger: zerolog.Nop()})
-	plan, err := policy.NewPlan(policy.PlanOptions{ID: "p", Intent: initialIntent()})
-	if err != nil {
-		t.Fatal(err)
-	}
-	decision, err := policy.Decide(policy.Record{}, plan, time.Unix(0, 0))
-	if err != nil {
-		t.Fatal(err)
-	}
-	data, err := policy.EncodeRecord(decision.Next)
+	first := nextRecord(t, policy.Record{}, "p")
+	data, err := policy.EncodeRecord(first)
 	if err != nil {
 		t.Fatal(err)
 	}
-	other := decision.Next
+	other := first
 	other.History[0].Author = "bob"
 	different, err := policy.EncodeRecord(other)
 	if err != nil {
