--- a/caller/problem.go
+++ b/caller/problem.go
@@ -18,6 +18,9 @@
 	// ReasonHeldElsewhere means that another node has claimed the request ID,
 	// and may have run the request.
 	ReasonHeldElsewhere dispatch.Reason = "held_elsewhere"
+	// ReasonResultForgotten means that the request ran to its end, but its
+	// result is no longer kept.
+	ReasonResultForgotten dispatch.Reason = "result_forgotten"
 	// ReasonNoQuorum means that too few other nodes could record the claim of
 	// the request ID.
 	ReasonNoQuorum dispatch.Reason = "no_quorum"
@@ -26,6 +29,9 @@
 // problemTypePrefix starts the type of every problem; the reason follows it.
 const problemTypePrefix = "https://banksail.dev/problems/"
 
+// writeTimeout bounds the writing of one response.
+const writeTimeout = 30 * time.Second
+
 // Names of executions in problem documents.
 const (
 	executionNotRun  = "not_run"
@@ -160,7 +166,7 @@
 		return http.StatusTooManyRequests
 	case dispatch.ReasonDeadline:
 		return http.StatusGatewayTimeout
-	case ReasonHeldElsewhere:
+	case ReasonHeldElsewhere, ReasonResultForgotten:
 		return http.StatusConflict
 	case dispatch.ReasonOutcomeUnknown, dispatch.ReasonServerError:
 		return http.StatusBadGateway
@@ -181,6 +187,7 @@
 	}
 	header := writer.Header()
 	header.Set("Content-Type", ProblemMediaType)
+	boundWriting(writer)
 	if problem.RetryAfterMilliseconds > 0 {
 		header.Set("Retry-After", wholeSeconds(problem.RetryAfterMilliseconds))
 	}
@@ -188,6 +195,12 @@
 	_, _ = writer.Write(document)
 }
 
+// boundWriting cuts a caller that does not read its response in time: it must
+// not hold up a planned stop.
+func boundWriting(writer http.ResponseWriter) {
+	_ = http.NewResponseController(writer).SetWriteDeadline(time.Now().Add(writeTimeout))
+}
+
 // wholeSeconds rounds up, because Retry-After has no fractions.
 func wholeSeconds(milliseconds float64) string {
 	return strconv.Itoa(int(math.Ceil(milliseconds / float64(time.Second/time.Millisecond))))
--- a/lab/simulation/node.go
+++ b/lab/simulation/node.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -18,6 +19,12 @@
 	"github.com/banksail/banksail/store"
 )
 
+// largestClockError bounds what the hosts' wall clocks are off.
+const largestClockError = time.Hour
+
+// heldQueries is few enough for an overload to reach it.
+const heldQueries = 100
+
 // nodeHost is one host on which a node runs; its process may be restarted.
 type nodeHost struct {
 	system *System
@@ -80,6 +87,7 @@
 		Operator: address(one.ip, operatorPort),
 		Peer:     address(one.ip, peerPort),
 	}
+	set.Caller.Queries = heldQueries
 	set.Store.Address = "http://" + address(storeIP, storePort)
 	set.MachineList.Address = "http://" + address(machineListIP, machineListPort)
 	sink := &nodeLog{logs: one.system.logs, node: one.name, process: process}
@@ -94,14 +102,16 @@
 		}),
 		Logger: zerolog.New(sink).Level(zerolog.InfoLevel),
 		Seed:   one.system.options.Seed*1000 + uint64(one.index*100+one.run) + 1,
+		// Wall clocks differ between machines: a later process may have one
+		// that is behind.
+		Incarnation: uint64(time.Now().Add(one.clockError()).UnixMilli()),
 	}
 }
 
-// current returns the number of the process that runs; ok is false when none does.
-func (one *nodeHost) current() (run int, ok bool) {
-	one.mutex.Lock()
-	defer one.mutex.Unlock()
-	return one.run, one.running
+// clockError is by how much the wall clock of the host of the present run is off.
+func (one *nodeHost) clockError() time.Duration {
+	random := rand.New(rand.NewPCG(one.system.options.Seed, uint64(one.index<<16+one.run)))
+	return time.Duration(random.Int64N(int64(2*largestClockError))) - largestClockError
 }
 
 // take marks the process as ended by the caller, who alone may then end it.
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/banksail/banksail/lab/emulator"
+	"github.com/banksail/banksail/machinelist"
 	"github.com/banksail/banksail/node"
 	"github.com/banksail/banksail/policy"
 	"github.com/banksail/banksail/settings"
@@ -183,6 +185,52 @@
 	})
 }
 
+func TestRepetitionIsAnsweredByItsOwnDeadline(t *testing.T) {
+	inWorld(t, 1, nil, func(t *testing.T, w *world) {
+		w.straggle(0, time.Second)
+		first := w.start(t.Context(), "return-1", false)
+		got, took := w.queryOnce(t.Context(), "return-1", 200*time.Millisecond)
+		if got.problem.Execution != "unknown" || took > 250*time.Millisecond {
+			t.Errorf("after %v got %+v", took, got)
+		}
+		if got := <-first; got.status != http.StatusOK {
+			t.Errorf("the first one got %+v", got)
+		}
+	})
+}
+
+func TestRepetitionOverTheBoundIsNotToldNotRun(t *testing.T) {
+	bound := func(chosen *settings.Settings) { chosen.Caller.Queries = 1 }
+	inWorld(t, 1, bound, func(t *testing.T, w *world) {
+		w.straggle(0, time.Second)
+		first := w.start(t.Context(), "return-1", false)
+		if got := w.query(t.Context(), "return-1", false, "linen"); got.problem.Execution != "unknown" {
+			t.Errorf("while it runs: %+v", got)
+		}
+		<-first
+		holder := w.start(t.Context(), "other", true)
+		if got := w.query(t.Context(), "return-1", false, "linen"); got.problem.Execution != "unknown" {
+			t.Errorf("after it ran: %+v", got)
+		}
+		<-holder
+	})
+}
+
+func TestClaimEndsByTheDeadline(t *testing.T) {
+	inWorld(t, 1, nil, func(t *testing.T, w *world) {
+		w.machines.Upsert(machinelist.Machine{
+			ID: "node-2", Address: "10.0.0.9:7103", Zone: "zone-a",
+			Role: machinelist.RoleNode, State: machinelist.StateLive, Incarnation: "1",
+		})
+		w.network.Cut(nodeIP, "10.0.0.9")
+		time.Sleep(settle)
+		got, took := w.queryOnce(t.Context(), "return-1", 50*time.Millisecond)
+		if got.problem.Execution != "not_run" || took > 100*time.Millisecond {
+			t.Errorf("after %v got %+v", took, got)
+		}
+	})
+}
+
 func TestWindowOfRequestIDsEnds(t *testing.T) {
 	shorten := func(chosen *settings.Settings) { chosen.AtMostOnce.Window = 30 * time.Second }
 	inWorld(t, 1, shorten, func(t *testing.T, w *world) {
@@ -200,6 +248,20 @@
 	})
 }
 
+func TestForgottenResultIsNotRunAgain(t *testing.T) {
+	keepNone := func(chosen *settings.Settings) { chosen.AtMostOnce.ResultBytes = 0 }
+	inWorld(t, 1, keepNone, func(t *testing.T, w *world) {
+		w.query(t.Context(), "return-1", false, "linen")
+		got := w.query(t.Context(), "return-1", false, "linen")
+		if got.status != http.StatusConflict || got.problem.Reason != "result_forgotten" || got.problem.Execution != "unknown" {
+			t.Errorf("asked again: %+v", got)
+		}
+		if count := w.executions("return-1"); count != 1 {
+			t.Errorf("%d executions", count)
+		}
+	})
+}
+
 func TestRequestThatRanNowhereMayComeAgain(t *testing.T) {
 	inWorld(t, 1, nil, func(t *testing.T, w *world) {
 		faults := w.servers[0].Faults()
@@ -221,6 +283,16 @@
 	})
 }
 
+func TestQueryMayLastLongerThanItsReading(t *testing.T) {
+	shorten := func(chosen *settings.Settings) { chosen.Caller.ReadTimeout = 2 * time.Second }
+	inWorld(t, 1, shorten, func(t *testing.T, w *world) {
+		w.straggle(0, 15*time.Second)
+		if got := w.query(t.Context(), "r-1", true, "linen"); got.status != http.StatusOK || !got.answer.Complete {
+			t.Errorf("got %+v", got)
+		}
+	})
+}
+
 func TestCallerGone(t *testing.T) {
 	tests := map[string]struct{ repeatable, completes bool }{
 		"repeatable request is cancelled":        {repeatable: true, completes: false},
@@ -262,6 +334,27 @@
 	})
 }
 
+func TestDrainIsSeenBesideManyServersThatHang(t *testing.T) {
+	const servers, draining = 100, 99
+	inWorld(t, servers, nil, func(t *testing.T, w *world) {
+		for index := range draining {
+			w.servers[index].SetFaults(emulator.ServerFaults{Freeze: true})
+		}
+		time.Sleep(10 * time.Second)
+		w.servers[draining].SetFaults(emulator.ServerFaults{HealthState: "draining"})
+		time.Sleep(3 * time.Second)
+		ctx, leave := context.WithTimeout(t.Context(), time.Second)
+		defer leave()
+		w.query(ctx, "r-1", true, "linen")
+		if executions := w.servers[draining].Executions(); len(executions) != 0 {
+			t.Errorf("3 s after the drain: %+v", executions)
+		}
+		for index := range draining {
+			w.servers[index].SetFaults(emulator.ServerFaults{})
+		}
+	})
+}
+
 func TestConfigurationChangesWhileRunning(t *testing.T) {
 	inWorld(t, 2, nil, func(t *testing.T, w *world) {
 		w.straggle(0, 8*time.Second)
