--- a/rollout/run.go
+++ b/rollout/run.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"sync"
@@ -176,6 +177,9 @@
 
 // offerStored offers the value of the store's record.
 func (k *Keeper) offerStored(record store.Record) error {
+	if current := k.snapshot(); current != nil && bytes.Equal(record.Value, current.bytes) {
+		return nil
+	}
 	next, err := newState(record.Value)
 	if err != nil {
 		k.metrics.rejected.Add(1)
