--- a/membership/nodes.go
+++ b/membership/nodes.go
@@ -177,6 +177,23 @@
 // once; the rest learn from them.
 const announcementTargets = 5
 
+// maximumInquiries bounds the members that an inquiry asks.
+const maximumInquiries = 64
+
+// Inquire returns requests to live members whose configuration is not known to
+// be as new as the revision; their replies tell the one in force there. It asks
+// a bounded number, at random.
+func (n *Nodes) Inquire(revision policy.Revision) []Request {
+	targets := n.pick(maximumInquiries, func(m Member) bool {
+		return m.State <= Suspect && m.Revision < revision
+	})
+	requests := make([]Request, 0, len(targets))
+	for _, target := range targets {
+		requests = append(requests, n.newRequest(ReconnectProbe, target))
+	}
+	return requests
+}
+
 func (n *Nodes) announce() []Request {
 	targets := n.pick(announcementTargets, func(m Member) bool { return m.State == Live })
 	requests := make([]Request, 0, len(targets))
--- a/peer/agent.go
+++ b/peer/agent.go
@@ -14,6 +14,7 @@
 	"github.com/banksail/banksail/dispatch"
 	"github.com/banksail/banksail/machinelist"
 	"github.com/banksail/banksail/membership"
+	"github.com/banksail/banksail/policy"
 )
 
 // Agent keeps the node's view of the other nodes and of the servers: it drives
@@ -141,6 +142,16 @@
 	a.sendAndWait(ctx, requests)
 }
 
+// RefreshRevisions asks members that are not known to have the revision in
+// force, a bounded number of them, and returns when they have answered or did
+// not in time. Members is then as exact as it can be, where gossip lags.
+func (a *Agent) RefreshRevisions(ctx context.Context, revision policy.Revision) {
+	a.nodes.mutex.Lock()
+	requests := a.nodes.core.Inquire(revision)
+	a.nodes.mutex.Unlock()
+	a.sendAndWait(ctx, requests)
+}
+
 // depart announces that the node is gone.
 func (a *Agent) depart(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, departTimeout)
--- a/peer/agent_test.go
+++ b/peer/agent_test.go
@@ -373,3 +373,24 @@
 		}
 	})
 }
+
+func TestRefreshTellsTheRevisionsInForceAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ids := []string{"n1", "n2", "n3", "n4"}
+		nodes := startNodes(t, newMemoryNetwork(), ids...)
+		defer stopNodes(nodes)
+		time.Sleep(10 * time.Second)
+		for _, id := range ids {
+			if _, err := nodes["n1"].agent.Push(t.Context(), id, 7, []byte("record")); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(maximumTick) // each agent looks at its source once more
+		nodes["n1"].agent.RefreshRevisions(t.Context(), 7)
+		for _, known := range nodes["n1"].agent.Members() {
+			if known.Revision != 7 {
+				t.Fatalf("%s is known to have revision %d", known.ID, known.Revision)
+			}
+		}
+	})
+}
