--- a/lab/simulation/faults.go
+++ b/lab/simulation/faults.go
@@ -116,10 +116,15 @@
 
 // restartNode kills a node's process, if one runs, and starts a new one.
 func (s *System) restartNode(one *nodeHost, mode network.KillMode, at time.Duration) {
-	if one.kill(mode) {
-		s.sleepUntil(at)
-		_ = one.start()
+	if !one.kill(mode) {
+		return
+	}
+	s.sleepUntil(at)
+	for _, caller := range s.callers {
+		// A call on a connection of the former process would not reach the new one.
+		s.network.Reset(callerIP(caller.node.index), one.ip)
 	}
+	_ = one.start()
 }
 
 // stopNode stops a node as planned, with requests in flight, and starts it anew.
