--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -43,8 +43,7 @@
 	registry *prometheus.Registry
 }
 
-// NewMetrics creates a node's metrics, with those of its process and of the Go
-// runtime.
+// NewMetrics creates a node's metrics.
 func NewMetrics() *Metrics {
 	metrics := &Metrics{
 		Queries:    newCounters("queries_total", "Finished queries.", "service", "class", "execution", "reason"),
@@ -60,7 +59,6 @@
 	metrics.registry.MustRegister(
 		metrics.Queries, metrics.Latency, metrics.Coverage, metrics.Sends,
 		metrics.Failures, metrics.Held, metrics.Revision, metrics.Duplicates,
-		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector(),
 	)
 	return metrics
 }
