--- a/peer/agent.go
+++ b/peer/agent.go
@@ -119,7 +119,7 @@
 func (a *Agent) now() time.Duration { return time.Since(a.epoch) }
 
 // Run probes peers and follows the machine list until the context ends; it
-// then announces the departure and returns when all its goroutines have ended.
+// then hands its claims over, announces the departure and returns when all its goroutines have ended.
 func (a *Agent) Run(ctx context.Context) error {
 	var loops sync.WaitGroup
 	loops.Go(func() { a.tickLoop(ctx) })
@@ -127,6 +127,7 @@
 		loops.Go(func() { a.listLoop(ctx) })
 	}
 	loops.Wait()
+	a.handOver(context.WithoutCancel(ctx))
 	a.depart(context.WithoutCancel(ctx))
 	a.requests.Wait()
 	return nil
@@ -174,11 +175,26 @@
 	now := a.now()
 	requests := a.nodes.core.Tick(now)
 	next := a.nodes.core.Next()
+	changes := a.nodes.core.TakeChanges()
 	a.nodes.mutex.Unlock()
+	a.logChanges(changes)
 	a.send(ctx, requests)
 	return min(max(0, next-now), maximumTick)
 }
 
+// logChanges writes what changed in the table of nodes.
+func (a *Agent) logChanges(changes []membership.Member) {
+	for _, member := range changes {
+		a.logger.Debug().
+			Str("member", member.ID).
+			Str("address", member.Address).
+			Stringer("state", member.State).
+			Uint64("incarnation", member.Incarnation).
+			Uint64("revision", uint64(member.Revision)).
+			Msg("member changed")
+	}
+}
+
 // refreshRevision takes over the revision in force, which rides on gossip.
 func (a *Agent) refreshRevision() {
 	if a.configurations == nil {
