--- a/lab/scale/dispatch.go
+++ b/lab/scale/dispatch.go
@@ -6,8 +6,11 @@
 	"fmt"
 	"math/rand/v2"
 	"runtime"
+	"slices"
 	"time"
 
+	"gonum.org/v1/gonum/stat"
+
 	"github.com/banksail/banksail/dispatch"
 	"github.com/banksail/banksail/policy"
 )
@@ -17,6 +20,7 @@
 	hollowDeadline   = 200 * time.Millisecond
 	meanServiceTime  = time.Millisecond
 	networkRoundTrip = 2 * time.Millisecond
+	stragglerTime    = 100 * time.Millisecond
 	dispatchSeed     = 1
 	warmUpQueries    = 50
 )
@@ -30,6 +34,10 @@
 	watch      *Stopwatch
 	nextQuery  dispatch.QueryID
 	counts     dispatchCounts
+	// stragglers is the share of sub-requests that take stragglerTime longer.
+	stragglers float64
+	arrivals   map[dispatch.QueryID]time.Duration
+	latencies  []float64
 }
 
 type dispatchCounts struct {
@@ -42,6 +50,7 @@
 		random:     rand.New(rand.NewPCG(dispatchSeed, 0)),
 		dispatcher: newDispatcher(service),
 		watch:      watch,
+		arrivals:   make(map[dispatch.QueryID]time.Duration),
 	}
 	return node
 }
@@ -64,6 +73,7 @@
 	}
 	n.nextQuery++
 	n.counts.queries++
+	n.arrivals[n.nextQuery] = n.queue.Now()
 	n.step(dispatch.Arrived{Query: hollowQuery(n.nextQuery)})
 	n.queue.After(gap, func() { n.arrive(gap, end) })
 }
@@ -95,6 +105,9 @@
 		n.queue.After(action.At-n.queue.Now(), func() { n.step(dispatch.Woken{}) })
 	case dispatch.Finish:
 		n.counts.finished++
+		latency := n.queue.Now() - n.arrivals[action.Query]
+		n.latencies = append(n.latencies, microseconds(latency)/1000)
+		delete(n.arrivals, action.Query)
 		if action.Outcome.Complete {
 			n.counts.complete++
 		}
@@ -102,7 +115,11 @@
 }
 
 func (n *hollowNode) delay() time.Duration {
-	return networkRoundTrip + time.Duration(n.random.ExpFloat64()*float64(meanServiceTime))
+	delay := networkRoundTrip + time.Duration(n.random.ExpFloat64()*float64(meanServiceTime))
+	if n.random.Float64() < n.stragglers {
+		delay += stragglerTime
+	}
+	return delay
 }
 
 func doneReply(send dispatch.Send) dispatch.Replied {
@@ -121,6 +138,7 @@
 	n.queue.RunUntil(warmUpQueries*gap + time.Second)
 	n.watch.Reset()
 	n.counts = dispatchCounts{}
+	n.latencies = n.latencies[:0]
 	begin := n.queue.Now()
 	n.arrive(gap, begin+span)
 	n.queue.RunUntil(begin + span)
@@ -208,6 +226,12 @@
 				return append(samples, Sample{"heap bytes", heap}), err
 			},
 		},
+		{
+			Name: "latency-groups", Role: "query path", Size: "groups per query",
+			Fixed: "2 servers a group, 1 ms service, 2 ms round trip, one sub-request in 1,000 takes 100 ms longer",
+			Sizes: []float64{8, 44, 88, 175, 262, 350}, Today: 12, Planned: groupsPlanned,
+			Measure: func(_ context.Context, size float64) ([]Sample, error) { return measureLatency(int(size), 1000) },
+		},
 		{
 			Name: "dispatch-rate", Role: "query path", Size: "queries/s of a node", Fixed: "350 groups of 2 servers",
 			Sizes: []float64{20, 40, 80, 120, 157}, Today: 20, Planned: 157,
@@ -218,6 +242,30 @@
 	}
 }
 
+// measureLatency gives quantiles of the time from a query's arrival to its answer.
+func measureLatency(groups, queries int) ([]Sample, error) {
+	const (
+		rate       = 20.0
+		stragglers = 0.001
+	)
+	watch, err := NewStopwatch()
+	if err != nil {
+		return nil, err
+	}
+	defer watch.Close()
+	node := newHollowNode(serviceOf(groups, 2), watch)
+	node.stragglers = stragglers
+	node.run(rate, time.Duration(float64(queries)/rate*float64(time.Second)))
+	slices.Sort(node.latencies)
+	quantile := func(share float64) float64 { return stat.Quantile(share, stat.Empirical, node.latencies, nil) }
+	return []Sample{
+		{"latency ms, half of queries", quantile(0.5)},
+		{"latency ms, 99 in 100", quantile(0.99)},
+		{"extra load, share of first sends", float64(node.counts.extraSends) / float64(node.counts.sends-node.counts.extraSends)},
+		{"complete answers/query", float64(node.counts.complete) / float64(node.counts.finished)},
+	}, nil
+}
+
 // atRate measures a second of queries at a rate.
 func atRate(rate float64) ([]Sample, error) {
 	const (
--- a/lab/scale/sweeps_test.go
+++ b/lab/scale/sweeps_test.go
@@ -36,6 +36,7 @@
 	const span = 20 * time.Second
 	return map[string]func() ([]Sample, error){
 		"one query":                    func() ([]Sample, error) { return perQuery(8, 2, 20) },
+		"latency":                      func() ([]Sample, error) { return measureLatency(8, 50) },
 		"queries at a rate":            func() ([]Sample, error) { return atRate(5) },
 		"quiet membership":             func() ([]Sample, error) { return quietMembership(16, span) },
 		"membership under changes":     func() ([]Sample, error) { return membershipUnderChanges(16, 20_000, 3*span) },
