Keep only the first of a server's nodes while ranking them

Cause: sorting all nodes of a zone for each server took most of the shares' time. The owners are the same.

--- a/membership/connections.go
+++ b/membership/connections.go
@@ -85,7 +85,7 @@
 	if len(nodes) > shared {
 		ranked = rankZoneFirst(server, nodes, min(OwnersPerServer, shared))
 	} else {
-		ranked = rank(server, nodes, anyZone)
+		ranked = rank(server, nodes, len(nodes), anyZone)
 	}
 	owners := make([]Owner, 0, len(ranked))
 	for position, id := range ranked {
@@ -103,39 +103,47 @@
 // server's zone before all others. The others are ranked only when the zone
 // has too few.
 func rankZoneFirst(server ServerPlace, nodes []Member, count int) []string {
-	ranked := rank(server, nodes, func(zone string) bool { return zone == server.Zone })
+	ranked := rank(server, nodes, count, func(zone string) bool { return zone == server.Zone })
 	if len(ranked) < count {
-		ranked = append(ranked, rank(server, nodes, func(zone string) bool { return zone != server.Zone })...)
+		others := func(zone string) bool { return zone != server.Zone }
+		ranked = append(ranked, rank(server, nodes, count-len(ranked), others)...)
 	}
-	return ranked[:count]
+	return ranked
 }
 
 func anyZone(string) bool { return true }
 
-// rank orders the nodes of the wanted zones by their rendezvous weight for the
-// server.
-func rank(server ServerPlace, nodes []Member, wanted func(zone string) bool) []string {
-	type weighted struct {
-		id     string
-		weight uint64
-	}
-	var candidates []weighted
+// weighted is a node with its rendezvous weight for a server.
+type weighted struct {
+	id     string
+	weight uint64
+}
+
+// heavierFirst puts the greater weight first, and at equal weights the lesser ID.
+func heavierFirst(x, y weighted) int {
+	return cmp.Or(cmp.Compare(y.weight, x.weight), cmp.Compare(x.id, y.id))
+}
+
+// rank returns the first count nodes of the wanted zones by their rendezvous
+// weight for the server.
+func rank(server ServerPlace, nodes []Member, count int, wanted func(zone string) bool) []string {
+	first := make([]weighted, 0, count+1)
 	for index := range nodes {
 		node := &nodes[index]
 		if !wanted(node.Zone) {
 			continue
 		}
-		candidates = append(candidates, weighted{
-			id:     node.ID,
-			weight: xxhash.Sum64String(server.ID + "\x00" + node.ID),
-		})
+		candidate := weighted{id: node.ID, weight: xxhash.Sum64String(server.ID + "\x00" + node.ID)}
+		at, _ := slices.BinarySearchFunc(first, candidate, heavierFirst)
+		if at == count {
+			continue
+		}
+		first = slices.Insert(first, at, candidate)
+		first = first[:min(len(first), count)]
 	}
-	slices.SortFunc(candidates, func(x, y weighted) int {
-		return cmp.Or(cmp.Compare(y.weight, x.weight), cmp.Compare(x.id, y.id))
-	})
-	ids := make([]string, 0, len(candidates))
-	for _, candidate := range candidates {
-		ids = append(ids, candidate.id)
+	ids := make([]string, 0, len(first))
+	for _, node := range first {
+		ids = append(ids, node.id)
 	}
 	return ids
 }
