--- a/dispatch/configure.go
+++ b/dispatch/configure.go
@@ -64,17 +64,17 @@
 		d.ranked = append(d.ranked, c)
 	}
 	d.budget.SetClasses(len(sorted))
-	d.spare()
+	d.shareBlocked()
 }
 
-// spare sets, by rank, the share of groups that a query may start without: what
+// shareBlocked sets, by rank, the share of groups that a query may start without: what
 // its class, or a less urgent one, can do without.
-func (d *Dispatcher) spare() {
-	d.spareable = make([]float64, len(d.ranked))
+func (d *Dispatcher) shareBlocked() {
+	d.blockedShares = make([]float64, len(d.ranked))
 	share := 0.0
 	for rank := len(d.ranked) - 1; rank >= 0; rank-- {
 		share = max(share, min(d.options.BlockedShare, 1-d.ranked[rank].MinimumCoverage))
-		d.spareable[rank] = share
+		d.blockedShares[rank] = share
 	}
 }
 
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -21,18 +21,18 @@
 	actions []Action
 
 	// The configuration in force.
-	known      bool
-	stopping   bool
-	nodes      int
-	service    policy.Service
-	space      coverage.Range
-	classes    map[string]*class
-	ranked     []*class  // by rank
-	spareable  []float64 // by rank, share of groups that may be without room
-	groups     []*group  // by range
-	generation uint64    // of groups
-	servers    map[string]*server
-	states     map[string]ServerState // of servers that are not configured
+	known         bool
+	stopping      bool
+	nodes         int
+	service       policy.Service
+	space         coverage.Range
+	classes       map[string]*class
+	ranked        []*class  // by rank
+	blockedShares []float64 // by rank, share of groups that may be without room
+	groups        []*group  // by range
+	generation    uint64    // of groups
+	servers       map[string]*server
+	states        map[string]ServerState // of servers that are not configured
 
 	// What is learned.
 	catalog   *snapshot.Catalog
--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -76,7 +76,7 @@
 	if len(d.running) >= d.options.MaximumRunning {
 		return false
 	}
-	return d.blocked[rank] <= int(d.spareable[rank]*float64(len(d.groups)))
+	return d.blocked[rank] <= int(d.blockedShares[rank]*float64(len(d.groups)))
 }
 
 // waiter is a segment that waits for room in a group.
