Traces: record a node's dispatcher in a simulation, replay it and compare byte for byte

Five small traces state outcomes for a lost, a draining and a slow replica, an overloaded pool and a repartition. A change of decisions shows as the first difference; testdata/record.sh records anew when the change is meant.

--- a/cmd/banksail-lab/main.go
+++ b/cmd/banksail-lab/main.go
@@ -35,5 +35,7 @@
 	commander.Register(&loadCommand{}, "load")
 	commander.Register(&spreadCommand{}, "measurements")
 	commander.Register(&experimentCommand{}, "experiments")
+	commander.Register(&recordCommand{}, "experiments")
+	commander.Register(&replayCommand{}, "experiments")
 	commander.Register(&scaleCommand{}, "experiments")
 }
--- a/lab/experiment/policies.go
+++ b/lab/experiment/policies.go
@@ -37,7 +37,7 @@
 	options := baseline.Options{FirstServer: node.Index}
 	switch p.Kind {
 	case KindBanksail:
-		return dispatch.New(p.Options.options(node))
+		return dispatch.New(p.Options.Build(node.Seed, node.Zone))
 	case KindFixedHedge:
 		options.HedgeDelay = p.hedgeDelay(scenario)
 	case KindStrictPriority:
--- /dev/null
+++ b/lab/experiment/select.go
@@ -0,0 +1,47 @@
+package experiment
+
+import (
+	"fmt"
+
+	"github.com/banksail/banksail/lab/experiment/cluster"
+)
+
+// Selection names one cell of a grid.
+type Selection struct {
+	Workload, Fault, Policy string
+}
+
+// Selected is a cell's scenario and policy.
+type Selected struct {
+	Scenario *cluster.Scenario
+	Policy   cluster.Policy
+	// Options are those of the policy, when it is banksail's.
+	Options Tuning
+}
+
+// Select finds a cell's scenario and policy. The policy must be banksail's.
+func (f *File) Select(selection Selection) (Selected, error) {
+	workload, ok := named(f.Workloads, selection.Workload, func(w Workload) string { return w.Name })
+	if !ok {
+		return Selected{}, fmt.Errorf("%w: workloads: none is named %q", ErrInvalidFile, selection.Workload)
+	}
+	faults, ok := named(f.Faults, selection.Fault, func(s FaultSet) string { return s.Name })
+	if !ok {
+		return Selected{}, fmt.Errorf("%w: faults: none is named %q", ErrInvalidFile, selection.Fault)
+	}
+	decided, ok := named(f.Policies, selection.Policy, func(p Policy) string { return p.Name })
+	if !ok || decided.Kind != KindBanksail {
+		return Selected{}, fmt.Errorf("%w: policies: none of kind %s is named %q", ErrInvalidFile, KindBanksail, selection.Policy)
+	}
+	scenario := f.scenario(workload, faults)
+	return Selected{Scenario: scenario, Policy: decided.build(scenario), Options: decided.Options}, nil
+}
+
+func named[T any](list []T, name string, nameOf func(T) string) (found T, ok bool) {
+	for _, listed := range list {
+		if nameOf(listed) == name {
+			return listed, true
+		}
+	}
+	return found, false
+}
--- a/lab/experiment/tuning.go
+++ b/lab/experiment/tuning.go
@@ -6,7 +6,6 @@
 	"github.com/banksail/banksail/admission"
 	"github.com/banksail/banksail/dispatch"
 	"github.com/banksail/banksail/gather"
-	"github.com/banksail/banksail/lab/experiment/cluster"
 	"github.com/banksail/banksail/limit"
 	"github.com/banksail/banksail/retry"
 )
@@ -14,43 +13,43 @@
 // Tuning changes options of the dispatcher; what is absent keeps its default.
 type Tuning struct {
 	// QueueOrder ranks what waits: strict-class, arrival or boosted.
-	QueueOrder string `yaml:"queue_order" validate:"omitempty,oneof=strict-class arrival boosted"`
+	QueueOrder string `yaml:"queue_order" json:"queue_order,omitempty" validate:"omitempty,oneof=strict-class arrival boosted"`
 	// ClassBoostsMS is for the boosted order, the most urgent class first.
-	ClassBoostsMS []float64 `yaml:"class_boosts_ms" validate:"max=16,dive,min=0,max=600000"`
+	ClassBoostsMS []float64 `yaml:"class_boosts_ms" json:"class_boosts_ms,omitempty" validate:"max=16,dive,min=0,max=600000"`
 	// SizeDecayRate is for the boosted order, per second.
-	SizeDecayRate float64  `yaml:"size_decay_rate" validate:"min=0"`
-	MaximumQueued int      `yaml:"maximum_queued" validate:"min=0"`
-	BlockedShare  *float64 `yaml:"blocked_share" validate:"omitempty,min=0,max=1"`
-	Limit         string   `yaml:"limit" validate:"omitempty,oneof=adaptive fixed unlimited"`
-	LimitGrowth   float64  `yaml:"limit_growth" validate:"min=0"`
+	SizeDecayRate float64  `yaml:"size_decay_rate" json:"size_decay_rate,omitempty" validate:"min=0"`
+	MaximumQueued int      `yaml:"maximum_queued" json:"maximum_queued,omitempty" validate:"min=0"`
+	BlockedShare  *float64 `yaml:"blocked_share" json:"blocked_share,omitempty" validate:"omitempty,min=0,max=1"`
+	Limit         string   `yaml:"limit" json:"limit,omitempty" validate:"omitempty,oneof=adaptive fixed unlimited"`
+	LimitGrowth   float64  `yaml:"limit_growth" json:"limit_growth,omitempty" validate:"min=0"`
 	// LimitSignal is the sign of congestion: low-latency or mean-latency.
-	LimitSignal     string  `yaml:"limit_signal" validate:"omitempty,oneof=low-latency mean-latency"`
-	LimitQueueShare float64 `yaml:"limit_queue_share" validate:"min=0"`
-	LimitQuantile   float64 `yaml:"limit_quantile" validate:"min=0,max=1"`
-	LimitStep       float64 `yaml:"limit_step" validate:"min=0"`
-	LimitTolerance  float64 `yaml:"limit_tolerance" validate:"min=0"`
+	LimitSignal     string  `yaml:"limit_signal" json:"limit_signal,omitempty" validate:"omitempty,oneof=low-latency mean-latency"`
+	LimitQueueShare float64 `yaml:"limit_queue_share" json:"limit_queue_share,omitempty" validate:"min=0"`
+	LimitQuantile   float64 `yaml:"limit_quantile" json:"limit_quantile,omitempty" validate:"min=0,max=1"`
+	LimitStep       float64 `yaml:"limit_step" json:"limit_step,omitempty" validate:"min=0"`
+	LimitTolerance  float64 `yaml:"limit_tolerance" json:"limit_tolerance,omitempty" validate:"min=0"`
 	// Replica chooses servers: power-of-two, least-delay or random.
-	Replica           string   `yaml:"replica" validate:"omitempty,oneof=power-of-two least-delay random"`
-	LoadWeight        *float64 `yaml:"load_weight" validate:"omitempty,min=0"`
-	LoadHalfLifeMS    float64  `yaml:"load_half_life_ms" validate:"min=0"`
-	LatencyHalfLifeMS float64  `yaml:"latency_half_life_ms" validate:"min=0"`
+	Replica           string   `yaml:"replica" json:"replica,omitempty" validate:"omitempty,oneof=power-of-two least-delay random"`
+	LoadWeight        *float64 `yaml:"load_weight" json:"load_weight,omitempty" validate:"omitempty,min=0"`
+	LoadHalfLifeMS    float64  `yaml:"load_half_life_ms" json:"load_half_life_ms,omitempty" validate:"min=0"`
+	LatencyHalfLifeMS float64  `yaml:"latency_half_life_ms" json:"latency_half_life_ms,omitempty" validate:"min=0"`
 	// Hedge decides on hedges: share, fixed, quantile or none.
-	Hedge         string  `yaml:"hedge" validate:"omitempty,oneof=share fixed quantile none"`
-	HedgeFactor   float64 `yaml:"hedge_factor" validate:"min=0"`
-	HedgeAfterMS  float64 `yaml:"hedge_after_ms" validate:"min=0"`
-	HedgeQuantile float64 `yaml:"hedge_quantile" validate:"min=0,max=1"`
-	BudgetBurst   float64 `yaml:"budget_burst" validate:"min=0"`
+	Hedge         string  `yaml:"hedge" json:"hedge,omitempty" validate:"omitempty,oneof=share fixed quantile none"`
+	HedgeFactor   float64 `yaml:"hedge_factor" json:"hedge_factor,omitempty" validate:"min=0"`
+	HedgeAfterMS  float64 `yaml:"hedge_after_ms" json:"hedge_after_ms,omitempty" validate:"min=0"`
+	HedgeQuantile float64 `yaml:"hedge_quantile" json:"hedge_quantile,omitempty" validate:"min=0,max=1"`
+	BudgetBurst   float64 `yaml:"budget_burst" json:"budget_burst,omitempty" validate:"min=0"`
 	// Stop decides when to stop waiting: deadline or slow.
-	Stop          string  `yaml:"stop" validate:"omitempty,oneof=deadline slow"`
-	Patience      float64 `yaml:"patience" validate:"min=0"`
-	LeastCoverage float64 `yaml:"least_coverage" validate:"min=0,max=1"`
+	Stop          string  `yaml:"stop" json:"stop,omitempty" validate:"omitempty,oneof=deadline slow"`
+	Patience      float64 `yaml:"patience" json:"patience,omitempty" validate:"min=0"`
+	LeastCoverage float64 `yaml:"least_coverage" json:"least_coverage,omitempty" validate:"min=0,max=1"`
 }
 
-// options sets up a node's dispatcher.
-func (t Tuning) options(node cluster.Node) dispatch.Options {
+// Build gives the options of a node's dispatcher.
+func (t Tuning) Build(seed uint64, zone string) dispatch.Options {
 	return dispatch.Options{
-		Seed:            node.Seed,
-		Zone:            node.Zone,
+		Seed:            seed,
+		Zone:            zone,
 		QueueOrder:      t.queueOrder(),
 		MaximumQueued:   t.MaximumQueued,
 		BlockedShare:    optional(t.BlockedShare),
--- /dev/null
+++ b/lab/replay/record.go
@@ -0,0 +1,81 @@
+package replay
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/banksail/banksail/dispatch"
+	"github.com/banksail/banksail/lab/experiment"
+	"github.com/banksail/banksail/lab/experiment/cluster"
+)
+
+// Selection names the run and the node of which a trace is made.
+type Selection struct {
+	experiment.Selection
+	Seed  uint64
+	Node  int
+	About string
+}
+
+// Make runs one simulation of the experiment file and writes a trace of what one
+// node's dispatcher was told and decided.
+func Make(out io.Writer, file *experiment.File, selection Selection) error {
+	chosen, err := file.Select(selection.Selection)
+	if err != nil {
+		return err
+	}
+	writer := &writer{out: bufio.NewWriter(out), node: selection.Node}
+	decided := chosen.Policy
+	makeMachine := decided.New
+	decided.New = func(node cluster.Node) cluster.Machine {
+		if node.Index == selection.Node {
+			writer.line(Header{
+				Format:  Format,
+				Version: Version,
+				About:   selection.About,
+				Seed:    node.Seed,
+				Zone:    node.Zone,
+				Options: chosen.Options,
+			})
+		}
+		return makeMachine(node)
+	}
+	cluster.Run(chosen.Scenario, decided, selection.Seed, writer.observe)
+	if writer.err != nil {
+		return writer.err
+	}
+	return writer.out.Flush()
+}
+
+// writer writes the lines of one node and keeps the first error.
+type writer struct {
+	out  *bufio.Writer
+	node int
+	err  error
+}
+
+func (w *writer) observe(node int, now time.Duration, event dispatch.Event, actions []dispatch.Action) {
+	if node != w.node || w.err != nil {
+		return
+	}
+	record := Record{At: now}
+	if record.Event, w.err = wrapEvent(event); w.err != nil {
+		return
+	}
+	if record.Actions, w.err = encodeActions(actions); w.err != nil {
+		return
+	}
+	w.line(record)
+}
+
+func (w *writer) line(value any) {
+	text, err := json.Marshal(value)
+	if err == nil {
+		_, err = w.out.Write(append(text, '\n'))
+	}
+	if w.err == nil {
+		w.err = err
+	}
+}
--- /dev/null
+++ b/lab/replay/replay_test.go
@@ -0,0 +1,138 @@
+package replay_test
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/banksail/banksail/lab/experiment"
+	"github.com/banksail/banksail/lab/replay"
+)
+
+func traces(t testing.TB) []string {
+	t.Helper()
+	paths, err := filepath.Glob("testdata/*.jsonl")
+	if err != nil || len(paths) == 0 {
+		t.Fatalf("no traces: %v", err)
+	}
+	return paths
+}
+
+func TestRecordedTracesReplayAlike(t *testing.T) {
+	for _, path := range traces(t) {
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			text, err := os.ReadFile(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			report, err := replay.Run(bytes.NewReader(text))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if report.Difference != nil {
+				t.Fatal(report.Difference)
+			}
+			if len(report.Outcomes) == 0 {
+				t.Error("the trace states no outcome")
+			}
+		})
+	}
+}
+
+func TestAChangedOutcomeIsFound(t *testing.T) {
+	text, err := os.ReadFile("testdata/overload-none.jsonl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	changed := bytes.Replace(text, []byte(`"Reason":"complete"`), []byte(`"Reason":"deadline"`), 1)
+	report, err := replay.Run(bytes.NewReader(changed))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if report.Difference == nil {
+		t.Fatal("the change was not found")
+	}
+	shown := report.Difference.String()
+	if !strings.Contains(shown, "deadline") || !strings.Contains(shown, "complete") {
+		t.Errorf("the difference is not shown: %s", shown)
+	}
+}
+
+func TestARecordedRunReplaysAlike(t *testing.T) {
+	file, err := experiment.Load("testdata/experiment.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, workload := range file.Workloads {
+		for _, faults := range file.Faults {
+			selection := replay.Selection{Seed: 7, Selection: experiment.Selection{
+				Workload: workload.Name, Fault: faults.Name, Policy: experiment.KindBanksail,
+			}}
+			var first, second bytes.Buffer
+			if err := replay.Make(&first, file, selection); err != nil {
+				t.Fatal(err)
+			}
+			if err := replay.Make(&second, file, selection); err != nil {
+				t.Fatal(err)
+			}
+			if !bytes.Equal(first.Bytes(), second.Bytes()) {
+				t.Errorf("%s/%s: two recordings of a seed differ", workload.Name, faults.Name)
+			}
+			report, err := replay.Run(&first)
+			if err != nil || report.Difference != nil {
+				t.Errorf("%s/%s: %v %v", workload.Name, faults.Name, err, report.Difference)
+			}
+		}
+	}
+}
+
+func TestInvalidTracesAreRefused(t *testing.T) {
+	const header = `{"format":"banksail-trace","version":1,"seed":1,"zone":"a","options":{}}`
+	tests := []struct {
+		name, text string
+		want       error
+	}{
+		{"empty", "", replay.ErrInvalidTrace},
+		{"not JSON", "hello\n", replay.ErrInvalidTrace},
+		{"another format", `{"format":"x","version":1,"seed":1,"zone":"","options":{}}`, replay.ErrInvalidTrace},
+		{"a later version", `{"format":"banksail-trace","version":2,"seed":1,"zone":"","options":{}}`, replay.ErrUnsupportedVersion},
+		{"an unknown field", header + "\n" + `{"at_ns":1,"event":{},"actions":[],"extra":1}`, replay.ErrInvalidTrace},
+		{"no event", header + "\n" + `{"at_ns":1,"event":{},"actions":[]}`, replay.ErrInvalidTrace},
+		{"two events", header + "\n" + `{"at_ns":1,"event":{"woken":{},"stopping":{}},"actions":[]}`, replay.ErrInvalidTrace},
+		{"time goes back", header + "\n" + `{"at_ns":2,"event":{"woken":{}},"actions":[]}` + "\n" +
+			`{"at_ns":1,"event":{"woken":{}},"actions":[]}`, replay.ErrInvalidTrace},
+		{"a line too long", strings.Repeat(" ", replay.MaximumLineBytes+1), replay.ErrInvalidTrace},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := replay.Run(strings.NewReader(test.text))
+			if !errors.Is(err, test.want) {
+				t.Errorf("error %v, want %v", err, test.want)
+			}
+		})
+	}
+}
+
+func FuzzReader(f *testing.F) {
+	for _, path := range traces(f) {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			f.Fatal(err)
+		}
+		const seedLines = 12
+		lines := bytes.SplitAfterN(text, []byte("\n"), seedLines)
+		f.Add(bytes.Join(lines[:len(lines)-1], nil))
+	}
+	f.Fuzz(func(_ *testing.T, text []byte) {
+		reader, err := replay.NewReader(bytes.NewReader(text))
+		for err == nil {
+			var record replay.Record
+			if record, err = reader.Next(); err == nil {
+				_, err = record.Event.Value()
+			}
+		}
+	})
+}
--- /dev/null
+++ b/lab/replay/trace.go
@@ -0,0 +1,230 @@
+// Package replay records what one node's dispatcher was told and what it
+// decided, and drives a dispatcher with the record to see whether it still
+// decides the same, byte for byte.
+//
+// A trace is a text of JSON lines. The first is the Header; each of the others
+// is a Record: one event (an arrival, a reply after its service time, a failure,
+// a change of configuration or of a server's state) and the actions that the
+// dispatcher gave, which are the stated outcomes.
+package replay
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/banksail/banksail/dispatch"
+	"github.com/banksail/banksail/lab/experiment"
+)
+
+// Errors of traces.
+var (
+	// ErrInvalidTrace is returned for a text that is not a trace; it names the line.
+	ErrInvalidTrace = errors.New("replay: invalid trace")
+	// ErrUnsupportedVersion is returned for a trace of another version.
+	ErrUnsupportedVersion = errors.New("replay: unsupported version")
+)
+
+// Format and Version stand in the header of each trace.
+const (
+	Format  = "banksail-trace"
+	Version = 1
+)
+
+// Bounds of what is read.
+const (
+	// MaximumLineBytes bounds one line.
+	MaximumLineBytes = 1 << 20
+	// MaximumRecords bounds the records of one trace.
+	MaximumRecords = 1 << 20
+)
+
+// Header is the first line of a trace.
+type Header struct {
+	Format  string `json:"format"`
+	Version int    `json:"version"`
+	// About tells readers what the trace shows.
+	About string `json:"about,omitempty"`
+	// Seed, Zone and Options set up the dispatcher.
+	Seed    uint64            `json:"seed"`
+	Zone    string            `json:"zone"`
+	Options experiment.Tuning `json:"options"`
+}
+
+// Record is one event and what the dispatcher did about it.
+type Record struct {
+	// At is the time of the event, in nanoseconds since the start.
+	At    time.Duration `json:"at_ns"`
+	Event Event         `json:"event"`
+	// Actions is the JSON text of a list of Action.
+	Actions json.RawMessage `json:"actions"`
+}
+
+// Event holds one event of a dispatcher; exactly one field is set.
+type Event struct {
+	Arrived       *dispatch.Arrived       `json:"arrived,omitempty"`
+	CallerGone    *dispatch.CallerGone    `json:"caller_gone,omitempty"`
+	Replied       *dispatch.Replied       `json:"replied,omitempty"`
+	Failed        *dispatch.Failed        `json:"failed,omitempty"`
+	Woken         *dispatch.Woken         `json:"woken,omitempty"`
+	Configured    *dispatch.Configured    `json:"configured,omitempty"`
+	ServerChanged *dispatch.ServerChanged `json:"server_changed,omitempty"`
+	Observed      *dispatch.Observed      `json:"observed,omitempty"`
+	NodesChanged  *dispatch.NodesChanged  `json:"nodes_changed,omitempty"`
+	Stopping      *dispatch.Stopping      `json:"stopping,omitempty"`
+}
+
+// wrapEvent puts an event of a dispatcher into its field.
+func wrapEvent(event dispatch.Event) (Event, error) {
+	switch typed := event.(type) {
+	case dispatch.Arrived:
+		return Event{Arrived: &typed}, nil
+	case dispatch.CallerGone:
+		return Event{CallerGone: &typed}, nil
+	case dispatch.Replied:
+		return Event{Replied: &typed}, nil
+	case dispatch.Failed:
+		return Event{Failed: &typed}, nil
+	case dispatch.Woken:
+		return Event{Woken: &typed}, nil
+	case dispatch.Configured:
+		return Event{Configured: &typed}, nil
+	case dispatch.ServerChanged:
+		return Event{ServerChanged: &typed}, nil
+	case dispatch.Observed:
+		return Event{Observed: &typed}, nil
+	case dispatch.NodesChanged:
+		return Event{NodesChanged: &typed}, nil
+	case dispatch.Stopping:
+		return Event{Stopping: &typed}, nil
+	}
+	return Event{}, fmt.Errorf("%w: unknown event %T", ErrInvalidTrace, event)
+}
+
+// Value returns the one event; it fails when there is none, or more than one.
+func (e Event) Value() (dispatch.Event, error) {
+	var set []dispatch.Event
+	add(&set, e.Arrived)
+	add(&set, e.CallerGone)
+	add(&set, e.Replied)
+	add(&set, e.Failed)
+	add(&set, e.Woken)
+	add(&set, e.Configured)
+	add(&set, e.ServerChanged)
+	add(&set, e.Observed)
+	add(&set, e.NodesChanged)
+	add(&set, e.Stopping)
+	if len(set) != 1 {
+		return nil, fmt.Errorf("%w: %d events in a record, not 1", ErrInvalidTrace, len(set))
+	}
+	return set[0], nil
+}
+
+func add[T dispatch.Event](set *[]dispatch.Event, event *T) {
+	if event != nil {
+		*set = append(*set, *event)
+	}
+}
+
+// Action holds one action of a dispatcher; exactly one field is set.
+type Action struct {
+	Send   *dispatch.Send   `json:"send,omitempty"`
+	Cancel *dispatch.Cancel `json:"cancel,omitempty"`
+	Finish *dispatch.Finish `json:"finish,omitempty"`
+	Wake   *dispatch.Wake   `json:"wake,omitempty"`
+}
+
+// encodeActions returns the JSON text of what the dispatcher did.
+func encodeActions(actions []dispatch.Action) (json.RawMessage, error) {
+	wrapped := make([]Action, 0, len(actions))
+	for _, action := range actions {
+		switch typed := action.(type) {
+		case dispatch.Send:
+			wrapped = append(wrapped, Action{Send: &typed})
+		case dispatch.Cancel:
+			wrapped = append(wrapped, Action{Cancel: &typed})
+		case dispatch.Finish:
+			wrapped = append(wrapped, Action{Finish: &typed})
+		case dispatch.Wake:
+			wrapped = append(wrapped, Action{Wake: &typed})
+		default:
+			return nil, fmt.Errorf("%w: unknown action %T", ErrInvalidTrace, action)
+		}
+	}
+	return json.Marshal(wrapped)
+}
+
+// Reader reads a trace.
+type Reader struct {
+	header  Header
+	lines   *bufio.Scanner
+	line    int
+	records int
+	latest  time.Duration
+}
+
+// NewReader reads the header.
+func NewReader(in io.Reader) (*Reader, error) {
+	lines := bufio.NewScanner(in)
+	lines.Buffer(nil, MaximumLineBytes)
+	reader := &Reader{lines: lines}
+	if err := reader.next(&reader.header); err != nil {
+		if errors.Is(err, io.EOF) {
+			return nil, fmt.Errorf("%w: it is empty", ErrInvalidTrace)
+		}
+		return nil, err
+	}
+	if reader.header.Format != Format {
+		return nil, fmt.Errorf("%w: line 1: format %q", ErrInvalidTrace, reader.header.Format)
+	}
+	if reader.header.Version != Version {
+		return nil, fmt.Errorf("%w: %d; this reads %d", ErrUnsupportedVersion, reader.header.Version, Version)
+	}
+	return reader, nil
+}
+
+// Header is the trace's first line.
+func (r *Reader) Header() Header { return r.header }
+
+// Line is the number of the line read last, from 1.
+func (r *Reader) Line() int { return r.line }
+
+// Next reads the next record; it returns io.EOF after the last.
+func (r *Reader) Next() (Record, error) {
+	var record Record
+	if err := r.next(&record); err != nil {
+		return Record{}, err
+	}
+	r.records++
+	switch {
+	case r.records > MaximumRecords:
+		return Record{}, fmt.Errorf("%w: more than %d records", ErrInvalidTrace, MaximumRecords)
+	case record.At < r.latest:
+		return Record{}, fmt.Errorf("%w: line %d: at_ns goes back", ErrInvalidTrace, r.line)
+	}
+	r.latest = record.At
+	return record, nil
+}
+
+func (r *Reader) next(value any) error {
+	if !r.lines.Scan() {
+		if err := r.lines.Err(); err != nil {
+			return fmt.Errorf("%w: line %d: %w", ErrInvalidTrace, r.line+1, err)
+		}
+		return io.EOF
+	}
+	r.line++
+	decoder := json.NewDecoder(bytes.NewReader(r.lines.Bytes()))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(value); err != nil {
+		return fmt.Errorf("%w: line %d: %w", ErrInvalidTrace, r.line, err)
+	}
+	if decoder.More() {
+		return fmt.Errorf("%w: line %d: more than one value", ErrInvalidTrace, r.line)
+	}
+	return nil
+}
