--- a/dispatch/environment.go
+++ b/dispatch/environment.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/banksail/banksail/coverage"
@@ -73,6 +74,21 @@
 	return e.latencies.Quantile(e.options.TypicalQuantile)
 }
 
+// Expected implements gather.Environment.
+func (e *environment) Expected(s *gather.Segment) time.Duration {
+	usual := float64(e.latencies.Quantile(medianQuantile))
+	least := math.Inf(1)
+	for _, replica := range s.Group.(*group).servers {
+		if !replica.leaving() {
+			least = min(least, replica.expectedLatency(e.now, usual, e.options.LatencyHalfLife))
+		}
+	}
+	if math.IsInf(least, 1) {
+		return 0
+	}
+	return time.Duration(least)
+}
+
 // leastBackoff is the time before the first round of asking tried servers anew;
 // it doubles with each.
 const leastBackoff = 10 * time.Millisecond
--- a/gather/environment.go
+++ b/gather/environment.go
@@ -57,6 +57,9 @@
 	NextSnapshot(tried []snapshot.ID, keys uint64) (id snapshot.ID, ok bool)
 	// Typical is the latency that most sub-requests stay below; zero when unknown.
 	Typical() time.Duration
+	// Expected is the latency that is expected of the segment's quickest server;
+	// zero when unknown.
+	Expected(s *Segment) time.Duration
 	// Backoff is the time before the given round of asking tried servers anew.
 	Backoff(round int) time.Duration
 	// NextAttempt returns an ID that was not used before.
--- a/gather/query.go
+++ b/gather/query.go
@@ -1,6 +1,7 @@
 package gather
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -262,6 +263,7 @@
 		Open:     len(q.open),
 		Unsent:   q.unsent,
 		Typical:  q.environment.Typical(),
+		Expected: q.expected(),
 		Budget:   q.options.Deadline - q.started,
 	})
 	switch {
@@ -273,6 +275,15 @@
 	}
 }
 
+// expected is the least latency that is expected of an open segment.
+func (q *Query) expected() time.Duration {
+	least := time.Duration(math.MaxInt64)
+	for _, s := range q.open {
+		least = min(least, q.environment.Expected(s))
+	}
+	return least
+}
+
 // setState changes how far the segment got.
 func (q *Query) setState(s *Segment, state segmentState) {
 	if s.state == waiting {
--- a/gather/query_test.go
+++ b/gather/query_test.go
@@ -65,6 +65,7 @@
 
 func (f *fixed) NextSnapshot([]snapshot.ID, uint64) (snapshot.ID, bool) { return f.next, f.next > 0 }
 func (f *fixed) Typical() time.Duration                                 { return 0 }
+func (f *fixed) Expected(*gather.Segment) time.Duration                 { return 0 }
 func (f *fixed) Backoff(int) time.Duration                              { return time.Millisecond }
 func (f *fixed) Send(a *gather.Attempt)                                 { f.sent = append(f.sent, a) }
 func (f *fixed) Cancel(a *gather.Attempt)                               { f.canceled = append(f.canceled, a) }
--- a/gather/stop.go
+++ b/gather/stop.go
@@ -16,6 +16,9 @@
 	Unsent int
 	// Typical is the latency that most sub-requests stay below; zero when unknown.
 	Typical time.Duration
+	// Expected is the least latency that is expected of a segment still awaited,
+	// from what its servers took of late; zero when unknown.
+	Expected time.Duration
 	// Budget is the time from the query's start to its deadline.
 	Budget time.Duration
 }
@@ -41,6 +44,9 @@
 	// UnsentPatience is the multiple while the rest could not even be sent; zero
 	// stands for DefaultUnsentPatience.
 	UnsentPatience float64
+	// SlowPatience is the multiple while the rest is expected to take longer than
+	// Patience allows in any case; zero stands for DefaultSlowPatience.
+	SlowPatience float64
 	// Classes is the number of classes, the most urgent first, that stop early;
 	// the others wait until their deadline. Zero stands for one.
 	Classes int
@@ -53,13 +59,17 @@
 const (
 	DefaultPatience       = 4.0
 	DefaultUnsentPatience = 2.0
+	DefaultSlowPatience   = 1.0
 	DefaultLeastCoverage  = 0.8
 )
 
 // StopAfter implements StopPolicy.
 func (p StopWhenSlow) StopAfter(progress Progress) (time.Duration, bool) {
 	patience := orDefault(p.Patience, DefaultPatience)
-	if progress.Unsent == progress.Open {
+	switch {
+	case float64(progress.Expected) > patience*float64(progress.Typical):
+		patience = orDefault(p.SlowPatience, DefaultSlowPatience)
+	case progress.Unsent == progress.Open:
 		patience = orDefault(p.UnsentPatience, DefaultUnsentPatience)
 	}
 	least := orDefault(p.Least, DefaultLeastCoverage)
--- a/lab/experiment/tuning.go
+++ b/lab/experiment/tuning.go
@@ -42,6 +42,7 @@
 	// Stop decides when to stop waiting: deadline or slow.
 	Stop          string  `yaml:"stop" json:"stop,omitempty" validate:"omitempty,oneof=deadline slow"`
 	Patience      float64 `yaml:"patience" json:"patience,omitempty" validate:"min=0"`
+	SlowPatience  float64 `yaml:"slow_patience" json:"slow_patience,omitempty" validate:"min=0"`
 	LeastCoverage float64 `yaml:"least_coverage" json:"least_coverage,omitempty" validate:"min=0,max=1"`
 }
 
@@ -138,7 +139,7 @@
 	case "deadline":
 		return gather.StopAtDeadline{}
 	case "slow":
-		return gather.StopWhenSlow{Patience: t.Patience, Least: t.LeastCoverage}
+		return gather.StopWhenSlow{Patience: t.Patience, SlowPatience: t.SlowPatience, Least: t.LeastCoverage}
 	default:
 		return nil
 	}
