Option WaitingRoom: queries start while few sub-requests wait in a group without room

Cause: a query that needs every group starts only when all have room, which with limits of one or two is seldom at once.

--- a/dispatch/configure.go
+++ b/dispatch/configure.go
@@ -170,7 +170,7 @@
 	d.blocked = make([]int, len(d.ranked))
 	for _, g := range d.groups {
 		g.contribution = contribution{}
-		g.level = len(d.ranked)
+		g.level, g.admits = len(d.ranked), len(d.ranked)
 		for _, s := range g.servers {
 			s.counted = contribution{}
 		}
--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -19,7 +19,10 @@
 	latencies *retry.Sketch
 	contribution
 	// level is the number of classes that have room, the most urgent first.
-	level   int
+	level int
+	// admits is the number of classes, the most urgent first, whose queries may
+	// start: those that have room, or all while few sub-requests wait here.
+	admits  int
 	waiting waiters
 	roomy   bool // is listed in the dispatcher's roomy groups
 }
@@ -50,13 +53,17 @@
 	for level < len(d.ranked) && (g.usable == 0 || g.room(level, d.ranked[level].share)) {
 		level++
 	}
-	for rank := level; rank < g.level; rank++ {
+	admits := level
+	if len(g.waiting) < d.options.WaitingRoom {
+		admits = len(d.ranked)
+	}
+	for rank := admits; rank < g.admits; rank++ {
 		d.blocked[rank]++
 	}
-	for rank := g.level; rank < level; rank++ {
+	for rank := g.admits; rank < admits; rank++ {
 		d.blocked[rank]--
 	}
-	g.level = level
+	g.level, g.admits = level, admits
 	if level < len(d.ranked) && (d.queue.Len() > 0 || len(g.waiting) > 0) {
 		g.want()
 	}
@@ -126,6 +133,7 @@
 		return
 	}
 	heap.Push(&g.waiting, w)
+	d.level(g)
 }
 
 // leastWaiting is the number of first sub-requests that may always wait for a group.
@@ -198,6 +206,7 @@
 	clear(d.passed)
 	d.passed = d.passed[:0]
 	d.pumped = nil
+	d.level(g)
 }
 
 // groupsOf divides the range among the groups that hold it.
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -30,6 +30,11 @@
 	// what the class can do without: a class that needs full coverage starts only
 	// when every group has room. Default 0.25; negative is none.
 	BlockedShare float64
+	// WaitingRoom is the number of sub-requests that may wait in a group while
+	// queries still start that find no room there: a query needs many groups, and
+	// seldom have all of them room at once. It buys throughput for some latency
+	// of urgent queries; default none.
+	WaitingRoom int
 	// WaitingPerLimit bounds the first sub-requests that wait for room in a group,
 	// as a multiple of the group's limit; those over it are given up at once.
 	// Default 2.
--- a/dispatch/room_test.go
+++ b/dispatch/room_test.go
@@ -174,3 +174,21 @@
 		t.Fatalf("%d sends, %d queued; want none and one", got, d.queue.Len())
 	}
 }
+
+func TestQueriesStartWhileFewWaitInAGroupWithoutRoom(t *testing.T) {
+	d := started(Options{WaitingRoom: 2, LimitPolicy: limit.Options{Policy: limit.Fixed}}, 8, 1)
+	for _, s := range d.groups[3].servers {
+		s.shedUntil = time.Hour
+		d.account(s)
+	}
+	for number, want := range []int{7, 7, 0} {
+		batch := ask(QueryID(number + 1))
+		batch.Query.Class = "batch"
+		if got := len(sends(d.Step(0, batch))); got != want {
+			t.Fatalf("query %d: %d sends, want %d", number+1, got, want)
+		}
+	}
+	if d.queue.Len() != 1 {
+		t.Fatalf("%d queued, want the third", d.queue.Len())
+	}
+}
--- a/lab/experiment/tuning.go
+++ b/lab/experiment/tuning.go
@@ -20,8 +20,10 @@
 	SizeDecayRate float64  `yaml:"size_decay_rate" json:"size_decay_rate,omitempty" validate:"min=0"`
 	MaximumQueued int      `yaml:"maximum_queued" json:"maximum_queued,omitempty" validate:"min=0"`
 	BlockedShare  *float64 `yaml:"blocked_share" json:"blocked_share,omitempty" validate:"omitempty,min=0,max=1"`
-	Limit         string   `yaml:"limit" json:"limit,omitempty" validate:"omitempty,oneof=adaptive fixed unlimited"`
-	LimitGrowth   float64  `yaml:"limit_growth" json:"limit_growth,omitempty" validate:"min=0"`
+	// WaitingRoom is the number of sub-requests that may wait in a group.
+	WaitingRoom int     `yaml:"waiting_room" json:"waiting_room,omitempty" validate:"min=0,max=1000"`
+	Limit       string  `yaml:"limit" json:"limit,omitempty" validate:"omitempty,oneof=adaptive fixed unlimited"`
+	LimitGrowth float64 `yaml:"limit_growth" json:"limit_growth,omitempty" validate:"min=0"`
 	// LimitSignal is the sign of congestion: low-latency or mean-latency.
 	LimitSignal     string  `yaml:"limit_signal" json:"limit_signal,omitempty" validate:"omitempty,oneof=low-latency mean-latency"`
 	LimitQueueShare float64 `yaml:"limit_queue_share" json:"limit_queue_share,omitempty" validate:"min=0"`
@@ -54,6 +56,7 @@
 		QueueOrder:      t.queueOrder(),
 		MaximumQueued:   t.MaximumQueued,
 		BlockedShare:    optional(t.BlockedShare),
+		WaitingRoom:     t.WaitingRoom,
 		LimitPolicy:     t.limitPolicy(),
 		ReplicaPolicy:   t.replicaPolicy(),
 		LoadWeight:      optional(t.LoadWeight),
