Useful throughput by the time of the answer; the limit's floor lies amid calm windows

Cause: the measure counted work that was done after the last arrival, when the queues ran empty: at 1.5 times capacity it read 98% over 6 s and 89% over 18 s for the same decisions. It now counts the mean work of useful answers given while queries arrive, so that hedges that find the quicker of two replies don't read as lost throughput.

--- a/lab/experiment/cluster/result.go
+++ b/lab/experiment/cluster/result.go
@@ -37,6 +37,7 @@
 	// Timeline is the coverage by time of arrival, in buckets of CoverageBucket.
 	Timeline []TimePoint
 	minimum  float64
+	meanWork time.Duration
 }
 
 // TimePoint sums the coverage of the queries of one bucket. A refused query
@@ -74,8 +75,12 @@
 	// UsefulWork is the part of it that went into answers with at least the
 	// minimum coverage.
 	UsefulWork time.Duration
-	// Capacity is the time that all slots offered.
-	Capacity time.Duration
+	// AnsweredWork is the mean work of the sub-requests in such answers that were
+	// given between the end of the warm-up and that of the arrivals, and Capacity
+	// the time that all slots offered meanwhile. The mean, since a policy that
+	// picks the quicker of two replies serves more queries with the same work.
+	AnsweredWork, Capacity time.Duration
+	warmup, duration       time.Duration
 	// Unanswered counts queries without a final answer; it should be zero.
 	Unanswered int
 	// Faulty counts actions that name unknown queries or servers; it should be zero.
@@ -84,7 +89,11 @@
 
 func newResult(scenario *Scenario) *Result {
 	window := scenario.Duration - scenario.Warmup
-	result := &Result{Capacity: window * time.Duration(scenario.slots())}
+	result := &Result{
+		Capacity: window * time.Duration(scenario.slots()),
+		warmup:   scenario.Warmup,
+		duration: scenario.Duration,
+	}
 	buckets := int(scenario.Duration/CoverageBucket) + 1
 	for _, class := range scenario.Classes {
 		result.Classes = append(result.Classes, &ClassResult{
@@ -94,6 +103,7 @@
 			Refused:       make(map[dispatch.Reason]int),
 			Timeline:      make([]TimePoint, buckets),
 			minimum:       class.MinimumCoverage,
+			meanWork:      time.Duration(class.work() * float64(scenario.ServiceTime.Mean)),
 		})
 	}
 	return result
@@ -115,9 +125,10 @@
 	return share(all-float64(r.UsefulWork), all)
 }
 
-// UsefulThroughput is the useful work over the capacity.
+// UsefulThroughput is the mean work of useful answers over the capacity, by the time
+// of the answer: what is answered after the last arrival does not count.
 func (r *Result) UsefulThroughput() float64 {
-	return share(float64(r.UsefulWork), float64(r.Capacity))
+	return share(float64(r.AnsweredWork), float64(r.Capacity))
 }
 
 func share(part, whole float64) float64 {
@@ -163,6 +174,14 @@
 	bucket := min(int(answered.arrivedAt/CoverageBucket), len(class.Timeline)-1)
 	class.Timeline[bucket].Queries++
 	class.Timeline[bucket].Coverage += outcome.Coverage
+	useful := outcome.Execution == dispatch.ExecutionDone && outcome.Coverage >= class.minimum
+	work := time.Duration(0)
+	if useful {
+		work = answered.workOf(outcome.Parts)
+	}
+	if useful && r.warmup <= now && now < r.duration {
+		r.AnsweredWork += time.Duration(len(outcome.Parts)) * class.meanWork
+	}
 	if !answered.measured {
 		return
 	}
@@ -174,17 +193,22 @@
 	class.coverageSum += outcome.Coverage
 	class.WorstCoverage = min(class.WorstCoverage, outcome.Coverage)
 	_ = class.Latency.RecordValue(min(max(took.Microseconds(), leastLatency), greatestLatency))
-	if outcome.Execution != dispatch.ExecutionDone || outcome.Coverage < class.minimum {
-		return
+	if useful {
+		class.Useful++
+		r.UsefulWork += work
 	}
-	class.Useful++
-	for _, part := range outcome.Parts {
-		r.UsefulWork += answered.workOf(part)
+}
+
+// workOf is the time that servers spent on the parts of an answer.
+func (q *query) workOf(parts []dispatch.Part) time.Duration {
+	work := time.Duration(0)
+	for _, part := range parts {
+		work += q.workOfPart(part)
 	}
+	return work
 }
 
-// workOf is the time that a server spent on a part of the answer.
-func (q *query) workOf(part dispatch.Part) time.Duration {
+func (q *query) workOfPart(part dispatch.Part) time.Duration {
 	for _, candidate := range q.attempts {
 		if candidate.executed > 0 && candidate.server.id == part.Server && candidate.send.Range == part.Range {
 			return candidate.executed
--- a/limit/limiter.go
+++ b/limit/limiter.go
@@ -79,6 +79,13 @@
 	baselineRise = 0.003
 )
 
+// Rates of the floor. It follows less quickly down, so that it lies amid calm
+// windows and not at the lowest of them.
+const (
+	floorFall = 0.05
+	floorRise = 0.003
+)
+
 func (o Options) withDefaults() Options {
 	if o.Minimum <= 0 {
 		o.Minimum = DefaultMinimum
@@ -253,8 +260,8 @@
 	used := l.window.wanted || l.window.peak >= l.Limit()
 	l.window = window{samples: l.window.samples[:0], peak: l.inFlight}
 	congested := l.congested(mean, low)
-	l.baseline = follow(l.baseline, mean, baselineFall)
-	l.floor = follow(l.floor, low, baselineFall)
+	l.baseline = follow(l.baseline, mean, baselineFall, baselineRise)
+	l.floor = follow(l.floor, low, floorFall, floorRise)
 	switch {
 	case congested:
 		l.lower(now, latency, l.options.LatencyBackoff)
@@ -281,15 +288,15 @@
 	return low-l.floor > l.baseline*l.options.QueueShare
 }
 
-// follow moves a known value towards one just seen, down at the given rate.
-func follow(known, seen, fall float64) float64 {
+// follow moves a known value towards one just seen, down and up at the given rates.
+func follow(known, seen, fall, rise float64) float64 {
 	switch {
 	case known == 0:
 		return seen
 	case seen < known:
 		return known + (seen-known)*fall
 	default:
-		return known + (seen-known)*baselineRise
+		return known + (seen-known)*rise
 	}
 }
 
