--- a/lab/scale/plot.go
+++ b/lab/scale/plot.go
@@ -38,7 +38,7 @@
 }
 
 func (s Series) fileName() string {
-	name := strings.ToLower(s.Sweep + "-" + s.Quantity)
+	name := strings.ReplaceAll(strings.ToLower(s.Sweep+"-"+s.Quantity), "µ", "u")
 	return strings.Trim(notInFileNames.ReplaceAllString(name, "-"), "-") + ".png"
 }
 
