Stand-ins: back ends that stop as planned

Cause: a signal cut a back end's requests in flight; a planned stop drains.

Connections that carried no request yet, such as nodes' spare ones, are closed: net/http waits 5 s for them, which a test run showed as 5.7 s for a stop.

--- a/cmd/banksail-lab/backends.go
+++ b/cmd/banksail-lab/backends.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"net"
@@ -25,8 +26,12 @@
 	seed        uint64
 	snapshots   int
 	serviceMean float64
+	notice      time.Duration
 }
 
+// drainTimeout bounds the wait for the requests in flight of a planned stop.
+const drainTimeout = 10 * time.Second
+
 // Name returns the subcommand's name.
 func (*backendsCommand) Name() string { return "backends" }
 
@@ -38,7 +43,8 @@
 	return `backends [flags]:
   Serve the back ends of a profile in one process, one port each, until a signal.
   Each takes fault switches at POST /v1/faults and shows its execution history
-  at GET /v1/executions.
+  at GET /v1/executions. The first signal stops them: at once, or with --drain
+  after they have told for that long that they leave and refused new work.
 
   Example: banksail-lab backends --profile small --base-port 21000
 
@@ -51,6 +57,7 @@
 	flags.StringVar(&c.only, "only", "*", "pattern of the server IDs to serve, as in path.Match")
 	flags.Uint64Var(&c.seed, "seed", 1, "seed of service times and faults")
 	flags.IntVar(&c.snapshots, "snapshots", 1, "number of snapshots held: 1 to this")
+	flags.DurationVar(&c.notice, "drain", 0, "how long a signal makes the back ends drain before they stop")
 	flags.Float64Var(&c.serviceMean, "service-ms", 0, "mean service time in milliseconds; 0 keeps the profile's")
 }
 
@@ -97,7 +104,7 @@
 			}
 			options := c.serverOptions(chosen, tier, shard, member)
 			options.Service = service.Name
-			if err := startServer(ctx, group, member.Address, options); err != nil {
+			if err := c.startServer(ctx, group, member.Address, options); err != nil {
 				return 0, err
 			}
 			count++
@@ -127,12 +134,30 @@
 	}
 }
 
-func startServer(ctx context.Context, group *errgroup.Group, address string, options emulator.ServerOptions) error {
+func (c *backendsCommand) startServer(
+	ctx context.Context, group *errgroup.Group, address string, options emulator.ServerOptions,
+) error {
 	server, err := emulator.NewServer(options)
 	if err != nil {
 		return err
 	}
-	return serve(ctx, group, address, server)
+	if c.notice <= 0 {
+		return serve(ctx, group, address, server)
+	}
+	return serve(ctx, group, address, drainedServer{Server: server, notice: c.notice})
+}
+
+// drainedServer is a back end that stops as planned.
+type drainedServer struct {
+	*emulator.Server
+	notice time.Duration
+}
+
+// Close drains the server before it closes it.
+func (s drainedServer) Close() error {
+	ctx, cancel := context.WithTimeout(context.Background(), s.notice+drainTimeout)
+	defer cancel()
+	return errors.Join(s.Drain(ctx, s.notice), s.Server.Close())
 }
 
 // standIn is what the stand-ins have in common.
--- a/lab/emulator/listener.go
+++ b/lab/emulator/listener.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -146,11 +147,13 @@
 	mutex   sync.Mutex
 	closed  bool
 	servers []*http.Server
+	// unused holds the connections that have not carried a request yet.
+	unused map[net.Conn]struct{}
 }
 
 func newLifetime() *lifetime {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &lifetime{ctx: ctx, cancel: cancel}
+	return &lifetime{ctx: ctx, cancel: cancel, unused: make(map[net.Conn]struct{})}
 }
 
 // serve serves the listener until close; it returns nil then.
@@ -174,6 +177,7 @@
 }
 
 func (l *lifetime) run(server *http.Server, listener net.Listener) error {
+	server.ConnState = l.noteState
 	if !l.add(server) {
 		return listener.Close()
 	}
@@ -194,6 +198,43 @@
 	return true
 }
 
+func (l *lifetime) noteState(conn net.Conn, state http.ConnState) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if state == http.StateNew {
+		l.unused[conn] = struct{}{}
+		return
+	}
+	delete(l.unused, conn)
+}
+
+// shutdown closes the listeners and waits for the requests in flight. It closes
+// the connections that carried none yet, for which net/http would wait.
+func (l *lifetime) shutdown(ctx context.Context) error {
+	l.mutex.Lock()
+	l.closed = true
+	servers := slices.Clone(l.servers)
+	l.mutex.Unlock()
+	ended := make(chan error, len(servers))
+	for _, server := range servers {
+		go func() { ended <- server.Shutdown(ctx) }()
+	}
+	l.closeUnused()
+	var problems []error
+	for range servers {
+		problems = append(problems, <-ended)
+	}
+	return errors.Join(problems...)
+}
+
+func (l *lifetime) closeUnused() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for conn := range l.unused {
+		_ = conn.Close()
+	}
+}
+
 func (l *lifetime) close() error {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/lab/emulator/listener_test.go
+++ b/lab/emulator/listener_test.go
@@ -57,3 +57,40 @@
 		t.Error(err)
 	}
 }
+
+func TestDrainEndsWhatRunsAndRefusesTheRest(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	server := newServer(t, emulator.ServerOptions{})
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	client := backend.NewClient(backend.ClientOptions{ConnectionsPerServer: func(string) int { return 8 }})
+	defer client.CloseIdleConnections()
+
+	server.SetFaults(emulator.ServerFaults{ReplyDelayMilliseconds: 100})
+	running := make(chan error, 1)
+	go func() {
+		_, err := client.Query(t.Context(), address, newQuery("a1"))
+		running <- err
+	}()
+	for history := server.Executions(); len(history) == 0 || !history[0].Completed; history = server.Executions() {
+		runtime.Gosched()
+	}
+	server.SetFaults(emulator.ServerFaults{Draining: true})
+	reply, err := client.Query(t.Context(), address, newQuery("a2"))
+	if err != nil || reply.Status != backend.StatusDraining {
+		t.Errorf("reply is %+v, %v, want draining", reply, err)
+	}
+	if err := server.Drain(t.Context(), 0); err != nil {
+		t.Error(err)
+	}
+	if err := <-running; err != nil {
+		t.Errorf("the running sub-request: %v", err)
+	}
+	if err := <-served; err != nil {
+		t.Error(err)
+	}
+}
--- a/lab/emulator/server.go
+++ b/lab/emulator/server.go
@@ -179,6 +179,19 @@
 	return err
 }
 
+// Drain stops the server as planned: it says that it leaves and refuses new
+// sub-requests for the notice time, then closes its listeners and waits for
+// what runs. It returns the context's error when that ends first.
+func (s *Server) Drain(ctx context.Context, notice time.Duration) error {
+	faults := s.Faults()
+	faults.Draining = true
+	s.SetFaults(faults)
+	if err := sleep(ctx, notice); err != nil {
+		return err
+	}
+	return s.ended.shutdown(ctx)
+}
+
 // Close ends Serve, cuts its connections and ends what is frozen.
 func (s *Server) Close() error {
 	return s.ended.close()
