--- a/cmd/banksaild/providers.go
+++ b/cmd/banksaild/providers.go
@@ -24,6 +24,19 @@
 
 func newNetwork() *node.SystemNetwork { return node.NewSystemNetwork(dialTimeout) }
 
+func newOptions(
+	loaded settings.Settings, network node.Network, records store.Conn, machines machinelist.Conn, logger zerolog.Logger,
+) node.Options {
+	return node.Options{
+		Settings:       loaded,
+		Network:        network,
+		Store:          records,
+		MachineList:    machines,
+		Logger:         logger,
+		ProcessMetrics: true,
+	}
+}
+
 func newStore(loaded settings.Settings, network node.Network) store.Conn {
 	return store.NewHTTP(store.HTTPOptions{
 		Address: loaded.Store.Address,
--- a/cmd/banksaild/wire.go
+++ b/cmd/banksaild/wire.go
@@ -18,7 +18,7 @@
 	wire.Bind(new(node.Network), new(*node.SystemNetwork)),
 	newStore,
 	newMachineList,
-	wire.Struct(new(node.Options), "Settings", "Network", "Store", "MachineList", "Logger"),
+	newOptions,
 	node.New,
 	wire.Struct(new(daemon), "node", "logger"),
 )
--- a/cmd/banksaild/wire_gen.go
+++ b/cmd/banksaild/wire_gen.go
@@ -25,13 +25,7 @@
 	if err != nil {
 		return nil, err
 	}
-	options := node.Options{
-		Settings:    loaded,
-		Network:     systemNetwork,
-		Store:       conn,
-		MachineList: machinelistConn,
-		Logger:      logger,
-	}
+	options := newOptions(loaded, systemNetwork, conn, machinelistConn, logger)
 	nodeNode, err := node.New(options)
 	if err != nil {
 		return nil, err
@@ -49,5 +43,6 @@
 var daemonSet = wire.NewSet(
 	newLogger,
 	newNetwork, wire.Bind(new(node.Network), new(*node.SystemNetwork)), newStore,
-	newMachineList, wire.Struct(new(node.Options), "Settings", "Network", "Store", "MachineList", "Logger"), node.New, wire.Struct(new(daemon), "node", "logger"),
+	newMachineList,
+	newOptions, node.New, wire.Struct(new(daemon), "node", "logger"),
 )
--- a/node/node.go
+++ b/node/node.go
@@ -111,6 +111,9 @@
 	})
 	n.connectPeers()
 	n.watchControl()
+	if options.ProcessMetrics {
+		n.metrics.WatchProcess()
+	}
 	return n, nil
 }
 
--- a/node/options.go
+++ b/node/options.go
@@ -36,6 +36,9 @@
 	MachineList machinelist.Conn
 	// Logger is told what happens; it never sees a body.
 	Logger zerolog.Logger
+	// ProcessMetrics adds the process's own metrics; only one node of a process
+	// may have them.
+	ProcessMetrics bool
 	// Seed makes random choices repeatable; zero picks one.
 	Seed uint64
 	// Incarnation is greater than that of every earlier run under the same node
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -81,6 +81,15 @@
 	m.registry.MustRegister(prometheus.NewCounterFunc(options(name, help), counter))
 }
 
+// WatchProcess adds the process's and the Go runtime's own metrics; only one
+// node of a process may have them.
+func (m *Metrics) WatchProcess() {
+	m.registry.MustRegister(
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+}
+
 func options(name, help string) prometheus.CounterOpts {
 	return prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}
 }
