Tests of what counts as delivered

Cause: the counts were tested only through the clients.

Change: tests of the seal: earlier requests' bytes, a write in progress, a late write, connections that don't count.

--- /dev/null
+++ b/internal/delivery/tracker_test.go
@@ -0,0 +1,101 @@
+package delivery
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http/httptrace"
+	"testing"
+)
+
+// newPair returns a counting connection and its other end.
+func newPair(t *testing.T) (net.Conn, net.Conn) {
+	t.Helper()
+	near, far := net.Pipe()
+	t.Cleanup(func() { far.Close() })
+	dial := WrapDial(func(context.Context, string, string) (net.Conn, error) { return near, nil })
+	conn, err := dial(t.Context(), "tcp", "10.0.0.1:1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return conn, far
+}
+
+func trackOn(t *testing.T, conn net.Conn) *Tracker {
+	t.Helper()
+	ctx, tracker := Track(t.Context())
+	httptrace.ContextClientTrace(ctx).GotConn(httptrace.GotConnInfo{Conn: conn})
+	return tracker
+}
+
+func TestSealWithoutAConnection(t *testing.T) {
+	if _, tracker := Track(t.Context()); tracker.Seal() {
+		t.Error("bytes were written without a connection")
+	}
+}
+
+func TestSealCountsFromTheRequestOn(t *testing.T) {
+	conn, far := newPair(t)
+	go io.Copy(io.Discard, far)
+	if _, err := conn.Write([]byte("an earlier request")); err != nil {
+		t.Fatal(err)
+	}
+	if trackOn(t, conn).Seal() {
+		t.Error("an earlier request's bytes count")
+	}
+}
+
+func TestSealSeesAWrite(t *testing.T) {
+	conn, far := newPair(t)
+	go io.Copy(io.Discard, far)
+	tracker := trackOn(t, conn)
+	if _, err := conn.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	if !tracker.Seal() {
+		t.Error("a written byte does not count")
+	}
+}
+
+func TestSealEndsAWriteInProgress(t *testing.T) {
+	conn, far := newPair(t)
+	tracker := trackOn(t, conn)
+	wrote := make(chan error, 1)
+	go func() {
+		_, err := conn.Write([]byte("two"))
+		wrote <- err
+	}()
+	if _, err := far.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	if !tracker.Seal() {
+		t.Error("the part of a write that was read does not count")
+	}
+	if err := <-wrote; err == nil {
+		t.Error("the write went on")
+	}
+}
+
+func TestNothingIsWrittenAfterTheSeal(t *testing.T) {
+	conn, _ := newPair(t)
+	tracker := trackOn(t, conn)
+	if tracker.Seal() {
+		t.Error("bytes count that were not written")
+	}
+	if count, err := conn.Write([]byte("late")); count != 0 || !errors.Is(err, net.ErrClosed) {
+		t.Errorf("a late write gave %d, %v", count, err)
+	}
+	if tracker.Seal() {
+		t.Error("the answer changed")
+	}
+}
+
+func TestUnknownConnectionsCountAsWritten(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	defer near.Close()
+	if !trackOn(t, near).Seal() {
+		t.Error("a connection that does not count was taken as not written to")
+	}
+}
