--- a/rollout/metrics.go
+++ b/rollout/metrics.go
@@ -1,10 +1,6 @@
 package rollout
 
-import (
-	"sync/atomic"
-
-	"github.com/prometheus/client_golang/prometheus"
-)
+import "sync/atomic"
 
 // keeperMetrics counts what the keeper did.
 type keeperMetrics struct {
@@ -55,41 +51,3 @@
 		Restored:        k.metrics.restored.Load(),
 	}
 }
-
-// Collectors returns the keeper's metrics for a Prometheus registry.
-func (k *Keeper) Collectors() []prometheus.Collector {
-	counter := func(name, help string, value *atomic.Uint64) prometheus.Collector {
-		options := prometheus.CounterOpts{Namespace: "banksail", Subsystem: "configuration", Name: name, Help: help}
-		return prometheus.NewCounterFunc(options, func() float64 { return float64(value.Load()) })
-	}
-	watcher := prometheus.GaugeOpts{
-		Namespace: "banksail", Subsystem: "configuration", Name: "store_watcher",
-		Help: "1 if this node watches the store.",
-	}
-	return []prometheus.Collector{
-		prometheus.NewGaugeFunc(watcher, k.watcherGauge),
-		counter("adopted_total", "Revisions put in force at this node.", &k.metrics.adopted),
-		counter("rejected_total", "Offered records or deltas that could not be read.", &k.metrics.rejected),
-		counter("diverged_total", "Offered records that differ from the one of the same revision; must stay 0.", &k.metrics.diverged),
-		counter("store_reads_total", "Reads and watches of the store.", &k.metrics.storeReads),
-		counter("store_failures_total", "Reads and watches of the store that failed.", &k.metrics.storeFailures),
-		counter("delta_pushes_total", "Changes offered to peers as deltas.", &k.metrics.deltaPushes),
-		counter("record_pushes_total", "Whole records offered to peers.", &k.metrics.recordPushes),
-		counter("push_failures_total", "Offers to peers that failed.", &k.metrics.pushFailures),
-		counter("delta_misfits_total", "Deltas that did not lead to their record.", &k.metrics.deltaMisfits),
-		counter("comparisons_total", "Comparisons with peers.", &k.metrics.comparisons),
-		counter("comparison_failures_total", "Comparisons with peers that failed.", &k.metrics.compareFailures),
-		counter("confirmations_total", "Plans that this node was asked to confirm.", &k.metrics.confirmations),
-		counter("unknown_outcomes_total", "Confirmations whose outcome stayed unknown.", &k.metrics.unknownOutcome),
-		counter("restored_total", "Records written back to a store that had lost them.", &k.metrics.restored),
-	}
-}
-
-func (k *Keeper) watcherGauge() float64 {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	if k.core.Watcher() {
-		return 1
-	}
-	return 0
-}
