--- a/dispatch/configure.go
+++ b/dispatch/configure.go
@@ -64,6 +64,18 @@
 		d.ranked = append(d.ranked, c)
 	}
 	d.budget.SetClasses(len(sorted))
+	d.spare()
+}
+
+// spare sets, by rank, the share of groups that a query may start without: what
+// its class, or a less urgent one, can do without.
+func (d *Dispatcher) spare() {
+	d.spareable = make([]float64, len(d.ranked))
+	share := 0.0
+	for rank := len(d.ranked) - 1; rank >= 0; rank-- {
+		share = max(share, min(d.options.BlockedShare, 1-d.ranked[rank].MinimumCoverage))
+		d.spareable[rank] = share
+	}
 }
 
 // configureGroups takes the service's groups; it reports whether they changed.
@@ -148,7 +160,7 @@
 		for _, s := range g.servers {
 			s.holder = d.catalog.Holder(s.ID)
 			s.holder.SetAvailable(!s.leaving())
-			s.limiter.SetCeiling(d.ceiling(s))
+			d.shareOut(s)
 		}
 	}
 }
@@ -207,7 +219,7 @@
 	return list
 }
 
-// nodesChanged shares out the servers' connections anew.
+// nodesChanged shares out the servers' slots and connections anew.
 func (d *Dispatcher) nodesChanged(live int) {
 	if live == d.nodes {
 		return
@@ -215,16 +227,18 @@
 	d.nodes = live
 	for _, g := range d.groups {
 		for _, s := range g.servers {
-			s.limiter.SetCeiling(d.ceiling(s))
+			d.shareOut(s)
 			d.account(s)
 		}
 	}
 }
 
-// ceiling is the node's share of the server's connections; zero while unknown.
-func (d *Dispatcher) ceiling(s *server) int {
+// shareOut sets the node's share of the server's slots, from which its limit
+// starts, and of its connections, which bound the limit.
+func (d *Dispatcher) shareOut(s *server) {
 	if d.nodes <= 0 {
-		return 0
+		return
 	}
-	return max(limit.ConnectionShare(s.Connections, d.nodes, d.options.SpareConnections), 1)
+	s.limiter.SetSharers(d.nodes)
+	s.limiter.SetCeiling(max(limit.ConnectionShare(s.Connections, d.nodes, d.options.SpareConnections), 1))
 }
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -23,15 +23,26 @@
 	QueueOrder admission.QueueOrder
 	// MaximumQueued bounds the queries that wait, per class; default 1,000.
 	MaximumQueued int
-	// MaximumRunning bounds the queries that run; default 10,000.
+	// MaximumRunning bounds the queries that run; default 1,000.
 	MaximumRunning int
-	// BlockedShare is the share of groups that may be without room when a query
-	// starts; its sub-requests there wait for room. Default 0.5; negative is none.
+	// BlockedShare bounds the share of groups that may be without room when a
+	// query starts; its sub-requests there wait for room. It is further bounded by
+	// what the class can do without: a class that needs full coverage starts only
+	// when every group has room. Default 0.25; negative is none.
 	BlockedShare float64
+	// WaitingPerLimit bounds the first sub-requests that wait for room in a group,
+	// as a multiple of the group's limit; those over it are given up at once.
+	// Default 2.
+	WaitingPerLimit float64
 	// LeastClassShare bounds from below the share of a limit that headroom leaves
 	// to any class; default 0.1.
 	LeastClassShare float64
 
+	// UrgentReserve is the number of requests above a server's limit that the most
+	// urgent class may have in flight there, when it keeps headroom; default 1;
+	// negative is none.
+	UrgentReserve int
+
 	// LimitPolicy sets how the limit of requests in flight is found, per server.
 	LimitPolicy limit.Options
 	// SpareConnections is the share of each server's connections that is left
@@ -41,7 +52,8 @@
 	// ReplicaPolicy chooses among the servers of a group; default PowerOfTwo.
 	ReplicaPolicy ReplicaPolicy
 	// LoadWeight is the weight of a load just reported by a server beside the
-	// node's own requests in flight; default 0.5; negative is none.
+	// node's own requests in flight; default 0.1; negative is none. Reports that lag make
+	// nodes crowd onto the same server, so a large weight does harm.
 	LoadWeight float64
 	// LoadHalfLife is the time in which a reported load loses half its weight;
 	// default 20 ms.
@@ -74,10 +86,12 @@
 // Defaults of Options.
 const (
 	DefaultRetryAfter      = time.Second
-	DefaultMaximumRunning  = 10_000
-	DefaultBlockedShare    = 0.5
+	DefaultMaximumRunning  = 1_000
+	DefaultBlockedShare    = 0.25
+	DefaultWaitingPerLimit = 2.0
 	DefaultLeastClassShare = 0.1
-	DefaultLoadWeight      = 0.5
+	DefaultUrgentReserve   = 1
+	DefaultLoadWeight      = 0.1
 	DefaultLoadHalfLife    = 20 * time.Millisecond
 	DefaultLatencyHalfLife = 2 * time.Second
 	DefaultTypicalQuantile = 0.8
@@ -90,7 +104,9 @@
 	setDefault(&o.RetryAfter, DefaultRetryAfter)
 	setDefault(&o.MaximumRunning, DefaultMaximumRunning)
 	setDefault(&o.BlockedShare, DefaultBlockedShare)
+	setDefault(&o.WaitingPerLimit, DefaultWaitingPerLimit)
 	setDefault(&o.LeastClassShare, DefaultLeastClassShare)
+	setDefault(&o.UrgentReserve, DefaultUrgentReserve)
 	setDefault(&o.SpareConnections, limit.DefaultSpareConnections)
 	setDefault(&o.LoadWeight, DefaultLoadWeight)
 	setDefault(&o.LoadHalfLife, DefaultLoadHalfLife)
--- a/gather/attempts.go
+++ b/gather/attempts.go
@@ -142,10 +142,12 @@
 	case Placed:
 		q.send(s, server, kind)
 	case Busy:
-		s.state = waiting
+		q.setState(s, waiting)
 		s.kind = kind
 	case Tried:
 		q.rest(s, kind)
+	case Overloaded:
+		q.giveUp(s, ReasonOverload)
 	default:
 		q.unservable(s)
 	}
@@ -196,7 +198,7 @@
 		SentAt:   q.now,
 		live:     true,
 	}
-	s.state = awaited
+	q.setState(s, awaited)
 	s.live = append(s.live, a)
 	s.tried = append(s.tried, server)
 	q.planHedge(s, kind)
@@ -260,7 +262,7 @@
 		return
 	}
 	s.rounds++
-	s.state = resting
+	q.setState(s, resting)
 	s.kind = kind
 	s.retryAt = at
 	q.wakeFor(s)
@@ -288,11 +290,21 @@
 		return
 	}
 	q.now = now
-	s.state = awaited
+	q.setState(s, awaited)
 	q.place(s, s.kind)
 	q.conclude()
 }
 
+// GiveUp tells that a segment that waits can't be answered in time.
+func (q *Query) GiveUp(now time.Duration, s *Segment) {
+	if q.finished || s.state != waiting {
+		return
+	}
+	q.now = now
+	q.giveUp(s, ReasonOverload)
+	q.conclude()
+}
+
 // Reroute tells that Targets may answer otherwise than before, or that servers
 // came: segments that wait or rest are tried again.
 func (q *Query) Reroute(now time.Duration) {
@@ -309,7 +321,7 @@
 		}
 		s.retryAt = 0
 		s.tried = s.tried[:0]
-		s.state = awaited
+		q.setState(s, awaited)
 		q.place(s, s.kind)
 	}
 	q.conclude()
--- a/node/query.go
+++ b/node/query.go
@@ -18,7 +18,7 @@
 func (n *Node) Query(ctx context.Context, request caller.Request) (caller.Result, error) {
 	if n.held.Add(1) > int64(n.options.Settings.Caller.Queries) {
 		n.held.Add(-1)
-		return n.refused(request, dispatch.ReasonOverload), nil
+		return n.refusedOverBound(request), nil
 	}
 	n.metrics.Held.Inc()
 	defer func() {
@@ -29,21 +29,48 @@
 	if current == nil {
 		return n.refused(request, dispatch.ReasonNoConfiguration), nil
 	}
-	shard, known := current.shards[request.Service]
+	shard, err := current.admit(&request)
+	switch {
+	case err != nil && n.isRepetition(request):
+		return unknownRepetition(dispatch.ReasonOutcomeUnknown), nil
+	case err != nil:
+		return caller.Result{}, err
+	case request.Repeatable:
+		return n.run(ctx, shard, request), nil
+	default:
+		return n.runOnce(ctx, shard, request)
+	}
+}
+
+// admit checks the request against the configuration and finds its shard.
+func (v *view) admit(request *caller.Request) (*shard, error) {
+	carrier, known := v.shards[request.Service]
 	if !known {
-		return caller.Result{}, caller.UnknownServiceError()
+		return nil, caller.UnknownServiceError()
 	}
-	class, known := current.classes[request.Class]
+	class, known := v.classes[request.Class]
 	if !known {
-		return caller.Result{}, caller.UnknownClassError()
+		return nil, caller.UnknownClassError()
 	}
-	if err := takeDeadline(&request, class); err != nil {
-		return caller.Result{}, err
+	return carrier, takeDeadline(request, class)
+}
+
+// isRepetition says that the request ran here before, or runs: it must not be
+// told that it did not, whatever else it is refused for.
+func (n *Node) isRepetition(request caller.Request) bool {
+	if request.Repeatable || !n.once.knows(n.now(), onceKey(request)) {
+		return false
 	}
-	if request.Repeatable {
-		return n.run(ctx, shard, request), nil
+	n.metrics.Duplicates.Inc()
+	return true
+}
+
+// refusedOverBound refuses a request for which the node has no room.
+func (n *Node) refusedOverBound(request caller.Request) caller.Result {
+	if n.isRepetition(request) {
+		return unknownRepetition(dispatch.ReasonOverload)
 	}
-	return n.runOnce(ctx, shard, request)
+	return n.refused(request, dispatch.ReasonOverload)
 }
 
 // takeDeadline gives the request the class's deadline when it names none.
--- a/store/conn_test.go
+++ b/store/conn_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
+	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -177,6 +180,38 @@
 	}
 }
 
+func TestFaultsOfLeases(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults store.MemoryFaults
+		want   error
+	}{
+		{name: "down", faults: store.MemoryFaults{Down: true}, want: store.ErrUnavailable},
+		{name: "lost reply", faults: store.MemoryFaults{LoseReplies: 10}, want: store.ErrOutcomeUnknown},
+		{name: "cut change", faults: store.MemoryFaults{CutChanges: 10}, want: store.ErrOutcomeUnknown},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			onBoth(t, func(t *testing.T, conn store.Conn, memory *store.Memory, _ *manualClock) {
+				lease, err := conn.Grant(t.Context(), time.Second)
+				if err != nil {
+					t.Fatal(err)
+				}
+				memory.SetFaults(test.faults)
+				if granted, err := conn.Grant(t.Context(), time.Second); !errors.Is(err, test.want) || granted != "" {
+					t.Errorf("grant: %q, %v, want %v", granted, err, test.want)
+				}
+				if err := conn.KeepAlive(t.Context(), lease); !errors.Is(err, test.want) {
+					t.Errorf("keep-alive: %v, want %v", err, test.want)
+				}
+				if err := conn.Revoke(t.Context(), lease); !errors.Is(err, test.want) {
+					t.Errorf("revoke: %v, want %v", err, test.want)
+				}
+			})
+		})
+	}
+}
+
 func TestStaleReads(t *testing.T) {
 	onBoth(t, func(t *testing.T, conn store.Conn, memory *store.Memory, _ *manualClock) {
 		first := mustPut(t, conn, "one", 0, "")
@@ -186,6 +221,10 @@
 		if err != nil || string(record.Value) != "one" || record.Revision != first.Revision {
 			t.Errorf("stale record is %+v, %v", record, err)
 		}
+		copy(record.Value, "two")
+		if again, err := conn.Get(t.Context(), key); err != nil || string(again.Value) != "one" {
+			t.Errorf("a reader's change shows in %+v, %v", again, err)
+		}
 	})
 }
 
@@ -203,6 +242,72 @@
 	})
 }
 
+func TestPutIsNotSentAgainOnAClosedKeptConnection(t *testing.T) {
+	var mutex sync.Mutex
+	var methods []string
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		mutex.Lock()
+		methods = append(methods, request.Method)
+		mutex.Unlock()
+		if request.Method == http.MethodPut {
+			_, _ = io.Copy(io.Discard, request.Body)
+			panic(http.ErrAbortHandler)
+		}
+		writer.WriteHeader(http.StatusNotFound)
+	}))
+	defer server.Close()
+	conn := store.NewHTTP(store.HTTPOptions{Address: server.Listener.Addr().String(), Connections: 1})
+	if _, err := conn.Get(t.Context(), key); !errors.Is(err, store.ErrNotFound) {
+		t.Fatal(err)
+	}
+	if _, err := conn.Put(t.Context(), key, []byte("one"), 0, ""); !errors.Is(err, store.ErrOutcomeUnknown) {
+		t.Errorf("error is %v, want ErrOutcomeUnknown", err)
+	}
+	if _, err := conn.Get(t.Context(), key); !errors.Is(err, store.ErrNotFound) {
+		t.Fatal(err)
+	}
+	mutex.Lock()
+	defer mutex.Unlock()
+	if got := strings.Join(methods, " "); got != "GET PUT GET" {
+		t.Errorf("the service read %q", got)
+	}
+}
+
+func TestRepliesToAPut(t *testing.T) {
+	cases := []struct {
+		name string
+		code int
+		tag  string
+		want error
+	}{
+		{name: "swapped", code: 200, tag: `"8"`},
+		{name: "conflict", code: 409, want: store.ErrConflict},
+		{name: "precondition failed", code: 412, want: store.ErrConflict},
+		{name: "rate limited", code: 429, want: store.ErrRateLimited},
+		{name: "outage", code: 503, want: store.ErrUnavailable},
+		{name: "internal error", code: 500, want: store.ErrOutcomeUnknown},
+		{name: "time-out of something in between", code: 504, want: store.ErrOutcomeUnknown},
+		{name: "redirect", code: 307, want: store.ErrOutcomeUnknown},
+		{name: "no entity tag", code: 200, want: store.ErrOutcomeUnknown},
+		{name: "weak entity tag", code: 200, tag: `W/"8"`, want: store.ErrOutcomeUnknown},
+		{name: "revision that does not grow", code: 200, tag: `"7"`, want: store.ErrOutcomeUnknown},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+				writer.Header().Set("ETag", test.tag)
+				writer.Header().Set("Location", "/")
+				writer.WriteHeader(test.code)
+			}))
+			defer server.Close()
+			conn := store.NewHTTP(store.HTTPOptions{Address: server.Listener.Addr().String()})
+			if _, err := conn.Put(t.Context(), key, []byte("one"), 7, ""); !errors.Is(err, test.want) {
+				t.Errorf("error is %v, want %v", err, test.want)
+			}
+		})
+	}
+}
+
 func TestUnreachableServiceIsUnavailable(t *testing.T) {
 	refuse := func(context.Context, string, string) (net.Conn, error) { return nil, net.ErrClosed }
 	conn := store.NewHTTP(store.HTTPOptions{Address: "10.0.0.1:1", Dial: refuse})
