A node that stops keeps its connections

Cause: a leaving node is not counted among those that share a server's connections, so its own bound fell to one connection while its running queries still sent sub-requests. Change: shares stay as they are once the stop began. The test failed before.

--- a/node/connections.go
+++ b/node/connections.go
@@ -29,8 +29,13 @@
 	}
 }
 
-// shareConnections takes over the live nodes if they changed.
+// shareConnections takes over the live nodes if they changed. A node that stops
+// keeps what it has: it is no longer counted as live, but its running queries
+// need their connections to the end.
 func (n *Node) shareConnections() {
+	if n.stopping.Load() {
+		return
+	}
 	var live []string
 	for _, member := range n.agent.Members() {
 		if member.State == membership.Live || member.State == membership.Suspect {
