--- a/membership/servers.go
+++ b/membership/servers.go
@@ -88,6 +88,9 @@
 	State State
 }
 
+// longAgo precedes every report.
+const longAgo = -never
+
 // serverEntry is what is known of one server.
 type serverEntry struct {
 	state State
@@ -161,7 +164,7 @@
 	if len(s.ids) >= MaximumServers || id == "" || len(id) > MaximumIDBytes {
 		return nil
 	}
-	known = &serverEntry{state: Live, since: -never}
+	known = &serverEntry{state: Live, since: longAgo}
 	s.entries[id] = known
 	at, _ := slices.BinarySearch(s.ids, id)
 	s.ids = slices.Insert(s.ids, at, id)
@@ -186,7 +189,7 @@
 		s.failed(now, id, known)
 		return
 	}
-	if now-report.Age < known.since {
+	if now-known.lateness(report) < known.since {
 		return
 	}
 	s.renew(now, id, known, report)
@@ -199,6 +202,18 @@
 	}
 }
 
+// lateReplyTime is how late a reply may be that tells neither its age nor the
+// incarnation of its server.
+const lateReplyTime = 2 * time.Second
+
+// lateness is the age of a report, or the greatest one that is likely.
+func (e *serverEntry) lateness(report ServerReport) time.Duration {
+	if report.Source == FromReply && report.Incarnation == "" && report.Age == 0 {
+		return lateReplyTime
+	}
+	return report.Age
+}
+
 // renew starts the entry afresh when the server itself tells a new incarnation.
 func (s *Servers) renew(now time.Duration, id string, known *serverEntry, report ServerReport) {
 	if report.Incarnation == "" {
--- a/membership/servers_test.go
+++ b/membership/servers_test.go
@@ -87,6 +87,20 @@
 			},
 			membership.Live,
 		},
+		"a late drain reply whose age is not told": {
+			[]serverStep{
+				{at: 1, report: draining("a")}, {at: 2 * time.Second, report: answered("b")},
+				{at: 3 * time.Second, report: drainReply},
+			},
+			membership.Live,
+		},
+		"a drain reply of the new incarnation": {
+			[]serverStep{
+				{at: 1, report: draining("a")}, {at: 2 * time.Second, report: answered("b")},
+				{at: 5 * time.Second, report: drainReply},
+			},
+			membership.Leaving,
+		},
 		"a lagging list names the old incarnation as leaving": {
 			[]serverStep{{at: 1, report: draining("a")}, {at: 2, report: answered("b")}, {at: 3, list: listLeaving("a")}},
 			membership.Live,
