Answer a comparison by the delta when one revision is missing

Change: a node that asks from one revision below gets the delta; when it doesn't fit, the node asks for the whole record.

--- a/lab/scale/spread.go
+++ b/lab/scale/spread.go
@@ -43,9 +43,8 @@
 }
 
 type spreadCounts struct {
-	pushes, fetches, fetchedRecords, storeReads, storeRecords int
-	peerBytes, storeBytes                                     int
-	mostSent                                                  int
+	pushes, fetches, fetchedDeltas, fetchedRecords, storeReads, storeRecords int
+	peerBytes, storeBytes, mostSent                                          int
 }
 
 type hollowKeeper struct {
@@ -159,13 +158,23 @@
 			s.queue.After(oneWayDelay, answered)
 			return
 		}
-		s.counts.fetchedRecords++
-		reply.Record = make([]byte, s.record)
+		reply.Record = make([]byte, s.fetched(action.Above, revision))
 		s.sendPeer(to, "", reply)
 		s.queue.After(oneWayDelay, func() { s.offer(from, revision, to.id, answered) })
 	})
 }
 
+// fetched is the size of the answer to a comparison: what a node pushes for who
+// is one revision behind, else the record.
+func (s *hollowSpread) fetched(above, revision policy.Revision) int {
+	if above > 0 && revision == above+1 {
+		s.counts.fetchedDeltas++
+		return s.pushed
+	}
+	s.counts.fetchedRecords++
+	return s.record
+}
+
 // sendPeer counts a message; an empty path stands for a response.
 func (s *hollowSpread) sendPeer(from *hollowKeeper, path string, message proto.Message) {
 	size := s.sizes.response
@@ -281,7 +290,7 @@
 	return []Sample{
 		{"seconds until in force everywhere", (spread.inForce - begin).Seconds()},
 		{"pushes/node/change", float64(spread.counts.pushes) / perNode},
-		{"records fetched/node/change", float64(spread.counts.fetchedRecords) / perNode},
+		{"news fetched/node/change", float64(spread.counts.fetchedDeltas+spread.counts.fetchedRecords) / perNode},
 		{"bytes/node/change, sent and received", 2 * extra(spread.counts.peerBytes, quiet.peerBytes) / perNode},
 		{"bytes sent by the busiest node/change", float64(spread.counts.mostSent)},
 		{"bytes/node/s without change", 2 * float64(quiet.peerBytes) / perNode / spreadSpan.Seconds()},
--- a/lab/spread/calls.go
+++ b/lab/spread/calls.go
@@ -50,7 +50,7 @@
 	}
 	r.after(r.delay(r.options.PeerDelay), func() {
 		revision := max(to.core.Revision(), action.Above)
-		if revision > action.Above {
+		if action.Above == 0 || revision > action.Above+1 {
 			r.counts.Records++
 		}
 		r.after(r.delay(r.options.PeerDelay), func() {
--- a/lab/spread/spread.go
+++ b/lab/spread/spread.go
@@ -78,8 +78,8 @@
 	Pushes, PushesTaken int
 	// Comparisons counts questions to peers; ComparisonsTaken those answered by a record that was news.
 	Comparisons, ComparisonsTaken int
-	// Records counts the whole records that were carried between peers; pushes
-	// carry a delta instead.
+	// Records counts the whole records that were carried between peers; pushes,
+	// and answers to who is one revision behind, carry a delta instead.
 	Records int
 	// StoreReads counts reads and watches of the store.
 	StoreReads int
--- a/peer/agent_test.go
+++ b/peer/agent_test.go
@@ -25,13 +25,16 @@
 }
 
 func (k *memoryKeeper) Revision() policy.Revision {
-	revision, _ := k.Record()
+	revision, _ := k.RecordAbove(0)
 	return revision
 }
 
-func (k *memoryKeeper) Record() (policy.Revision, []byte) {
+func (k *memoryKeeper) RecordAbove(above policy.Revision) (policy.Revision, []byte) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
+	if k.revision <= above {
+		return 0, nil
+	}
 	return k.revision, k.record
 }
 
--- a/peer/handler.go
+++ b/peer/handler.go
@@ -78,10 +78,7 @@
 	if s.agent.configurations == nil {
 		return &Configuration{}, nil
 	}
-	revision, record := s.agent.configurations.Record()
-	if uint64(revision) <= request.GetAbove() {
-		return &Configuration{}, nil
-	}
+	revision, record := s.agent.configurations.RecordAbove(policy.Revision(request.GetAbove()))
 	return &Configuration{Revision: uint64(revision), Record: record}, nil
 }
 
--- a/peer/options.go
+++ b/peer/options.go
@@ -62,9 +62,10 @@
 type ConfigurationSource interface {
 	// Revision is the one in force; zero when there is none.
 	Revision() policy.Revision
-	// Record returns the revision in force with its record.
-	Record() (policy.Revision, []byte)
-	// Offer hands over a record; one that is not newer is ignored.
+	// RecordAbove returns the revision in force and what a node that has the
+	// given one needs to get there; the revision is zero when it needs nothing.
+	RecordAbove(above policy.Revision) (policy.Revision, []byte)
+	// Offer hands over what a node pushed; what is not newer is ignored.
 	Offer(revision policy.Revision, record []byte) error
 }
 
--- a/rollout/cluster_test.go
+++ b/rollout/cluster_test.go
@@ -106,10 +106,7 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	revision, record := keeper.Record()
-	if revision <= above {
-		return 0, nil, nil
-	}
+	revision, record := keeper.RecordAbove(above)
 	return revision, record, nil
 }
 
--- a/rollout/delta_test.go
+++ b/rollout/delta_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/banksail/banksail/policy"
 )
 
@@ -77,3 +79,49 @@
 		c.wantRevision(policy.Revision(2), source)
 	})
 }
+
+func TestRecordAboveIsADeltaForWhoIsOneBehind(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, c *cluster) {
+		source := c.start(ctx, c.store)
+		mustConfirm(t, source, mustPlan(t, source, initialIntent()))
+		mustConfirm(t, source, mustPlan(t, source, deadlineIntent("ann", 80)))
+		mustConfirm(t, source, mustPlan(t, source, deadlineIntent("ann", 60)))
+		for above, want := range []struct {
+			revision policy.Revision
+			delta    bool
+		}{{3, false}, {3, false}, {3, true}, {0, false}, {0, false}} {
+			revision, data := source.RecordAbove(policy.Revision(above))
+			if revision != want.revision || policy.IsDelta(data) != want.delta || (len(data) == 0) != (revision == 0) {
+				t.Errorf("above %d: revision %d, %d bytes, delta %v", above, revision, len(data), policy.IsDelta(data))
+			}
+		}
+	})
+}
+
+func TestComparisonByDelta(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, c *cluster) {
+		source := c.start(ctx, c.store)
+		mustConfirm(t, source, mustPlan(t, source, initialIntent()))
+		base := source.snapshot()
+		mustConfirm(t, source, mustPlan(t, source, deadlineIntent("ann", 80)))
+		other := newCluster(t)
+		strangerStore := other.start(ctx, other.store)
+		mustConfirm(t, strangerStore, mustPlan(t, strangerStore, deadlineIntent("bob", 60)))
+		for name, test := range map[string]struct {
+			base    []byte
+			misfits uint64
+		}{
+			"the base is in force":                               {base.bytes, 0},
+			"another history gets the whole record in its place": {strangerStore.snapshot().bytes, 1},
+		} {
+			behind := NewKeeper(KeeperOptions{Core: CoreOptions{Self: "behind"}, Peers: nodePeers{cluster: c, self: "behind"}, Logger: zerolog.Nop()})
+			if err := behind.Offer(1, test.base); err != nil {
+				t.Fatal(err)
+			}
+			behind.fetch(ctx, Fetch{Member: "node-0", Above: 1})
+			if revision := behind.Revision(); revision != 2 || behind.Counters().DeltaMisfits != test.misfits {
+				t.Errorf("%s: revision %d, %+v", name, revision, behind.Counters())
+			}
+		}
+	})
+}
--- a/rollout/keeper.go
+++ b/rollout/keeper.go
@@ -153,6 +153,22 @@
 	return current.record.Revision, current.bytes
 }
 
+// RecordAbove returns what a node with the given revision in force needs to get
+// to the one in force here: a delta when it is one revision behind and there is
+// one, else the record, byte for byte. Nothing is returned when it is not behind.
+// The bytes must not be changed.
+func (k *Keeper) RecordAbove(above policy.Revision) (policy.Revision, []byte) {
+	current := k.snapshot()
+	if current == nil || current.record.Revision <= above {
+		return 0, nil
+	}
+	revision := current.record.Revision
+	if above > 0 && revision == above+1 && current.delta != nil {
+		return revision, current.delta
+	}
+	return revision, current.bytes
+}
+
 // Current returns the configuration in force; ok is false when none is known.
 // The configuration must not be changed.
 func (k *Keeper) Current() (revision policy.Revision, config policy.Config, ok bool) {
--- a/rollout/run.go
+++ b/rollout/run.go
@@ -93,7 +93,7 @@
 	case len(record) == 0:
 		revision = action.Above // the member has nothing newer
 	default:
-		err = k.offer(revision, record, action.Member)
+		err = k.takeFetched(ctx, action.Member, revision, record)
 	}
 	if err != nil {
 		k.metrics.compareFailures.Add(1)
@@ -130,6 +130,25 @@
 	return peers.Push(ctx, member, pushed, current.bytes)
 }
 
+// takeFetched offers what a member answered to a comparison. When a delta does
+// not fit the record in force, it asks for the whole record.
+func (k *Keeper) takeFetched(ctx context.Context, member string, revision policy.Revision, data []byte) error {
+	if !policy.IsDelta(data) {
+		return k.offer(revision, data, member)
+	}
+	if err := k.offerDelta(revision, data); err != nil {
+		return err
+	}
+	if current := k.snapshot(); current != nil && current.record.Revision >= revision {
+		return nil
+	}
+	revision, record, err := k.currentPeers().Fetch(ctx, member, 0)
+	if err != nil || len(record) == 0 {
+		return err
+	}
+	return k.offer(revision, record, member)
+}
+
 // storeReader reads the store for Run; one read runs at a time.
 type storeReader struct {
 	keeper *Keeper
