Claims: calls to owners are counted before the agent ends, and not cut when enough answered

Cause, by reading: the goroutine that waited for the owners was added to a group that Agent.Run may be waiting for already; and the node cancelled the calls that were still out once a majority had answered, so that a slow owner often did not record the claim. Calls now keep their own time-out, are counted under the lock that closes the ledger, and Run waits for them. No run had shown either.

--- a/peer/agent.go
+++ b/peer/agent.go
@@ -129,6 +129,7 @@
 	}
 	loops.Wait()
 	a.handOver(context.WithoutCancel(ctx))
+	a.claims.asking.Wait()
 	a.depart(context.WithoutCancel(ctx))
 	a.requests.Wait()
 	return nil
--- a/peer/claim.go
+++ b/peer/claim.go
@@ -35,6 +35,9 @@
 	mutex  sync.Mutex
 	ledger *claim.Ledger
 	closed bool
+	// asking counts the calls to owners that are out. It grows only under mutex
+	// and while closed is not set, so that waiting for it after that is safe.
+	asking sync.WaitGroup
 }
 
 // Claim is a claim that was made at a request's owners.
@@ -144,20 +147,40 @@
 
 // askOwners asks all owners at once and collects their answers.
 func (a *Agent) askOwners(ctx context.Context, made Claim) *claim.Round {
-	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	if !a.beginAsking(len(made.owners)) {
+		return unavailable()
+	}
+	round := claim.NewRound(len(made.owners))
 	answers := make(chan ownerAnswer, len(made.owners))
-	var asked sync.WaitGroup
+	calls := context.WithoutCancel(ctx) // a claim should stand at all owners, also when nobody waits
 	for _, owner := range made.owners {
-		asked.Go(func() { answers <- a.askOwner(ctx, owner, made.claim) })
+		go func() {
+			defer a.claims.asking.Done()
+			answers <- a.askOwner(calls, owner, made.claim)
+		}()
 	}
-	a.requests.Go(func() {
-		asked.Wait()
-		cancel()
-	})
-	return collectAnswers(claim.NewRound(len(made.owners)), answers)
+	return collectAnswers(ctx, round, answers)
+}
+
+// unavailable is a round that an owner did not answer.
+func unavailable() *claim.Round {
+	round := claim.NewRound(1)
+	round.Failed()
+	return round
 }
 
-func collectAnswers(round *claim.Round, answers <-chan ownerAnswer) *claim.Round {
+// beginAsking counts calls that are about to start; it is false once the agent ends.
+func (a *Agent) beginAsking(calls int) bool {
+	a.claims.mutex.Lock()
+	defer a.claims.mutex.Unlock()
+	if a.claims.closed {
+		return false
+	}
+	a.claims.asking.Add(calls)
+	return true
+}
+
+func collectAnswers(ctx context.Context, round *claim.Round, answers <-chan ownerAnswer) *claim.Round {
 	var straggle <-chan time.Time
 	for round.Decision() == claim.Undecided {
 		select {
@@ -169,6 +192,8 @@
 			}
 		case <-straggle:
 			round.Close()
+		case <-ctx.Done():
+			round.Close()
 		}
 		if straggle == nil && round.HasMajority() {
 			straggle = time.After(claimStraggle)
@@ -178,6 +203,8 @@
 }
 
 func (a *Agent) askOwner(ctx context.Context, owner membership.Member, made claim.Claim) ownerAnswer {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
 	reply, err := a.stub(owner.Address).ClaimRequest(ctx, claimToWire(made))
 	if err != nil {
 		a.logger.Debug().Err(err).Str("member", owner.ID).Msg("no answer to a claim")
