--- a/node/connections_internal_test.go
+++ b/node/connections_internal_test.go
@@ -1,45 +1,85 @@
 package node
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/banksail/banksail/coverage"
+	"github.com/banksail/banksail/lab/network"
 	"github.com/banksail/banksail/machinelist"
 	"github.com/banksail/banksail/policy"
 	"github.com/banksail/banksail/settings"
 	"github.com/banksail/banksail/store"
 )
 
+// listed is a node as the machine list names it.
+func listed(id, ip string) machinelist.Machine {
+	return machinelist.Machine{
+		ID: id, Address: ip + ":7103", Zone: "zone-a",
+		Role: machinelist.RoleNode, State: machinelist.StateLive, Incarnation: "1",
+	}
+}
+
+// runNode starts a node on a host of its own.
+func runNode(t *testing.T, wires *network.Network, machines machinelist.Conn, id, ip string) (n *Node, stop func()) {
+	t.Helper()
+	process, err := wires.Start(ip)
+	if err != nil {
+		t.Fatal(err)
+	}
+	chosen := settings.Default()
+	chosen.Node = settings.Node{ID: id, Zone: "zone-a"}
+	chosen.Listen = settings.Listen{Caller: ip + ":7101", Operator: ip + ":7102", Peer: ip + ":7103"}
+	chosen.Stop.Grace = 10 * time.Second
+	n, err = New(Options{
+		Settings: chosen, Network: process, Store: store.NewMemory(store.MemoryOptions{}),
+		MachineList: machines, Logger: zerolog.Nop(), Seed: 1,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- n.Run(ctx) }()
+	return n, func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
 func TestStoppingNodeKeepsItsConnections(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const address, limit = "10.0.0.9:9000", 70
-		chosen := settings.Default()
-		chosen.Node = settings.Node{ID: "node-1", Zone: "zone-a"}
-		n, err := New(Options{
-			Settings: chosen, Network: NewSystemNetwork(0), Store: store.NewMemory(store.MemoryOptions{}),
-			MachineList: machinelist.NewStatic(), Logger: zerolog.Nop(), Seed: 1,
-		})
-		if err != nil {
-			t.Fatal(err)
-		}
-		n.shareConnections()
+		wires := network.New(network.Options{Seed: 1})
+		defer wires.Close()
+		machines := machinelist.NewStatic(listed("node-1", "10.0.0.1"), listed("node-2", "10.0.0.2"))
+		n, stop := runNode(t, wires, machines, "node-1", "10.0.0.1")
+		_, stopOther := runNode(t, wires, machines, "node-2", "10.0.0.2")
+		time.Sleep(5 * time.Second)
 		space := coverage.Range{End: 1}
 		n.configure(1, policy.Config{Services: []policy.Service{{Name: "catalog", KeySpace: space, Groups: []policy.Group{{
 			Name: "group", Range: space, Servers: []policy.Server{{ID: "server", Address: address, Connections: limit}},
 		}}}}})
-		before := n.connectionsTo(address)
-		if before <= 1 {
-			t.Fatalf("%d connections to begin with", before)
+		shared := n.connectionsTo(address)
+		if shared <= 1 || shared > limit/2 {
+			t.Errorf("%d of %d connections for one of two nodes", shared, limit)
 		}
-		n.stopping.Store(true)
-		n.agent.Leave(t.Context())
-		n.shareConnections()
-		if after := n.connectionsTo(address); after != before {
-			t.Errorf("%d connections while stopping, %d before", after, before)
+		stopped := make(chan struct{})
+		go func() {
+			defer close(stopped)
+			stop()
+		}()
+		time.Sleep(5 * time.Second)
+		if kept := n.connectionsTo(address); kept != shared {
+			t.Errorf("%d connections while stopping, %d before", kept, shared)
 		}
-		n.Abort()
+		<-stopped
+		stopOther()
 	})
 }
