Bound the bytes that explanations take

The number of explanations was bounded, but one of a query to hundreds of servers holds up to 256 steps of 64 bytes: 4,096 of them take 64 MiB. They now share 8 MiB by default; the oldest go first.

--- a/node/node.go
+++ b/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/banksail/banksail/operator"
 	"github.com/banksail/banksail/peer"
 	"github.com/banksail/banksail/rollout"
+	"github.com/banksail/banksail/settings"
 	"github.com/banksail/banksail/telemetry"
 )
 
@@ -87,7 +88,7 @@
 		epoch:        time.Now(),
 		log:          options.Logger,
 		metrics:      telemetry.NewMetrics(),
-		explanations: telemetry.NewExplanations(options.Settings.Explanation.Requests),
+		explanations: telemetry.NewExplanations(explanationsOptions(options.Settings.Explanation)),
 		once:         newOnce(options.Settings.AtMostOnce),
 		background:   background,
 		abort:        abort,
@@ -149,6 +150,10 @@
 	n.keeper.SetPeers(rolloutPeers{agent: n.agent})
 }
 
+func explanationsOptions(configured settings.Explanation) telemetry.ExplanationsOptions {
+	return telemetry.ExplanationsOptions{Requests: configured.Requests, Bytes: int(configured.Bytes)}
+}
+
 // spareConnections tells the client that zero means none.
 func spareConnections(configured int) int {
 	if configured == 0 {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -91,6 +91,8 @@
 // Explanation sets how many explanations of finished requests are kept.
 type Explanation struct {
 	Requests int `koanf:"requests" validate:"min=1,max=1000000"`
+	// Bytes bounds what they take together; the oldest go first.
+	Bytes int64 `koanf:"bytes" validate:"min=65536,max=8589934592"`
 }
 
 // Stop sets the planned stop.
@@ -123,7 +125,7 @@
 			SpareConnections:  2,
 		},
 		AtMostOnce:  AtMostOnce{Window: 10 * time.Minute, Requests: 100_000, ResultBytes: 64 << 20},
-		Explanation: Explanation{Requests: 4096},
+		Explanation: Explanation{Requests: 4096, Bytes: 8 << 20},
 		Stop:        Stop{Grace: time.Second},
 		Log:         Log{Level: "info"},
 	}
--- a/telemetry/explanations.go
+++ b/telemetry/explanations.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"unsafe"
 
 	"github.com/banksail/banksail/dispatch"
 )
@@ -20,45 +21,87 @@
 	Steps    []dispatch.Step `json:"steps"`
 }
 
+// Bounds of Explanations, used where an option is zero.
+const (
+	DefaultExplanations     = 4096
+	DefaultExplanationBytes = 8 << 20
+)
+
+// Sizes by which explanations are counted; they are close to what Go takes.
+const (
+	explanationBytes = 512
+	stepBytes        = int(unsafe.Sizeof(dispatch.Step{}))
+)
+
+// ExplanationsOptions bounds Explanations.
+type ExplanationsOptions struct {
+	// Requests is the greatest number of explanations.
+	Requests int
+	// Bytes bounds what they take together.
+	Bytes int
+}
+
 // Explanations keeps the explanations of the most recent requests.
 type Explanations struct {
+	options ExplanationsOptions
+
 	mutex sync.Mutex
-	// mutex guards the fields below. Every entry of byRequest is the index in
-	// ring of the newest explanation with that request ID.
+	// mutex guards the fields below. Invariants: ring holds count explanations
+	// from first on, the oldest first, and bytes is what they take; byRequest
+	// maps each of their request IDs to the place of the newest with that ID.
 	ring      []Explanation
-	next      int
+	first     int
+	count     int
+	bytes     int
 	byRequest map[string]int
 }
 
-// NewExplanations keeps at most capacity explanations; capacity is at least one.
-func NewExplanations(capacity int) *Explanations {
+// NewExplanations keeps none yet.
+func NewExplanations(options ExplanationsOptions) *Explanations {
+	if options.Requests <= 0 {
+		options.Requests = DefaultExplanations
+	}
+	if options.Bytes <= 0 {
+		options.Bytes = DefaultExplanationBytes
+	}
 	return &Explanations{
-		ring:      make([]Explanation, 0, max(capacity, 1)),
+		options:   options,
+		ring:      make([]Explanation, options.Requests),
 		byRequest: make(map[string]int),
 	}
 }
 
-// Add keeps an explanation, in place of the oldest when all places are taken.
+// Add keeps an explanation and forgets the oldest ones beyond the bounds. The
+// newest stays even if it alone is beyond them.
 func (e *Explanations) Add(explanation Explanation) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	if len(e.ring) < cap(e.ring) {
-		e.ring = append(e.ring, explanation)
-	} else {
-		e.forget(e.next)
-		e.ring[e.next] = explanation
+	if e.count == len(e.ring) {
+		e.forgetOldest()
+	}
+	place := (e.first + e.count) % len(e.ring)
+	e.ring[place] = explanation
+	e.byRequest[explanation.RequestID] = place
+	e.count++
+	e.bytes += sizeOf(explanation)
+	for e.bytes > e.options.Bytes && e.count > 1 {
+		e.forgetOldest()
 	}
-	e.byRequest[explanation.RequestID] = e.next
-	e.next = (e.next + 1) % cap(e.ring)
 }
 
-// forget drops the index of a place that is about to be reused, unless a newer
-// explanation has the same request ID.
-func (e *Explanations) forget(place int) {
-	requestID := e.ring[place].RequestID
-	if e.byRequest[requestID] == place {
-		delete(e.byRequest, requestID)
+func (e *Explanations) forgetOldest() {
+	oldest := e.ring[e.first]
+	if e.byRequest[oldest.RequestID] == e.first {
+		delete(e.byRequest, oldest.RequestID)
 	}
+	e.bytes -= sizeOf(oldest)
+	e.ring[e.first] = Explanation{}
+	e.first = (e.first + 1) % len(e.ring)
+	e.count--
+}
+
+func sizeOf(explanation Explanation) int {
+	return explanationBytes + stepBytes*len(explanation.Steps)
 }
 
 // Find returns the newest explanation of a request.
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -7,11 +7,13 @@
 	"strconv"
 	"strings"
 	"testing"
+
+	"github.com/banksail/banksail/dispatch"
 )
 
 func TestExplanationsKeepTheLatest(t *testing.T) {
 	const capacity, count = 4, 10
-	explanations := NewExplanations(capacity)
+	explanations := NewExplanations(ExplanationsOptions{Requests: capacity})
 	for index := range count {
 		explanations.Add(Explanation{RequestID: strconv.Itoa(index)})
 	}
@@ -26,8 +28,29 @@
 	}
 }
 
+func TestExplanationsStayWithinTheirBytes(t *testing.T) {
+	const limit, steps, count = 64 << 10, 256, 100
+	explanations := NewExplanations(ExplanationsOptions{Bytes: limit})
+	for index := range count {
+		explanations.Add(Explanation{RequestID: strconv.Itoa(index), Steps: make([]dispatch.Step, steps)})
+		if explanations.bytes > limit {
+			t.Fatalf("%d bytes after %d explanations", explanations.bytes, index+1)
+		}
+		if _, found := explanations.Find(strconv.Itoa(index)); !found {
+			t.Fatalf("the newest of %d explanations is not found", index+1)
+		}
+	}
+	if len(explanations.byRequest) != explanations.count || explanations.count >= count {
+		t.Errorf("%d explanations, %d in the index", explanations.count, len(explanations.byRequest))
+	}
+	explanations.Add(Explanation{RequestID: "large", Steps: make([]dispatch.Step, limit)})
+	if _, found := explanations.Find("large"); !found || explanations.count != 1 {
+		t.Errorf("%d explanations beside a large one", explanations.count)
+	}
+}
+
 func TestExplanationOfRepeatedRequestIsTheNewest(t *testing.T) {
-	explanations := NewExplanations(2)
+	explanations := NewExplanations(ExplanationsOptions{Requests: 2})
 	explanations.Add(Explanation{RequestID: "r", Reason: "first"})
 	explanations.Add(Explanation{RequestID: "r", Reason: "second"})
 	explanations.Add(Explanation{RequestID: "other"})
