--- a/node/once_test.go
+++ b/node/once_test.go
@@ -3,9 +3,11 @@
 import (
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/banksail/banksail/lab/emulator"
 	"github.com/banksail/banksail/machinelist"
 	"github.com/banksail/banksail/policy"
 	"github.com/banksail/banksail/settings"
@@ -137,6 +139,23 @@
 	})
 }
 
+func TestUnknownFateOfNotRepeatableRequestIsLogged(t *testing.T) {
+	inWorld(t, 1, nil, func(t *testing.T, w *world) {
+		w.servers[0].SetFaults(emulator.ServerFaults{CloseAfterShare: 1})
+		got := w.query(t.Context(), "return-1", false, "secret linen")
+		if got.problem.Execution != "unknown" {
+			t.Errorf("got %+v", got)
+		}
+		if log := w.log.String(); !strings.Contains(log, `"level":"warn","request_id":"return-1"`) || strings.Contains(log, "secret") {
+			t.Errorf("log:\n%s", log)
+		}
+		w.servers[0].SetFaults(emulator.ServerFaults{})
+		if again := w.query(t.Context(), "return-1", false, "secret linen"); again.problem.Execution != "unknown" || w.executions("return-1") != 1 {
+			t.Errorf("asked again: %+v, %d executions", again, w.executions("return-1"))
+		}
+	})
+}
+
 func TestForgottenResultIsNotRunAgain(t *testing.T) {
 	keepNone := func(chosen *settings.Settings) { chosen.AtMostOnce.ResultBytes = 0 }
 	inWorld(t, 1, keepNone, func(t *testing.T, w *world) {
--- a/node/query.go
+++ b/node/query.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/banksail/banksail/caller"
 	"github.com/banksail/banksail/dispatch"
 	"github.com/banksail/banksail/policy"
@@ -127,7 +129,7 @@
 		Steps:     outcome.Explanation,
 	})
 	n.countOutcome(request, end, execution)
-	n.log.Debug().
+	n.log.WithLevel(logLevel(request, outcome)).
 		Str(telemetry.FieldRequestID, request.RequestID).
 		Str(telemetry.FieldService, request.Service).
 		Str(telemetry.FieldClass, request.Class).
@@ -138,6 +140,15 @@
 		Msg("query ended")
 }
 
+// logLevel raises what an operator may have to settle by hand: whether a
+// not-repeatable request ran.
+func logLevel(request caller.Request, outcome dispatch.Outcome) zerolog.Level {
+	if !request.Repeatable && outcome.Execution != dispatch.ExecutionDone && outcome.Execution != dispatch.ExecutionNotRun {
+		return zerolog.WarnLevel
+	}
+	return zerolog.DebugLevel
+}
+
 // countOutcome counts a query. Names that no configuration has, which callers
 // may make up without end, become no labels.
 func (n *Node) countOutcome(request caller.Request, end finished, execution string) {
