--- a/node/listeners.go
+++ b/node/listeners.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 
@@ -28,8 +27,10 @@
 // listener is one open listener with its server.
 type listener struct {
 	name   string
-	socket net.Listener
+	socket *drainingListener
 	server *http.Server
+	// ended is closed once no further connection is accepted.
+	ended chan struct{}
 }
 
 // open opens the three listeners, or none.
@@ -51,7 +52,12 @@
 			closeSockets(opened)
 			return nil, fmt.Errorf("%w: %s listener: %w", ErrListen, one.name, err)
 		}
-		opened = append(opened, &listener{name: one.name, socket: socket, server: one.server})
+		opened = append(opened, &listener{
+			name:   one.name,
+			socket: &drainingListener{Listener: socket},
+			server: one.server,
+			ended:  make(chan struct{}),
+		})
 	}
 	return opened, nil
 }
@@ -75,8 +81,9 @@
 
 // serve serves until the server is shut down.
 func (l *listener) serve() error {
+	defer close(l.ended)
 	err := l.server.Serve(l.socket)
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || l.socket.draining.Load() {
 		return nil
 	}
 	return fmt.Errorf("%w: %s listener: %w", ErrServe, l.name, err)
@@ -85,6 +92,12 @@
 // shutdown ends the listener, its idle connections, and the others after their
 // response; when ctx ends first it cuts them.
 func (l *listener) shutdown(ctx context.Context) {
+	if l.socket.drain() {
+		select {
+		case <-l.ended:
+		case <-ctx.Done():
+		}
+	}
 	if err := l.server.Shutdown(ctx); err != nil {
 		_ = l.server.Close()
 	}
