One strict JSON decoder in place of two

internal/strictjson refused unknown fields only, and internal/jsonfields also missing ones, names in another case and names given twice; the clients of the back ends, the machine list and the store had the weaker one, so that a load report without its counts read as zero. There is one package now, with the stricter rules and with the path of each fault. encoding/json decodes; a scan of the bytes beside the target's type finds what encoding/json lets pass.

Opaque values (a query's body) are checked for depth only; names given twice in them were faults before and are now the back end's matter. A machine's zone and incarnation may be left out of the list.

--- a/backend/decode.go
+++ b/backend/decode.go
@@ -10,6 +10,9 @@
 // MaximumSnapshots bounds the snapshots that a server may list.
 const MaximumSnapshots = 1024
 
+// replyLimits bounds the JSON documents of replies.
+var replyLimits = strictjson.Limits{Bytes: MaximumReplyBytes}
+
 // statusCodes gives the HTTP status code that carries each Status.
 var statusCodes = map[Status]int{
 	StatusDone:            http.StatusOK,
@@ -36,7 +39,7 @@
 // decodeReply checks that data is a whole reply to the request.
 func decodeReply(data []byte, code int, request *Request) (*Reply, error) {
 	reply := &Reply{}
-	if err := strictjson.Unmarshal(data, reply); err != nil {
+	if err := strictjson.Unmarshal(data, replyLimits, reply); err != nil {
 		return nil, fmt.Errorf("%w: HTTP status %d: %w", ErrMalformed, code, err)
 	}
 	if err := reply.validate(code); err != nil {
@@ -116,7 +119,7 @@
 		return nil, fmt.Errorf("%w: HTTP status %d", ErrMalformed, code)
 	}
 	health := &Health{}
-	if err := strictjson.Unmarshal(data, health); err != nil {
+	if err := strictjson.Unmarshal(data, replyLimits, health); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
 	switch health.State {
@@ -135,7 +138,7 @@
 		return nil, fmt.Errorf("%w: HTTP status %d", ErrMalformed, code)
 	}
 	load := &Load{}
-	if err := strictjson.Unmarshal(data, load); err != nil {
+	if err := strictjson.Unmarshal(data, replyLimits, load); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
 	if err := load.validate(); err != nil {
--- a/caller/parse.go
+++ b/caller/parse.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"time"
 
-	"github.com/banksail/banksail/internal/jsonfields"
+	"github.com/banksail/banksail/internal/strictjson"
 )
 
 // maximumDepth bounds the nesting of a request's document.
@@ -32,12 +32,13 @@
 
 func readDocument(body io.Reader, limit int64) (requestDocument, error) {
 	var document requestDocument
-	raw, err := io.ReadAll(io.LimitReader(body, limit+1))
-	if err != nil {
+	raw, err := strictjson.Read(body, limit)
+	if err == nil {
+		err = strictjson.Unmarshal(raw, strictjson.Limits{Bytes: limit, Depth: maximumDepth}, &document)
+	} else if !errors.Is(err, strictjson.ErrTooLarge) {
 		return document, &FieldError{Field: documentField, Detail: "the body could not be read whole"}
 	}
-	limits := jsonfields.Limits{Bytes: int(limit), Depth: maximumDepth}
-	if err := jsonfields.Decode(raw, limits, &document); err != nil {
+	if err != nil {
 		return document, documentFault(err, limit)
 	}
 	return document, nil
@@ -45,7 +46,7 @@
 
 // documentFault names the first faulty field.
 func documentFault(err error, limit int64) *FieldError {
-	var fields *jsonfields.FieldsError
+	var fields *strictjson.FieldsError
 	switch {
 	case errors.As(err, &fields) && len(fields.Faults) > 0:
 		first := fields.Faults[0]
@@ -53,12 +54,12 @@
 			first.Path = documentField
 		}
 		return &FieldError{Field: first.Path, Detail: first.Problem}
-	case errors.Is(err, jsonfields.ErrTooLarge):
+	case errors.Is(err, strictjson.ErrTooLarge):
 		return &FieldError{
 			Field: documentField, Detail: fmt.Sprintf("the body is over the limit of %d bytes", limit),
 			Status: http.StatusRequestEntityTooLarge, Reason: reasonBodyTooLarge,
 		}
-	case errors.Is(err, jsonfields.ErrTooDeep):
+	case errors.Is(err, strictjson.ErrTooDeep):
 		return &FieldError{Field: documentField, Detail: fmt.Sprintf("objects and lists nest deeper than %d", maximumDepth)}
 	default:
 		return &FieldError{Field: documentField, Detail: "the body is not one JSON object"}
--- /dev/null
+++ b/internal/strictjson/walk.go
@@ -0,0 +1,209 @@
+package strictjson
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// extent says which fields a document must name.
+type extent int
+
+const (
+	// whole documents name each field whose tag does not say omitempty.
+	whole extent = iota
+	// partial documents may leave fields out.
+	partial
+)
+
+// check walks a valid document beside the target's type.
+func check(data []byte, target any, extent extent) error {
+	walker := &walker{scanner: scanner{data: data}, extent: extent}
+	walker.value(resolve(reflect.TypeOf(target).Elem()))
+	if len(walker.faults) > 0 {
+		return &FieldsError{Faults: walker.faults}
+	}
+	return nil
+}
+
+// step leads from a value to one within it: a field's name, or an index when
+// the name is nil.
+type step struct {
+	name  []byte
+	index int
+}
+
+// walker compares a document with a type. Kinds are types that resolve returned.
+type walker struct {
+	scanner scanner
+	extent  extent
+	// path leads to the value being read.
+	path   []step
+	faults []Fault
+}
+
+func (w *walker) fault(problem string) {
+	if len(w.faults) < maximumFaults {
+		w.faults = append(w.faults, Fault{Path: w.pathText(), Problem: problem})
+	}
+}
+
+func (w *walker) require(ok bool, problem string) {
+	if !ok {
+		w.fault(problem)
+	}
+}
+
+// longestName bounds the bytes of a field's name that a fault's path shows.
+const longestName = 64
+
+func (w *walker) pathText() string {
+	text := &strings.Builder{}
+	for index, step := range w.path {
+		if step.name == nil {
+			fmt.Fprintf(text, "[%d]", step.index)
+			continue
+		}
+		if index > 0 {
+			text.WriteByte('.')
+		}
+		name := step.name[:min(len(step.name), longestName)]
+		text.WriteString(strings.ToValidUTF8(string(name), "?"))
+	}
+	return text.String()
+}
+
+func (w *walker) enter(inner step) { w.path = append(w.path, inner) }
+
+func (w *walker) leave() { w.path = w.path[:len(w.path)-1] }
+
+// value reads one value that should fit the type.
+func (w *walker) value(kind reflect.Type) {
+	if kind == anyType {
+		w.scanner.skip()
+		return
+	}
+	switch w.scanner.peek() {
+	case '{':
+		w.object(kind)
+	case '[':
+		w.list(kind)
+	case '"':
+		w.scanner.text()
+		w.require(kind.Kind() == reflect.String, "must not be a string")
+	case 't', 'f':
+		w.scanner.scalar()
+		w.require(kind.Kind() == reflect.Bool, "must not be a boolean")
+	case 'n':
+		w.scanner.scalar()
+		w.require(w.extent == partial && kind.Kind() == reflect.Slice, "must not be null")
+	default:
+		w.number(kind, string(w.scanner.scalar()))
+	}
+}
+
+func (w *walker) number(kind reflect.Type, number string) {
+	var err error
+	switch kind.Kind() {
+	case reflect.Int, reflect.Int8, reflect.Int16, reflect.Int32, reflect.Int64:
+		_, err = strconv.ParseInt(number, 10, kind.Bits())
+		w.require(err == nil, "must be a whole number within its bounds")
+	case reflect.Uint, reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64:
+		_, err = strconv.ParseUint(number, 10, kind.Bits())
+		w.require(err == nil, "must be a whole number, not negative, within its bounds")
+	case reflect.Float32, reflect.Float64:
+		_, err = strconv.ParseFloat(number, kind.Bits())
+		w.require(err == nil, "must be a number within its bounds")
+	default:
+		w.fault("must not be a number")
+	}
+}
+
+func (w *walker) list(kind reflect.Type) {
+	element := anyType
+	if kind.Kind() == reflect.Slice || kind.Kind() == reflect.Array {
+		element = resolve(kind.Elem())
+	} else {
+		w.fault("must not be a list")
+	}
+	w.scanner.next++
+	for index := 0; w.scanner.more(']'); index++ {
+		w.enter(step{index: index})
+		w.value(element)
+		w.leave()
+	}
+}
+
+func (w *walker) object(kind reflect.Type) {
+	switch kind.Kind() {
+	case reflect.Struct:
+		w.structure(structureOf(kind))
+	case reflect.Map:
+		w.mapping(resolve(kind.Elem()))
+	default:
+		w.fault("must not be an object")
+		w.scanner.skip()
+	}
+}
+
+// structure reads an object that stands for a struct.
+func (w *walker) structure(described *structure) {
+	seen := make([]bool, len(described.fields))
+	var unknown [][]byte
+	w.scanner.next++
+	for w.scanner.more('}') {
+		name := w.scanner.name()
+		w.enter(step{name: name})
+		position, known := described.positions[string(name)]
+		if known {
+			w.require(!seen[position], "is given twice")
+			seen[position] = true
+			w.value(described.fields[position].kind)
+		} else {
+			unknown = w.unknown(unknown, name)
+		}
+		w.leave()
+	}
+	if w.extent == whole {
+		w.missing(described, seen)
+	}
+}
+
+// unknown reads the value of an unknown field and adds its name to the others.
+func (w *walker) unknown(others [][]byte, name []byte) [][]byte {
+	twice := slices.ContainsFunc(others, func(other []byte) bool { return string(other) == string(name) })
+	if !twice {
+		w.fault("is not a known field")
+	}
+	w.scanner.skip()
+	if twice || len(others) == maximumFaults {
+		return others
+	}
+	return append(others, name)
+}
+
+func (w *walker) missing(described *structure, seen []bool) {
+	for position, field := range described.fields {
+		if field.required && !seen[position] {
+			w.enter(step{name: []byte(field.name)})
+			w.fault("must be given")
+			w.leave()
+		}
+	}
+}
+
+// mapping reads an object that stands for a map.
+func (w *walker) mapping(element reflect.Type) {
+	seen := map[string]bool{}
+	w.scanner.next++
+	for w.scanner.more('}') {
+		name := w.scanner.name()
+		w.enter(step{name: name})
+		w.require(!seen[string(name)], "is given twice")
+		seen[string(name)] = true
+		w.value(element)
+		w.leave()
+	}
+}
--- a/lab/emulator/query.go
+++ b/lab/emulator/query.go
@@ -17,7 +17,7 @@
 // serveQuery receives one sub-request.
 func (s *Server) serveQuery(writer http.ResponseWriter, request *http.Request) {
 	query := &backend.Request{}
-	err := strictjson.Decode(request.Body, maximumQueryBytes, query)
+	err := strictjson.Decode(request.Body, strictjson.Limits{Bytes: maximumQueryBytes}, query)
 	if err == nil {
 		err = validateQuery(query)
 	}
--- a/lab/emulator/store.go
+++ b/lab/emulator/store.go
@@ -136,7 +136,7 @@
 
 func (s *StoreServer) grant(writer http.ResponseWriter, request *http.Request) {
 	grant := store.GrantRequest{}
-	err := strictjson.Decode(request.Body, store.MaximumLeaseBytes, &grant)
+	err := strictjson.Decode(request.Body, strictjson.Limits{Bytes: store.MaximumLeaseBytes}, &grant)
 	if err == nil {
 		err = validateTimeToLive(grant)
 	}
--- a/machinelist/conn.go
+++ b/machinelist/conn.go
@@ -41,11 +41,11 @@
 	// ID is the node's or server's ID.
 	ID      string `json:"id" validate:"required,max=128"`
 	Address string `json:"address" validate:"required,hostname_port"`
-	Zone    string `json:"zone" validate:"max=64"`
+	Zone    string `json:"zone,omitempty" validate:"max=64"`
 	Role    Role   `json:"role" validate:"oneof=node server"`
 	State   State  `json:"state" validate:"oneof=live leaving"`
 	// Incarnation changes when the machine starts anew under the same ID.
-	Incarnation string `json:"incarnation" validate:"max=64"`
+	Incarnation string `json:"incarnation,omitempty" validate:"max=64"`
 }
 
 // List is one reading. An empty list never means that all machines are gone.
--- a/policy/codec.go
+++ b/policy/codec.go
@@ -4,7 +4,7 @@
 	"errors"
 	"fmt"
 
-	"github.com/banksail/banksail/internal/jsonfields"
+	"github.com/banksail/banksail/internal/strictjson"
 )
 
 // maximumDepth bounds how deep documents nest.
@@ -13,8 +13,8 @@
 // decodeStrict reads one JSON document of bounded size and depth; its errors
 // name the faulty fields.
 func decodeStrict(data []byte, maximumBytes int, target any) error {
-	err := jsonfields.Decode(data, jsonfields.Limits{Bytes: maximumBytes, Depth: maximumDepth}, target)
-	var fields *jsonfields.FieldsError
+	err := strictjson.Unmarshal(data, strictjson.Limits{Bytes: int64(maximumBytes), Depth: maximumDepth}, target)
+	var fields *strictjson.FieldsError
 	switch {
 	case err == nil:
 		return nil
@@ -24,7 +24,7 @@
 			faults = append(faults, Fault{Field: fault.Path, Problem: fault.Problem})
 		}
 		return &ValidationError{Faults: faults}
-	case errors.Is(err, jsonfields.ErrTooLarge):
+	case errors.Is(err, strictjson.ErrTooLarge):
 		return fmt.Errorf("%w: %w", ErrTooLarge, err)
 	default:
 		return fmt.Errorf("%w: %w", ErrMalformed, err)
--- a/store/decode.go
+++ b/store/decode.go
@@ -50,7 +50,7 @@
 
 func decodeGrant(body []byte) (LeaseID, error) {
 	reply := GrantReply{}
-	if err := strictjson.Unmarshal(body, &reply); err != nil {
+	if err := strictjson.Unmarshal(body, strictjson.Limits{Bytes: MaximumLeaseBytes}, &reply); err != nil {
 		return "", fmt.Errorf("%w: %w: %w", ErrOutcomeUnknown, ErrMalformed, err)
 	}
 	if err := ValidateKey(string(reply.Lease)); err != nil {
