policy: one function applies a delta

ApplyDelta and NextRecord were the same but for one result; ApplyDelta stays, beside EncodeDelta and DecodeDelta, and returns the record and its bytes.

--- a/lab/scale/record.go
+++ b/lab/scale/record.go
@@ -210,7 +210,7 @@
 	if err != nil {
 		return fmt.Errorf("scale: delta: %w", err)
 	}
-	if _, _, err := policy.NextRecord(c.base, delta); err != nil {
+	if _, _, err := policy.ApplyDelta(c.base, delta); err != nil {
 		return fmt.Errorf("scale: delta: %w", err)
 	}
 	return nil
--- a/policy/delta.go
+++ b/policy/delta.go
@@ -79,15 +79,9 @@
 	return envelope.Delta, nil
 }
 
-// ApplyDelta returns the bytes of the record that follows base; see NextRecord.
-func ApplyDelta(base Record, delta Delta) ([]byte, error) {
-	_, data, err := NextRecord(base, delta)
-	return data, err
-}
-
-// NextRecord returns the record that follows base, and its bytes. It returns
+// ApplyDelta returns the record that follows base, and its bytes. It returns
 // ErrDeltaMismatch when base is not the record that the delta was made for.
-func NextRecord(base Record, delta Delta) (next Record, data []byte, err error) {
+func ApplyDelta(base Record, delta Delta) (next Record, data []byte, err error) {
 	if base.Revision+1 != delta.Revision {
 		return Record{}, nil, fmt.Errorf("%w: it makes revision %d, the base is %d", ErrDeltaMismatch, delta.Revision, base.Revision)
 	}
--- a/policy/delta_test.go
+++ b/policy/delta_test.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	got, err := ApplyDelta(base, delta)
+	_, got, err := ApplyDelta(base, delta)
 	if err != nil || !bytes.Equal(got, want) {
 		t.Fatalf("got %s, %v; want %s", got, err, want)
 	}
@@ -70,7 +70,7 @@
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
-			if _, err := ApplyDelta(test.base, test.delta); !errors.Is(err, ErrDeltaMismatch) {
+			if _, _, err := ApplyDelta(test.base, test.delta); !errors.Is(err, ErrDeltaMismatch) {
 				t.Fatalf("got %v", err)
 			}
 		})
@@ -109,7 +109,7 @@
 		if err != nil {
 			return
 		}
-		record, err := ApplyDelta(base, delta)
+		_, record, err := ApplyDelta(base, delta)
 		if err != nil {
 			return
 		}
--- a/policy/scale_bench_test.go
+++ b/policy/scale_bench_test.go
@@ -50,7 +50,7 @@
 		b.Run(fmt.Sprintf("apply delta/servers=%d", servers), func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
-				if _, err := ApplyDelta(base, delta); err != nil {
+				if _, _, err := ApplyDelta(base, delta); err != nil {
 					b.Fatal(err)
 				}
 			}
--- a/rollout/keeper.go
+++ b/rollout/keeper.go
@@ -232,7 +232,7 @@
 		k.metrics.rejected.Add(1)
 		return fmt.Errorf("%w: %w", ErrRejected, err)
 	}
-	record, encoded, err := policy.NextRecord(current.record, delta)
+	record, encoded, err := policy.ApplyDelta(current.record, delta)
 	if err != nil {
 		k.metrics.deltaMisfits.Add(1)
 		k.options.Logger.Warn().Err(err).Uint64("revision", uint64(revision)).Msg("delta refused")
