Flags of settings say what they do, their unit and default

Each flag of serve and check said only that it overrides the setting of the same name. One table, settings/descriptions.go, now holds a line per setting; the flags print it with the default, and the test of docs/SETTINGS.md checks that the page gives the same text and the same default.

--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -3,9 +3,11 @@
 import (
 	"errors"
 	"flag"
+	"fmt"
 	"io"
 	"os"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"strings"
 	"testing"
@@ -183,9 +185,37 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, path := range Paths() {
-		if count := strings.Count(string(page), "| `"+path+"` |"); count != 1 {
-			t.Errorf("%s has %d rows", path, count)
+	for _, setting := range declared() {
+		description := descriptions[setting.path]
+		if description == "" {
+			t.Errorf("%s has no description", setting.path)
+		}
+		rows := regexp.MustCompile(`(?m)^\| `+"`"+regexp.QuoteMeta(setting.path)+"`"+` \| (.*?) \| .*?\| (.*) \|$`).FindAllStringSubmatch(string(page), -1)
+		if len(rows) != 1 {
+			t.Errorf("%s has %d rows", setting.path, len(rows))
+			continue
+		}
+		checkDocumentedDefault(t, setting, strings.Trim(rows[0][1], "`"))
+		if meaning := rows[0][2]; !strings.HasPrefix(meaning, description) {
+			t.Errorf("%s is described as %q, the flag says %q", setting.path, meaning, description)
 		}
 	}
+	if len(descriptions) != len(Paths()) {
+		t.Errorf("%d descriptions of %d settings", len(descriptions), len(Paths()))
+	}
+}
+
+func checkDocumentedDefault(t *testing.T, setting setting, text string) {
+	t.Helper()
+	expected := fmt.Sprint(setting.fallback)
+	if _, isDuration := setting.fallback.(time.Duration); isDuration {
+		documented, err := time.ParseDuration(text)
+		if err != nil {
+			t.Errorf("%s: %v", setting.path, err)
+		}
+		text = documented.String()
+	}
+	if setting.fallback != nil && text != expected {
+		t.Errorf("%s has the default %s on the page, is %s", setting.path, text, expected)
+	}
 }
