One HTTP call and one wait for all clients

The clients of the back ends, the store, the machine list and the nodes' operator API, the load generator and the subcommand fault each built requests, bounded replies and set up transports by themselves; three waits with a context stood beside each other. internal/httpcall sends one call, never twice when it has a body and past no redirect, and internal/clock sleeps. fault and banksailctl no longer go through a proxy that the environment names or follow redirects, and an answer over its bound is an error in place of cut-off JSON.

--- a/backend/client.go
+++ b/backend/client.go
@@ -1,18 +1,17 @@
 package backend
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/banksail/banksail/internal/delivery"
+	"github.com/banksail/banksail/internal/httpcall"
 	"github.com/banksail/banksail/internal/strictjson"
 )
 
@@ -36,11 +35,6 @@
 	DefaultIdleTimeout          = 30 * time.Second
 )
 
-const (
-	maximumHeaderBytes = 64 << 10
-	contentTypeJSON    = "application/json"
-)
-
 // ClientOptions configures a Client. Zero fields get defaults.
 type ClientOptions struct {
 	// Dial opens connections; the default is the operating system's TCP.
@@ -156,9 +150,9 @@
 	defer open.release()
 	for {
 		trackedContext, tracker := delivery.Track(ctx)
-		data, code, err := open.roundTrip(trackedContext, address, method, path, body)
+		reply, err := open.roundTrip(trackedContext, address, method, path, body)
 		if err == nil {
-			err = decode(data, code)
+			err = decode(reply.Body, reply.Code)
 		}
 		if err == nil {
 			return nil
@@ -173,21 +167,16 @@
 }
 
 // roundTrip sends one request and reads its whole reply.
-func (p *pool) roundTrip(ctx context.Context, address, method, path string, body []byte) ([]byte, int, error) {
-	request, err := newRequest(ctx, address, method, path, body)
-	if err != nil {
-		return nil, 0, err
-	}
-	response, err := p.transport.RoundTrip(request)
-	if err != nil {
-		return nil, 0, err
+func (p *pool) roundTrip(ctx context.Context, address, method, path string, body []byte) (httpcall.Reply, error) {
+	call := httpcall.Call{Method: method, Address: address, Path: path, Body: body, Limit: MaximumReplyBytes}
+	if body != nil {
+		call.Header = http.Header{"Content-Type": {httpcall.JSON}}
 	}
-	defer func() { _ = response.Body.Close() }()
-	data, err := strictjson.Read(response.Body, MaximumReplyBytes)
+	reply, err := httpcall.Send(ctx, p.transport, call)
 	if errors.Is(err, strictjson.ErrTooLarge) {
 		err = fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
-	return data, response.StatusCode, err
+	return reply, err
 }
 
 // classify turns the error of a request by what had been written, and closes
@@ -202,21 +191,3 @@
 	}
 	return fmt.Errorf("%w: %w", ErrNotDelivered, err)
 }
-
-// newRequest builds a request that net/http's transport never sends again: a
-// POST has neither GetBody nor an idempotency key.
-func newRequest(ctx context.Context, address, method, path string, body []byte) (*http.Request, error) {
-	var reader io.Reader
-	if body != nil {
-		reader = bytes.NewReader(body)
-	}
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, reader)
-	if err != nil {
-		return nil, err
-	}
-	request.GetBody = nil
-	if body != nil {
-		request.Header.Set("Content-Type", contentTypeJSON)
-	}
-	return request, nil
-}
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"github.com/banksail/banksail/internal/delivery"
+	"github.com/banksail/banksail/internal/httpcall"
 )
 
 // spareFraction is the least number of connections per spare one.
@@ -64,17 +65,12 @@
 		size: min(max(0, c.options.SparesPerServer), bound/spareFraction),
 		idle: c.options.IdleTimeout,
 	}
+	transport := httpcall.NewTransport(delivery.WrapDial(extra.DialContext), bound-extra.size)
+	transport.IdleConnTimeout = c.options.IdleTimeout
 	return &pool{
-		bound:  bound,
-		spares: extra,
-		transport: &http.Transport{
-			DialContext:            delivery.WrapDial(extra.DialContext),
-			MaxConnsPerHost:        bound - extra.size,
-			MaxIdleConnsPerHost:    bound - extra.size,
-			IdleConnTimeout:        c.options.IdleTimeout,
-			MaxResponseHeaderBytes: maximumHeaderBytes,
-			DisableCompression:     true,
-		},
+		bound:     bound,
+		spares:    extra,
+		transport: transport,
 	}
 }
 
--- a/cmd/banksail-lab/fault.go
+++ b/cmd/banksail-lab/fault.go
@@ -7,9 +7,7 @@
 	"errors"
 	"flag"
 	"fmt"
-	"io"
 	"net/http"
-	"net/url"
 	"os"
 	"path"
 	"strings"
@@ -17,7 +15,7 @@
 
 	"github.com/google/subcommands"
 
-	"github.com/banksail/banksail/internal/strictjson"
+	"github.com/banksail/banksail/internal/httpcall"
 	"github.com/banksail/banksail/lab/emulator"
 	"github.com/banksail/banksail/policy"
 )
@@ -171,26 +169,16 @@
 func callFaults(ctx context.Context, address, method string, body []byte) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, faultTimeout)
 	defer cancel()
-	target := url.URL{Scheme: "http", Host: address, Path: emulator.FaultsPath}
-	var reader io.Reader
-	if body != nil {
-		reader = bytes.NewReader(body)
-	}
-	request, err := http.NewRequestWithContext(ctx, method, target.String(), reader)
-	if err != nil {
-		return nil, err
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = response.Body.Close() }()
-	reply, err := strictjson.Read(response.Body, maximumFaultReply)
+	transport := httpcall.NewTransport(nil, 1)
+	defer transport.CloseIdleConnections()
+	reply, err := httpcall.Send(ctx, transport, httpcall.Call{
+		Method: method, Address: address, Path: emulator.FaultsPath, Body: body, Limit: maximumFaultReply,
+	})
 	if err != nil {
 		return nil, err
 	}
-	if response.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("%w: HTTP status %d: %s", errFaultRefused, response.StatusCode, bytes.TrimSpace(reply))
+	if reply.Code != http.StatusOK {
+		return nil, fmt.Errorf("%w: HTTP status %d: %s", errFaultRefused, reply.Code, bytes.TrimSpace(reply.Body))
 	}
-	return reply, nil
+	return reply.Body, nil
 }
--- /dev/null
+++ b/internal/httpcall/httpcall.go
@@ -0,0 +1,112 @@
+// Package httpcall sends single HTTP requests and reads their whole replies.
+//
+// No redirect is followed, and a request with a body is never sent twice:
+// net/http's transport would send it again on a kept connection that closed if
+// the body could be rewound, so it can't. The transport may repeat a GET.
+package httpcall
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/banksail/banksail/internal/strictjson"
+)
+
+// Bounds of transports.
+const (
+	// MaximumHeaderBytes bounds the header of a reply.
+	MaximumHeaderBytes = 64 << 10
+
+	idleTimeout = 90 * time.Second
+)
+
+// JSON is the media type of JSON documents.
+const JSON = "application/json"
+
+// DialFunc opens a connection to an IP number and port.
+type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NewTransport returns a transport with a bounded number of connections per
+// address. A nil dial means the operating system's TCP.
+func NewTransport(dial DialFunc, connections int) *http.Transport {
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	return &http.Transport{
+		DialContext:            dial,
+		MaxConnsPerHost:        connections,
+		MaxIdleConnsPerHost:    connections,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: MaximumHeaderBytes,
+		DisableCompression:     true,
+	}
+}
+
+// Call is one request.
+type Call struct {
+	// Method is the HTTP method; empty means GET.
+	Method string
+	// Address is the server's host and port.
+	Address string
+	// Path is the path as it stands in the URL, with its escapes.
+	Path  string
+	Query url.Values
+	// Header may be nil. The call does not change it.
+	Header http.Header
+	// Body is sent unless it is nil.
+	Body []byte
+	// Limit bounds the bytes of the reply's body.
+	Limit int64
+}
+
+// Reply is the whole reply to a Call.
+type Reply struct {
+	// Code is the HTTP status code.
+	Code   int
+	Header http.Header
+	Body   []byte
+}
+
+// Send sends the request and reads its reply until the context ends. Its error
+// is the transport's, or strictjson.ErrTooLarge for a body over the limit.
+func Send(ctx context.Context, transport http.RoundTripper, call Call) (Reply, error) {
+	request, err := newRequest(ctx, call)
+	if err != nil {
+		return Reply{}, err
+	}
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return Reply{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := strictjson.Read(response.Body, call.Limit)
+	if err != nil {
+		return Reply{}, err
+	}
+	return Reply{Code: response.StatusCode, Header: response.Header, Body: body}, nil
+}
+
+func newRequest(ctx context.Context, call Call) (*http.Request, error) {
+	target := "http://" + call.Address + call.Path
+	if len(call.Query) > 0 {
+		target += "?" + call.Query.Encode()
+	}
+	var body io.Reader
+	if call.Body != nil {
+		body = bytes.NewReader(call.Body)
+	}
+	request, err := http.NewRequestWithContext(ctx, call.Method, target, body)
+	if err != nil {
+		return nil, err
+	}
+	request.GetBody = nil
+	if call.Header != nil {
+		request.Header = call.Header
+	}
+	return request, nil
+}
--- /dev/null
+++ b/internal/httpcall/httpcall_test.go
@@ -0,0 +1,87 @@
+package httpcall
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"testing"
+
+	"github.com/banksail/banksail/internal/strictjson"
+)
+
+func send(t *testing.T, handler http.HandlerFunc, call Call) (Reply, error) {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	transport := NewTransport(nil, 1)
+	t.Cleanup(transport.CloseIdleConnections)
+	call.Address = server.Listener.Addr().String()
+	return Send(t.Context(), transport, call)
+}
+
+func TestSendCarriesTheWholeCall(t *testing.T) {
+	call := Call{
+		Method: http.MethodPut, Path: "/a%2Fb", Query: url.Values{"after": {"7"}},
+		Header: http.Header{"If-Match": {`"3"`}}, Body: []byte("value"), Limit: 2,
+	}
+	reply, err := send(t, func(writer http.ResponseWriter, request *http.Request) {
+		body, _ := io.ReadAll(request.Body)
+		if request.Method != call.Method || request.RequestURI != "/a%2Fb?after=7" || string(body) != "value" {
+			t.Errorf("received %s %s with %q", request.Method, request.RequestURI, body)
+		}
+		if request.Header.Get("If-Match") != `"3"` {
+			t.Errorf("header is %v", request.Header)
+		}
+		writer.Header().Set("ETag", `"4"`)
+		writer.WriteHeader(http.StatusCreated)
+		_, _ = io.WriteString(writer, "ok")
+	}, call)
+	if err != nil || reply.Code != http.StatusCreated || string(reply.Body) != "ok" || reply.Header.Get("ETag") != `"4"` {
+		t.Errorf("reply is %+v, %v", reply, err)
+	}
+}
+
+func TestSendBoundsTheReply(t *testing.T) {
+	_, err := send(t, func(writer http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(writer, "long")
+	}, Call{Limit: 3})
+	if !errors.Is(err, strictjson.ErrTooLarge) {
+		t.Errorf("error is %v, want ErrTooLarge", err)
+	}
+}
+
+func TestSendFollowsNoRedirect(t *testing.T) {
+	requests := 0
+	reply, err := send(t, func(writer http.ResponseWriter, request *http.Request) {
+		requests++
+		http.Redirect(writer, request, "/elsewhere", http.StatusTemporaryRedirect)
+	}, Call{Limit: 1000})
+	if err != nil || reply.Code != http.StatusTemporaryRedirect || requests != 1 {
+		t.Errorf("reply is %+v, %v after %d requests", reply, err, requests)
+	}
+}
+
+func TestSendNeverSendsABodyTwice(t *testing.T) {
+	requests := 0
+	handler := func(writer http.ResponseWriter, request *http.Request) {
+		requests++
+		_, _ = io.ReadAll(request.Body)
+		if requests > 1 {
+			panic(http.ErrAbortHandler)
+		}
+	}
+	server := httptest.NewServer(http.HandlerFunc(handler))
+	defer server.Close()
+	transport := NewTransport(nil, 1)
+	defer transport.CloseIdleConnections()
+	call := Call{Method: http.MethodPost, Address: server.Listener.Addr().String(), Path: "/", Body: []byte("{}"), Limit: 1}
+	if _, err := Send(t.Context(), transport, call); err != nil {
+		t.Fatal(err)
+	}
+	// The kept connection closes after the server read the second request.
+	if _, err := Send(t.Context(), transport, call); err == nil || requests != 2 {
+		t.Errorf("error %v after %d requests, want an error after 2", err, requests)
+	}
+}
--- a/lab/emulator/query.go
+++ b/lab/emulator/query.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/banksail/banksail/backend"
+	"github.com/banksail/banksail/internal/clock"
 	"github.com/banksail/banksail/internal/strictjson"
 )
 
@@ -119,7 +120,7 @@
 // execute holds a slot for the service time.
 func (v *visit) execute(ctx context.Context) (*backend.Reply, string) {
 	v.server.recorder.update(v.entry, func(entry *Execution) { entry.Executed = true })
-	if err := sleep(ctx, v.server.serviceTime(v.faults)); err != nil {
+	if err := clock.Sleep(ctx, v.server.serviceTime(v.faults)); err != nil {
 		return nil, "ended during execution"
 	}
 	if _, err := v.server.thawedContext(ctx); err != nil {
@@ -173,7 +174,7 @@
 	if reply == nil {
 		panic(http.ErrAbortHandler)
 	}
-	if err := sleep(ctx, durationOf(v.faults.ReplyDelayMilliseconds)); err != nil {
+	if err := clock.Sleep(ctx, durationOf(v.faults.ReplyDelayMilliseconds)); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	other := v.server.exchangeLast(reply)
--- a/lab/emulator/server.go
+++ b/lab/emulator/server.go
@@ -17,6 +17,7 @@
 
 	"github.com/banksail/banksail/backend"
 	"github.com/banksail/banksail/coverage"
+	"github.com/banksail/banksail/internal/clock"
 	"github.com/banksail/banksail/policy"
 )
 
@@ -186,7 +187,7 @@
 	faults := s.Faults()
 	faults.Draining = true
 	s.SetFaults(faults)
-	if err := sleep(ctx, notice); err != nil {
+	if err := clock.Sleep(ctx, notice); err != nil {
 		return err
 	}
 	return s.ended.shutdown(ctx)
@@ -293,21 +294,6 @@
 	}
 }
 
-// sleep waits for the duration or the end of the context.
-func sleep(ctx context.Context, duration time.Duration) error {
-	if duration <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 func durationOf(milliseconds float64) time.Duration {
 	return policy.Milliseconds(milliseconds).Duration()
 }
--- a/lab/load/options.go
+++ b/lab/load/options.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/banksail/banksail/internal/httpcall"
 	"github.com/banksail/banksail/lab/emulator"
 	"github.com/banksail/banksail/lab/profile"
 )
@@ -70,11 +71,7 @@
 		o.ItemStride = emulator.DefaultItemStride
 	}
 	if o.Transport == nil {
-		o.Transport = &http.Transport{
-			MaxConnsPerHost:     o.InFlight,
-			MaxIdleConnsPerHost: o.InFlight,
-			DisableCompression:  true,
-		}
+		o.Transport = httpcall.NewTransport(nil, o.InFlight)
 	}
 	return o
 }
--- a/lab/load/sender.go
+++ b/lab/load/sender.go
@@ -1,7 +1,6 @@
 package load
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -10,7 +9,7 @@
 	"time"
 
 	"github.com/banksail/banksail/coverage"
-	"github.com/banksail/banksail/internal/strictjson"
+	"github.com/banksail/banksail/internal/httpcall"
 	"github.com/banksail/banksail/lab/profile"
 )
 
@@ -69,21 +68,16 @@
 // sender sends queries to one node.
 type sender struct {
 	options Options
-	client  *http.Client
 }
 
 func newSender(options Options) *sender {
-	return &sender{
-		options: options,
-		client: &http.Client{
-			Transport:     options.Transport,
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		},
-	}
+	return &sender{options: options}
 }
 
 func (s *sender) close() {
-	s.client.CloseIdleConnections()
+	if pooled, ok := s.options.Transport.(interface{ CloseIdleConnections() }); ok {
+		pooled.CloseIdleConnections()
+	}
 }
 
 // send asks once and waits for the answer.
@@ -116,22 +110,15 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), s.wait())
 	defer cancel()
-	target := url.URL{
-		Scheme: "http", Host: s.options.Address, Path: "/v1/services/" + share.Service + "/queries",
-	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, target.String(), bytes.NewReader(body))
-	if err != nil {
-		return nil, 0, err
-	}
-	request.GetBody = nil
-	request.Header.Set("Content-Type", "application/json")
-	response, err := s.client.Do(request)
-	if err != nil {
-		return nil, 0, err
-	}
-	defer func() { _ = response.Body.Close() }()
-	data, err := strictjson.Read(response.Body, maximumAnswerBytes)
-	return data, response.StatusCode, err
+	reply, err := httpcall.Send(ctx, s.options.Transport, httpcall.Call{
+		Method:  http.MethodPost,
+		Address: s.options.Address,
+		Path:    "/v1/services/" + url.PathEscape(share.Service) + "/queries",
+		Header:  http.Header{"Content-Type": {httpcall.JSON}},
+		Body:    body,
+		Limit:   maximumAnswerBytes,
+	})
+	return reply.Body, reply.Code, err
 }
 
 func (s *sender) wait() time.Duration {
--- a/lab/network/process.go
+++ b/lab/network/process.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"syscall"
 	"time"
+
+	"github.com/banksail/banksail/internal/clock"
 )
 
 const (
@@ -75,7 +77,7 @@
 		if delay == 0 {
 			err = wait(ctx, changed)
 		} else {
-			err = sleep(ctx, delay)
+			err = clock.Sleep(ctx, delay)
 		}
 		if err != nil {
 			return nil, opError("dial", tcpAddress(ip, port), err)
@@ -250,14 +252,3 @@
 		return ctx.Err()
 	}
 }
-
-func sleep(ctx context.Context, duration time.Duration) error {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/machinelist/http.go
+++ b/machinelist/http.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-playground/validator/v10"
 
+	"github.com/banksail/banksail/internal/httpcall"
 	"github.com/banksail/banksail/internal/strictjson"
 )
 
@@ -30,9 +31,7 @@
 const (
 	DefaultTimeout = 5 * time.Second
 
-	connections        = 2
-	idleTimeout        = 90 * time.Second
-	maximumHeaderBytes = 64 << 10
+	connections = 2
 )
 
 // listLimits bounds the JSON document of a reply.
@@ -57,24 +56,14 @@
 
 // NewHTTP returns a connection to the machine list at an address.
 func NewHTTP(options HTTPOptions) Conn {
-	if options.Dial == nil {
-		options.Dial = (&net.Dialer{}).DialContext
-	}
 	if options.Timeout == 0 {
 		options.Timeout = DefaultTimeout
 	}
 	return &httpConn{
-		address: options.Address,
-		timeout: options.Timeout,
-		transport: &http.Transport{
-			DialContext:            options.Dial,
-			MaxConnsPerHost:        connections,
-			MaxIdleConnsPerHost:    connections,
-			IdleConnTimeout:        idleTimeout,
-			MaxResponseHeaderBytes: maximumHeaderBytes,
-			DisableCompression:     true,
-		},
-		validate: validator.New(validator.WithRequiredStructEnabled()),
+		address:   options.Address,
+		timeout:   options.Timeout,
+		transport: httpcall.NewTransport(options.Dial, connections),
+		validate:  validator.New(validator.WithRequiredStructEnabled()),
 	}
 }
 
@@ -100,21 +89,13 @@
 func (c *httpConn) read(ctx context.Context, query url.Values, timeout time.Duration) (List, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	target := url.URL{Scheme: "http", Host: c.address, Path: Path, RawQuery: query.Encode()}
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
-	if err != nil {
-		return List{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
-	}
-	response, err := c.transport.RoundTrip(request)
-	if err != nil {
-		return List{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
-	}
-	defer func() { _ = response.Body.Close() }()
-	data, err := strictjson.Read(response.Body, MaximumListBytes)
+	reply, err := httpcall.Send(ctx, c.transport, httpcall.Call{
+		Address: c.address, Path: Path, Query: query, Limit: MaximumListBytes,
+	})
 	if err != nil {
 		return List{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
-	return c.decode(data, response.StatusCode)
+	return c.decode(reply.Body, reply.Code)
 }
 
 // decode checks a whole reply.
--- a/operator/client.go
+++ b/operator/client.go
@@ -1,18 +1,17 @@
 package operator
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
+	"github.com/banksail/banksail/internal/httpcall"
 	"github.com/banksail/banksail/policy"
 )
 
@@ -29,6 +28,7 @@
 	// DefaultClientTimeout bounds one request; it is longer than a confirmation takes.
 	DefaultClientTimeout = 15 * time.Second
 	maximumAnswerBytes   = 32 << 20
+	clientConnections    = 2
 )
 
 // ProblemError is a problem document that a node answered.
@@ -41,23 +41,20 @@
 
 // Client asks one node's operator API.
 type Client struct {
-	address string
-	http    *http.Client
+	address   string
+	timeout   time.Duration
+	transport http.RoundTripper
 }
 
-// NewClient makes a client for a node's operator listener, given as host and port.
+// NewClient makes a client for a node's operator listener, given as host and
+// port; the timeout bounds each request.
 func NewClient(address string, timeout time.Duration) *Client {
-	return &Client{address: address, http: &http.Client{
-		Timeout: timeout,
-		CheckRedirect: func(*http.Request, []*http.Request) error {
-			return http.ErrUseLastResponse
-		},
-	}}
+	return &Client{address: address, timeout: timeout, transport: httpcall.NewTransport(nil, clientConnections)}
 }
 
 // SetTransport replaces how the client reaches the node; it must be called
 // before the first request.
-func (c *Client) SetTransport(transport http.RoundTripper) { c.http.Transport = transport }
+func (c *Client) SetTransport(transport http.RoundTripper) { c.transport = transport }
 
 // Plan posts an intent and returns the plan document.
 func (c *Client) Plan(ctx context.Context, intent policy.Intent) (policy.Plan, error) {
@@ -110,46 +107,31 @@
 }
 
 func (c *Client) call(ctx context.Context, method, path string, body, answer any) error {
-	request, err := c.request(ctx, method, path, body)
-	if err != nil {
-		return err
-	}
-	response, err := c.http.Do(request)
-	if err != nil {
-		return sendError(err)
-	}
-	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maximumAnswerBytes))
-	if err != nil {
-		return fmt.Errorf("%w: %w", ErrNoAnswer, err)
-	}
-	if response.StatusCode != http.StatusOK {
-		return answeredProblem(response.Status, data)
-	}
-	if err := json.Unmarshal(data, answer); err != nil {
-		return fmt.Errorf("%w: %w", ErrNoAnswer, err)
+	call := httpcall.Call{
+		Method: method, Address: c.address, Path: Root + path, Limit: maximumAnswerBytes,
+		Header: http.Header{"Accept": {httpcall.JSON + ", " + ProblemContentType}},
 	}
-	return nil
-}
-
-func (c *Client) request(ctx context.Context, method, path string, body any) (*http.Request, error) {
-	var reader io.Reader
 	if body != nil {
 		encoded, err := json.Marshal(body)
 		if err != nil {
-			return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
+			return fmt.Errorf("%w: %w", ErrUnreachable, err)
 		}
-		reader = bytes.NewReader(encoded)
+		call.Body = encoded
+		call.Header.Set("Content-Type", httpcall.JSON)
 	}
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.address+Root+path, reader)
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	reply, err := httpcall.Send(ctx, c.transport, call)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
+		return sendError(err)
 	}
-	if body != nil {
-		request.Header.Set("Content-Type", "application/json")
+	if reply.Code != http.StatusOK {
+		return answeredProblem(reply)
+	}
+	if err := json.Unmarshal(reply.Body, answer); err != nil {
+		return fmt.Errorf("%w: %w", ErrNoAnswer, err)
 	}
-	request.Header.Set("Accept", "application/json, "+ProblemContentType)
-	return request, nil
+	return nil
 }
 
 // sendError tells a connection that was never made from an answer that never came.
@@ -161,10 +143,10 @@
 	return fmt.Errorf("%w: %w", ErrNoAnswer, err)
 }
 
-func answeredProblem(status string, data []byte) error {
+func answeredProblem(reply httpcall.Reply) error {
 	var problem Problem
-	if err := json.Unmarshal(data, &problem); err != nil || problem.Title == "" {
-		return fmt.Errorf("%w: status %s", ErrNoAnswer, status)
+	if err := json.Unmarshal(reply.Body, &problem); err != nil || problem.Title == "" {
+		return fmt.Errorf("%w: HTTP status %d", ErrNoAnswer, reply.Code)
 	}
 	return &ProblemError{Problem: problem}
 }
--- a/rollout/confirm.go
+++ b/rollout/confirm.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/banksail/banksail/internal/clock"
 	"github.com/banksail/banksail/policy"
 	"github.com/banksail/banksail/store"
 )
@@ -130,7 +131,7 @@
 		if err == nil || !retryable(err) {
 			return revision, err
 		}
-		if !sleep(ctx, jitter(backoff)) {
+		if clock.Sleep(ctx, jitter(backoff)) != nil {
 			return 0, err
 		}
 		backoff = min(2*backoff, confirmBackoffMaximum)
@@ -265,15 +266,3 @@
 func jitter(mean time.Duration) time.Duration {
 	return mean/2 + rand.N(mean)
 }
-
-// sleep waits; it returns false when the context ends first.
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/store/decode.go
+++ b/store/decode.go
@@ -4,12 +4,13 @@
 	"fmt"
 	"net/http"
 
+	"github.com/banksail/banksail/internal/httpcall"
 	"github.com/banksail/banksail/internal/strictjson"
 )
 
 // decodeRecord reads the reply to a GET of a record.
-func decodeRecord(reply result) (Record, error) {
-	switch reply.code {
+func decodeRecord(reply httpcall.Reply) (Record, error) {
+	switch reply.Code {
 	case http.StatusOK:
 	case http.StatusNotModified:
 		return Record{}, ErrUnchanged
@@ -18,15 +19,15 @@
 	case http.StatusTooManyRequests:
 		return Record{}, ErrRateLimited
 	case http.StatusServiceUnavailable:
-		return Record{}, fmt.Errorf("%w: HTTP status %d", ErrUnavailable, reply.code)
+		return Record{}, fmt.Errorf("%w: HTTP status %d", ErrUnavailable, reply.Code)
 	default:
-		return Record{}, fmt.Errorf("%w: HTTP status %d", ErrMalformed, reply.code)
+		return Record{}, fmt.Errorf("%w: HTTP status %d", ErrMalformed, reply.Code)
 	}
-	revision, err := ParseETag(reply.header.Get("ETag"))
+	revision, err := ParseETag(reply.Header.Get("ETag"))
 	if err != nil {
 		return Record{}, err
 	}
-	return Record{Value: reply.body, Revision: revision}, nil
+	return Record{Value: reply.Body, Revision: revision}, nil
 }
 
 // changeError classes the HTTP status of a reply to a change; nil is success.
--- a/store/fuzz_test.go
+++ b/store/fuzz_test.go
@@ -4,6 +4,8 @@
 	"errors"
 	"net/http"
 	"testing"
+
+	"github.com/banksail/banksail/internal/httpcall"
 )
 
 func FuzzDecodeRecord(f *testing.F) {
@@ -15,7 +17,7 @@
 	f.Fuzz(func(t *testing.T, code int, tag string, body []byte) {
 		header := http.Header{}
 		header.Set("ETag", tag)
-		record, err := decodeRecord(result{code: code, header: header, body: body})
+		record, err := decodeRecord(httpcall.Reply{Code: code, Header: header, Body: body})
 		if err == nil && (code != http.StatusOK || record.Revision == 0) {
 			t.Fatalf("took %+v under code %d", record, code)
 		}
--- a/store/http.go
+++ b/store/http.go
@@ -1,12 +1,10 @@
 package store
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -14,6 +12,7 @@
 	"time"
 
 	"github.com/banksail/banksail/internal/delivery"
+	"github.com/banksail/banksail/internal/httpcall"
 	"github.com/banksail/banksail/internal/strictjson"
 )
 
@@ -22,8 +21,6 @@
 	DefaultTimeout     = 5 * time.Second
 	DefaultConnections = 4
 
-	idleTimeout        = 90 * time.Second
-	maximumHeaderBytes = 64 << 10
 	millisecondsPerSec = 1000
 )
 
@@ -58,43 +55,17 @@
 		options.Connections = DefaultConnections
 	}
 	return &httpConn{
-		address: options.Address,
-		timeout: options.Timeout,
-		transport: &http.Transport{
-			DialContext:            delivery.WrapDial(options.Dial),
-			MaxConnsPerHost:        options.Connections,
-			MaxIdleConnsPerHost:    options.Connections,
-			IdleConnTimeout:        idleTimeout,
-			MaxResponseHeaderBytes: maximumHeaderBytes,
-			DisableCompression:     true,
-		},
+		address:   options.Address,
+		timeout:   options.Timeout,
+		transport: httpcall.NewTransport(delivery.WrapDial(options.Dial), options.Connections),
 	}
 }
 
-// call is one exchange with the service.
-type call struct {
-	method string
-	path   string
-	query  url.Values
-	header http.Header
-	body   []byte
-	limit  int64
-	// extra is the time that the service may hold the call back.
-	extra time.Duration
-}
-
-// result is the service's whole reply.
-type result struct {
-	code   int
-	header http.Header
-	body   []byte
-}
-
 func (c *httpConn) Get(ctx context.Context, key string) (Record, error) {
 	if err := ValidateKey(key); err != nil {
 		return Record{}, err
 	}
-	reply, err := c.do(ctx, call{method: http.MethodGet, path: RecordsPath + key, limit: MaximumValueBytes})
+	reply, err := c.do(ctx, httpcall.Call{Path: RecordsPath + key, Limit: MaximumValueBytes}, 0)
 	if err != nil {
 		return Record{}, readError(err)
 	}
@@ -109,9 +80,7 @@
 	query := url.Values{}
 	query.Set(AfterParameter, strconv.FormatUint(after, 10))
 	query.Set(WaitParameter, strconv.FormatInt(wait.Milliseconds(), 10))
-	reply, err := c.do(ctx, call{
-		method: http.MethodGet, path: RecordsPath + key, query: query, limit: MaximumValueBytes, extra: wait,
-	})
+	reply, err := c.do(ctx, httpcall.Call{Path: RecordsPath + key, Query: query, Limit: MaximumValueBytes}, wait)
 	if err != nil {
 		return Record{}, readError(err)
 	}
@@ -142,16 +111,16 @@
 	if lease != "" {
 		query.Set(LeaseParameter, string(lease))
 	}
-	reply, err := c.do(ctx, call{
-		method: http.MethodPut, path: RecordsPath + key, query: query, header: header, body: value, limit: MaximumLeaseBytes,
-	})
+	reply, err := c.do(ctx, httpcall.Call{
+		Method: http.MethodPut, Path: RecordsPath + key, Query: query, Header: header, Body: value, Limit: MaximumLeaseBytes,
+	}, 0)
 	if err != nil {
 		return Record{}, err
 	}
-	if err := changeError(reply.code); err != nil {
+	if err := changeError(reply.Code); err != nil {
 		return Record{}, err
 	}
-	revision, err := ParseETag(reply.header.Get("ETag"))
+	revision, err := ParseETag(reply.Header.Get("ETag"))
 	if err != nil {
 		return Record{}, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 	}
@@ -168,14 +137,14 @@
 	if err != nil {
 		return "", fmt.Errorf("store: encoding the grant: %w", err)
 	}
-	reply, err := c.do(ctx, call{method: http.MethodPost, path: LeasesPath, body: body, limit: MaximumLeaseBytes})
+	reply, err := c.do(ctx, httpcall.Call{Method: http.MethodPost, Path: LeasesPath, Body: body, Limit: MaximumLeaseBytes}, 0)
 	if err != nil {
 		return "", err
 	}
-	if err := changeError(reply.code); err != nil {
+	if err := changeError(reply.Code); err != nil {
 		return "", err
 	}
-	return decodeGrant(reply.body)
+	return decodeGrant(reply.Body)
 }
 
 func (c *httpConn) KeepAlive(ctx context.Context, lease LeaseID) error {
@@ -190,50 +159,26 @@
 	if err := ValidateKey(string(lease)); err != nil {
 		return err
 	}
-	reply, err := c.do(ctx, call{method: method, path: LeasesPath + "/" + string(lease), limit: MaximumLeaseBytes})
+	reply, err := c.do(ctx, httpcall.Call{Method: method, Path: LeasesPath + "/" + string(lease), Limit: MaximumLeaseBytes}, 0)
 	if err != nil {
 		return err
 	}
-	return changeError(reply.code)
+	return changeError(reply.Code)
 }
 
-// do sends one call. Without a whole reply its error is ErrUnavailable when no
-// byte was written, else ErrOutcomeUnknown.
-func (c *httpConn) do(ctx context.Context, exchange call) (result, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout+exchange.extra)
+// do sends one call, which the service may hold back for the wait. Without a
+// whole reply its error is ErrUnavailable when no byte was written, else
+// ErrOutcomeUnknown.
+func (c *httpConn) do(ctx context.Context, call httpcall.Call, wait time.Duration) (httpcall.Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout+wait)
 	defer cancel()
 	ctx, tracker := delivery.Track(ctx)
-	request, err := c.newRequest(ctx, exchange)
-	if err != nil {
-		return result{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
-	}
-	response, err := c.transport.RoundTrip(request)
+	call.Address = c.address
+	reply, err := httpcall.Send(ctx, c.transport, call)
 	if err != nil {
-		return result{}, unansweredError(tracker, err)
-	}
-	body, err := strictjson.Read(response.Body, exchange.limit)
-	_ = response.Body.Close()
-	if err != nil {
-		return result{}, unansweredError(tracker, err)
-	}
-	return result{code: response.StatusCode, header: response.Header, body: body}, nil
-}
-
-func (c *httpConn) newRequest(ctx context.Context, exchange call) (*http.Request, error) {
-	target := url.URL{Scheme: "http", Host: c.address, Path: exchange.path, RawQuery: exchange.query.Encode()}
-	var body io.Reader
-	if exchange.body != nil {
-		body = bytes.NewReader(exchange.body)
-	}
-	request, err := http.NewRequestWithContext(ctx, exchange.method, target.String(), body)
-	if err != nil {
-		return nil, err
-	}
-	request.GetBody = nil
-	if exchange.header != nil {
-		request.Header = exchange.header
+		return httpcall.Reply{}, unansweredError(tracker, err)
 	}
-	return request, nil
+	return reply, nil
 }
 
 func unansweredError(tracker *delivery.Tracker, err error) error {
--- a/store/memory.go
+++ b/store/memory.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"github.com/banksail/banksail/internal/clock"
 )
 
 // MemoryOptions configures a Memory. Zero fields get defaults.
@@ -251,7 +253,7 @@
 	faults := m.faults
 	limiter := m.limiter
 	m.mutex.Unlock()
-	if err := sleep(ctx, milliseconds(faults.DelayMilliseconds)); err != nil {
+	if err := clock.Sleep(ctx, milliseconds(faults.DelayMilliseconds)); err != nil {
 		return fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
 	if faults.Down {
@@ -348,17 +350,3 @@
 func milliseconds(count float64) time.Duration {
 	return time.Duration(count * float64(time.Millisecond))
 }
-
-func sleep(ctx context.Context, duration time.Duration) error {
-	if duration <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
