Stand-ins share their endpoint; the store's twin applies changes in one place

The three stand-ins each repeated routes, Serve, Close and the set-up of their fault switches; they embed one endpoint now. The four changing calls of the store's in-memory twin each repeated the order in which faults act; that order stands once, in change.

--- a/lab/emulator/faults.go
+++ b/lab/emulator/faults.go
@@ -118,6 +118,11 @@
 	writeJSON(writer, http.StatusOK, h.get())
 }
 
+// handleFaults serves FaultsPath for the switches that get and set reach.
+func handleFaults[F any](mux *http.ServeMux, get func() F, set func(F)) {
+	mux.Handle(FaultsPath, faultsHandler[F]{validate: newValidator(), get: get, set: set})
+}
+
 // merge sets the switches that the body names and leaves the others.
 func (h faultsHandler[F]) merge(request *http.Request) error {
 	faults, err := copyOf(h.get())
--- a/lab/emulator/machines.go
+++ b/lab/emulator/machines.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -33,8 +32,7 @@
 // MachineListServer is the machine list's stand-in. PUT and DELETE of
 // /v1/machines/{id} change it.
 type MachineListServer struct {
-	mux      *http.ServeMux
-	ended    *lifetime
+	endpoint
 	validate *validator.Validate
 
 	// mutex guards the fields below. Invariant: versions are in order, each
@@ -63,8 +61,7 @@
 		machines = []machinelist.Machine{}
 	}
 	server := &MachineListServer{
-		mux:      http.NewServeMux(),
-		ended:    newLifetime(),
+		endpoint: newEndpoint(),
 		validate: newValidator(),
 		changed:  make(chan struct{}),
 		machines: slices.Clone(machines),
@@ -73,9 +70,7 @@
 	server.mux.HandleFunc("GET "+machinelist.Path, server.getList)
 	server.mux.HandleFunc("PUT "+machinelist.Path+"/{id}", server.putMachine)
 	server.mux.HandleFunc("DELETE "+machinelist.Path+"/{id}", server.deleteMachine)
-	server.mux.Handle(FaultsPath, faultsHandler[MachineListFaults]{
-		validate: newValidator(), get: server.Faults, set: server.SetFaults,
-	})
+	handleFaults(server.mux, server.Faults, server.SetFaults)
 	return server
 }
 
@@ -90,21 +85,6 @@
 	s.notify()
 }
 
-// ServeHTTP serves the list's protocol, its changes and the fault switches.
-func (s *MachineListServer) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	s.mux.ServeHTTP(writer, request)
-}
-
-// Serve serves connections of the listener until the server is closed.
-func (s *MachineListServer) Serve(listener net.Listener) error {
-	return s.ended.serve(s, listener)
-}
-
-// Close ends Serve and cuts its connections.
-func (s *MachineListServer) Close() error {
-	return s.ended.close()
-}
-
 // Faults returns the fault switches.
 func (s *MachineListServer) Faults() MachineListFaults {
 	s.mutex.Lock()
--- a/lab/emulator/server.go
+++ b/lab/emulator/server.go
@@ -71,13 +71,12 @@
 
 // Server is a back end's stand-in.
 type Server struct {
+	endpoint
 	options  ServerOptions
 	started  time.Time
-	mux      *http.ServeMux
 	slots    *slots
 	recorder *recorder
 	loads    loadHistory
-	ended    *lifetime
 
 	// mutex guards the fields below. Invariant: thawed is closed whenever
 	// faults.Freeze is off; drains holds the changes of faults.Draining in order.
@@ -98,12 +97,11 @@
 	thawed := make(chan struct{})
 	close(thawed)
 	server := &Server{
+		endpoint: newEndpoint(),
 		options:  options,
 		started:  time.Now(),
-		mux:      http.NewServeMux(),
 		slots:    &slots{size: options.Slots, bound: max(0, options.QueueBound)},
 		recorder: &recorder{server: options.ID, callback: options.OnExecution},
-		ended:    newLifetime(),
 		random:   rand.New(rand.NewPCG(options.Seed, seedStream)),
 		thawed:   thawed,
 	}
@@ -111,9 +109,7 @@
 	server.mux.HandleFunc("GET "+backend.HealthPath, server.serveHealth)
 	server.mux.HandleFunc("GET "+backend.LoadPath, server.serveLoad)
 	server.mux.Handle("GET "+ExecutionsPath, server.recorder)
-	server.mux.Handle(FaultsPath, faultsHandler[ServerFaults]{
-		validate: newValidator(), get: server.Faults, set: server.SetFaults,
-	})
+	handleFaults(server.mux, server.Faults, server.SetFaults)
 	return server, nil
 }
 
@@ -148,11 +144,6 @@
 	return options
 }
 
-// ServeHTTP serves the back end's protocol and the fault switches.
-func (s *Server) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	s.mux.ServeHTTP(writer, request)
-}
-
 // Serve serves connections of the listener until the server is closed. Those
 // above the connection limit are cut, unless they read or set fault switches or
 // read the execution history: a full or frozen server can still be switched.
@@ -193,11 +184,6 @@
 	return s.ended.shutdown(ctx)
 }
 
-// Close ends Serve, cuts its connections and ends what is frozen.
-func (s *Server) Close() error {
-	return s.ended.close()
-}
-
 // Faults returns the fault switches.
 func (s *Server) Faults() ServerFaults {
 	s.mutex.Lock()
--- a/lab/emulator/store.go
+++ b/lab/emulator/store.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -16,41 +15,23 @@
 
 // StoreServer is the key-value service's stand-in.
 type StoreServer struct {
+	endpoint
 	memory *store.Memory
-	mux    *http.ServeMux
-	ended  *lifetime
 }
 
 // NewStoreServer serves a Memory, whose faults show as the protocol's: an
 // outage as 503, a lost reply as a cut connection.
 func NewStoreServer(memory *store.Memory) *StoreServer {
-	server := &StoreServer{memory: memory, mux: http.NewServeMux(), ended: newLifetime()}
+	server := &StoreServer{endpoint: newEndpoint(), memory: memory}
 	server.mux.HandleFunc("GET "+store.RecordsPath+"{key...}", server.getRecord)
 	server.mux.HandleFunc("PUT "+store.RecordsPath+"{key...}", server.putRecord)
 	server.mux.HandleFunc("POST "+store.LeasesPath, server.grant)
 	server.mux.HandleFunc("PUT "+store.LeasesPath+"/{lease}", server.keepAlive)
 	server.mux.HandleFunc("DELETE "+store.LeasesPath+"/{lease}", server.revoke)
-	server.mux.Handle(FaultsPath, faultsHandler[store.MemoryFaults]{
-		validate: newValidator(), get: memory.Faults, set: memory.SetFaults,
-	})
+	handleFaults(server.mux, memory.Faults, memory.SetFaults)
 	return server
 }
 
-// ServeHTTP serves the key-value service's protocol and the fault switches.
-func (s *StoreServer) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	s.mux.ServeHTTP(writer, request)
-}
-
-// Serve serves connections of the listener until the server is closed.
-func (s *StoreServer) Serve(listener net.Listener) error {
-	return s.ended.serve(s, listener)
-}
-
-// Close ends Serve and cuts its connections.
-func (s *StoreServer) Close() error {
-	return s.ended.close()
-}
-
 func (s *StoreServer) getRecord(writer http.ResponseWriter, request *http.Request) {
 	key := request.PathValue("key")
 	if err := store.ValidateKey(key); err != nil {
--- a/store/memory.go
+++ b/store/memory.go
@@ -133,23 +133,18 @@
 
 // Put swaps a record whose revision is base; base zero creates it.
 func (m *Memory) Put(ctx context.Context, key string, value []byte, base uint64, lease LeaseID) (Record, error) {
-	if err := m.enter(ctx); err != nil {
-		return Record{}, err
-	}
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	if err := m.cutChange(); err != nil {
-		return Record{}, err
-	}
-	m.expire()
-	if lease != "" && m.leases[lease] == nil {
-		return Record{}, fmt.Errorf("%w: lease %q", ErrNotFound, lease)
-	}
-	if current := m.currentRevision(key); current != base {
-		return Record{}, fmt.Errorf("%w: record %q is at revision %d, not %d", ErrConflict, key, current, base)
-	}
-	record := m.write(key, value, lease)
-	if err := m.loseReply(); err != nil {
+	var record Record
+	err := m.change(ctx, func() error {
+		if lease != "" && m.leases[lease] == nil {
+			return fmt.Errorf("%w: lease %q", ErrNotFound, lease)
+		}
+		if current := m.currentRevision(key); current != base {
+			return fmt.Errorf("%w: record %q is at revision %d, not %d", ErrConflict, key, current, base)
+		}
+		record = m.write(key, value, lease)
+		return nil
+	})
+	if err != nil {
 		return Record{}, err
 	}
 	return record, nil
@@ -193,18 +188,14 @@
 
 // Grant creates a lease.
 func (m *Memory) Grant(ctx context.Context, timeToLive time.Duration) (LeaseID, error) {
-	if err := m.enter(ctx); err != nil {
-		return "", err
-	}
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	if err := m.cutChange(); err != nil {
-		return "", err
-	}
-	m.leaseSeq++
-	id := LeaseID(fmt.Sprintf("lease-%d", m.leaseSeq))
-	m.leases[id] = &memoryLease{timeToLive: timeToLive, expires: m.now().Add(timeToLive)}
-	if err := m.loseReply(); err != nil {
+	var id LeaseID
+	err := m.change(ctx, func() error {
+		m.leaseSeq++
+		id = LeaseID(fmt.Sprintf("lease-%d", m.leaseSeq))
+		m.leases[id] = &memoryLease{timeToLive: timeToLive, expires: m.now().Add(timeToLive)}
+		return nil
+	})
+	if err != nil {
 		return "", err
 	}
 	return id, nil
@@ -212,25 +203,29 @@
 
 // KeepAlive renews a lease.
 func (m *Memory) KeepAlive(ctx context.Context, lease LeaseID) error {
-	if err := m.enter(ctx); err != nil {
-		return err
-	}
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	if err := m.cutChange(); err != nil {
-		return err
-	}
-	m.expire()
-	held, ok := m.leases[lease]
-	if !ok {
-		return fmt.Errorf("%w: lease %q", ErrNotFound, lease)
-	}
-	held.expires = m.now().Add(held.timeToLive)
-	return m.loseReply()
+	return m.change(ctx, func() error {
+		held, ok := m.leases[lease]
+		if !ok {
+			return fmt.Errorf("%w: lease %q", ErrNotFound, lease)
+		}
+		held.expires = m.now().Add(held.timeToLive)
+		return nil
+	})
 }
 
 // Revoke ends a lease; its records go away.
 func (m *Memory) Revoke(ctx context.Context, lease LeaseID) error {
+	return m.change(ctx, func() error {
+		if _, ok := m.leases[lease]; !ok {
+			return fmt.Errorf("%w: lease %q", ErrNotFound, lease)
+		}
+		m.drop(lease)
+		return nil
+	})
+}
+
+// change makes one change under the fault switches; apply runs with mutex held.
+func (m *Memory) change(ctx context.Context, apply func() error) error {
 	if err := m.enter(ctx); err != nil {
 		return err
 	}
@@ -240,10 +235,9 @@
 		return err
 	}
 	m.expire()
-	if _, ok := m.leases[lease]; !ok {
-		return fmt.Errorf("%w: lease %q", ErrNotFound, lease)
+	if err := apply(); err != nil {
+		return err
 	}
-	m.drop(lease)
 	return m.loseReply()
 }
 
