--- a/lab/emulator/machines.go
+++ b/lab/emulator/machines.go
@@ -109,19 +109,8 @@
 func (s *MachineListServer) Upsert(machine machinelist.Machine) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.machines = withMachine(s.machines, machine)
-	s.advance(withMachine(s.newest().Machines, machine))
-}
-
-// withMachine returns a copy of the machines with one added or replaced.
-func withMachine(machines []machinelist.Machine, machine machinelist.Machine) []machinelist.Machine {
-	changed := slices.Clone(machines)
-	index := slices.IndexFunc(changed, func(known machinelist.Machine) bool { return known.ID == machine.ID })
-	if index < 0 {
-		return append(changed, machine)
-	}
-	changed[index] = machine
-	return changed
+	s.machines = machinelist.Upsert(s.machines, machine)
+	s.advance(machinelist.Upsert(s.newest().Machines, machine))
 }
 
 // Remove takes a machine out; it reports whether the list had it. With the
@@ -129,10 +118,8 @@
 func (s *MachineListServer) Remove(id string) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	before := len(s.machines)
-	kept := slices.Clone(s.machines)
-	kept = slices.DeleteFunc(kept, func(known machinelist.Machine) bool { return known.ID == id })
-	if len(kept) == before {
+	kept, found := machinelist.Remove(s.machines, id)
+	if !found {
 		return false
 	}
 	s.machines = kept
--- a/machinelist/conn.go
+++ b/machinelist/conn.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 )
 
@@ -54,6 +55,25 @@
 	Machines []Machine `json:"machines" validate:"max=20000,dive"`
 }
 
+// Upsert returns a copy of the machines with one added, or put in place of the
+// one with its ID.
+func Upsert(machines []Machine, machine Machine) []Machine {
+	changed := slices.Clone(machines)
+	index := slices.IndexFunc(changed, func(known Machine) bool { return known.ID == machine.ID })
+	if index < 0 {
+		return append(changed, machine)
+	}
+	changed[index] = machine
+	return changed
+}
+
+// Remove returns a copy of the machines without the one of this ID, and whether
+// it was among them.
+func Remove(machines []Machine, id string) ([]Machine, bool) {
+	kept := slices.DeleteFunc(slices.Clone(machines), func(known Machine) bool { return known.ID == id })
+	return kept, len(kept) != len(machines)
+}
+
 // Conn reads the machine list.
 type Conn interface {
 	// Get reads the list.
--- a/machinelist/static.go
+++ b/machinelist/static.go
@@ -39,12 +39,7 @@
 func (s *Static) Upsert(machine Machine) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	index := slices.IndexFunc(s.machines, func(known Machine) bool { return known.ID == machine.ID })
-	if index < 0 {
-		s.machines = append(s.machines, machine)
-	} else {
-		s.machines[index] = machine
-	}
+	s.machines = Upsert(s.machines, machine)
 	s.advance()
 }
 
@@ -52,13 +47,12 @@
 func (s *Static) Remove(id string) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	before := len(s.machines)
-	s.machines = slices.DeleteFunc(s.machines, func(known Machine) bool { return known.ID == id })
-	if len(s.machines) == before {
-		return false
+	kept, found := Remove(s.machines, id)
+	if found {
+		s.machines = kept
+		s.advance()
 	}
-	s.advance()
-	return true
+	return found
 }
 
 // SetDown makes reads fail with ErrUnavailable until it is called with false.
