Sub-requests of nodes without a connection go through an owner

Cause: with more nodes than a server takes connections, a few nodes own them and the others have a share of zero, which the node raised to one.

Change: a node asks a server directly only over connections that it owns. Otherwise it asks an owner over the peer service (ForwardQuery), owners of its own zone first and then by its own rendezvous order; an owner that is suspect or leaving is left out. A node whose share falls to zero closes its idle connections.

--- a/backend/decode.go
+++ b/backend/decode.go
@@ -42,19 +42,36 @@
 	if err := reply.validate(code); err != nil {
 		return nil, err
 	}
-	if reply.AttemptID != request.AttemptID {
-		return nil, fmt.Errorf("%w: it is for attempt %q, not %q", ErrMalformed, reply.AttemptID, request.AttemptID)
+	if err := reply.echoes(request); err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
+// Check returns ErrMalformed, wrapped, unless the reply follows the protocol and
+// belongs to the request. It is for replies that another node passes on.
+func (r *Reply) Check(request *Request) error {
+	if err := r.validate(r.Status.HTTPCode()); err != nil {
+		return err
+	}
+	return r.echoes(request)
+}
+
+// echoes checks that the reply belongs to the request.
+func (r *Reply) echoes(request *Request) error {
+	if r.AttemptID != request.AttemptID {
+		return fmt.Errorf("%w: it is for attempt %q, not %q", ErrMalformed, r.AttemptID, request.AttemptID)
 	}
-	if reply.Status != StatusDone {
-		return reply, nil
+	if r.Status != StatusDone {
+		return nil
 	}
-	if *reply.Snapshot != request.Snapshot {
-		return nil, fmt.Errorf("%w: its snapshot is %d, not %d", ErrMalformed, *reply.Snapshot, request.Snapshot)
+	if *r.Snapshot != request.Snapshot {
+		return fmt.Errorf("%w: its snapshot is %d, not %d", ErrMalformed, *r.Snapshot, request.Snapshot)
 	}
-	if *reply.Range != request.Range {
-		return nil, fmt.Errorf("%w: its range is %s, not %s", ErrMalformed, *reply.Range, request.Range)
+	if *r.Range != request.Range {
+		return fmt.Errorf("%w: its range is %s, not %s", ErrMalformed, *r.Range, request.Range)
 	}
-	return reply, nil
+	return nil
 }
 
 // validate checks the reply by itself, without the request it is for.
--- /dev/null
+++ b/membership/forward.go
@@ -0,0 +1,61 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// ForwardOwners returns the nodes through which the requester reaches a server
+// to which it owns no connection, the first choice first: owners in its own
+// zone, and among equals by the requester's own rendezvous order, so that the
+// requesters spread over the owners. Owners that are not live are left out, and
+// so is the requester. The nodes are those that ConnectionShare is given.
+func ForwardOwners(requester Member, server ServerPlace, nodes []Member) []Member {
+	byID := make(map[string]*Member, OwnersPerServer)
+	owners := Owners(server, nodes)
+	for _, owner := range owners {
+		byID[owner.ID] = nil
+	}
+	for index := range nodes {
+		if _, owns := byID[nodes[index].ID]; owns {
+			byID[nodes[index].ID] = &nodes[index]
+		}
+	}
+	var ranked []forwardOwner
+	for _, owner := range owners {
+		member := byID[owner.ID]
+		if member.ID == requester.ID || member.State != Live {
+			continue
+		}
+		ranked = append(ranked, forwardOwner{
+			member: *member,
+			away:   member.Zone != requester.Zone,
+			weight: xxhash.Sum64String(server.ID + "\x00" + requester.ID + "\x00" + member.ID),
+		})
+	}
+	slices.SortFunc(ranked, compareForwardOwners)
+	members := make([]Member, 0, len(ranked))
+	for _, owner := range ranked {
+		members = append(members, owner.member)
+	}
+	return members
+}
+
+// forwardOwner is an owner with what ranks it for one requester.
+type forwardOwner struct {
+	member Member
+	away   bool
+	weight uint64
+}
+
+func compareForwardOwners(x, y forwardOwner) int {
+	if x.away != y.away {
+		if y.away {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(y.weight, x.weight), cmp.Compare(x.member.ID, y.member.ID))
+}
--- /dev/null
+++ b/membership/forward_test.go
@@ -0,0 +1,76 @@
+package membership_test
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/banksail/banksail/membership"
+)
+
+func ownersOf(server membership.ServerPlace, nodes []membership.Member) []string {
+	var ids []string
+	for _, owner := range membership.Owners(server, nodes) {
+		ids = append(ids, owner.ID)
+	}
+	return ids
+}
+
+func TestForwardOwnersAreOwnersNearOnesFirst(t *testing.T) {
+	nodes := nodesNamed(30)
+	for server := range 50 {
+		place := place(server, 20)
+		owners := ownersOf(place, nodes)
+		for _, requester := range nodes {
+			chosen := membership.ForwardOwners(requester, place, nodes)
+			away := false
+			for _, owner := range chosen {
+				if owner.ID == requester.ID || !slices.Contains(owners, owner.ID) {
+					t.Fatalf("%s may not ask %s", requester.ID, owner.ID)
+				}
+				if near := owner.Zone == requester.Zone; near && away {
+					t.Fatalf("%s of the requester's zone is behind one of another", owner.ID)
+				}
+				away = away || owner.Zone != requester.Zone
+			}
+			if want := len(owners); !slices.Contains(owners, requester.ID) && len(chosen) != want {
+				t.Fatalf("%d owners to choose from, want %d", len(chosen), want)
+			}
+		}
+	}
+}
+
+func TestForwardOwnersLeaveOutWhatIsNotLive(t *testing.T) {
+	nodes := nodesNamed(30)
+	place := place(1, 20)
+	first := membership.ForwardOwners(membership.Member{ID: "requester"}, place, nodes)[0]
+	for index := range nodes {
+		if nodes[index].ID == first.ID {
+			nodes[index].State = membership.Suspect
+		}
+	}
+	for _, owner := range membership.ForwardOwners(membership.Member{ID: "requester"}, place, nodes) {
+		if owner.ID == first.ID {
+			t.Errorf("%s is suspect", owner.ID)
+		}
+	}
+}
+
+// TestForwardsSpread: requesters of one zone divide evenly over the owners there.
+func TestForwardsSpread(t *testing.T) {
+	nodes := nodesNamed(1400)
+	place := place(1, 70)
+	load := make(map[string]int)
+	requesters := 0
+	owners := ownersOf(place, nodes)
+	for _, requester := range nodes {
+		if !slices.Contains(owners, requester.ID) {
+			requesters++
+			load[membership.ForwardOwners(requester, place, nodes)[0].ID]++
+		}
+	}
+	for id, count := range load {
+		if mean := requesters / membership.OwnersPerServer; count > 2*mean || count < mean/2 {
+			t.Errorf("%s is the first choice of %d requesters, the mean is %d", id, count, mean)
+		}
+	}
+}
--- a/node/ask.go
+++ b/node/ask.go
@@ -40,15 +40,28 @@
 	attempt := outgoing.send.Attempt
 	reply, err := b.client.Query(ctx, outgoing.send.Address, outgoing.request())
 	if err != nil {
-		if ctx.Err() == nil && errors.Is(err, backend.ErrNotDelivered) {
+		if ctx.Err() == nil && errors.Is(err, backend.ErrNotDelivered) && !errors.Is(err, errNoOwner) {
 			b.unreachable(outgoing.send.Server)
 		}
+		if errors.Is(err, errOwnersBusy) {
+			return dispatch.Replied{Attempt: attempt, Reply: shedByOwners(outgoing.send)}
+		}
 		return dispatch.Failed{Attempt: attempt, Delivery: deliveryOf(err), Reason: failureReason(ctx, err)}
 	}
 	b.heard(outgoing.send.Server, reply)
 	return dispatch.Replied{Attempt: attempt, Reply: replyOf(outgoing.send, reply)}
 }
 
+// shedByOwners is the reply to a sub-request that no owner has room for.
+func shedByOwners(sent dispatch.Send) dispatch.Reply {
+	return dispatch.Reply{
+		Status:     dispatch.ReplyShed,
+		Snapshot:   sent.Snapshot,
+		Range:      sent.Range,
+		RetryAfter: ownersRetryAfter,
+	}
+}
+
 func (s *subRequest) request() *backend.Request {
 	asked := &s.query.request
 	return &backend.Request{
--- a/node/connections.go
+++ b/node/connections.go
@@ -7,16 +7,19 @@
 	"time"
 
 	"github.com/banksail/banksail/dispatch"
-	"github.com/banksail/banksail/membership"
 )
 
 // membersInterval is the time between two looks at the live nodes, which share
 // the servers' connections.
 const membersInterval = 500 * time.Millisecond
 
+// firstListWait bounds the wait for the machine list at the start.
+const firstListWait = 2 * time.Second
+
 // watchMembers shares out the servers' connections anew whenever the live nodes
 // change, until ctx ends.
 func (n *Node) watchMembers(ctx context.Context) {
+	n.awaitList(ctx)
 	ticker := time.NewTicker(membersInterval)
 	defer ticker.Stop()
 	for {
@@ -29,6 +32,18 @@
 	}
 }
 
+// awaitList waits for the first reading of the machine list, but not for long: a
+// node that knows no other would take a server's connections for itself.
+func (n *Node) awaitList(ctx context.Context) {
+	longest := time.NewTimer(firstListWait)
+	defer longest.Stop()
+	select {
+	case <-n.agent.ListAsked():
+	case <-longest.C:
+	case <-ctx.Done():
+	}
+}
+
 // shareConnections takes over the live nodes if they changed. A node that stops
 // keeps what it has: it is no longer counted as live, but its running queries
 // need their connections to the end.
@@ -36,12 +51,7 @@
 	if n.stopping.Load() {
 		return
 	}
-	var live []string
-	for _, member := range n.agent.Members() {
-		if member.State == membership.Live || member.State == membership.Suspect {
-			live = append(live, member.ID)
-		}
-	}
+	live := n.agent.SharingNodes()
 	n.configurationMutex.Lock()
 	defer n.configurationMutex.Unlock()
 	if slices.Equal(live, n.liveNodes) {
@@ -52,27 +62,71 @@
 }
 
 // setConnections works out this node's share of each server's connections, for
-// the client and for the shards. The caller holds configurationMutex.
+// the client and for the shards. A server whose share fell to zero loses its
+// idle connections: other nodes hold them now. The caller holds
+// configurationMutex.
 func (n *Node) setConnections(current *view) {
 	if current == nil || len(n.liveNodes) == 0 {
 		return
 	}
-	shares := make(map[string]int, len(current.servers))
+	routes := make(map[string]route, len(current.servers))
+	owned := 0
 	for _, server := range current.servers {
-		shares[server.address] = n.agent.ConnectionShare(server.place).Maximum
+		share := n.agent.ConnectionShare(server.place).Maximum
+		routes[server.address] = route{place: server.place, connections: share}
+		if share > 0 {
+			owned++
+		}
 	}
-	n.connections.Store(&shares)
+	previous := n.routes.Swap(&routes)
+	n.forgetLost(previous, routes)
+	n.log.Info().Int("nodes", len(n.liveNodes)).Int("owned", owned).Int("forwarded", len(routes)-owned).
+		Msg("connections shared out")
 	for _, name := range slices.Sorted(maps.Keys(current.shards)) {
 		current.shards[name].step(dispatch.NodesChanged{Live: len(n.liveNodes)})
 	}
 }
 
-// connectionsTo bounds the connections to the server at an address; a server
-// that just came into the configuration gets one.
-func (n *Node) connectionsTo(address string) int {
-	shares := n.connections.Load()
-	if shares == nil {
-		return 1
+// forgetLost closes the idle connections to servers that now go through owners.
+func (n *Node) forgetLost(previous *map[string]route, routes map[string]route) {
+	if previous == nil {
+		return
+	}
+	for address, before := range *previous {
+		if now, known := routes[address]; known && now.connections == 0 && before.connections > 0 {
+			n.client.Forget(address)
+		}
+	}
+}
+
+// routeTo finds the way to the server at an address. One that is not in the
+// configuration any more gets a connection; until the shares are known there is
+// none, and no owner either.
+func (n *Node) routeTo(address string) route {
+	routes := n.routes.Load()
+	if routes == nil {
+		return route{}
+	}
+	way, known := (*routes)[address]
+	if !known {
+		return route{connections: 1}
+	}
+	return way
+}
+
+// connectionsTo bounds the connections to the server at an address.
+func (n *Node) connectionsTo(address string) int { return n.routeTo(address).connections }
+
+// ownServer finds where a server is configured and this node's share of its
+// connections; none when it is not configured.
+func (n *Node) ownServer(server string) (address string, connections int) {
+	current, routes := n.view.Load(), n.routes.Load()
+	if current == nil || routes == nil {
+		return "", 0
+	}
+	configured, known := current.servers[server]
+	if !known {
+		return "", 0
 	}
-	return max((*shares)[address], 1)
+	return configured.address, (*routes)[configured.address].connections
 }
--- a/node/node.go
+++ b/node/node.go
@@ -55,9 +55,12 @@
 	// view is the configuration in force; nil until there is one.
 	view atomic.Pointer[view]
 
-	// connections maps a server's address to this node's share of its
-	// connections; nil until the shares are known.
-	connections atomic.Pointer[map[string]int]
+	// routes maps a server's address to the way there; nil until the shares of
+	// connections are known.
+	routes atomic.Pointer[map[string]route]
+	// forwarder asks other nodes, forwards serves them.
+	forwarder *peer.Forwarder
+	forwards  *forwards
 
 	// listening is closed once addresses is set.
 	listening chan struct{}
@@ -99,9 +102,11 @@
 		ConnectionsPerServer: n.connectionsTo,
 		SparesPerServer:      spareConnections(options.Settings.Backend.SpareConnections),
 	})
-	n.asker = &backendAsker{client: n.client, heard: n.heardReply, unreachable: n.serverUnreachable}
+	readings := n.openForwards()
+	asked := n.newRouter(readings)
+	n.asker = &backendAsker{client: asked, heard: n.heardReply, unreachable: n.serverUnreachable}
 	n.poller = newPoller(pollerOptions{
-		client:      n.client,
+		client:      asked,
 		interval:    options.Settings.Backend.HealthInterval,
 		timeout:     options.Settings.Backend.HealthTimeout,
 		concurrency: options.Settings.Backend.HealthConcurrency,
@@ -143,8 +148,11 @@
 		HTTPClient:     n.peerClient,
 		MachineList:    n.options.MachineList,
 		Configurations: n.keeper,
-		Logger:         n.log,
-		Seed:           n.options.Seed,
+		Forwards:       n.forwards,
+		// A forward carries the body of a caller's request.
+		ForwardBodyBytes: n.options.Settings.Caller.BodyBytes,
+		Logger:           n.log,
+		Seed:             n.options.Seed,
 	})
 	n.keeper.SetPeers(rolloutPeers{agent: n.agent})
 }
--- a/node/run.go
+++ b/node/run.go
@@ -103,6 +103,7 @@
 // stop carries out the planned stop of the query path; an abort cuts it short.
 func (n *Node) stop(opened []*listener) {
 	n.stopping.Store(true)
+	n.forwards.close()
 	n.log.Info().Msg("stopping: new and queued queries are refused")
 	for _, carrier := range n.allShards() {
 		carrier.step(dispatch.Stopping{})
@@ -118,6 +119,7 @@
 		carrier.close()
 	}
 	n.running.Wait()
+	n.forwards.wait()
 }
 
 // announceLeaving tells other nodes that this one takes no new work.
@@ -158,6 +160,7 @@
 func (n *Node) closeConnections() {
 	n.client.CloseIdleConnections()
 	n.peerClient.CloseIdleConnections()
+	n.forwarder.CloseIdleConnections()
 }
 
 // newServerLog passes net/http's complaints to the log at debug level.
--- a/node/world_test.go
+++ b/node/world_test.go
@@ -218,8 +218,13 @@
 }
 
 func (w *world) post(ctx context.Context, document string) response {
+	return w.postTo(ctx, callerAt, document)
+}
+
+// postTo posts a request's document to the node at an address.
+func (w *world) postTo(ctx context.Context, address, document string) response {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost,
-		"http://"+callerAt+"/v1/services/"+service+"/queries", strings.NewReader(document))
+		"http://"+address+"/v1/services/"+service+"/queries", strings.NewReader(document))
 	w.check(err)
 	reply, err := w.client.Do(request)
 	if err != nil {
--- a/peer/agent.go
+++ b/peer/agent.go
@@ -28,6 +28,8 @@
 	machineList    machinelist.Conn
 	configurations ConfigurationSource
 	logger         zerolog.Logger
+	forwards       ForwardTarget
+	forwardBytes   int64
 	handler        http.Handler
 	seed           uint64
 
@@ -36,6 +38,9 @@
 	started uint64
 	// listed is set once a machine list that names machines was read.
 	listed atomic.Bool
+	// listAsked is closed by listTried once the first reading has ended.
+	listAsked chan struct{}
+	listTried func()
 
 	nodes   nodeTable
 	servers serverTable
@@ -73,16 +78,23 @@
 		client:         boundedClient(options.HTTPClient),
 		machineList:    options.MachineList,
 		configurations: options.Configurations,
+		forwards:       options.Forwards,
+		forwardBytes:   forwardBytes(options.ForwardBodyBytes),
 		logger:         options.Logger.With().Str("component", "peer").Logger(),
 		seed:           options.Seed,
 		selfID:         self.ID,
 		started:        self.Incarnation,
 		claims:         claimTable{ledger: claim.NewLedger(options.Claims)},
+		listAsked:      make(chan struct{}),
 		nodes:          nodeTable{core: membership.NewNodes(nodesOptions)},
 		servers:        serverTable{core: membership.NewServers(options.Servers)},
 		slots:          make(chan struct{}, maximumInFlight),
 		wake:           make(chan struct{}, 1),
 	}
+	agent.listTried = sync.OnceFunc(func() { close(agent.listAsked) })
+	if agent.machineList == nil {
+		agent.listTried()
+	}
 	agent.handler = newHandler(agent)
 	return agent
 }
--- a/peer/connections.go
+++ b/peer/connections.go
@@ -6,11 +6,13 @@
 	"github.com/banksail/banksail/membership"
 )
 
-// shareCache keeps the shares that were worked out for one version of the table.
+// shareCache keeps the shares, and the owners through which to forward, that were
+// worked out for one version of the table.
 type shareCache struct {
 	version uint64
 	nodes   []membership.Member
 	shares  map[membership.ServerPlace]membership.Share
+	owners  map[membership.ServerPlace][]membership.Member
 }
 
 // ConnectionShare returns the node's part of a server's connections, given the
@@ -20,16 +22,10 @@
 func (a *Agent) ConnectionShare(server membership.ServerPlace) membership.Share {
 	a.nodes.mutex.Lock()
 	defer a.nodes.mutex.Unlock()
-	core := a.nodes.core
-	cache := &a.nodes.shares
-	if cache.version != core.Version() || !core.Joined() {
-		cache.version = core.Version()
-		cache.shares = make(map[membership.ServerPlace]membership.Share)
-		cache.nodes = sharingNodes(core)
-	}
+	cache := a.currentShares()
 	share, known := cache.shares[server]
 	if !known {
-		share = membership.ConnectionShare(core.Self().ID, server, cache.nodes)
+		share = membership.ConnectionShare(a.selfID, server, cache.nodes)
 		cache.shares[server] = share
 	}
 	return share
@@ -43,3 +39,49 @@
 	}
 	return slices.DeleteFunc(nodes, func(m membership.Member) bool { return m.State == membership.Leaving })
 }
+
+// ListAsked is closed once the first reading of the machine list has ended, well
+// or badly. Before, a node that starts takes itself for the only one.
+func (a *Agent) ListAsked() <-chan struct{} { return a.listAsked }
+
+// SharingNodes lists the IDs of the nodes that share the servers' connections,
+// in order.
+func (a *Agent) SharingNodes() []string {
+	a.nodes.mutex.Lock()
+	defer a.nodes.mutex.Unlock()
+	cache := a.currentShares()
+	ids := make([]string, 0, len(cache.nodes))
+	for _, node := range cache.nodes {
+		ids = append(ids, node.ID)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// ForwardOwners returns the nodes through which this node reaches a server to
+// which it owns no connection, the first choice first.
+func (a *Agent) ForwardOwners(server membership.ServerPlace) []membership.Member {
+	a.nodes.mutex.Lock()
+	defer a.nodes.mutex.Unlock()
+	cache := a.currentShares()
+	owners, known := cache.owners[server]
+	if !known {
+		owners = membership.ForwardOwners(a.nodes.core.Self(), server, cache.nodes)
+		cache.owners[server] = owners
+	}
+	return owners
+}
+
+// currentShares returns the cache, emptied when the table has changed. The
+// nodes' lock is held.
+func (a *Agent) currentShares() *shareCache {
+	core := a.nodes.core
+	cache := &a.nodes.shares
+	if cache.shares == nil || cache.version != core.Version() || !core.Joined() {
+		cache.version = core.Version()
+		cache.shares = make(map[membership.ServerPlace]membership.Share)
+		cache.owners = make(map[membership.ServerPlace][]membership.Member)
+		cache.nodes = sharingNodes(core)
+	}
+	return cache
+}
--- a/peer/handler.go
+++ b/peer/handler.go
@@ -22,12 +22,16 @@
 	server := NewPeerServer(service{agent: agent})
 	configurations := http.MaxBytesHandler(server, maximumRequestBytes)
 	others := http.MaxBytesHandler(server, maximumGossipBytes)
+	forwards := limitForwards(server, agent.forwardBytes)
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		if strings.HasSuffix(request.URL.Path, "/PushConfiguration") {
+		switch {
+		case strings.HasSuffix(request.URL.Path, "/PushConfiguration"):
 			configurations.ServeHTTP(writer, request)
-			return
+		case strings.HasSuffix(request.URL.Path, "/ForwardQuery"):
+			forwards.ServeHTTP(writer, request)
+		default:
+			others.ServeHTTP(writer, request)
 		}
-		others.ServeHTTP(writer, request)
 	})
 }
 
--- a/peer/list.go
+++ b/peer/list.go
@@ -24,11 +24,14 @@
 	delay := listRetryBase
 	for ctx.Err() == nil {
 		list, err := a.readList(ctx, version)
+		if err == nil {
+			a.observeList(list)
+		}
+		a.listTried()
 		switch {
 		case err == nil:
 			version = list.Version
 			delay = listRetryBase
-			a.observeList(list)
 			pay(ctx, limiter, len(list.Machines)*listMachineBytes)
 			sleep(ctx, jitter(random, listRetryBase))
 		case errors.Is(err, machinelist.ErrUnchanged):
--- a/peer/options.go
+++ b/peer/options.go
@@ -79,8 +79,14 @@
 	MachineList machinelist.Conn
 	// Configurations is the node's keeper of configurations; nil for none.
 	Configurations ConfigurationSource
-	Logger         zerolog.Logger
-	Seed           uint64
+	// Forwards asks servers for other nodes; nil for a node that owns no
+	// connections.
+	Forwards ForwardTarget
+	// ForwardBodyBytes bounds the body of one forwarded sub-request; zero means
+	// a default. All nodes need the same.
+	ForwardBodyBytes int64
+	Logger           zerolog.Logger
+	Seed             uint64
 	// Nodes overrides times of the failure detector; Self and Seed are set by
 	// the agent.
 	Nodes membership.NodesOptions
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -32,6 +32,10 @@
 	Sends *prometheus.CounterVec
 	// Failures counts sub-requests without a well-formed reply, by service.
 	Failures *prometheus.CounterVec
+	// Forwards counts the sub-requests that were given to owners, by outcome.
+	Forwards *prometheus.CounterVec
+	// ForwardsServed counts the sub-requests taken from other nodes, by outcome.
+	ForwardsServed *prometheus.CounterVec
 	// Held is the number of queries that the node holds, queued or running.
 	Held prometheus.Gauge
 	// Revision is the revision of the configuration in force.
@@ -46,19 +50,22 @@
 // NewMetrics creates a node's metrics.
 func NewMetrics() *Metrics {
 	metrics := &Metrics{
-		Queries:    newCounters("queries_total", "Finished queries.", "service", "class", "execution", "reason"),
-		Latency:    newHistograms("query_seconds", "Time from a query's arrival to its final answer.", latencyBuckets),
-		Coverage:   newHistograms("answer_coverage", "Fraction of the key space that answers hold.", coverageBuckets),
-		Sends:      newCounters("sends_total", "Sub-requests sent to servers.", "service", "kind"),
-		Failures:   newCounters("send_failures_total", "Sub-requests without a well-formed reply.", "service"),
-		Held:       newGauge("queries_held", "Queries that are queued or running."),
-		Revision:   newGauge("configuration_revision", "Revision of the configuration in force."),
-		Duplicates: prometheus.NewCounter(options("duplicates_total", "Not-repeatable requests answered from an earlier outcome.")),
-		registry:   prometheus.NewRegistry(),
+		Queries:        newCounters("queries_total", "Finished queries.", "service", "class", "execution", "reason"),
+		Latency:        newHistograms("query_seconds", "Time from a query's arrival to its final answer.", latencyBuckets),
+		Coverage:       newHistograms("answer_coverage", "Fraction of the key space that answers hold.", coverageBuckets),
+		Sends:          newCounters("sends_total", "Sub-requests sent to servers.", "service", "kind"),
+		Failures:       newCounters("send_failures_total", "Sub-requests without a well-formed reply.", "service"),
+		Forwards:       newCounters("forwards_total", "Sub-requests given to owners of connections.", "outcome"),
+		ForwardsServed: newCounters("forwards_served_total", "Sub-requests taken from other nodes.", "outcome"),
+		Held:           newGauge("queries_held", "Queries that are queued or running."),
+		Revision:       newGauge("configuration_revision", "Revision of the configuration in force."),
+		Duplicates:     prometheus.NewCounter(options("duplicates_total", "Not-repeatable requests answered from an earlier outcome.")),
+		registry:       prometheus.NewRegistry(),
 	}
 	metrics.registry.MustRegister(
 		metrics.Queries, metrics.Latency, metrics.Coverage, metrics.Sends,
 		metrics.Failures, metrics.Held, metrics.Revision, metrics.Duplicates,
+		metrics.Forwards, metrics.ForwardsServed,
 	)
 	return metrics
 }
