--- a/backend/decode.go
+++ b/backend/decode.go
@@ -10,6 +10,9 @@
 // MaximumSnapshots bounds the snapshots that a server may list.
 const MaximumSnapshots = 1024
 
+// replyLimits bounds the JSON documents of replies.
+var replyLimits = strictjson.Limits{Bytes: MaximumReplyBytes}
+
 // statusCodes gives the HTTP status code that carries each Status.
 var statusCodes = map[Status]int{
 	StatusDone:            http.StatusOK,
@@ -36,25 +39,42 @@
 // decodeReply checks that data is a whole reply to the request.
 func decodeReply(data []byte, code int, request *Request) (*Reply, error) {
 	reply := &Reply{}
-	if err := strictjson.Unmarshal(data, reply); err != nil {
+	if err := strictjson.Unmarshal(data, replyLimits, reply); err != nil {
 		return nil, fmt.Errorf("%w: HTTP status %d: %w", ErrMalformed, code, err)
 	}
 	if err := reply.validate(code); err != nil {
 		return nil, err
 	}
-	if reply.AttemptID != request.AttemptID {
-		return nil, fmt.Errorf("%w: it is for attempt %q, not %q", ErrMalformed, reply.AttemptID, request.AttemptID)
+	if err := reply.echoes(request); err != nil {
+		return nil, err
 	}
-	if reply.Status != StatusDone {
-		return reply, nil
+	return reply, nil
+}
+
+// Check returns ErrMalformed, wrapped, unless the reply follows the protocol and
+// belongs to the request. It is for replies that another node passes on.
+func (r *Reply) Check(request *Request) error {
+	if err := r.validate(r.Status.HTTPCode()); err != nil {
+		return err
 	}
-	if *reply.Snapshot != request.Snapshot {
-		return nil, fmt.Errorf("%w: its snapshot is %d, not %d", ErrMalformed, *reply.Snapshot, request.Snapshot)
+	return r.echoes(request)
+}
+
+// echoes checks that the reply belongs to the request.
+func (r *Reply) echoes(request *Request) error {
+	if r.AttemptID != request.AttemptID {
+		return fmt.Errorf("%w: it is for attempt %q, not %q", ErrMalformed, r.AttemptID, request.AttemptID)
 	}
-	if *reply.Range != request.Range {
-		return nil, fmt.Errorf("%w: its range is %s, not %s", ErrMalformed, *reply.Range, request.Range)
+	if r.Status != StatusDone {
+		return nil
 	}
-	return reply, nil
+	if *r.Snapshot != request.Snapshot {
+		return fmt.Errorf("%w: its snapshot is %d, not %d", ErrMalformed, *r.Snapshot, request.Snapshot)
+	}
+	if *r.Range != request.Range {
+		return fmt.Errorf("%w: its range is %s, not %s", ErrMalformed, *r.Range, request.Range)
+	}
+	return nil
 }
 
 // validate checks the reply by itself, without the request it is for.
@@ -116,7 +136,7 @@
 		return nil, fmt.Errorf("%w: HTTP status %d", ErrMalformed, code)
 	}
 	health := &Health{}
-	if err := strictjson.Unmarshal(data, health); err != nil {
+	if err := strictjson.Unmarshal(data, replyLimits, health); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
 	switch health.State {
@@ -135,7 +155,7 @@
 		return nil, fmt.Errorf("%w: HTTP status %d", ErrMalformed, code)
 	}
 	load := &Load{}
-	if err := strictjson.Unmarshal(data, load); err != nil {
+	if err := strictjson.Unmarshal(data, replyLimits, load); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
 	if err := load.validate(); err != nil {
--- a/lab/emulator/faults.go
+++ b/lab/emulator/faults.go
@@ -118,13 +118,22 @@
 	writeJSON(writer, http.StatusOK, h.get())
 }
 
+// handleFaults serves FaultsPath for the switches that get and set reach.
+func handleFaults[F any](mux *http.ServeMux, get func() F, set func(F)) {
+	mux.Handle(FaultsPath, faultsHandler[F]{validate: newValidator(), get: get, set: set})
+}
+
 // merge sets the switches that the body names and leaves the others.
 func (h faultsHandler[F]) merge(request *http.Request) error {
 	faults, err := copyOf(h.get())
 	if err != nil {
 		return err
 	}
-	if err := strictjson.Decode(request.Body, maximumFaultsBytes, &faults); err != nil {
+	data, err := strictjson.Read(request.Body, maximumFaultsBytes)
+	if err == nil {
+		err = strictjson.Merge(data, strictjson.Limits{Bytes: maximumFaultsBytes}, &faults)
+	}
+	if err != nil {
 		return fmt.Errorf("%w: %w", ErrInvalidFaults, err)
 	}
 	if err := validateFaults(h.validate, faults); err != nil {
--- a/lab/emulator/server.go
+++ b/lab/emulator/server.go
@@ -17,6 +17,7 @@
 
 	"github.com/banksail/banksail/backend"
 	"github.com/banksail/banksail/coverage"
+	"github.com/banksail/banksail/internal/clock"
 	"github.com/banksail/banksail/policy"
 )
 
@@ -70,13 +71,12 @@
 
 // Server is a back end's stand-in.
 type Server struct {
+	endpoint
 	options  ServerOptions
 	started  time.Time
-	mux      *http.ServeMux
 	slots    *slots
 	recorder *recorder
 	loads    loadHistory
-	ended    *lifetime
 
 	// mutex guards the fields below. Invariant: thawed is closed whenever
 	// faults.Freeze is off; drains holds the changes of faults.Draining in order.
@@ -97,12 +97,11 @@
 	thawed := make(chan struct{})
 	close(thawed)
 	server := &Server{
+		endpoint: newEndpoint(),
 		options:  options,
 		started:  time.Now(),
-		mux:      http.NewServeMux(),
 		slots:    &slots{size: options.Slots, bound: max(0, options.QueueBound)},
 		recorder: &recorder{server: options.ID, callback: options.OnExecution},
-		ended:    newLifetime(),
 		random:   rand.New(rand.NewPCG(options.Seed, seedStream)),
 		thawed:   thawed,
 	}
@@ -110,9 +109,7 @@
 	server.mux.HandleFunc("GET "+backend.HealthPath, server.serveHealth)
 	server.mux.HandleFunc("GET "+backend.LoadPath, server.serveLoad)
 	server.mux.Handle("GET "+ExecutionsPath, server.recorder)
-	server.mux.Handle(FaultsPath, faultsHandler[ServerFaults]{
-		validate: newValidator(), get: server.Faults, set: server.SetFaults,
-	})
+	handleFaults(server.mux, server.Faults, server.SetFaults)
 	return server, nil
 }
 
@@ -147,11 +144,6 @@
 	return options
 }
 
-// ServeHTTP serves the back end's protocol and the fault switches.
-func (s *Server) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	s.mux.ServeHTTP(writer, request)
-}
-
 // Serve serves connections of the listener until the server is closed. Those
 // above the connection limit are cut, unless they read or set fault switches or
 // read the execution history: a full or frozen server can still be switched.
@@ -186,17 +178,12 @@
 	faults := s.Faults()
 	faults.Draining = true
 	s.SetFaults(faults)
-	if err := sleep(ctx, notice); err != nil {
+	if err := clock.Sleep(ctx, notice); err != nil {
 		return err
 	}
 	return s.ended.shutdown(ctx)
 }
 
-// Close ends Serve, cuts its connections and ends what is frozen.
-func (s *Server) Close() error {
-	return s.ended.close()
-}
-
 // Faults returns the fault switches.
 func (s *Server) Faults() ServerFaults {
 	s.mutex.Lock()
@@ -293,21 +280,6 @@
 	}
 }
 
-// sleep waits for the duration or the end of the context.
-func sleep(ctx context.Context, duration time.Duration) error {
-	if duration <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 func durationOf(milliseconds float64) time.Duration {
 	return policy.Milliseconds(milliseconds).Duration()
 }
