--- a/scripts/scale-check.sh
+++ b/scripts/scale-check.sh
@@ -5,12 +5,16 @@
 # and stops all. Takes about a minute. Needs the programs in bin/ (make build)
 # and curl.
 #
-# Usage: scripts/scale-check.sh [PROFILE] [BASE-PORT]
+# With a CONNECTIONS below the number of nodes, the configuration says that each
+# server takes only so many, so that nodes pass sub-requests on to each other.
+#
+# Usage: scripts/scale-check.sh [PROFILE] [BASE-PORT] [CONNECTIONS]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
 readonly PROFILE=${1:-bluemahoe}
 readonly BASE_PORT=${2:-23000}
+readonly CONNECTIONS=${3:-}
 readonly LOOPBACK=127.0.0.1
 readonly RATES=(25 50 100 200)  # queries a second
 readonly IDLE_SECONDS=10
@@ -97,6 +101,9 @@
 done
 
 bin/banksail-lab profile "${profile[@]}" --intent >"$work/intent.json"
+if [ -n "$CONNECTIONS" ]; then
+  sed -i -E "s/(\"connections\": *)[0-9]+/\1$CONNECTIONS/" "$work/intent.json"
+fi
 bin/banksailctl plan --node "${operators[0]}" --out "$work/plan.json" "$work/intent.json" >/dev/null
 bin/banksailctl confirm --node "${operators[0]}" "$work/plan.json"
 for operator in "${operators[@]}"; do
@@ -115,15 +122,17 @@
   load=$!
   processes+=("$load")
   sleep "$SETTLE_SECONDS"
-  bin/banksail-lab scale -nodes "${operators[0]}" -time "${LOAD_SECONDS}s" | tee "$work/reading-$rate"
+  bin/banksail-lab scale -nodes "$all" -time "${LOAD_SECONDS}s" | tee "$work/reading-$rate"
   wait "$load" || fail "the load found a wrong answer: $(tail -n 5 "$work/load.txt")"
 done
 
-# Least squares over the loads: processor seconds against sub-requests, each
-# over the reading's span.
-echo "== slope over the loads"
-cat "$work"/reading-* | awk '
-  $1 ~ /:/ { x = $6 / $2; y = $3; n++; sx += x; sy += y; sxx += x*x; sxy += x*y; syy += y*y }
+# Least squares over the loads: processor seconds of all nodes against
+# sub-requests, both for each second.
+echo "== slope over the loads, all nodes together"
+for rate in "${RATES[@]}"; do
+  awk '$1 ~ /:/ { x += $6 / $2; y += $3 } END { print x, y }' "$work/reading-$rate"
+done | awk '
+  { x = $1; y = $2; n++; sx += x; sy += y; sxx += x*x; sxy += x*y; syy += y*y }
   END {
     dx = sxx - sx*sx/n; dy = syy - sy*sy/n; dxy = sxy - sx*sy/n
     slope = dxy / dx; rest = dy - slope*dxy
