Status asks the nodes that seem behind; replies tell membership their age

Cause: at 1,400 nodes gossip of revisions is minutes behind (docs/CAPACITY.md), so status named nodes as behind that had the revision in force. It now asks those, a bounded number, before it answers. A reply's report carries the time since its sub-request was sent, so that a late one does not count against a server's new life.

--- a/node/ask.go
+++ b/node/ask.go
@@ -30,7 +30,7 @@
 type backendAsker struct {
 	client backends
 	// heard is told of every well-formed reply of a server.
-	heard func(server string, reply *backend.Reply)
+	heard func(server string, reply *backend.Reply, age time.Duration)
 	// unreachable is told of every server to which no connection could be made.
 	unreachable func(server string)
 }
@@ -38,6 +38,7 @@
 // ask sends one sub-request and waits for its end.
 func (b *backendAsker) ask(ctx context.Context, outgoing *subRequest) dispatch.Event {
 	attempt := outgoing.send.Attempt
+	sent := time.Now()
 	reply, err := b.client.Query(ctx, outgoing.send.Address, outgoing.request())
 	if err != nil {
 		if ctx.Err() == nil && errors.Is(err, backend.ErrNotDelivered) && !errors.Is(err, errNoOwner) {
@@ -48,7 +49,7 @@
 		}
 		return dispatch.Failed{Attempt: attempt, Delivery: deliveryOf(err), Reason: failureReason(ctx, err)}
 	}
-	b.heard(outgoing.send.Server, reply)
+	b.heard(outgoing.send.Server, reply, time.Since(sent))
 	return dispatch.Replied{Attempt: attempt, Reply: replyOf(outgoing.send, reply)}
 }
 
--- a/node/peers.go
+++ b/node/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"github.com/banksail/banksail/backend"
 	"github.com/banksail/banksail/dispatch"
@@ -41,8 +42,10 @@
 // operatorNodes shows the agent's members to the operators' API.
 type operatorNodes struct{ agent *peer.Agent }
 
-// Nodes lists all nodes that membership knows.
-func (o operatorNodes) Nodes() []operator.Node {
+// Nodes lists all nodes that membership knows, having asked those that seem
+// behind the revision.
+func (o operatorNodes) Nodes(ctx context.Context, revision policy.Revision) []operator.Node {
+	o.agent.RefreshRevisions(ctx, revision)
 	members := o.agent.Members()
 	nodes := make([]operator.Node, 0, len(members))
 	for _, member := range members {
@@ -72,13 +75,16 @@
 
 // heardReply tells membership what a reply to a sub-request says of its server.
 // Replies of servers that are known as live say nothing new.
-func (n *Node) heardReply(server string, reply *backend.Reply) {
+// age is the time since the sub-request was sent.
+func (n *Node) heardReply(server string, reply *backend.Reply, age time.Duration) {
+	report := membership.ServerReport{Source: membership.FromReply, Condition: membership.ServerAnswered, Age: age}
 	if reply.Draining || reply.Status == backend.StatusDraining {
-		n.report(server, membership.FromReply, membership.ServerDraining, "")
+		report.Condition = membership.ServerDraining
+		n.agent.ReportServer(server, report)
 		return
 	}
 	if n.troubled(server) {
-		n.report(server, membership.FromReply, membership.ServerAnswered, "")
+		n.agent.ReportServer(server, report)
 	}
 }
 
--- a/operator/service.go
+++ b/operator/service.go
@@ -35,8 +35,10 @@
 
 // Nodes tells the state of the nodes.
 type Nodes interface {
-	// Nodes lists all nodes that membership knows, this one among them.
-	Nodes() []Node
+	// Nodes lists all nodes that membership knows, this one among them. Those
+	// that are not known to have the revision in force are asked first, within
+	// bounds, as gossip of revisions lags.
+	Nodes(ctx context.Context, revision policy.Revision) []Node
 }
 
 // Explanations looks up why a request was answered as it was.
@@ -188,11 +190,11 @@
 	s.write(response, History{Revision: revision, Entries: s.options.Configurations.History()})
 }
 
-func (s *Service) status(_ *restful.Request, response *restful.Response) {
+func (s *Service) status(request *restful.Request, response *restful.Response) {
 	revision, _, _ := s.options.Configurations.Current()
 	status := Status{Node: s.options.Self, Revision: revision, Behind: []string{}, Nodes: []Node{}}
 	if s.options.Nodes != nil {
-		status.Nodes = append(status.Nodes, s.options.Nodes.Nodes()...)
+		status.Nodes = append(status.Nodes, s.options.Nodes.Nodes(request.Request.Context(), revision)...)
 	}
 	status.setRevision(s.options.Self, revision)
 	status.count()
--- a/operator/service_test.go
+++ b/operator/service_test.go
@@ -20,7 +20,7 @@
 
 type fixedNodes []Node
 
-func (n fixedNodes) Nodes() []Node { return append([]Node{}, n...) }
+func (n fixedNodes) Nodes(context.Context, policy.Revision) []Node { return append([]Node{}, n...) }
 
 type fixedExplanations map[string]string
 
