--- a/lab/simulation/operators.go
+++ b/lab/simulation/operators.go
@@ -28,12 +28,10 @@
 	system    *System
 	transport *http.Transport
 
-	// mutex guards random, changes and shift. Invariant: shift is the bounds of
-	// groups in the newest plan that was made.
+	// mutex guards random and changes.
 	mutex   sync.Mutex
 	random  *rand.Rand
 	changes int
-	shift   uint64
 }
 
 func newOperators(s *System) (*operators, error) {
