One priority queue on container/heap

Admission's two heaps, the health readings' schedule and the dispatcher's timers each implemented heap.Interface; internal/priority does it once, for any type, with the place of each item for those that remove from the middle. Orders have ties broken as before, so that runs repeat.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
-	"container/heap"
+	"maps"
 	"slices"
 	"time"
+
+	"github.com/banksail/banksail/internal/priority"
 )
 
 // Options sets up a Queue. The zero value of a field stands for its default.
@@ -54,8 +56,8 @@
 // Queue holds the queries that wait.
 type Queue struct {
 	options Options
-	classes []classQueue // by rank
-	expiry  expiryHeap
+	classes []*priority.Queue[*waiting] // by rank
+	expiry  *priority.Queue[*waiting]
 	waiting map[uint64]*waiting
 	last    uint64
 	drain   drainEstimate
@@ -67,7 +69,7 @@
 	key      Key
 	sequence uint64
 	expires  time.Duration
-	// Places in the two heaps.
+	// Places in the queues of its class and of expiry.
 	place       int
 	expiryPlace int
 }
@@ -86,7 +88,7 @@
 	if options.MostRetryAfter <= 0 {
 		options.MostRetryAfter = DefaultMostRetryAfter
 	}
-	return &Queue{options: options, waiting: make(map[uint64]*waiting)}
+	return &Queue{options: options, expiry: newExpiryQueue(), waiting: make(map[uint64]*waiting)}
 }
 
 // Offer decides on a query. When the verdict is Queued, the query leaves the
@@ -123,7 +125,7 @@
 func (q *Queue) anyBefore(key Key, room Room) bool {
 	for rank := range q.classes {
 		class := q.classes[rank]
-		if len(class) > 0 && !key.Less(class[0].key) && room(rank) {
+		if class.Len() > 0 && !key.Less(class.First().key) && room(rank) {
 			return true
 		}
 	}
@@ -138,7 +140,7 @@
 		peer := item
 		peer.Rank = rank
 		if !key.Less(q.options.Order.Key(peer)) {
-			count += len(q.classes[rank])
+			count += q.classes[rank].Len()
 		}
 	}
 	return count
@@ -148,18 +150,18 @@
 	if rank >= len(q.classes) {
 		return 0
 	}
-	return len(q.classes[rank])
+	return q.classes[rank].Len()
 }
 
 func (q *Queue) push(item Item, key Key) {
 	for len(q.classes) <= item.Rank {
-		q.classes = append(q.classes, nil)
+		q.classes = append(q.classes, newClassQueue())
 	}
 	q.last++
 	w := &waiting{item: item, key: key, sequence: q.last, expires: item.expires()}
 	q.waiting[item.ID] = w
-	heap.Push(&q.classes[item.Rank], w)
-	heap.Push(&q.expiry, w)
+	q.classes[item.Rank].Push(w)
+	q.expiry.Push(w)
 }
 
 // Next takes out the first query that has room; ok is false when none has.
@@ -167,10 +169,10 @@
 	var first *waiting
 	for rank := range q.classes {
 		class := q.classes[rank]
-		if len(class) == 0 || first != nil && !class[0].before(first) || !room(rank) {
+		if class.Len() == 0 || first != nil && !class.First().before(first) || !room(rank) {
 			continue
 		}
-		first = class[0]
+		first = class.First()
 	}
 	if first == nil {
 		return Item{}, false
@@ -193,15 +195,15 @@
 
 func (q *Queue) remove(w *waiting) {
 	delete(q.waiting, w.item.ID)
-	heap.Remove(&q.classes[w.item.Rank], w.place)
-	heap.Remove(&q.expiry, w.expiryPlace)
+	q.classes[w.item.Rank].Remove(w.place)
+	q.expiry.Remove(w.expiryPlace)
 }
 
 // Expire takes out the queries that can no longer start in time.
 func (q *Queue) Expire(now time.Duration) []Item {
 	var expired []Item
-	for len(q.expiry) > 0 && q.expiry[0].expires <= now {
-		w := q.expiry[0]
+	for q.expiry.Len() > 0 && q.expiry.First().expires <= now {
+		w := q.expiry.First()
 		q.remove(w)
 		expired = append(expired, w.item)
 	}
@@ -211,22 +213,22 @@
 // NextExpiry is the time at which Expire has something to do; ok is false when
 // nothing waits.
 func (q *Queue) NextExpiry() (at time.Duration, ok bool) {
-	if len(q.expiry) == 0 {
+	if q.expiry.Len() == 0 {
 		return 0, false
 	}
-	return q.expiry[0].expires, true
+	return q.expiry.First().expires, true
 }
 
 // Drain takes out all queries, in the order in which they came.
 func (q *Queue) Drain() []Item {
-	entries := append([]*waiting(nil), q.expiry...)
+	entries := slices.Collect(maps.Values(q.waiting))
 	slices.SortFunc(entries, func(a, b *waiting) int { return cmp.Compare(a.sequence, b.sequence) })
 	items := make([]Item, 0, len(entries))
 	for _, w := range entries {
 		items = append(items, w.item)
 	}
 	q.classes = nil
-	q.expiry = nil
+	q.expiry = newExpiryQueue()
 	clear(q.waiting)
 	return items
 }
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -7,6 +7,7 @@
 	"github.com/banksail/banksail/admission"
 	"github.com/banksail/banksail/coverage"
 	"github.com/banksail/banksail/gather"
+	"github.com/banksail/banksail/internal/priority"
 	"github.com/banksail/banksail/policy"
 	"github.com/banksail/banksail/retry"
 	"github.com/banksail/banksail/snapshot"
@@ -54,7 +55,7 @@
 	pumped *group
 	passed []waiter
 
-	timers   timers
+	timers   *priority.Queue[timer]
 	sequence uint64
 	wakeAt   time.Duration
 }
@@ -73,6 +74,7 @@
 		asked:    make(map[QueryID]Query),
 		running:  make(map[QueryID]*running),
 		attempts: make(map[AttemptID]*gather.Attempt),
+		timers:   newTimers(),
 		wakeAt:   never,
 	}
 	d.queue = admission.NewQueue(admission.Options{
--- a/dispatch/timers.go
+++ b/dispatch/timers.go
@@ -1,9 +1,10 @@
 package dispatch
 
 import (
-	"container/heap"
 	"math"
 	"time"
+
+	"github.com/banksail/banksail/internal/priority"
 )
 
 // never is a time that does not come.
@@ -22,39 +23,21 @@
 	return t.running != nil && (t.running.query == nil || t.running.timerAt != t.at)
 }
 
-// timers is a heap of timers, the earliest first, ties in the order of setting.
-type timers []timer
-
-// Len implements heap.Interface.
-func (t timers) Len() int { return len(t) }
-
-// Less implements heap.Interface.
-func (t timers) Less(i, j int) bool {
-	if t[i].at != t[j].at {
-		return t[i].at < t[j].at
+// newTimers returns a queue of timers, the earliest first, ties in the order of setting.
+func newTimers() *priority.Queue[timer] {
+	before := func(t, other timer) bool {
+		if t.at != other.at {
+			return t.at < other.at
+		}
+		return t.sequence < other.sequence
 	}
-	return t[i].sequence < t[j].sequence
-}
-
-// Swap implements heap.Interface.
-func (t timers) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
-
-// Push implements heap.Interface.
-func (t *timers) Push(x any) { *t = append(*t, x.(timer)) }
-
-// Pop implements heap.Interface.
-func (t *timers) Pop() any {
-	old := *t
-	x := old[len(old)-1]
-	old[len(old)-1] = timer{}
-	*t = old[:len(old)-1]
-	return x
+	return priority.NewQueue(before, nil)
 }
 
 func (d *Dispatcher) setTimer(t timer) {
 	d.sequence++
 	t.sequence = d.sequence
-	heap.Push(&d.timers, t)
+	d.timers.Push(t)
 }
 
 // schedule makes the dispatcher wake for the query's next time.
@@ -72,8 +55,8 @@
 
 // expire handles what is due.
 func (d *Dispatcher) expire() {
-	for len(d.timers) > 0 && d.timers[0].at <= d.now {
-		due := heap.Pop(&d.timers).(timer)
+	for d.timers.Len() > 0 && d.timers.First().at <= d.now {
+		due := d.timers.Pop()
 		switch {
 		case due.stale():
 		case due.running != nil:
@@ -91,12 +74,12 @@
 
 // wake asks for a Woken event at the next time at which something is due.
 func (d *Dispatcher) wake() {
-	for len(d.timers) > 0 && d.timers[0].stale() {
-		heap.Pop(&d.timers)
+	for d.timers.Len() > 0 && d.timers.First().stale() {
+		d.timers.Pop()
 	}
 	next := never
-	if len(d.timers) > 0 {
-		next = d.timers[0].at
+	if d.timers.Len() > 0 {
+		next = d.timers.First().at
 	}
 	if at, ok := d.queue.NextExpiry(); ok {
 		next = min(next, at)
--- /dev/null
+++ b/internal/priority/queue.go
@@ -0,0 +1,88 @@
+// Package priority holds a priority queue of any type, on container/heap.
+package priority
+
+import "container/heap"
+
+// Queue gives its items in the order of their priority. Items of equal
+// priority come in no particular order, so that an order should break ties. A
+// Queue must not be used from several goroutines at once.
+type Queue[T any] struct {
+	entries entries[T]
+}
+
+// NewQueue returns an empty Queue. The item for which before is true goes
+// before the other one. If moved is not nil, it is told of the place of an item
+// whenever that changes; Remove takes that place.
+func NewQueue[T any](before func(item, other T) bool, moved func(item T, place int)) *Queue[T] {
+	return &Queue[T]{entries: entries[T]{before: before, moved: moved}}
+}
+
+// Len returns the number of items.
+func (q *Queue[T]) Len() int { return len(q.entries.items) }
+
+// First returns the first item without taking it out; the queue must not be empty.
+func (q *Queue[T]) First() T { return q.entries.items[0] }
+
+// Push adds an item.
+func (q *Queue[T]) Push(item T) {
+	place := len(q.entries.items)
+	q.entries.items = append(q.entries.items, item)
+	q.entries.tell(place)
+	heap.Fix(&q.entries, place)
+}
+
+// Pop takes the first item out; the queue must not be empty.
+func (q *Queue[T]) Pop() T { return q.Remove(0) }
+
+// Remove takes out the item at a place, as moved told it.
+func (q *Queue[T]) Remove(place int) T {
+	last := len(q.entries.items) - 1
+	if place != last {
+		q.entries.Swap(place, last)
+	}
+	removed := q.entries.items[last]
+	var none T
+	q.entries.items[last] = none
+	q.entries.items = q.entries.items[:last]
+	if place != last {
+		heap.Fix(&q.entries, place)
+	}
+	return removed
+}
+
+// entries implements heap.Interface. Queue grows and shrinks items itself,
+// because Push and Pop would allocate for each item that is no pointer.
+type entries[T any] struct {
+	items  []T
+	before func(item, other T) bool
+	moved  func(item T, place int)
+}
+
+func (e *entries[T]) tell(place int) {
+	if e.moved != nil {
+		e.moved(e.items[place], place)
+	}
+}
+
+// Len implements heap.Interface.
+func (e *entries[T]) Len() int { return len(e.items) }
+
+// Less implements heap.Interface.
+func (e *entries[T]) Less(i, j int) bool { return e.before(e.items[i], e.items[j]) }
+
+// Swap implements heap.Interface.
+func (e *entries[T]) Swap(i, j int) {
+	e.items[i], e.items[j] = e.items[j], e.items[i]
+	e.tell(i)
+	e.tell(j)
+}
+
+// Push implements heap.Interface; heap.Fix does not call it.
+func (e *entries[T]) Push(item any) { e.items = append(e.items, item.(T)) }
+
+// Pop implements heap.Interface; heap.Fix does not call it.
+func (e *entries[T]) Pop() any {
+	last := e.items[len(e.items)-1]
+	e.items = e.items[:len(e.items)-1]
+	return last
+}
--- a/node/health.go
+++ b/node/health.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"container/heap"
 	"context"
 	"errors"
 	"maps"
@@ -11,6 +10,7 @@
 	"time"
 
 	"github.com/banksail/banksail/backend"
+	"github.com/banksail/banksail/internal/priority"
 )
 
 const (
@@ -61,12 +61,15 @@
 	// targets that have no reading in progress, ordered by due time; targets
 	// holds all that are configured.
 	targets  map[string]*pollTarget
-	schedule pollSchedule
+	schedule *priority.Queue[*pollTarget]
 	random   *rand.Rand
 	// phase keeps the ticks of different nodes apart; it never changes.
 	phase time.Duration
 }
 
+// inReading is the index of a target that is being read.
+const inReading = -1
+
 // pollTarget is one server that is read.
 type pollTarget struct {
 	server   string
@@ -74,18 +77,19 @@
 	due      time.Time
 	failures int
 	lastLoad time.Time
-	// index is the place in the schedule, or -1 during a reading.
+	// index is the place in the schedule, or inReading.
 	index int
 }
 
 func newPoller(options pollerOptions) *poller {
 	random := rand.New(rand.NewPCG(options.seed, 0))
 	return &poller{
-		options: options,
-		changed: make(chan struct{}, 1),
-		targets: make(map[string]*pollTarget),
-		random:  random,
-		phase:   time.Duration(random.Int64N(int64(readingTick))),
+		options:  options,
+		changed:  make(chan struct{}, 1),
+		targets:  make(map[string]*pollTarget),
+		schedule: newPollSchedule(),
+		random:   random,
+		phase:    time.Duration(random.Int64N(int64(readingTick))),
 	}
 }
 
@@ -96,8 +100,8 @@
 	for server, target := range p.targets {
 		if _, kept := servers[server]; !kept {
 			delete(p.targets, server)
-			if target.index >= 0 {
-				heap.Remove(&p.schedule, target.index)
+			if target.index != inReading {
+				p.schedule.Remove(target.index)
 			}
 		}
 	}
@@ -116,7 +120,7 @@
 	spread := time.Duration(p.random.Int64N(int64(firstReadingSpread)))
 	target := &pollTarget{server: server, address: address, due: now.Add(spread)}
 	p.targets[server] = target
-	heap.Push(&p.schedule, target)
+	p.schedule.Push(target)
 }
 
 func (p *poller) wakeUp() {
@@ -161,14 +165,16 @@
 func (p *poller) takeDue() (*pollTarget, time.Duration) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if len(p.schedule) == 0 {
+	if p.schedule.Len() == 0 {
 		return nil, p.options.interval
 	}
-	wait := time.Until(p.schedule[0].due)
+	wait := time.Until(p.schedule.First().due)
 	if wait > 0 {
 		return nil, wait
 	}
-	return heap.Pop(&p.schedule).(*pollTarget), 0
+	due := p.schedule.Pop()
+	due.index = inReading
+	return due, 0
 }
 
 // read asks one server and schedules its next reading.
@@ -214,7 +220,7 @@
 	if p.targets[target.server] != target {
 		return
 	}
-	heap.Push(&p.schedule, target)
+	p.schedule.Push(target)
 	p.wakeUp()
 }
 
@@ -227,36 +233,13 @@
 	return time.Duration(float64(mean) * (1 + jitterShare*(2*p.random.Float64()-1)))
 }
 
-// pollSchedule is a heap of targets by due time, and by ID at equal times.
-type pollSchedule []*pollTarget
-
-func (s pollSchedule) Len() int { return len(s) }
-
-func (s pollSchedule) Less(i, j int) bool {
-	if s[i].due.Equal(s[j].due) {
-		return s[i].server < s[j].server
+// newPollSchedule returns a queue of targets by due time, and by ID at equal times.
+func newPollSchedule() *priority.Queue[*pollTarget] {
+	before := func(target, other *pollTarget) bool {
+		if target.due.Equal(other.due) {
+			return target.server < other.server
+		}
+		return target.due.Before(other.due)
 	}
-	return s[i].due.Before(s[j].due)
-}
-
-func (s pollSchedule) Swap(i, j int) {
-	s[i], s[j] = s[j], s[i]
-	s[i].index, s[j].index = i, j
-}
-
-// Push appends a target; container/heap calls it.
-func (s *pollSchedule) Push(target any) {
-	added := target.(*pollTarget)
-	added.index = len(*s)
-	*s = append(*s, added)
-}
-
-// Pop removes the last target; container/heap calls it.
-func (s *pollSchedule) Pop() any {
-	last := len(*s) - 1
-	removed := (*s)[last]
-	(*s)[last] = nil
-	*s = (*s)[:last]
-	removed.index = -1
-	return removed
+	return priority.NewQueue(before, func(target *pollTarget, place int) { target.index = place })
 }
