--- /dev/null
+++ b/cmd/banksail-lab/collect.go
@@ -0,0 +1,162 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"net/http"
+	"net/url"
+	"path"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/banksail/banksail/internal/strictjson"
+	"github.com/banksail/banksail/lab/emulator"
+	"github.com/banksail/banksail/lab/history"
+	"github.com/banksail/banksail/operator"
+	"github.com/banksail/banksail/policy"
+)
+
+const (
+	collectTimeout         = 10 * time.Second
+	maximumExecutionsBytes = 256 << 20
+)
+
+// Errors of the subcommand collect.
+var (
+	errForgotten    = errors.New("the execution history is not whole")
+	errNotCollected = errors.New("the execution history can't be read")
+)
+
+// collectCommand writes down what back ends ran and what was accepted.
+type collectCommand struct {
+	placement placementFlags
+	only      string
+	operator  string
+	out       string
+}
+
+// Name returns the subcommand's name.
+func (*collectCommand) Name() string { return "collect" }
+
+// Synopsis returns one line of help.
+func (*collectCommand) Synopsis() string { return "record what back ends ran and what was accepted" }
+
+// Usage returns the help.
+func (*collectCommand) Usage() string {
+	return `collect [flags]:
+  Read the execution histories of a profile's back ends and, with --operator,
+  the accepted changes of the configuration from a node, and write them to a
+  journal for the subcommand judge. A back end forgets when it ends: collect
+  before that, once from each process.
+
+  Example: banksail-lab collect --profile small --base-port 21000 --operator 127.0.0.1:20102 --out ran.jsonl
+  Example: banksail-lab collect --only catalog-g03-r00 --out ran-before.jsonl
+
+`
+}
+
+// SetFlags declares the flags.
+func (c *collectCommand) SetFlags(flags *flag.FlagSet) {
+	c.placement.register(flags)
+	flags.StringVar(&c.only, "only", "*", "pattern of the server IDs, as in path.Match")
+	flags.StringVar(&c.operator, "operator", "", "IP number and port of a node's operator API")
+	flags.StringVar(&c.out, "out", "ran.jsonl", "journal to write")
+}
+
+// Execute runs the subcommand.
+func (c *collectCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := noArguments(flags); err != nil {
+		return finish(err)
+	}
+	return finish(withJournal(c.out, func(journal *history.Journal) error { return c.run(ctx, journal) }))
+}
+
+func (c *collectCommand) run(ctx context.Context, journal *history.Journal) error {
+	_, config, err := c.placement.load()
+	if err != nil {
+		return err
+	}
+	for _, machine := range serverMachines(config) {
+		matched, err := path.Match(c.only, machine.ID)
+		if err != nil {
+			return fmt.Errorf("--only: %w", err)
+		}
+		if !matched {
+			continue
+		}
+		if err := collectExecutions(ctx, machine.Address, journal); err != nil {
+			return fmt.Errorf("%s: %w", machine.ID, err)
+		}
+	}
+	if c.operator == "" {
+		return nil
+	}
+	writeKeySpaces(config, journal)
+	return collectAccepted(ctx, c.operator, journal)
+}
+
+func writeKeySpaces(config policy.Config, journal *history.Journal) {
+	for _, service := range config.Services {
+		journal.Write(history.Entry{KeySpace: &history.KeySpace{Service: service.Name, Range: service.KeySpace}})
+	}
+}
+
+// collectAccepted reads the accepted changes. Their times are the confirming
+// nodes' wall clocks, which is one clock on one machine.
+func collectAccepted(ctx context.Context, address string, journal *history.Journal) error {
+	accepted, err := operator.NewClient(address, collectTimeout).History(ctx)
+	if err != nil {
+		return err
+	}
+	for _, entry := range accepted.Entries {
+		journal.Write(history.Entry{Accepted: &history.Accepted{
+			Revision: uint64(entry.Revision), PlanID: entry.PlanID,
+			At: time.Duration(entry.ConfirmedAt.UnixNano()),
+		}})
+	}
+	return nil
+}
+
+// collectExecutions reads what one back end ran. When a node decided to send is
+// not known there, so a sub-request counts as sent when it arrived.
+func collectExecutions(ctx context.Context, address string, journal *history.Journal) error {
+	ran, err := readExecutions(ctx, address)
+	if err != nil {
+		return err
+	}
+	if ran.Forgotten > 0 {
+		return fmt.Errorf("%w: %d are forgotten", errForgotten, ran.Forgotten)
+	}
+	for _, execution := range ran.Executions {
+		arrived := time.Duration(execution.ArrivedUnixNanoseconds)
+		journal.Write(history.Entry{Attempt: &history.Attempt{
+			Server: execution.Server, AttemptID: execution.AttemptID, RequestID: execution.RequestID,
+			Service: execution.Service, Snapshot: execution.Snapshot, Range: execution.Range,
+			SentAt: arrived, ArrivedAt: arrived, Executed: execution.Executed, Status: execution.Outcome,
+		}})
+	}
+	return nil
+}
+
+func readExecutions(ctx context.Context, address string) (emulator.ExecutionHistory, error) {
+	ctx, cancel := context.WithTimeout(ctx, collectTimeout)
+	defer cancel()
+	var ran emulator.ExecutionHistory
+	target := url.URL{Scheme: "http", Host: address, Path: emulator.ExecutionsPath}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
+	if err != nil {
+		return ran, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return ran, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return ran, fmt.Errorf("%w: HTTP status %d", errNotCollected, response.StatusCode)
+	}
+	return ran, strictjson.Decode(response.Body, maximumExecutionsBytes, &ran)
+}
--- /dev/null
+++ b/cmd/banksail-lab/judge.go
@@ -0,0 +1,166 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"slices"
+	"text/tabwriter"
+
+	"github.com/google/subcommands"
+
+	"github.com/banksail/banksail/lab/history"
+)
+
+// Errors of the subcommand judge.
+var (
+	errNoJournal  = errors.New("no journal given")
+	errViolations = errors.New("invariants were violated")
+	errNotJudged  = errors.New("an invariant had nothing to be judged by")
+)
+
+// shownViolations bounds the violations that are printed.
+const shownViolations = 40
+
+// timed lists the invariants that a slow machine alone can violate.
+var timed = []history.Invariant{history.LeavingServer, history.OneFinalAnswer, history.Recovery}
+
+// judgeCommand judges the record of a run of real processes.
+type judgeCommand struct {
+	options    history.Options
+	safetyOnly bool
+	requireAll bool
+}
+
+// Name returns the subcommand's name.
+func (*judgeCommand) Name() string { return "judge" }
+
+// Synopsis returns one line of help.
+func (*judgeCommand) Synopsis() string { return "judge a recorded run by the invariants" }
+
+// Usage returns the help.
+func (*judgeCommand) Usage() string {
+	return `judge [flags] JOURNAL ...:
+  Join the journals of one run, written by load, observe, collect and whoever
+  started and stopped the processes, and judge the run by the invariants. Print
+  what was judged and each violation. Exit code 1 on any violation.
+
+  Example: banksail-lab judge calls-1.jsonl calls-2.jsonl revisions.jsonl ran.jsonl events.jsonl
+
+`
+}
+
+// SetFlags declares the flags.
+func (c *judgeCommand) SetFlags(flags *flag.FlagSet) {
+	c.options = history.DefaultOptions()
+	flags.DurationVar(&c.options.AnswerAllowance, "answer-allowance", c.options.AnswerAllowance, "how long after its deadline a call may be answered")
+	flags.DurationVar(&c.options.LeavingGrace, "leaving-grace", c.options.LeavingGrace, "how long after it began to leave a server may get new work")
+	flags.DurationVar(&c.options.ConfigurationBound, "configuration-bound", c.options.ConfigurationBound, "within which an accepted configuration is in force everywhere")
+	flags.DurationVar(&c.options.RecoveryBound, "recovery-bound", c.options.RecoveryBound, "within which the system is whole again after the last fault")
+	flags.DurationVar(&c.options.InFlightMargin, "in-flight-margin", c.options.InFlightMargin, "how long a call or an answer may be under way")
+	flags.BoolVar(&c.safetyOnly, "safety-only", false, "leave out what a slow machine alone can violate")
+	flags.BoolVar(&c.requireAll, "require-all", false, "fail also when an invariant had nothing to be judged by")
+}
+
+// Execute runs the subcommand.
+func (c *judgeCommand) Execute(_ context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	return finish(c.run(os.Stdout, flags.Args()))
+}
+
+func (c *judgeCommand) run(writer io.Writer, paths []string) error {
+	if len(paths) == 0 {
+		return errNoJournal
+	}
+	journals, err := readJournals(paths)
+	if err != nil {
+		return err
+	}
+	joined, err := history.Join(journals...)
+	if err != nil {
+		return err
+	}
+	options := c.options
+	if c.safetyOnly {
+		options.ConfigurationBound = math.MaxInt64 / 4
+	}
+	report := history.Check(joined, options)
+	verdict := c.verdict(report)
+	if err := verdict.write(writer, joined); err != nil {
+		return err
+	}
+	return verdict.err()
+}
+
+// verdict is a report without what is left out.
+type verdict struct {
+	report     history.Report
+	leftOut    []history.Invariant
+	violations []history.Violation
+	requireAll bool
+}
+
+func (c *judgeCommand) verdict(report history.Report) verdict {
+	result := verdict{report: report, requireAll: c.requireAll}
+	if c.safetyOnly {
+		result.leftOut = timed
+	}
+	for _, violation := range report.Violations {
+		if !slices.Contains(result.leftOut, violation.Invariant) {
+			result.violations = append(result.violations, violation)
+		}
+	}
+	return result
+}
+
+func (v verdict) count(invariant history.Invariant) int {
+	count := 0
+	for _, violation := range v.violations {
+		if violation.Invariant == invariant {
+			count++
+		}
+	}
+	return count
+}
+
+// write prints what was judged and each violation.
+func (v verdict) write(writer io.Writer, joined *history.History) error {
+	table := tabwriter.NewWriter(writer, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "INVARIANT\tJUDGED\tVIOLATIONS")
+	for _, invariant := range history.Invariants() {
+		if slices.Contains(v.leftOut, invariant) {
+			_, _ = fmt.Fprintf(table, "%s\tnot judged\t-\n", invariant)
+			continue
+		}
+		_, _ = fmt.Fprintf(table, "%s\t%d\t%d\n", invariant, v.report.Judged[invariant], v.count(invariant))
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(writer, "%d calls, %d answers, %d sub-requests, %d accepted revisions, %d confirmations, %d runs of nodes, over %v\n",
+		len(joined.Calls), len(joined.Answers), len(joined.Attempts), len(joined.Accepted),
+		len(joined.Confirmations), len(joined.Runs), joined.End)
+	for _, limit := range v.report.Limits {
+		_, _ = fmt.Fprintf(writer, "known limit: %s\n", limit)
+	}
+	for _, violation := range v.violations[:min(len(v.violations), shownViolations)] {
+		_, _ = fmt.Fprintf(writer, "violation: %s\n", violation)
+	}
+	return err
+}
+
+// err is nil for a run without violation.
+func (v verdict) err() error {
+	if len(v.violations) > 0 {
+		return fmt.Errorf("%w: %d violations", errViolations, len(v.violations))
+	}
+	for _, invariant := range history.Invariants() {
+		if v.requireAll && v.report.Judged[invariant] == 0 && !slices.Contains(v.leftOut, invariant) {
+			return fmt.Errorf("%w: %s", errNotJudged, invariant)
+		}
+	}
+	return nil
+}
--- a/cmd/banksail-lab/load.go
+++ b/cmd/banksail-lab/load.go
@@ -11,6 +11,7 @@
 
 	"github.com/google/subcommands"
 
+	"github.com/banksail/banksail/lab/history"
 	"github.com/banksail/banksail/lab/load"
 	"github.com/banksail/banksail/lab/profile"
 )
@@ -28,6 +29,8 @@
 	service     string
 	class       string
 	deadlineMS  float64
+	retry       stringList
+	journal     string
 }
 
 // Name returns the subcommand's name.
@@ -60,6 +63,8 @@
 	flags.Float64Var(&c.deadlineMS, "deadline-ms", 0, "deadline of each query; 0 leaves it to the class")
 	flags.Float64Var(&c.options.MinimumCoverage, "minimum-coverage", 0, "minimum coverage of each query, from 0 to 1")
 	flags.Uint64Var(&c.options.Seed, "seed", 1, "seed of the arrivals")
+	flags.Var(&c.retry, "retry", "caller API to which queries that are not repeatable are sent again, with their ID, while they have no answer; may be given several times")
+	flags.StringVar(&c.journal, "journal", "", "file that gets every sending and its end, for the subcommand judge; needs --deadline-ms")
 }
 
 // Execute runs the subcommand.
@@ -81,7 +86,13 @@
 	if len(options.Mix) == 0 {
 		return fmt.Errorf("%w: %q, %q", errNothingChosen, c.service, c.class)
 	}
-	report, err := load.Run(ctx, options)
+	options.RetryAddresses = c.retry
+	var report *load.Report
+	err = withJournal(c.journal, func(journal *history.Journal) error {
+		options.Journal = journal
+		report, err = load.Run(ctx, options)
+		return err
+	})
 	if err != nil {
 		return err
 	}
--- a/lab/emulator/execution.go
+++ b/lab/emulator/execution.go
@@ -30,6 +30,8 @@
 	Completed bool `json:"completed"`
 	// Outcome tells what became of it, for readers.
 	Outcome string `json:"outcome"`
+	// ArrivedUnixNanoseconds is when the server had read it, by its wall clock.
+	ArrivedUnixNanoseconds int64 `json:"arrived_unix_ns"`
 }
 
 // ExecutionHistory is the reply to a GET of ExecutionsPath.
--- a/lab/emulator/query.go
+++ b/lab/emulator/query.go
@@ -61,6 +61,8 @@
 		Snapshot:   query.Snapshot,
 		Range:      query.Range,
 		Repeatable: query.Repeatable,
+
+		ArrivedUnixNanoseconds: time.Now().UnixNano(),
 	}
 }
 
--- a/lab/history/checker_test.go
+++ b/lab/history/checker_test.go
@@ -78,14 +78,17 @@
 	}
 }
 
-func TestCheckerCatches(t *testing.T) {
-	tests := []struct {
-		name      string
-		invariant Invariant
-		corrupt   func(h *History)
-		// subject must occur in the violation.
-		subject string
-	}{
+// corruption is a change of the sound history that breaches an invariant.
+type corruption struct {
+	name      string
+	invariant Invariant
+	corrupt   func(h *History)
+	// subject must occur in the violation.
+	subject string
+}
+
+func corruptions() []corruption {
+	return []corruption{
 		{"a part from another snapshot", OneSnapshot, func(h *History) { h.Attempts[1].Snapshot = 6 }, "r1"},
 		{"content from another snapshot", OneSnapshot, func(h *History) { h.Answers[0].Parts[1].Snapshot = 6 }, "r1"},
 		{"inflated coverage", TrueCoverage, func(h *History) { h.Answers[0].Parts = h.Answers[0].Parts[:1] }, "r1"},
@@ -155,20 +158,35 @@
 			h.Answers[4] = Answer{Call: 5, At: 25 * second, Kind: AnswerRefusal, Execution: ExecutionUnknown}
 		}, "r5"},
 	}
-	for _, test := range tests {
+}
+
+// breached returns the sound history with the corruption.
+func (c corruption) breached() *History {
+	history := sound()
+	if c.name == "revision never in force" {
+		history.Runs[1].StopAsked, history.Runs[1].End = 0, 0
+	}
+	c.corrupt(history)
+	return history
+}
+
+// caught reports whether the violation is among those found.
+func (c corruption) caught(report Report) bool {
+	for _, violation := range report.Violations {
+		if violation.Invariant == c.invariant && strings.Contains(violation.Subject, c.subject) {
+			return true
+		}
+	}
+	return false
+}
+
+func TestCheckerCatches(t *testing.T) {
+	for _, test := range corruptions() {
 		t.Run(test.name, func(t *testing.T) {
-			history := sound()
-			if test.name == "revision never in force" {
-				history.Runs[1].StopAsked, history.Runs[1].End = 0, 0
-			}
-			test.corrupt(history)
-			report := Check(history, DefaultOptions())
-			for _, violation := range report.Violations {
-				if violation.Invariant == test.invariant && strings.Contains(violation.Subject, test.subject) {
-					return
-				}
+			report := Check(test.breached(), DefaultOptions())
+			if !test.caught(report) {
+				t.Fatalf("not caught; violations: %v", report.Violations)
 			}
-			t.Fatalf("not caught; violations: %v", report.Violations)
 		})
 	}
 }
--- /dev/null
+++ b/lab/history/join.go
@@ -0,0 +1,211 @@
+package history
+
+import (
+	"fmt"
+	"sort"
+	"time"
+)
+
+// Join makes one history of the journals of one run. Its times count from the
+// earliest time in them.
+func Join(journals ...[]Entry) (*History, error) {
+	j := &joiner{history: &History{}, names: make(map[string]string)}
+	for _, entries := range journals {
+		j.addJournal(entries)
+	}
+	if err := j.applyEvents(); err != nil {
+		return nil, err
+	}
+	j.nameNodes()
+	j.rebase()
+	return j.history, nil
+}
+
+// joiner builds a history.
+type joiner struct {
+	history *History
+	events  []Event
+	// lastCall is the highest ID given to a call of the journals before.
+	lastCall CallID
+	// names holds the nodes' names by caller address.
+	names map[string]string
+}
+
+// addJournal adds the entries of one journal, whose call IDs are its own.
+func (j *joiner) addJournal(entries []Entry) {
+	base := j.lastCall
+	for _, entry := range entries {
+		switch {
+		case entry.KeySpace != nil:
+			j.history.KeySpaces = append(j.history.KeySpaces, *entry.KeySpace)
+		case entry.Call != nil:
+			call := *entry.Call
+			call.ID += base
+			j.lastCall = max(j.lastCall, call.ID)
+			j.history.Calls = append(j.history.Calls, call)
+		case entry.Answer != nil:
+			answer := *entry.Answer
+			answer.Call += base
+			j.history.Answers = append(j.history.Answers, answer)
+		case entry.Attempt != nil:
+			j.history.Attempts = append(j.history.Attempts, *entry.Attempt)
+		case entry.Accepted != nil:
+			j.history.Accepted = append(j.history.Accepted, *entry.Accepted)
+		case entry.InForce != nil:
+			j.history.InForce = append(j.history.InForce, *entry.InForce)
+		case entry.Confirmation != nil:
+			j.history.Confirmations = append(j.history.Confirmations, *entry.Confirmation)
+		case entry.Event != nil:
+			j.events = append(j.events, *entry.Event)
+		}
+	}
+}
+
+// applyEvents turns events into runs, disturbances and leaving servers.
+func (j *joiner) applyEvents() error {
+	sort.SliceStable(j.events, func(one, other int) bool { return j.events[one].At < j.events[other].At })
+	for _, event := range j.events {
+		if err := j.apply(event); err != nil {
+			return fmt.Errorf("%w: event %s of %q at %d ns: %w", ErrInvalidJournal, event.Kind, event.Subject, event.At, err)
+		}
+	}
+	return nil
+}
+
+func (j *joiner) apply(event Event) error {
+	switch event.Kind {
+	case EventNodeStarted:
+		j.names[event.Address] = event.Subject
+		j.history.Runs = append(j.history.Runs, NodeRun{Node: event.Subject, Start: event.At})
+		return nil
+	case EventNodeStopAsked, EventNodeEnded, EventNodeKilled:
+		return j.changeRun(event)
+	case EventNodeFrozen:
+		j.history.Disturbances = append(j.history.Disturbances, Disturbance{Kind: Frozen, Host: event.Subject, From: event.At})
+		return nil
+	case EventNodeThawed:
+		return j.endDisturbance(event)
+	case EventServerLeaving:
+		j.history.Leaving = append(j.history.Leaving, ServerLeaving{Server: event.Subject, At: event.At})
+		return nil
+	case EventServerReturned:
+		return j.endLeaving(event)
+	case EventFaultsEnded:
+		j.history.FaultsEnd = event.At
+		return nil
+	default:
+		return errUnknownEvent
+	}
+}
+
+// changeRun applies an event to the run of its node that has not ended.
+func (j *joiner) changeRun(event Event) error {
+	for index := range j.history.Runs {
+		run := &j.history.Runs[index]
+		if run.Node != event.Subject || run.End != 0 {
+			continue
+		}
+		switch event.Kind {
+		case EventNodeStopAsked:
+			run.StopAsked = event.At
+		default:
+			run.End = event.At
+			run.Killed = event.Kind == EventNodeKilled
+		}
+		return nil
+	}
+	return errNoBeginning
+}
+
+func (j *joiner) endDisturbance(event Event) error {
+	for index := range j.history.Disturbances {
+		disturbance := &j.history.Disturbances[index]
+		if disturbance.Host == event.Subject && disturbance.To == 0 {
+			disturbance.To = event.At
+			return nil
+		}
+	}
+	return errNoBeginning
+}
+
+func (j *joiner) endLeaving(event Event) error {
+	for index := range j.history.Leaving {
+		leaving := &j.history.Leaving[index]
+		if leaving.Server == event.Subject && leaving.Until == 0 {
+			leaving.Until = event.At
+			return nil
+		}
+	}
+	return errNoBeginning
+}
+
+// nameNodes replaces the addresses in calls by the nodes' names.
+func (j *joiner) nameNodes() {
+	for index := range j.history.Calls {
+		call := &j.history.Calls[index]
+		if name, ok := j.names[call.Node]; ok {
+			call.Node = name
+		}
+	}
+}
+
+// rebase makes times count from the earliest one, and sets the end to the latest.
+func (j *joiner) rebase() {
+	times := j.times()
+	var earliest, latest time.Duration
+	for _, at := range times {
+		if *at != 0 && (earliest == 0 || *at < earliest) {
+			earliest = *at
+		}
+		latest = max(latest, *at)
+	}
+	// Zero stands for "not" in the history, so that the earliest time is 1 ns.
+	earliest--
+	j.history.End = latest
+	for _, at := range append(times, &j.history.End) {
+		if *at != 0 {
+			*at -= earliest
+		}
+	}
+	for index := range j.history.Disturbances {
+		disturbance := &j.history.Disturbances[index]
+		if disturbance.To == 0 {
+			disturbance.To = j.history.End
+		}
+	}
+}
+
+// times points to every time in the history.
+func (j *joiner) times() []*time.Duration {
+	h := j.history
+	times := []*time.Duration{&h.FaultsEnd}
+	for index := range h.Calls {
+		times = append(times, &h.Calls[index].At)
+	}
+	for index := range h.Answers {
+		times = append(times, &h.Answers[index].At)
+	}
+	for index := range h.Attempts {
+		times = append(times, &h.Attempts[index].SentAt, &h.Attempts[index].ArrivedAt)
+	}
+	for index := range h.Accepted {
+		times = append(times, &h.Accepted[index].At)
+	}
+	for index := range h.InForce {
+		times = append(times, &h.InForce[index].At)
+	}
+	for index := range h.Confirmations {
+		times = append(times, &h.Confirmations[index].At)
+	}
+	for index := range h.Leaving {
+		times = append(times, &h.Leaving[index].At, &h.Leaving[index].Until)
+	}
+	for index := range h.Runs {
+		run := &h.Runs[index]
+		times = append(times, &run.Start, &run.StopAsked, &run.End)
+	}
+	for index := range h.Disturbances {
+		times = append(times, &h.Disturbances[index].From, &h.Disturbances[index].To)
+	}
+	return times
+}
--- a/lab/load/generator.go
+++ b/lab/load/generator.go
@@ -15,6 +15,12 @@
 // seedStream parts the generator's random numbers from other users of a seed.
 const seedStream = 0x6c6f6164
 
+// Further sendings of a query that is not repeatable.
+const (
+	maximumRetries    = 3
+	maximumRetryDelay = 500 * time.Millisecond
+)
+
 // Run sends queries until the duration or the context ends, waits for the
 // answers and returns the report.
 func Run(ctx context.Context, options Options) (*Report, error) {
@@ -96,12 +102,28 @@
 	}
 	g.count++
 	requestID := g.prefix + "-" + strconv.Itoa(g.count)
+	retries := g.drawRetries(share)
 	g.pending.Go(func() {
 		defer func() { <-g.permits }()
-		g.report.add(share, g.sender.send(share, requestID))
+		g.report.add(share, g.sender.sendUntilAnswered(share, requestID, retries))
 	})
 }
 
+// drawRetries draws the further sendings of a query that has no answer.
+func (g *generator) drawRetries(share profile.Share) []retry {
+	if share.Repeatable || len(g.options.RetryAddresses) == 0 {
+		return nil
+	}
+	retries := make([]retry, 0, maximumRetries)
+	for range maximumRetries {
+		retries = append(retries, retry{
+			address: g.options.RetryAddresses[g.random.IntN(len(g.options.RetryAddresses))],
+			after:   time.Duration(g.random.Int64N(int64(maximumRetryDelay))),
+		})
+	}
+	return retries
+}
+
 // waitUntil is false when the context ended first.
 func waitUntil(ctx context.Context, at time.Time) bool {
 	timer := time.NewTimer(time.Until(at))
--- a/lab/load/options.go
+++ b/lab/load/options.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/banksail/banksail/lab/emulator"
+	"github.com/banksail/banksail/lab/history"
 	"github.com/banksail/banksail/lab/profile"
 )
 
@@ -52,6 +53,13 @@
 	Seed uint64
 	// ItemStride is that of the stand-ins, for the check of results.
 	ItemStride uint64
+	// RetryAddresses lists the caller APIs, as a rule that of Address among
+	// them, to which queries that are not repeatable are sent again, with the
+	// same request ID, while they have no answer. Empty means never.
+	RetryAddresses []string
+	// Journal gets every sending and its end, unless nil. Queries must then
+	// state a deadline.
+	Journal *history.Journal
 	// Transport sends the queries; the default is net/http's, bounded as InFlight.
 	Transport http.RoundTripper
 }
@@ -95,6 +103,8 @@
 		return fmt.Errorf("%w: duration must be over 0 and at most %v", ErrInvalidOptions, MaximumDuration)
 	case o.InFlight < 1 || o.InFlight > MaximumInFlight:
 		return fmt.Errorf("%w: in-flight bound must be from 1 to %d", ErrInvalidOptions, MaximumInFlight)
+	case o.Journal != nil && o.Deadline == 0:
+		return fmt.Errorf("%w: a journal needs a stated deadline", ErrInvalidOptions)
 	case o.Deadline < 0:
 		return fmt.Errorf("%w: deadline is negative", ErrInvalidOptions)
 	case !(o.MinimumCoverage >= 0 && o.MinimumCoverage <= 1):
--- a/lab/load/sender.go
+++ b/lab/load/sender.go
@@ -11,6 +11,7 @@
 
 	"github.com/banksail/banksail/coverage"
 	"github.com/banksail/banksail/internal/strictjson"
+	"github.com/banksail/banksail/lab/history"
 	"github.com/banksail/banksail/lab/profile"
 )
 
@@ -86,11 +87,34 @@
 	s.client.CloseIdleConnections()
 }
 
+// retry is one further sending of a query.
+type retry struct {
+	address string
+	// after is the time to wait before it.
+	after time.Duration
+}
+
+// sendUntilAnswered asks, and asks again as planned while there is no answer.
+// The outcome is that of the last sending.
+func (s *sender) sendUntilAnswered(share profile.Share, requestID string, retries []retry) outcome {
+	result := s.send(share, requestID, s.options.Address)
+	for _, next := range retries {
+		if result.answer != nil {
+			break
+		}
+		time.Sleep(next.after)
+		result = s.send(share, requestID, next.address)
+	}
+	return result
+}
+
 // send asks once and waits for the answer.
-func (s *sender) send(share profile.Share, requestID string) outcome {
+func (s *sender) send(share profile.Share, requestID, address string) outcome {
+	call := s.begin(share, requestID, address)
 	start := time.Now()
-	data, code, err := s.post(share, requestID)
+	data, code, err := s.post(share, requestID, address)
 	result := outcome{latency: time.Since(start)}
+	s.end(call, data, code, err)
 	switch {
 	case err != nil:
 		result.failure = err
@@ -102,7 +126,33 @@
 	return result
 }
 
-func (s *sender) post(share profile.Share, requestID string) ([]byte, int, error) {
+// begin writes a sending to the journal.
+func (s *sender) begin(share profile.Share, requestID, address string) history.CallID {
+	if s.options.Journal == nil {
+		return 0
+	}
+	return s.options.Journal.Call(history.Call{
+		RequestID: requestID, Node: address, Service: share.Service, Class: share.Class,
+		Repeatable: share.Repeatable, Deadline: s.options.Deadline, MinimumCoverage: s.options.MinimumCoverage,
+	})
+}
+
+// end writes what became of a sending to the journal.
+func (s *sender) end(call history.CallID, data []byte, code int, err error) {
+	if s.options.Journal == nil {
+		return
+	}
+	var answer history.Answer
+	if err != nil {
+		answer = history.FailedAnswer(err)
+	} else {
+		answer = history.ParseAnswer(code, data, s.options.ItemStride)
+	}
+	answer.Call = call
+	s.options.Journal.Answer(answer)
+}
+
+func (s *sender) post(share profile.Share, requestID, address string) ([]byte, int, error) {
 	body, err := json.Marshal(query{
 		RequestID:       requestID,
 		Class:           share.Class,
@@ -117,7 +167,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), s.wait())
 	defer cancel()
 	target := url.URL{
-		Scheme: "http", Host: s.options.Address, Path: "/v1/services/" + share.Service + "/queries",
+		Scheme: "http", Host: address, Path: "/v1/services/" + share.Service + "/queries",
 	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, target.String(), bytes.NewReader(body))
 	if err != nil {
--- a/lab/simulation/caller.go
+++ b/lab/simulation/caller.go
@@ -4,17 +4,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"time"
 
-	"github.com/banksail/banksail/caller"
-	"github.com/banksail/banksail/lab/emulator"
 	"github.com/banksail/banksail/lab/history"
 )
 
@@ -249,89 +245,22 @@
 		Body: json.RawMessage(`{"find":"x"}`),
 	})
 	if err != nil {
-		return broken(err)
+		return history.FailedAnswer(err)
 	}
 	url := "http://" + address(host.ip, callerPort) + "/v1/services/" + call.Service + "/queries"
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(document))
 	if err != nil {
-		return broken(err)
+		return history.FailedAnswer(err)
 	}
 	request.Header.Set("Content-Type", "application/json")
 	response, err := c.client.Do(request)
 	if err != nil {
-		return broken(err)
+		return history.FailedAnswer(err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(response.Body, maximumAnswerBytes))
 	if err != nil {
-		return broken(err)
+		return history.FailedAnswer(err)
 	}
-	return ParseAnswer(response.StatusCode, data)
-}
-
-// broken tells a connection that was never made from an answer that never came.
-func broken(err error) history.Answer {
-	var operation *net.OpError
-	if errors.As(err, &operation) && operation.Op == "dial" {
-		return history.Answer{Kind: history.AnswerUnreachable, Detail: err.Error()}
-	}
-	return history.Answer{Kind: history.AnswerBroken, Detail: err.Error()}
-}
-
-// ParseAnswer reads a node's answer to a query whose back ends are the emulator's.
-func ParseAnswer(status int, data []byte) history.Answer {
-	if status != http.StatusOK {
-		return parseProblem(data)
-	}
-	var document caller.Answer
-	if err := json.Unmarshal(data, &document); err != nil {
-		return broken(err)
-	}
-	answer := history.Answer{
-		Kind: history.AnswerResult, Execution: history.ExecutionDone, Reason: document.Reason,
-		RequestID: document.RequestID, Snapshot: document.Snapshot, Coverage: document.Coverage,
-		Complete: document.Complete, Missing: document.Missing,
-	}
-	for _, part := range document.Parts {
-		answer.Parts = append(answer.Parts, parsePart(part))
-	}
-	return answer
-}
-
-func parseProblem(data []byte) history.Answer {
-	var problem caller.Problem
-	if err := json.Unmarshal(data, &problem); err != nil {
-		return broken(err)
-	}
-	return history.Answer{
-		Kind: history.AnswerRefusal, Execution: history.Execution(problem.Execution),
-		Reason: problem.Reason, RequestID: problem.RequestID, Detail: problem.Title,
-	}
-}
-
-// parsePart compares a part with what the emulator holds for its range.
-func parsePart(part caller.Part) history.Part {
-	parsed := history.Part{Range: part.Range}
-	var result emulator.Result
-	if json.Unmarshal(part.Body, &result) != nil {
-		return parsed
-	}
-	parsed.Server, parsed.RequestID = result.Server, result.RequestID
-	if len(result.Items) > 0 {
-		parsed.Snapshot = result.Items[0].Snapshot
-	}
-	parsed.Whole = sameItems(result.Items, emulator.Items(part.Range, parsed.Snapshot, itemStride))
-	return parsed
-}
-
-func sameItems(got, want []emulator.Item) bool {
-	if len(got) != len(want) {
-		return false
-	}
-	for index := range got {
-		if got[index] != want[index] {
-			return false
-		}
-	}
-	return true
+	return history.ParseAnswer(response.StatusCode, data, itemStride)
 }
