--- a/cmd/banksailctl/command_test.go
+++ b/cmd/banksailctl/command_test.go
@@ -31,7 +31,9 @@
 
 type fixedNodes []operator.Node
 
-func (n fixedNodes) Nodes(context.Context, policy.Revision) []operator.Node { return append([]operator.Node{}, n...) }
+func (n fixedNodes) Nodes(context.Context, policy.Revision) []operator.Node {
+	return append([]operator.Node{}, n...)
+}
 
 // session runs commands against one node.
 type session struct {
