--- a/node/ask.go
+++ b/node/ask.go
@@ -30,7 +30,7 @@
 type backendAsker struct {
 	client backends
 	// heard is told of every well-formed reply of a server.
-	heard func(server string, reply *backend.Reply)
+	heard func(server string, reply *backend.Reply, age time.Duration)
 	// unreachable is told of every server to which no connection could be made.
 	unreachable func(server string)
 }
@@ -38,17 +38,31 @@
 // ask sends one sub-request and waits for its end.
 func (b *backendAsker) ask(ctx context.Context, outgoing *subRequest) dispatch.Event {
 	attempt := outgoing.send.Attempt
+	sent := time.Now()
 	reply, err := b.client.Query(ctx, outgoing.send.Address, outgoing.request())
 	if err != nil {
-		if ctx.Err() == nil && errors.Is(err, backend.ErrNotDelivered) {
+		if ctx.Err() == nil && errors.Is(err, backend.ErrNotDelivered) && !errors.Is(err, errNoOwner) {
 			b.unreachable(outgoing.send.Server)
 		}
+		if errors.Is(err, errOwnersBusy) {
+			return dispatch.Replied{Attempt: attempt, Reply: shedByOwners(outgoing.send)}
+		}
 		return dispatch.Failed{Attempt: attempt, Delivery: deliveryOf(err), Reason: failureReason(ctx, err)}
 	}
-	b.heard(outgoing.send.Server, reply)
+	b.heard(outgoing.send.Server, reply, time.Since(sent))
 	return dispatch.Replied{Attempt: attempt, Reply: replyOf(outgoing.send, reply)}
 }
 
+// shedByOwners is the reply to a sub-request that no owner has room for.
+func shedByOwners(sent dispatch.Send) dispatch.Reply {
+	return dispatch.Reply{
+		Status:     dispatch.ReplyShed,
+		Snapshot:   sent.Snapshot,
+		Range:      sent.Range,
+		RetryAfter: ownersRetryAfter,
+	}
+}
+
 func (s *subRequest) request() *backend.Request {
 	asked := &s.query.request
 	return &backend.Request{
--- a/peer/handler.go
+++ b/peer/handler.go
@@ -22,12 +22,16 @@
 	server := NewPeerServer(service{agent: agent})
 	configurations := http.MaxBytesHandler(server, maximumRequestBytes)
 	others := http.MaxBytesHandler(server, maximumGossipBytes)
+	forwards := limitForwards(server, agent.forwardBytes)
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		if strings.HasSuffix(request.URL.Path, "/PushConfiguration") {
+		switch {
+		case strings.HasSuffix(request.URL.Path, "/PushConfiguration"):
 			configurations.ServeHTTP(writer, request)
-			return
+		case strings.HasSuffix(request.URL.Path, "/ForwardQuery"):
+			forwards.ServeHTTP(writer, request)
+		default:
+			others.ServeHTTP(writer, request)
 		}
-		others.ServeHTTP(writer, request)
 	})
 }
 
@@ -78,10 +82,7 @@
 	if s.agent.configurations == nil {
 		return &Configuration{}, nil
 	}
-	revision, record := s.agent.configurations.Record()
-	if uint64(revision) <= request.GetAbove() {
-		return &Configuration{}, nil
-	}
+	revision, record := s.agent.configurations.RecordAbove(policy.Revision(request.GetAbove()))
 	return &Configuration{Revision: uint64(revision), Record: record}, nil
 }
 
