store: one error for what the protocol can't carry, in the twin too

Conn over HTTP said ErrInvalidKey also of a value over its bound, and the in-memory twin took any key, lease ID and size, so that tests over it could not show the fault. Both return ErrInvalid now. A confirmation that meets it says that nothing changed; it said that the outcome is unknown. The new test failed for the twin before. rollout.ErrNoConfiguration was never returned and is gone.

--- a/rollout/confirm.go
+++ b/rollout/confirm.go
@@ -227,6 +227,8 @@
 	switch {
 	case err == nil:
 		return next.Revision, k.adopt(stateOf(next, data), "")
+	case errors.Is(err, store.ErrInvalid):
+		return 0, fmt.Errorf("%w: %w", ErrRejected, err)
 	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrRateLimited), errors.Is(err, store.ErrUnavailable):
 		return 0, fmt.Errorf("%w: %w", ErrStoreUnavailable, err)
 	default:
--- a/rollout/keeper.go
+++ b/rollout/keeper.go
@@ -18,15 +18,14 @@
 
 // Errors of the package, wrapped with details.
 var (
-	// ErrNoConfiguration: the node knows no configuration yet.
-	ErrNoConfiguration = errors.New("rollout: no configuration known")
 	// ErrStoreUnavailable: the store can't be used now; nothing changed.
 	ErrStoreUnavailable = errors.New("rollout: store unavailable")
 	// ErrStoreBehind: the store answers a revision below the one in force; nothing changed.
 	ErrStoreBehind = errors.New("rollout: store answers an old revision")
 	// ErrOutcomeUnknown: the plan was sent to the store and may be in effect.
 	ErrOutcomeUnknown = errors.New("rollout: outcome unknown")
-	// ErrRejected: an offered record can't be read or breaks a rule.
+	// ErrRejected: a record can't be read, breaks a rule, or can't be stored;
+	// nothing changed.
 	ErrRejected = errors.New("rollout: record rejected")
 	// ErrDiverged: an offered record differs from the one of the same revision in force.
 	ErrDiverged = errors.New("rollout: two records of one revision differ")
--- a/rollout/run.go
+++ b/rollout/run.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -183,7 +184,7 @@
 	next, err := newState(record.Value)
 	if err != nil {
 		k.metrics.rejected.Add(1)
-		return errors.Join(ErrRejected, err)
+		return fmt.Errorf("%w: %w", ErrRejected, err)
 	}
 	return k.adopt(next, "")
 }
--- a/store/conn.go
+++ b/store/conn.go
@@ -25,6 +25,9 @@
 	ErrUnavailable = errors.New("store: unavailable")
 	// ErrOutcomeUnknown: a change was sent and no reply came; it may be in effect.
 	ErrOutcomeUnknown = errors.New("store: outcome unknown")
+	// ErrInvalid: the protocol can't carry a key, a lease's ID or a value; nothing
+	// was sent.
+	ErrInvalid = errors.New("store: invalid argument")
 	// ErrMalformed: the service's reply does not follow its protocol.
 	ErrMalformed = errors.New("store: malformed reply")
 )
--- a/store/conn_test.go
+++ b/store/conn_test.go
@@ -333,8 +333,43 @@
 
 func TestInvalidKeys(t *testing.T) {
 	for _, invalid := range []string{"", "/a", "a//b", "a/../b", "a b", "a?b", "a/", "é"} {
-		if err := store.ValidateKey(invalid); !errors.Is(err, store.ErrInvalidKey) {
+		if err := store.ValidateKey(invalid); !errors.Is(err, store.ErrInvalid) {
 			t.Errorf("key %q gave %v", invalid, err)
 		}
 	}
 }
+
+func TestArgumentsThatTheProtocolCannotCarry(t *testing.T) {
+	onBoth(t, func(t *testing.T, conn store.Conn, _ *store.Memory, _ *manualClock) {
+		const bad = "../key"
+		calls := map[string]func() error{
+			"get": func() error {
+				_, err := conn.Get(t.Context(), bad)
+				return err
+			},
+			"watch": func() error {
+				_, err := conn.Watch(t.Context(), bad, 1, time.Minute)
+				return err
+			},
+			"put": func() error {
+				_, err := conn.Put(t.Context(), bad, nil, 0, "")
+				return err
+			},
+			"put under a lease": func() error {
+				_, err := conn.Put(t.Context(), key, nil, 0, bad)
+				return err
+			},
+			"put of a large value": func() error {
+				_, err := conn.Put(t.Context(), key, make([]byte, store.MaximumValueBytes+1), 0, "")
+				return err
+			},
+			"keep-alive": func() error { return conn.KeepAlive(t.Context(), bad) },
+			"revoke":     func() error { return conn.Revoke(t.Context(), bad) },
+		}
+		for name, call := range calls {
+			if err := call(); !errors.Is(err, store.ErrInvalid) {
+				t.Errorf("%s: %v, want ErrInvalid", name, err)
+			}
+		}
+	})
+}
--- a/store/http.go
+++ b/store/http.go
@@ -95,12 +95,9 @@
 }
 
 func (c *httpConn) Put(ctx context.Context, key string, value []byte, base uint64, lease LeaseID) (Record, error) {
-	if err := ValidateKey(key); err != nil {
+	if err := validatePut(key, value, lease); err != nil {
 		return Record{}, err
 	}
-	if len(value) > MaximumValueBytes {
-		return Record{}, fmt.Errorf("%w: value over %d bytes", ErrInvalidKey, MaximumValueBytes)
-	}
 	header := http.Header{}
 	if base == 0 {
 		header.Set("If-None-Match", "*")
--- a/store/memory.go
+++ b/store/memory.go
@@ -119,6 +119,9 @@
 
 // Get reads a record.
 func (m *Memory) Get(ctx context.Context, key string) (Record, error) {
+	if err := ValidateKey(key); err != nil {
+		return Record{}, err
+	}
 	if err := m.enter(ctx); err != nil {
 		return Record{}, err
 	}
@@ -133,6 +136,9 @@
 
 // Put swaps a record whose revision is base; base zero creates it.
 func (m *Memory) Put(ctx context.Context, key string, value []byte, base uint64, lease LeaseID) (Record, error) {
+	if err := validatePut(key, value, lease); err != nil {
+		return Record{}, err
+	}
 	var record Record
 	err := m.change(ctx, func() error {
 		if lease != "" && m.leases[lease] == nil {
@@ -152,6 +158,9 @@
 
 // Watch waits until the record's revision is greater than after, at most wait.
 func (m *Memory) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (Record, error) {
+	if err := ValidateKey(key); err != nil {
+		return Record{}, err
+	}
 	if err := m.enter(ctx); err != nil {
 		return Record{}, err
 	}
@@ -203,7 +212,7 @@
 
 // KeepAlive renews a lease.
 func (m *Memory) KeepAlive(ctx context.Context, lease LeaseID) error {
-	return m.change(ctx, func() error {
+	return m.changeLease(ctx, lease, func() error {
 		held, ok := m.leases[lease]
 		if !ok {
 			return fmt.Errorf("%w: lease %q", ErrNotFound, lease)
@@ -215,7 +224,7 @@
 
 // Revoke ends a lease; its records go away.
 func (m *Memory) Revoke(ctx context.Context, lease LeaseID) error {
-	return m.change(ctx, func() error {
+	return m.changeLease(ctx, lease, func() error {
 		if _, ok := m.leases[lease]; !ok {
 			return fmt.Errorf("%w: lease %q", ErrNotFound, lease)
 		}
@@ -224,6 +233,14 @@
 	})
 }
 
+// changeLease makes one change of a lease; apply runs with mutex held.
+func (m *Memory) changeLease(ctx context.Context, lease LeaseID, apply func() error) error {
+	if err := ValidateKey(string(lease)); err != nil {
+		return err
+	}
+	return m.change(ctx, apply)
+}
+
 // change makes one change under the fault switches; apply runs with mutex held.
 func (m *Memory) change(ctx context.Context, apply func() error) error {
 	if err := m.enter(ctx); err != nil {
--- a/store/protocol.go
+++ b/store/protocol.go
@@ -1,7 +1,6 @@
 package store
 
 import (
-	"errors"
 	"fmt"
 	"regexp"
 	"strconv"
@@ -35,20 +34,31 @@
 	MaximumTimeToLive = 24 * time.Hour
 )
 
-// ErrInvalidKey is returned for a record's key or a lease's ID that the protocol can't carry.
-var ErrInvalidKey = errors.New("store: invalid key")
-
 var keyPattern = regexp.MustCompile(`^[A-Za-z0-9_-][A-Za-z0-9._-]*(/[A-Za-z0-9_-][A-Za-z0-9._-]*)*$`)
 
-// ValidateKey returns ErrInvalidKey unless key is made of letters, digits, dot,
+// ValidateKey returns ErrInvalid unless key is made of letters, digits, dot,
 // underscore and hyphen in segments that slashes part.
 func ValidateKey(key string) error {
 	if len(key) > MaximumKeyBytes || !keyPattern.MatchString(key) {
-		return fmt.Errorf("%w: %q", ErrInvalidKey, key)
+		return fmt.Errorf("%w: key %q", ErrInvalid, key)
 	}
 	return nil
 }
 
+// validatePut returns ErrInvalid for a swap that the protocol can't carry.
+func validatePut(key string, value []byte, lease LeaseID) error {
+	if err := ValidateKey(key); err != nil {
+		return err
+	}
+	if len(value) > MaximumValueBytes {
+		return fmt.Errorf("%w: value over %d bytes", ErrInvalid, MaximumValueBytes)
+	}
+	if lease == "" {
+		return nil
+	}
+	return ValidateKey(string(lease))
+}
+
 // GrantRequest is the body of a POST to LeasesPath.
 type GrantRequest struct {
 	TimeToLiveMilliseconds float64 `json:"ttl_ms"`
