A swap that the store took is not called not applied

When another record of the same revision came into force at the node between a swap and its reply, which takes a store that lost revisions, the confirmation said that the plan is not applied, though the store holds it. The outcome is unknown then. The new test got not_applied before.

--- a/rollout/confirm.go
+++ b/rollout/confirm.go
@@ -226,7 +226,11 @@
 	_, err = k.options.Store.Put(ctx, policy.StoreKey, data, base, "")
 	switch {
 	case err == nil:
-		return next.Revision, k.adopt(stateOf(next, data), "")
+		err = k.adopt(stateOf(next, data), "")
+		if err != nil {
+			c.maybeSent = true // it is in the store, though not in force here
+		}
+		return next.Revision, err
 	case errors.Is(err, store.ErrInvalid):
 		return 0, fmt.Errorf("%w: %w", ErrRejected, err)
 	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrRateLimited), errors.Is(err, store.ErrUnavailable):
