Tests of forwards: what is sent once, who is asked next, and bounds

net/http sends a request of twirp's client once when its owner reads it and closes, but one that looks idempotent twice, as the body can be rewound; the client of forwards takes that way from it. The next owner is asked only after certain non-delivery; a node without connections never forwards again.

--- /dev/null
+++ b/node/forward_internal_test.go
@@ -0,0 +1,206 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"github.com/banksail/banksail/backend"
+	"github.com/banksail/banksail/coverage"
+	"github.com/banksail/banksail/membership"
+	"github.com/banksail/banksail/peer"
+	"github.com/banksail/banksail/telemetry"
+)
+
+// scriptedOwner ends every forward with one outcome and counts them.
+type scriptedOwner struct {
+	outcome peer.ForwardOutcome
+	asked   atomic.Int32
+}
+
+func (s *scriptedOwner) ForwardQuery(_ context.Context, _ string, request *backend.Request) peer.ForwardResult {
+	s.asked.Add(1)
+	if s.outcome != peer.ForwardReplied {
+		return peer.ForwardResult{Outcome: s.outcome}
+	}
+	return peer.ForwardResult{Outcome: peer.ForwardReplied, Reply: &backend.Reply{
+		AttemptID: request.AttemptID, Status: backend.StatusDone,
+		Snapshot: &request.Snapshot, Range: &request.Range, Body: request.Body,
+	}}
+}
+
+func (*scriptedOwner) ServerHealth(string) (*backend.Health, bool) { return nil, false }
+
+func forwardedRequest() *backend.Request {
+	return &backend.Request{
+		AttemptID: "attempt-1", RequestID: "request-1", Service: "catalog", Class: "normal", Snapshot: 1,
+		Range: coverage.Range{End: 10}, RemainingMilliseconds: 5000, Body: json.RawMessage(`"linen"`),
+	}
+}
+
+// noBackends fails the test when a server is asked directly.
+type noBackends struct {
+	backends
+	t *testing.T
+}
+
+func (n noBackends) Query(context.Context, string, *backend.Request) (*backend.Reply, error) {
+	n.t.Error("a server was asked directly")
+	return nil, backend.ErrNotDelivered
+}
+
+func TestNextOwnerIsAskedOnlyAfterCertainNonDelivery(t *testing.T) {
+	type outcomes []peer.ForwardOutcome
+	tests := []struct {
+		name   string
+		owners outcomes
+		want   error
+		asked  []int32
+	}{
+		{"crossed views", outcomes{peer.ForwardNotOwner, peer.ForwardReplied}, nil, []int32{1, 1}},
+		{"leaving and busy", outcomes{peer.ForwardLeaving, peer.ForwardBusy, peer.ForwardReplied}, nil, []int32{1, 1, 1}},
+		{"server not reached", outcomes{peer.ForwardNotDelivered, peer.ForwardReplied}, nil, []int32{1, 1}},
+		{"owner not reached", outcomes{peer.ForwardNotSent, peer.ForwardReplied}, nil, []int32{0, 1}},
+		{"outcome unknown", outcomes{peer.ForwardUnknown, peer.ForwardReplied}, backend.ErrOutcomeUnknown, []int32{1, 0}},
+		{"reply malformed", outcomes{peer.ForwardMalformed, peer.ForwardReplied}, backend.ErrMalformed, []int32{1, 0}},
+		{"all busy", outcomes{peer.ForwardBusy, peer.ForwardBusy}, errOwnersBusy, []int32{1, 1}},
+		{"none owns", outcomes{peer.ForwardNotOwner}, errNoOwner, []int32{1}},
+		{"no owner known", nil, errNoOwner, nil},
+		{"bounded", outcomes{peer.ForwardBusy, peer.ForwardBusy, peer.ForwardBusy, peer.ForwardReplied}, errOwnersBusy, []int32{1, 1, 1, 0}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			owners, scripted := startScripted(t, test.owners)
+			router := testRouter(t, owners)
+			reply, err := router.Query(t.Context(), "10.0.0.9:9000", forwardedRequest())
+			if !errors.Is(err, test.want) || (err == nil) != (reply != nil) {
+				t.Errorf("got %+v, %v, want %v", reply, err, test.want)
+			}
+			for index, owner := range scripted {
+				if got := owner.asked.Load(); got != test.asked[index] {
+					t.Errorf("owner %d was asked %d times, want %d", index, got, test.asked[index])
+				}
+			}
+		})
+	}
+}
+
+// startScripted serves an owner for each outcome; one that is not sent to is
+// not reachable.
+func startScripted(t *testing.T, outcomes []peer.ForwardOutcome) ([]membership.Member, []*scriptedOwner) {
+	t.Helper()
+	var members []membership.Member
+	var scripted []*scriptedOwner
+	for _, outcome := range outcomes {
+		owner := &scriptedOwner{outcome: outcome}
+		agent := peer.NewAgent(peer.AgentOptions{Self: membership.Member{ID: "owner"}, Forwards: owner, Seed: 1})
+		server := httptest.NewServer(agent.Handler())
+		t.Cleanup(server.Close)
+		if outcome == peer.ForwardNotSent {
+			server.Close()
+		}
+		members = append(members, membership.Member{ID: "owner", Address: server.Listener.Addr().String()})
+		scripted = append(scripted, owner)
+	}
+	return members, scripted
+}
+
+func testRouter(t *testing.T, owners []membership.Member) *router {
+	t.Helper()
+	forwarder := peer.NewForwarder((&net.Dialer{}).DialContext)
+	t.Cleanup(forwarder.CloseIdleConnections)
+	return &router{
+		direct:    noBackends{t: t},
+		route:     func(string) route { return route{place: membership.ServerPlace{ID: "server-1"}} },
+		owners:    func(membership.ServerPlace) []membership.Member { return owners },
+		forwarder: forwarder,
+		counters:  newForwardCounters(telemetry.NewMetrics().Forwards),
+		readings:  newHealthReadings(0),
+		log:       zerolog.Nop(),
+	}
+}
+
+// waitingBackends holds every query until its context ends.
+type waitingBackends struct {
+	backends
+	began chan struct{}
+}
+
+func (w waitingBackends) Query(ctx context.Context, _ string, _ *backend.Request) (*backend.Reply, error) {
+	w.began <- struct{}{}
+	<-ctx.Done()
+	return nil, backend.ErrOutcomeUnknown
+}
+
+func testForwards(direct backends, connections int, background context.Context) *forwards {
+	return &forwards{
+		direct:     direct,
+		own:        func(string) (string, int) { return "10.0.0.9:9000", connections },
+		background: background,
+		counters:   newForwardCounters(telemetry.NewMetrics().ForwardsServed),
+		readings:   newHealthReadings(0),
+		inFlight:   make(map[string]int),
+	}
+}
+
+func TestANodeWithoutConnectionsNeverForwardsAgain(t *testing.T) {
+	served := testForwards(noBackends{t: t}, 0, t.Context())
+	if got := served.ForwardQuery(t.Context(), "server-1", forwardedRequest()); got.Outcome != peer.ForwardNotOwner {
+		t.Errorf("outcome %v", got.Outcome)
+	}
+}
+
+func TestOwnerBoundsWhatWaitsForAServerAndFinishesItWhenItStops(t *testing.T) {
+	const connections = 2
+	direct := waitingBackends{began: make(chan struct{})}
+	served := testForwards(direct, connections, t.Context())
+	ctx, cancel := context.WithCancel(t.Context())
+	results := make(chan peer.ForwardOutcome)
+	for range connections * forwardsPerConnection {
+		go func() { results <- served.ForwardQuery(ctx, "server-1", forwardedRequest()).Outcome }()
+		<-direct.began
+	}
+	if got := served.ForwardQuery(ctx, "server-1", forwardedRequest()); got.Outcome != peer.ForwardBusy {
+		t.Errorf("over the bound: %v", got.Outcome)
+	}
+	served.close()
+	if got := served.ForwardQuery(ctx, "server-2", forwardedRequest()); got.Outcome != peer.ForwardLeaving {
+		t.Errorf("while stopping: %v", got.Outcome)
+	}
+	waited := make(chan struct{})
+	go func() {
+		served.wait()
+		close(waited)
+	}()
+	select {
+	case <-waited:
+		t.Error("the stop did not wait for forwards")
+	default:
+	}
+	cancel()
+	for range connections * forwardsPerConnection {
+		if got := <-results; got != peer.ForwardUnknown {
+			t.Errorf("cancelled: %v", got)
+		}
+	}
+	<-waited
+}
+
+func TestAbortEndsForwards(t *testing.T) {
+	direct := waitingBackends{began: make(chan struct{}, 1)}
+	background, abort := context.WithCancel(t.Context())
+	served := testForwards(direct, 1, background)
+	result := make(chan peer.ForwardOutcome)
+	go func() { result <- served.ForwardQuery(t.Context(), "server-1", forwardedRequest()).Outcome }()
+	<-direct.began
+	abort()
+	if got := <-result; got != peer.ForwardUnknown {
+		t.Errorf("outcome %v", got)
+	}
+}
--- a/peer/fuzz_test.go
+++ b/peer/fuzz_test.go
@@ -42,7 +42,7 @@
 }
 
 func FuzzHandler(f *testing.F) {
-	methods := []string{"Gossip", "ListMembers", "FetchConfiguration", "PushConfiguration"}
+	methods := []string{"Gossip", "ListMembers", "FetchConfiguration", "PushConfiguration", "ForwardQuery", "ReadServerHealth"}
 	strange := wireMember("n2")
 	strange.Incarnation = math.MaxUint64
 	strange.State = 99
@@ -52,6 +52,9 @@
 	f.Add(1, encoded(f, &ListMembersRequest{Sender: wireMember("n2"), Digests: make([]uint64, 5000), FirstBucket: math.MaxUint32}))
 	f.Add(2, encoded(f, &FetchConfigurationRequest{Above: math.MaxUint64}))
 	f.Add(3, encoded(f, &Configuration{Revision: math.MaxUint64, Record: []byte("{")}))
+	f.Add(4, encoded(f, &ForwardQueryRequest{Server: "s", RemainingMs: math.Inf(1), Range: &KeyRange{Start: 2, End: 1}}))
+	f.Add(4, encoded(f, forwardToWire("s", testRequest())))
+	f.Add(5, encoded(f, &ServerHealthRequest{Server: "s"}))
 	f.Add(0, []byte{0x0a, 0xff, 0xff, 0xff, 0xff, 0x0f})
 	f.Fuzz(func(t *testing.T, method int, body []byte) {
 		agent := NewAgent(AgentOptions{Self: member("n1"), Configurations: &memoryKeeper{}, Seed: 1})
