--- a/cmd/banksail-lab/main.go
+++ b/cmd/banksail-lab/main.go
@@ -33,7 +33,12 @@
 	commander.Register(&profileCommand{}, "stand-ins")
 	commander.Register(&faultCommand{}, "stand-ins")
 	commander.Register(&loadCommand{}, "load")
+	commander.Register(&observeCommand{}, "judging runs")
+	commander.Register(&collectCommand{}, "judging runs")
+	commander.Register(&judgeCommand{}, "judging runs")
 	commander.Register(&spreadCommand{}, "measurements")
 	commander.Register(&experimentCommand{}, "experiments")
+	commander.Register(&recordCommand{}, "experiments")
+	commander.Register(&replayCommand{}, "experiments")
 	commander.Register(&scaleCommand{}, "experiments")
 }
--- a/lab/emulator/query.go
+++ b/lab/emulator/query.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/banksail/banksail/backend"
+	"github.com/banksail/banksail/internal/clock"
 	"github.com/banksail/banksail/internal/strictjson"
 )
 
@@ -17,7 +18,7 @@
 // serveQuery receives one sub-request.
 func (s *Server) serveQuery(writer http.ResponseWriter, request *http.Request) {
 	query := &backend.Request{}
-	err := strictjson.Decode(request.Body, maximumQueryBytes, query)
+	err := strictjson.Decode(request.Body, strictjson.Limits{Bytes: maximumQueryBytes}, query)
 	if err == nil {
 		err = validateQuery(query)
 	}
@@ -61,6 +62,8 @@
 		Snapshot:   query.Snapshot,
 		Range:      query.Range,
 		Repeatable: query.Repeatable,
+
+		ArrivedUnixNanoseconds: time.Now().UnixNano(),
 	}
 }
 
@@ -119,7 +122,7 @@
 // execute holds a slot for the service time.
 func (v *visit) execute(ctx context.Context) (*backend.Reply, string) {
 	v.server.recorder.update(v.entry, func(entry *Execution) { entry.Executed = true })
-	if err := sleep(ctx, v.server.serviceTime(v.faults)); err != nil {
+	if err := clock.Sleep(ctx, v.server.serviceTime(v.faults)); err != nil {
 		return nil, "ended during execution"
 	}
 	if _, err := v.server.thawedContext(ctx); err != nil {
@@ -173,7 +176,7 @@
 	if reply == nil {
 		panic(http.ErrAbortHandler)
 	}
-	if err := sleep(ctx, durationOf(v.faults.ReplyDelayMilliseconds)); err != nil {
+	if err := clock.Sleep(ctx, durationOf(v.faults.ReplyDelayMilliseconds)); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	other := v.server.exchangeLast(reply)
--- a/machinelist/conn.go
+++ b/machinelist/conn.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 )
 
@@ -41,11 +42,11 @@
 	// ID is the node's or server's ID.
 	ID      string `json:"id" validate:"required,max=128"`
 	Address string `json:"address" validate:"required,hostname_port"`
-	Zone    string `json:"zone" validate:"max=64"`
+	Zone    string `json:"zone,omitempty" validate:"max=64"`
 	Role    Role   `json:"role" validate:"oneof=node server"`
 	State   State  `json:"state" validate:"oneof=live leaving"`
 	// Incarnation changes when the machine starts anew under the same ID.
-	Incarnation string `json:"incarnation" validate:"max=64"`
+	Incarnation string `json:"incarnation,omitempty" validate:"max=64"`
 }
 
 // List is one reading. An empty list never means that all machines are gone.
@@ -54,6 +55,25 @@
 	Machines []Machine `json:"machines" validate:"max=20000,dive"`
 }
 
+// Upsert returns a copy of the machines with one added, or put in place of the
+// one with its ID.
+func Upsert(machines []Machine, machine Machine) []Machine {
+	changed := slices.Clone(machines)
+	index := slices.IndexFunc(changed, func(known Machine) bool { return known.ID == machine.ID })
+	if index < 0 {
+		return append(changed, machine)
+	}
+	changed[index] = machine
+	return changed
+}
+
+// Remove returns a copy of the machines without the one of this ID, and whether
+// it was among them.
+func Remove(machines []Machine, id string) ([]Machine, bool) {
+	kept := slices.DeleteFunc(slices.Clone(machines), func(known Machine) bool { return known.ID == id })
+	return kept, len(kept) != len(machines)
+}
+
 // Conn reads the machine list.
 type Conn interface {
 	// Get reads the list.
