--- a/lab/simulation/seeds_test.go
+++ b/lab/simulation/seeds_test.go
@@ -13,11 +13,12 @@
 )
 
 var (
-	seedCount = flag.Uint64("seeds", 0, "number of seeds that TestSeeds runs; 0 runs the table of CI")
-	firstSeed = flag.Uint64("first", 0, "first of the seeds that -seeds counts")
-	oneSeed   = flag.Int64("seed", -1, "run this seed alone, with all that is known of it")
-	repeats   = flag.Int("repeats", 1, "how often each seed runs; its verdicts must be equal")
-	bugName   = flag.String("bug", "", "seed the bug of this name; see TestSeededBugs")
+	seedCount  = flag.Uint64("seeds", 0, "number of seeds that TestSeeds runs; 0 runs the table of CI")
+	firstSeed  = flag.Uint64("first", 0, "first of the seeds that -seeds counts")
+	oneSeed    = flag.Int64("seed", -1, "run this seed alone, with all that is known of it")
+	repeats    = flag.Int("repeats", 1, "how often each seed runs; its verdicts must be equal")
+	showMatrix = flag.Bool("matrix", false, "also print how often each invariant was judged under each fault")
+	bugName    = flag.String("bug", "", "seed the bug of this name; see TestSeededBugs")
 )
 
 // ciSeeds is the number of seeds without flags. With one of every mode and kind
@@ -84,6 +85,9 @@
 		}
 	})
 	fmt.Print(summary.Text(time.Since(start)))
+	if *showMatrix {
+		fmt.Print(summary.Matrix())
+	}
 }
 
 // report fails the test with all that is known of the violations.
--- a/lab/simulation/summary.go
+++ b/lab/simulation/summary.go
@@ -21,9 +21,12 @@
 	violations map[history.Invariant]int
 	faults     map[schedule.Kind]int
 	modes      map[schedule.Mode]int
-	limits     int
-	calls      int
-	attempts   int
+	// under counts the histories in which an invariant was judged while a kind
+	// of fault happened.
+	under    map[schedule.Kind]map[history.Invariant]int
+	limits   int
+	calls    int
+	attempts int
 }
 
 // NewSummary makes an empty summary.
@@ -33,6 +36,7 @@
 		items:      make(map[history.Invariant]int),
 		violations: make(map[history.Invariant]int),
 		faults:     make(map[schedule.Kind]int),
+		under:      make(map[schedule.Kind]map[history.Invariant]int),
 		modes:      make(map[schedule.Mode]int),
 	}
 }
@@ -58,6 +62,43 @@
 	for _, fault := range result.Schedule.Faults {
 		s.faults[fault.Kind]++
 	}
+	for _, kind := range schedule.Kinds() {
+		if result.Schedule.Has(kind) {
+			s.addUnder(kind, result.Report)
+		}
+	}
+}
+
+func (s *Summary) addUnder(kind schedule.Kind, report history.Report) {
+	if s.under[kind] == nil {
+		s.under[kind] = make(map[history.Invariant]int)
+	}
+	for invariant, items := range report.Judged {
+		if items > 0 {
+			s.under[kind][invariant]++
+		}
+	}
+}
+
+// Matrix formats in how many histories each invariant was judged under each
+// kind of fault, as a table in Markdown.
+func (s *Summary) Matrix() string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	text := &strings.Builder{}
+	fmt.Fprint(text, "| fault |")
+	for _, invariant := range history.Invariants() {
+		fmt.Fprintf(text, " %s |", invariant)
+	}
+	fmt.Fprintf(text, "\n|---|%s\n", strings.Repeat("---|", len(history.Invariants())))
+	for _, kind := range schedule.Kinds() {
+		fmt.Fprintf(text, "| %s |", kind)
+		for _, invariant := range history.Invariants() {
+			fmt.Fprintf(text, " %d |", s.under[kind][invariant])
+		}
+		fmt.Fprintln(text)
+	}
+	return text.String()
 }
 
 // Text formats the summary of a run that took the given time.
