Checker: a node that stops as planned tells those that stay

Claims are handed over at planned stops now, so a second run is beyond the known limits only when no process is left that ran, or was told by one that did.

--- a/lab/history/answers.go
+++ b/lab/history/answers.go
@@ -1,8 +1,10 @@
 package history
 
 import (
+	"cmp"
 	"fmt"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -198,19 +200,34 @@
 	c.report.Violations = append(c.report.Violations, found)
 }
 
-// allNodesLost reports whether every process of a node that ran at one time had
-// ended at the other. Nodes keep nothing, so nobody is left then who could know
-// what ran.
+// allNodesLost reports whether no process is left at the later time that could
+// know what ran at the earlier one. Nodes keep nothing; a process that ends as
+// planned tells those that run then, one that is killed tells nobody.
 func (c *checker) allNodesLost(from, to time.Duration) bool {
-	for _, run := range c.history.Runs {
-		ranThen := run.Start <= from && (run.End == 0 || run.End >= from)
-		if ranThen && (run.End == 0 || run.End > to) {
+	runs := slices.Clone(c.history.Runs)
+	slices.SortStableFunc(runs, func(a, b NodeRun) int { return cmp.Compare(a.endOr(to), b.endOr(to)) })
+	told := from
+	for _, run := range runs {
+		knows := run.Start <= told && run.endOr(to) >= from
+		switch {
+		case !knows:
+		case run.End == 0 || run.End > to:
 			return false
+		case !run.Killed && run.StopAsked != 0:
+			told = max(told, run.StopAsked)
 		}
 	}
 	return true
 }
 
+// endOr is when the run ended, or just after the given time if it goes on.
+func (run NodeRun) endOr(to time.Duration) time.Duration {
+	if run.End == 0 {
+		return to + 1
+	}
+	return run.End
+}
+
 func executedOnly(attempts []Attempt) []Attempt {
 	var executed []Attempt
 	for _, attempt := range attempts {
--- a/lab/history/checker_test.go
+++ b/lab/history/checker_test.go
@@ -194,12 +194,14 @@
 func TestRunAgainOnceEveryNodeWasLost(t *testing.T) {
 	tests := []struct {
 		name       string
-		secondEnds time.Duration
+		second     NodeRun
 		violations int
 	}{
-		{"every node lost between", 4 * second, 0},
-		{"one node outlived it", 0, 1},
-		{"one node lost after it", 9 * second, 1},
+		{"every node lost between", NodeRun{Node: "n2", End: 4 * second, Killed: true}, 0},
+		{"one node outlived it", NodeRun{Node: "n2"}, 1},
+		{"one node lost after it", NodeRun{Node: "n2", End: 9 * second, Killed: true}, 1},
+		{"one node told its successor", NodeRun{Node: "n2", StopAsked: 6 * second, End: 7 * second}, 1},
+		{"one node had nobody to tell", NodeRun{Node: "n2", StopAsked: 4 * second, End: 4500 * time.Millisecond}, 0},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -208,7 +210,7 @@
 				Calls:    []Call{{ID: 1, RequestID: "r", Node: "n1", Service: "search"}},
 				Attempts: []Attempt{ran("a", "r", low, 1*second), ran("b", "r", low, 8*second)},
 				Runs: []NodeRun{
-					{Node: "n1", End: 3 * second, Killed: true}, {Node: "n2", End: test.secondEnds, Killed: true},
+					{Node: "n1", End: 3 * second, Killed: true}, test.second,
 					{Node: "n1", Start: 5 * second},
 				},
 			}
