Plainer names and defaults in the clients and stand-ins

The stand-ins' lifetime, handedListener and visit are httpServers, channelListener and attempt. Two functions with six parameters have three and five.

--- a/backend/client.go
+++ b/backend/client.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -70,15 +71,9 @@
 	if options.ConnectionsPerServer == nil {
 		options.ConnectionsPerServer = func(string) int { return DefaultConnectionsPerServer }
 	}
-	if options.SparesPerServer == 0 {
-		options.SparesPerServer = DefaultSparesPerServer
-	}
-	if options.DialTimeout == 0 {
-		options.DialTimeout = DefaultDialTimeout
-	}
-	if options.IdleTimeout == 0 {
-		options.IdleTimeout = DefaultIdleTimeout
-	}
+	options.SparesPerServer = cmp.Or(options.SparesPerServer, DefaultSparesPerServer)
+	options.DialTimeout = cmp.Or(options.DialTimeout, DefaultDialTimeout)
+	options.IdleTimeout = cmp.Or(options.IdleTimeout, DefaultIdleTimeout)
 	return &Client{options: options, pools: make(map[string]*pool)}
 }
 
@@ -91,7 +86,11 @@
 		return nil, fmt.Errorf("%w: encoding the request: %w", ErrNotDelivered, err)
 	}
 	var reply *Reply
-	err = c.exchange(ctx, address, http.MethodPost, QueryPath, body, func(data []byte, code int) error {
+	call := httpcall.Call{
+		Method: http.MethodPost, Address: address, Path: QueryPath, Body: body,
+		Header: http.Header{"Content-Type": {httpcall.JSON}},
+	}
+	err = c.exchange(ctx, call, func(data []byte, code int) error {
 		reply, err = decodeReply(data, code, request)
 		return err
 	})
@@ -101,7 +100,7 @@
 // Health reads a server's account of its health, which may lag or mislead.
 func (c *Client) Health(ctx context.Context, address string) (*Health, error) {
 	var health *Health
-	err := c.exchange(ctx, address, http.MethodGet, HealthPath, nil, func(data []byte, code int) (err error) {
+	err := c.exchange(ctx, httpcall.Call{Address: address, Path: HealthPath}, func(data []byte, code int) (err error) {
 		health, err = decodeHealth(data, code)
 		return err
 	})
@@ -111,7 +110,7 @@
 // Load reads a server's account of its work, which may lag or mislead.
 func (c *Client) Load(ctx context.Context, address string) (*Load, error) {
 	var load *Load
-	err := c.exchange(ctx, address, http.MethodGet, LoadPath, nil, func(data []byte, code int) (err error) {
+	err := c.exchange(ctx, httpcall.Call{Address: address, Path: LoadPath}, func(data []byte, code int) (err error) {
 		load, err = decodeLoad(data, code)
 		return err
 	})
@@ -143,14 +142,12 @@
 // exchange sends one request and gives its whole reply to decode. A connection
 // whose reply can't be decoded is closed: later replies on it may belong to
 // other requests.
-func (c *Client) exchange(
-	ctx context.Context, address, method, path string, body []byte, decode func(data []byte, code int) error,
-) error {
-	open := c.acquire(address)
+func (c *Client) exchange(ctx context.Context, call httpcall.Call, decode func(data []byte, code int) error) error {
+	open := c.acquire(call.Address)
 	defer open.release()
 	for {
 		trackedContext, tracker := delivery.Track(ctx)
-		reply, err := open.roundTrip(trackedContext, address, method, path, body)
+		reply, err := open.roundTrip(trackedContext, call)
 		if err == nil {
 			err = decode(reply.Body, reply.Code)
 		}
@@ -159,7 +156,7 @@
 		}
 		err = classify(tracker, err)
 		if !errors.Is(err, ErrNotDelivered) || !tracker.Reused() || ctx.Err() != nil {
-			return fmt.Errorf("asking %s: %w", address, err)
+			return fmt.Errorf("asking %s: %w", call.Address, err)
 		}
 		// A kept connection had closed before a byte was written; it is gone
 		// now, so this ends with the last of them.
@@ -167,11 +164,8 @@
 }
 
 // roundTrip sends one request and reads its whole reply.
-func (p *pool) roundTrip(ctx context.Context, address, method, path string, body []byte) (httpcall.Reply, error) {
-	call := httpcall.Call{Method: method, Address: address, Path: path, Body: body, Limit: MaximumReplyBytes}
-	if body != nil {
-		call.Header = http.Header{"Content-Type": {httpcall.JSON}}
-	}
+func (p *pool) roundTrip(ctx context.Context, call httpcall.Call) (httpcall.Reply, error) {
+	call.Limit = MaximumReplyBytes
 	reply, err := httpcall.Send(ctx, p.transport, call)
 	if errors.Is(err, strictjson.ErrTooLarge) {
 		err = fmt.Errorf("%w: %w", ErrMalformed, err)
--- a/lab/emulator/listener.go
+++ b/lab/emulator/listener.go
@@ -13,7 +13,7 @@
 	limit int
 	setup time.Duration
 	// above takes the connections above the limit.
-	above *handedListener
+	above *channelListener
 
 	// mutex guards open, the number of connections within the limit.
 	mutex sync.Mutex
@@ -21,7 +21,7 @@
 }
 
 func newLimitedListener(inner net.Listener, limit int, setup time.Duration) *limitedListener {
-	return &limitedListener{Listener: inner, limit: limit, setup: setup, above: newHandedListener(inner.Addr())}
+	return &limitedListener{Listener: inner, limit: limit, setup: setup, above: newChannelListener(inner.Addr())}
 }
 
 // Accept returns the next connection within the limit.
@@ -79,23 +79,23 @@
 	return c.Conn.Close()
 }
 
-// handedListener accepts the connections that it is handed.
-type handedListener struct {
+// channelListener accepts the connections that it is handed.
+type channelListener struct {
 	address net.Addr
 	conns   chan net.Conn
 	ended   chan struct{}
 	once    sync.Once
 }
 
-// handedBound is the number of connections that wait to be accepted; further
+// pendingBound is the number of connections that wait to be accepted; further
 // ones are closed.
-const handedBound = 16
+const pendingBound = 16
 
-func newHandedListener(address net.Addr) *handedListener {
-	return &handedListener{address: address, conns: make(chan net.Conn, handedBound), ended: make(chan struct{})}
+func newChannelListener(address net.Addr) *channelListener {
+	return &channelListener{address: address, conns: make(chan net.Conn, pendingBound), ended: make(chan struct{})}
 }
 
-func (l *handedListener) hand(conn net.Conn) {
+func (l *channelListener) hand(conn net.Conn) {
 	select {
 	case l.conns <- conn:
 	default:
@@ -104,7 +104,7 @@
 }
 
 // Accept returns the next connection.
-func (l *handedListener) Accept() (net.Conn, error) {
+func (l *channelListener) Accept() (net.Conn, error) {
 	select {
 	case conn := <-l.conns:
 		return conn, nil
@@ -114,12 +114,12 @@
 }
 
 // Close ends Accept.
-func (l *handedListener) Close() error {
+func (l *channelListener) Close() error {
 	l.once.Do(func() { close(l.ended) })
 	return nil
 }
 
 // Addr is the address of the listener that hands connections over.
-func (l *handedListener) Addr() net.Addr {
+func (l *channelListener) Addr() net.Addr {
 	return l.address
 }
--- a/lab/emulator/query.go
+++ b/lab/emulator/query.go
@@ -26,10 +26,10 @@
 		s.respond(writer, &backend.Reply{AttemptID: query.AttemptID, Status: backend.StatusInvalid, Message: err.Error()})
 		return
 	}
-	visit := &visit{server: s, query: query, entry: s.recorder.begin(newExecution(s.options.ID, query))}
-	reply, outcome := visit.run(request.Context())
-	s.recorder.end(visit.entry, outcome)
-	visit.deliver(request.Context(), writer, reply)
+	received := &attempt{server: s, query: query, entry: s.recorder.begin(newExecution(s.options.ID, query))}
+	reply, outcome := received.run(request.Context())
+	s.recorder.end(received.entry, outcome)
+	received.deliver(request.Context(), writer, reply)
 }
 
 func validateQuery(query *backend.Request) error {
@@ -65,8 +65,8 @@
 	}
 }
 
-// visit carries one sub-request through the server.
-type visit struct {
+// attempt carries one sub-request through the server.
+type attempt struct {
 	server *Server
 	query  *backend.Request
 	faults ServerFaults
@@ -75,116 +75,116 @@
 
 // run decides and executes. It returns the reply, nil when the connection is
 // to close without one, and the outcome for the history.
-func (v *visit) run(caller context.Context) (*backend.Reply, string) {
-	caller, err := v.server.thawedContext(caller)
+func (a *attempt) run(caller context.Context) (*backend.Reply, string) {
+	caller, err := a.server.thawedContext(caller)
 	if err != nil {
 		return nil, "ended while frozen"
 	}
-	ctx, cancel := context.WithTimeout(caller, durationOf(v.query.RemainingMilliseconds))
+	ctx, cancel := context.WithTimeout(caller, durationOf(a.query.RemainingMilliseconds))
 	defer cancel()
-	v.faults = v.server.Faults()
-	if v.server.chance(v.faults.CloseBeforeShare) {
+	a.faults = a.server.Faults()
+	if a.server.chance(a.faults.CloseBeforeShare) {
 		return nil, "closed before execution"
 	}
-	if refusal := v.refuse(); refusal != nil {
+	if refusal := a.refuse(); refusal != nil {
 		return refusal, string(refusal.Status)
 	}
-	err = v.server.slots.acquire(ctx)
+	err = a.server.slots.acquire(ctx)
 	if errors.Is(err, errShed) {
-		return v.shed(), string(backend.StatusShed)
+		return a.shed(), string(backend.StatusShed)
 	}
 	if err != nil {
-		return v.shed(), "ended in the queue"
+		return a.shed(), "ended in the queue"
 	}
-	defer v.server.slots.release()
-	return v.execute(ctx)
+	defer a.server.slots.release()
+	return a.execute(ctx)
 }
 
 // refuse returns the reply to a request that the server won't execute.
-func (v *visit) refuse() *backend.Reply {
+func (a *attempt) refuse() *backend.Reply {
 	switch {
-	case v.faults.Draining:
-		return v.reply(backend.StatusDraining)
-	case v.server.options.Service != "" && v.query.Service != v.server.options.Service:
-		return v.reply(backend.StatusNotOwner)
-	case !v.server.holds(v.faults, v.query.Range):
-		return v.reply(backend.StatusNotOwner)
-	case !slices.Contains(v.server.snapshots(v.faults), v.query.Snapshot):
-		return v.reply(backend.StatusUnknownSnapshot)
-	case v.server.chance(v.faults.ShedShare):
-		return v.shed()
+	case a.faults.Draining:
+		return a.reply(backend.StatusDraining)
+	case a.server.options.Service != "" && a.query.Service != a.server.options.Service:
+		return a.reply(backend.StatusNotOwner)
+	case !a.server.holds(a.faults, a.query.Range):
+		return a.reply(backend.StatusNotOwner)
+	case !slices.Contains(a.server.snapshots(a.faults), a.query.Snapshot):
+		return a.reply(backend.StatusUnknownSnapshot)
+	case a.server.chance(a.faults.ShedShare):
+		return a.shed()
 	}
 	return nil
 }
 
 // execute holds a slot for the service time.
-func (v *visit) execute(ctx context.Context) (*backend.Reply, string) {
-	v.server.recorder.update(v.entry, func(entry *Execution) { entry.Executed = true })
-	if err := clock.Sleep(ctx, v.server.serviceTime(v.faults)); err != nil {
+func (a *attempt) execute(ctx context.Context) (*backend.Reply, string) {
+	a.server.recorder.update(a.entry, func(entry *Execution) { entry.Executed = true })
+	if err := clock.Sleep(ctx, a.server.serviceTime(a.faults)); err != nil {
 		return nil, "ended during execution"
 	}
-	if _, err := v.server.thawedContext(ctx); err != nil {
+	if _, err := a.server.thawedContext(ctx); err != nil {
 		return nil, "ended while frozen during execution"
 	}
-	v.server.recorder.update(v.entry, func(entry *Execution) { entry.Completed = true })
-	if v.server.chance(v.faults.ErrorShare) {
-		return v.reply(backend.StatusError), string(backend.StatusError)
+	a.server.recorder.update(a.entry, func(entry *Execution) { entry.Completed = true })
+	if a.server.chance(a.faults.ErrorShare) {
+		return a.reply(backend.StatusError), string(backend.StatusError)
 	}
-	if v.server.chance(v.faults.CloseAfterShare) {
+	if a.server.chance(a.faults.CloseAfterShare) {
 		return nil, "closed after execution"
 	}
-	return v.done(), string(backend.StatusDone)
+	return a.done(), string(backend.StatusDone)
 }
 
-func (v *visit) done() *backend.Reply {
-	snapshot := v.query.Snapshot
-	if v.server.chance(v.faults.WrongSnapshotShare) {
+func (a *attempt) done() *backend.Reply {
+	snapshot := a.query.Snapshot
+	if a.server.chance(a.faults.WrongSnapshotShare) {
 		snapshot++
 	}
-	reply := v.reply(backend.StatusDone)
-	keys := v.query.Range
+	reply := a.reply(backend.StatusDone)
+	keys := a.query.Range
 	reply.Snapshot = &snapshot
 	reply.Range = &keys
 	reply.Body = encodeResult(Result{
-		RequestID: v.query.RequestID,
-		Server:    v.server.options.ID,
-		Items:     Items(keys, snapshot, v.server.options.ItemStride),
+		RequestID: a.query.RequestID,
+		Server:    a.server.options.ID,
+		Items:     Items(keys, snapshot, a.server.options.ItemStride),
 	})
 	return reply
 }
 
-func (v *visit) shed() *backend.Reply {
-	reply := v.reply(backend.StatusShed)
+func (a *attempt) shed() *backend.Reply {
+	reply := a.reply(backend.StatusShed)
 	reply.RetryAfterMilliseconds = float64(retryAfter) / float64(time.Millisecond)
 	return reply
 }
 
-func (v *visit) reply(status backend.Status) *backend.Reply {
+func (a *attempt) reply(status backend.Status) *backend.Reply {
 	return &backend.Reply{
-		AttemptID: v.query.AttemptID,
+		AttemptID: a.query.AttemptID,
 		Status:    status,
-		Snapshots: v.server.snapshots(v.faults),
-		Load:      v.server.reportedLoad(v.faults),
-		Draining:  v.faults.Draining,
+		Snapshots: a.server.snapshots(a.faults),
+		Load:      a.server.reportedLoad(a.faults),
+		Draining:  a.faults.Draining,
 	}
 }
 
 // deliver sends the reply under the faults that act on it.
-func (v *visit) deliver(ctx context.Context, writer http.ResponseWriter, reply *backend.Reply) {
+func (a *attempt) deliver(ctx context.Context, writer http.ResponseWriter, reply *backend.Reply) {
 	if reply == nil {
 		panic(http.ErrAbortHandler)
 	}
-	if err := clock.Sleep(ctx, durationOf(v.faults.ReplyDelayMilliseconds)); err != nil {
+	if err := clock.Sleep(ctx, durationOf(a.faults.ReplyDelayMilliseconds)); err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	other := v.server.exchangeLast(reply)
-	if other != nil && v.server.chance(v.faults.CrossShare) {
+	other := a.server.exchangeLast(reply)
+	if other != nil && a.server.chance(a.faults.CrossShare) {
 		reply = other
 	}
-	if v.server.chance(v.faults.TruncateShare) {
+	if a.server.chance(a.faults.TruncateShare) {
 		truncate(writer, reply)
 	}
-	v.server.respond(writer, reply)
+	a.server.respond(writer, reply)
 }
 
 // exchangeLast remembers the newest reply and returns the one before it.
--- a/lab/emulator/server.go
+++ b/lab/emulator/server.go
@@ -5,6 +5,7 @@
 package emulator
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -117,30 +118,16 @@
 const seedStream = 0x656d756c61746f72
 
 func withServerDefaults(options ServerOptions) ServerOptions {
-	if options.Slots == 0 {
-		options.Slots = DefaultSlots
-	}
-	if options.QueueBound == 0 {
-		options.QueueBound = DefaultQueueBound
-	}
-	if options.Connections == 0 {
-		options.Connections = DefaultConnections
-	}
+	options.Slots = cmp.Or(options.Slots, DefaultSlots)
+	options.QueueBound = cmp.Or(options.QueueBound, DefaultQueueBound)
+	options.Connections = cmp.Or(options.Connections, DefaultConnections)
 	if len(options.Snapshots) == 0 {
 		options.Snapshots = []uint64{DefaultSnapshot}
 	}
-	if options.ServiceTime.Kind == "" {
-		options.ServiceTime.Kind = Fixed
-	}
-	if options.ColdFactor == 0 {
-		options.ColdFactor = 1
-	}
-	if options.ItemStride == 0 {
-		options.ItemStride = DefaultItemStride
-	}
-	if options.Incarnation == "" {
-		options.Incarnation = "1"
-	}
+	options.ServiceTime.Kind = cmp.Or(options.ServiceTime.Kind, Fixed)
+	options.ColdFactor = cmp.Or(options.ColdFactor, 1)
+	options.ItemStride = cmp.Or(options.ItemStride, DefaultItemStride)
+	options.Incarnation = cmp.Or(options.Incarnation, "1")
 	return options
 }
 
@@ -150,8 +137,8 @@
 func (s *Server) Serve(listener net.Listener) error {
 	limited := newLimitedListener(listener, s.options.Connections, s.options.ConnectionSetup)
 	control := make(chan error, 1)
-	go func() { control <- s.ended.serveControl(http.HandlerFunc(s.serveControl), limited.above) }()
-	err := s.ended.serve(s, limited)
+	go func() { control <- s.servers.serveControl(http.HandlerFunc(s.serveControl), limited.above) }()
+	err := s.servers.serve(s, limited)
 	_ = limited.above.Close()
 	return errors.Join(err, ignoreClosed(<-control))
 }
@@ -181,7 +168,7 @@
 	if err := clock.Sleep(ctx, notice); err != nil {
 		return err
 	}
-	return s.ended.shutdown(ctx)
+	return s.servers.shutdown(ctx)
 }
 
 // Faults returns the fault switches.
@@ -274,9 +261,9 @@
 	}
 	select {
 	case <-thawed:
-		return s.ended.ctx, nil
-	case <-s.ended.ctx.Done():
-		return nil, s.ended.ctx.Err()
+		return s.servers.ctx, nil
+	case <-s.servers.ctx.Done():
+		return nil, s.servers.ctx.Err()
 	}
 }
 
--- a/lab/emulator/lifetime.go
+++ b/lab/emulator/servers.go
@@ -21,12 +21,12 @@
 // endpoint is what the stand-ins have in common: the routes of their protocol
 // and fault switches, served in-process or on listeners.
 type endpoint struct {
-	mux   *http.ServeMux
-	ended *lifetime
+	mux     *http.ServeMux
+	servers *httpServers
 }
 
 func newEndpoint() endpoint {
-	return endpoint{mux: http.NewServeMux(), ended: newLifetime()}
+	return endpoint{mux: http.NewServeMux(), servers: newHTTPServers()}
 }
 
 // ServeHTTP serves the stand-in's protocol and the fault switches.
@@ -37,16 +37,16 @@
 // Serve serves connections of the listener until the stand-in is closed; it
 // returns nil then.
 func (e endpoint) Serve(listener net.Listener) error {
-	return e.ended.serve(e.mux, listener)
+	return e.servers.serve(e.mux, listener)
 }
 
 // Close ends Serve, cuts its connections and ends what a fault holds back.
 func (e endpoint) Close() error {
-	return e.ended.close()
+	return e.servers.close()
 }
 
-// lifetime owns the HTTP servers of a stand-in.
-type lifetime struct {
+// httpServers owns the HTTP servers of a stand-in.
+type httpServers struct {
 	// ctx ends with the stand-in.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -60,14 +60,14 @@
 	unused map[net.Conn]struct{}
 }
 
-func newLifetime() *lifetime {
+func newHTTPServers() *httpServers {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &lifetime{ctx: ctx, cancel: cancel, unused: make(map[net.Conn]struct{})}
+	return &httpServers{ctx: ctx, cancel: cancel, unused: make(map[net.Conn]struct{})}
 }
 
 // serve serves the listener until close; it returns nil then.
-func (l *lifetime) serve(handler http.Handler, listener net.Listener) error {
-	return l.run(&http.Server{
+func (h *httpServers) serve(handler http.Handler, listener net.Listener) error {
+	return h.run(&http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
@@ -75,19 +75,19 @@
 }
 
 // serveControl serves connections of one request each, which must come at once.
-func (l *lifetime) serveControl(handler http.Handler, listener net.Listener) error {
+func (h *httpServers) serveControl(handler http.Handler, listener net.Listener) error {
 	server := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: controlTimeout,
 		ReadTimeout:       controlTimeout,
 	}
 	server.SetKeepAlivesEnabled(false)
-	return l.run(server, listener)
+	return h.run(server, listener)
 }
 
-func (l *lifetime) run(server *http.Server, listener net.Listener) error {
-	server.ConnState = l.noteState
-	if !l.add(server) {
+func (h *httpServers) run(server *http.Server, listener net.Listener) error {
+	server.ConnState = h.noteState
+	if !h.add(server) {
 		return listener.Close()
 	}
 	err := server.Serve(listener)
@@ -97,38 +97,38 @@
 	return err
 }
 
-func (l *lifetime) add(server *http.Server) bool {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	if l.closed {
+func (h *httpServers) add(server *http.Server) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.closed {
 		return false
 	}
-	l.servers = append(l.servers, server)
+	h.servers = append(h.servers, server)
 	return true
 }
 
-func (l *lifetime) noteState(conn net.Conn, state http.ConnState) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
+func (h *httpServers) noteState(conn net.Conn, state http.ConnState) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
 	if state == http.StateNew {
-		l.unused[conn] = struct{}{}
+		h.unused[conn] = struct{}{}
 		return
 	}
-	delete(l.unused, conn)
+	delete(h.unused, conn)
 }
 
 // shutdown closes the listeners and waits for the requests in flight. It closes
 // the connections that carried none yet, for which net/http would wait.
-func (l *lifetime) shutdown(ctx context.Context) error {
-	l.mutex.Lock()
-	l.closed = true
-	servers := slices.Clone(l.servers)
-	l.mutex.Unlock()
+func (h *httpServers) shutdown(ctx context.Context) error {
+	h.mutex.Lock()
+	h.closed = true
+	servers := slices.Clone(h.servers)
+	h.mutex.Unlock()
 	ended := make(chan error, len(servers))
 	for _, server := range servers {
 		go func() { ended <- server.Shutdown(ctx) }()
 	}
-	l.closeUnused()
+	h.closeUnused()
 	var problems []error
 	for range servers {
 		problems = append(problems, <-ended)
@@ -136,21 +136,21 @@
 	return errors.Join(problems...)
 }
 
-func (l *lifetime) closeUnused() {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	for conn := range l.unused {
+func (h *httpServers) closeUnused() {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	for conn := range h.unused {
 		_ = conn.Close()
 	}
 }
 
-func (l *lifetime) close() error {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.closed = true
-	l.cancel()
+func (h *httpServers) close() error {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.closed = true
+	h.cancel()
 	var problems []error
-	for _, server := range l.servers {
+	for _, server := range h.servers {
 		problems = append(problems, server.Close())
 	}
 	return errors.Join(problems...)
--- a/lab/load/generator.go
+++ b/lab/load/generator.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/banksail/banksail/internal/clock"
 	"github.com/banksail/banksail/lab/profile"
 )
 
@@ -58,7 +59,7 @@
 	next := time.Now()
 	for {
 		next = next.Add(g.gap())
-		if !waitUntil(ctx, next) {
+		if clock.Sleep(ctx, time.Until(next)) != nil {
 			return
 		}
 		g.start(g.draw())
@@ -101,15 +102,3 @@
 		g.report.add(share, g.sender.send(share, requestID))
 	})
 }
-
-// waitUntil is false when the context ended first.
-func waitUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/lab/load/options.go
+++ b/lab/load/options.go
@@ -3,6 +3,7 @@
 package load
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net/http"
@@ -58,18 +59,10 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.Rate == 0 {
-		o.Rate = DefaultRate
-	}
-	if o.Duration == 0 {
-		o.Duration = DefaultDuration
-	}
-	if o.InFlight == 0 {
-		o.InFlight = DefaultInFlight
-	}
-	if o.ItemStride == 0 {
-		o.ItemStride = emulator.DefaultItemStride
-	}
+	o.Rate = cmp.Or(o.Rate, DefaultRate)
+	o.Duration = cmp.Or(o.Duration, DefaultDuration)
+	o.InFlight = cmp.Or(o.InFlight, DefaultInFlight)
+	o.ItemStride = cmp.Or(o.ItemStride, emulator.DefaultItemStride)
 	if o.Transport == nil {
 		o.Transport = httpcall.NewTransport(nil, o.InFlight)
 	}
--- a/machinelist/http.go
+++ b/machinelist/http.go
@@ -1,6 +1,7 @@
 package machinelist
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -56,9 +57,7 @@
 
 // NewHTTP returns a connection to the machine list at an address.
 func NewHTTP(options HTTPOptions) Conn {
-	if options.Timeout == 0 {
-		options.Timeout = DefaultTimeout
-	}
+	options.Timeout = cmp.Or(options.Timeout, DefaultTimeout)
 	return &httpConn{
 		address:   options.Address,
 		timeout:   options.Timeout,
--- a/policy/difference.go
+++ b/policy/difference.go
@@ -45,10 +45,8 @@
 // depends on their content only.
 func Compare(before, after Config) []Difference {
 	comparison := &comparison{differences: []Difference{}}
-	compareNamed(comparison, "classes", before.Classes, after.Classes,
-		func(class Class) string { return class.Name }, comparison.classes)
-	compareNamed(comparison, "services", before.Services, after.Services,
-		func(service Service) string { return service.Name }, comparison.services)
+	compareNamed(comparison, "classes", before.Classes, after.Classes, comparison.classes)
+	compareNamed(comparison, "services", before.Services, after.Services, comparison.services)
 	return comparison.differences
 }
 
@@ -72,14 +70,12 @@
 
 func (c *comparison) services(path string, before, after Service) {
 	c.value(path+".key_space", before.KeySpace, after.KeySpace)
-	compareNamed(c, path+".groups", before.Groups, after.Groups,
-		func(group Group) string { return group.Name }, c.groups)
+	compareNamed(c, path+".groups", before.Groups, after.Groups, c.groups)
 }
 
 func (c *comparison) groups(path string, before, after Group) {
 	c.value(path+".range", before.Range, after.Range)
-	compareNamed(c, path+".servers", before.Servers, after.Servers,
-		func(server Server) string { return server.ID }, c.servers)
+	compareNamed(c, path+".servers", before.Servers, after.Servers, c.servers)
 }
 
 func (c *comparison) servers(path string, before, after Server) {
@@ -89,26 +85,34 @@
 	c.value(path+".connections", before.Connections, after.Connections)
 }
 
+// named is an item of a list that its name identifies there.
+type named interface{ name() string }
+
+func (c Class) name() string   { return c.Name }
+func (s Service) name() string { return s.Name }
+func (g Group) name() string   { return g.Name }
+func (s Server) name() string  { return s.ID }
+
 // compareNamed pairs the items of two lists by name: removed ones first, then
 // the others in the order of the list after.
-func compareNamed[T any](c *comparison, path string, before, after []T, name func(T) string, compare func(string, T, T)) {
+func compareNamed[T named](c *comparison, path string, before, after []T, compare func(path string, before, after T)) {
 	known := make(map[string]T, len(before))
 	for _, item := range before {
-		known[name(item)] = item
+		known[item.name()] = item
 	}
 	kept := make(map[string]bool, len(after))
 	for _, item := range after {
-		kept[name(item)] = true
+		kept[item.name()] = true
 	}
 	for _, item := range before {
-		if !kept[name(item)] {
-			field := fmt.Sprintf("%s[%s]", path, name(item))
+		if !kept[item.name()] {
+			field := fmt.Sprintf("%s[%s]", path, item.name())
 			c.differences = append(c.differences, Difference{Field: field, Before: rawJSON(item)})
 		}
 	}
 	for _, item := range after {
-		field := fmt.Sprintf("%s[%s]", path, name(item))
-		earlier, found := known[name(item)]
+		field := fmt.Sprintf("%s[%s]", path, item.name())
+		earlier, found := known[item.name()]
 		if !found {
 			c.differences = append(c.differences, Difference{Field: field, After: rawJSON(item)})
 			continue
--- a/rollout/core.go
+++ b/rollout/core.go
@@ -9,6 +9,7 @@
 package rollout
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -84,21 +85,14 @@
 )
 
 func (o CoreOptions) withDefaults() CoreOptions {
-	setDefault(&o.PushFanout, DefaultPushFanout)
-	setDefault(&o.CompareInterval, DefaultCompareInterval)
-	setDefault(&o.WatchWait, DefaultWatchWait)
-	setDefault(&o.MinimumWatchers, DefaultMinimumWatchers)
-	setDefault(&o.MaximumWatchers, DefaultMaximumWatchers)
+	o.PushFanout = cmp.Or(o.PushFanout, DefaultPushFanout)
+	o.CompareInterval = cmp.Or(o.CompareInterval, DefaultCompareInterval)
+	o.WatchWait = cmp.Or(o.WatchWait, DefaultWatchWait)
+	o.MinimumWatchers = cmp.Or(o.MinimumWatchers, DefaultMinimumWatchers)
+	o.MaximumWatchers = cmp.Or(o.MaximumWatchers, DefaultMaximumWatchers)
 	return o
 }
 
-func setDefault[T comparable](value *T, fallback T) {
-	var zero T
-	if *value == zero {
-		*value = fallback
-	}
-}
-
 // Core is the pure state machine of one node. Its owner calls Step with what
 // happened, serialised by the owner's lock, and carries out the actions. It
 // has no goroutine, clock or I/O.
--- a/rollout/keeper.go
+++ b/rollout/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -112,10 +113,10 @@
 
 // NewKeeper makes a keeper that knows no configuration; Run starts it.
 func NewKeeper(options KeeperOptions) *Keeper {
-	setDefault(&options.StoreTimeout, DefaultStoreTimeout)
-	setDefault(&options.PeerTimeout, DefaultPeerTimeout)
-	setDefault(&options.ConfirmTimeout, DefaultConfirmTimeout)
-	setDefault(&options.MembersInterval, DefaultMembersInterval)
+	options.StoreTimeout = cmp.Or(options.StoreTimeout, DefaultStoreTimeout)
+	options.PeerTimeout = cmp.Or(options.PeerTimeout, DefaultPeerTimeout)
+	options.ConfirmTimeout = cmp.Or(options.ConfirmTimeout, DefaultConfirmTimeout)
+	options.MembersInterval = cmp.Or(options.MembersInterval, DefaultMembersInterval)
 	if options.Now == nil {
 		options.Now = time.Now
 	}
--- a/store/http.go
+++ b/store/http.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -48,12 +49,8 @@
 	if options.Dial == nil {
 		options.Dial = (&net.Dialer{}).DialContext
 	}
-	if options.Timeout == 0 {
-		options.Timeout = DefaultTimeout
-	}
-	if options.Connections == 0 {
-		options.Connections = DefaultConnections
-	}
+	options.Timeout = cmp.Or(options.Timeout, DefaultTimeout)
+	options.Connections = cmp.Or(options.Connections, DefaultConnections)
 	return &httpConn{
 		address:   options.Address,
 		timeout:   options.Timeout,
