--- a/settings/descriptions.go
+++ b/settings/descriptions.go
@@ -26,6 +26,7 @@
 	"at_most_once.requests":      "not-repeatable requests remembered; more are refused as not run",
 	"at_most_once.result_bytes":  "results kept for repetitions in all, in bytes; the oldest go first",
 	"explanation.requests":       "finished requests whose explanation is kept",
+	"explanation.bytes":          "what the explanations take together, in bytes; the oldest go first",
 	"stop.grace":                 "time for which the listeners stay open after a planned stop began",
 	"log.level":                  "least level that is logged: debug, info, warn or error; no level logs bodies",
 }
