An owner whose connections are all taken says busy, and a lost share closes its connections

A forward that waits for one of the owner's connections until its time ends told the requester that the server could not be reached, which then suspected it. A share that went while a request began left an idle connection open for up to 30 s. The bound of forwards at an owner is 2,048.

--- a/node/ask.go
+++ b/node/ask.go
@@ -44,7 +44,7 @@
 		if ctx.Err() == nil && errors.Is(err, backend.ErrNotDelivered) && !errors.Is(err, errNoOwner) {
 			b.unreachable(outgoing.send.Server)
 		}
-		if errors.Is(err, errOwnersBusy) {
+		if ctx.Err() == nil && errors.Is(err, errOwnersBusy) {
 			return dispatch.Replied{Attempt: attempt, Reply: shedByOwners(outgoing.send)}
 		}
 		return dispatch.Failed{Attempt: attempt, Delivery: deliveryOf(err), Reason: failureReason(ctx, err)}
--- a/node/forward.go
+++ b/node/forward.go
@@ -75,6 +75,10 @@
 	defer cancel()
 	defer context.AfterFunc(f.background, cancel)()
 	reply, err := f.direct.Query(ctx, address, request)
+	if ctx.Err() != nil && errors.Is(err, backend.ErrNotDelivered) {
+		// The time went by in waiting for a connection; the server is not to blame.
+		return peer.ForwardResult{Outcome: peer.ForwardBusy, Err: err}
+	}
 	return forwardResult(reply, err)
 }
 
--- a/node/forward_internal_test.go
+++ b/node/forward_internal_test.go
@@ -192,6 +192,46 @@
 	<-waited
 }
 
+// queuedBackends have no connection free before the context ends.
+type queuedBackends struct{ backends }
+
+func (queuedBackends) Query(ctx context.Context, _ string, _ *backend.Request) (*backend.Reply, error) {
+	<-ctx.Done()
+	return nil, backend.ErrNotDelivered
+}
+
+func TestAServerIsNotBlamedForTheOwnersQueue(t *testing.T) {
+	served := testForwards(queuedBackends{}, 1, t.Context())
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if got := served.ForwardQuery(ctx, "server-1", forwardedRequest()); got.Outcome != peer.ForwardBusy {
+		t.Errorf("outcome %v", got.Outcome)
+	}
+}
+
+func TestAShareLostWhileAskingLeavesNoConnection(t *testing.T) {
+	router := testRouter(t, nil)
+	ways := []route{{connections: 1}, {}}
+	router.direct = answeringBackends{}
+	router.route = func(string) route {
+		way := ways[0]
+		ways = ways[1:]
+		return way
+	}
+	forgotten := ""
+	router.forget = func(address string) { forgotten = address }
+	if _, err := router.Query(t.Context(), "10.0.0.9:9000", forwardedRequest()); err != nil || forgotten != "10.0.0.9:9000" {
+		t.Errorf("forgot %q, %v", forgotten, err)
+	}
+}
+
+// answeringBackends answer at once.
+type answeringBackends struct{ backends }
+
+func (answeringBackends) Query(context.Context, string, *backend.Request) (*backend.Reply, error) {
+	return &backend.Reply{}, nil
+}
+
 func TestAbortEndsForwards(t *testing.T) {
 	direct := waitingBackends{began: make(chan struct{}, 1)}
 	background, abort := context.WithCancel(t.Context())
--- a/node/route.go
+++ b/node/route.go
@@ -43,6 +43,8 @@
 // owner otherwise. It implements backends.
 type router struct {
 	direct backends
+	// forget closes the idle connections to a server.
+	forget func(address string)
 	// route finds the way to the server at an address.
 	route func(address string) route
 	// owners lists the nodes through which to reach a server, the first choice first.
@@ -57,6 +59,7 @@
 func (n *Node) newRouter(readings *healthReadings) *router {
 	return &router{
 		direct:    n.client,
+		forget:    n.client.Forget,
 		route:     n.routeTo,
 		owners:    func(server membership.ServerPlace) []membership.Member { return n.agent.ForwardOwners(server) },
 		forwarder: n.forwarder,
@@ -80,10 +83,20 @@
 // Query sends one sub-request, directly or through one owner.
 func (r *router) Query(ctx context.Context, address string, request *backend.Request) (*backend.Reply, error) {
 	way := r.route(address)
-	if way.connections > 0 {
-		return r.direct.Query(ctx, address, request)
+	if way.connections == 0 {
+		return r.forward(ctx, way.place, request)
+	}
+	reply, err := r.direct.Query(ctx, address, request)
+	r.forgetIfLost(address)
+	return reply, err
+}
+
+// forgetIfLost closes the idle connections to a server whose last share went
+// while it was asked.
+func (r *router) forgetIfLost(address string) {
+	if r.route(address).connections == 0 {
+		r.forget(address)
 	}
-	return r.forward(ctx, way.place, request)
 }
 
 // forward asks the owners in turn until one may have delivered the sub-request.
@@ -135,6 +148,7 @@
 		return r.forwardHealth(ctx, way.place)
 	}
 	health, err := r.direct.Health(ctx, address)
+	r.forgetIfLost(address)
 	if err == nil {
 		r.readings.put(way.place.ID, health)
 	}
--- a/peer/forward_server.go
+++ b/peer/forward_server.go
@@ -20,7 +20,7 @@
 	forwardFrameBytes = 4 << 10
 	// maximumForwards bounds the forwards that an owner takes at once; together
 	// with the bytes of each it bounds what they hold in memory.
-	maximumForwards = 512
+	maximumForwards = 2048
 	// maximumForwardTime bounds the time that a requester may give a sub-request.
 	maximumForwardTime = time.Hour
 	// maximumNameBytes bounds the names and IDs in a forward.
