Do not ask servers that were not heard yet

A server that is new in the configuration is now left alone for one second unless it gave an account of itself (its health is read within 0.35 s). After that it is asked as before, so that a health endpoint that can't be read keeps no server idle. TestServersThatWereNotHeardYet failed before (2 sends, 1 wanted).

--- a/dispatch/configure.go
+++ b/dispatch/configure.go
@@ -123,7 +123,10 @@
 	if s == nil {
 		s = before[settings.ID]
 		if s == nil {
-			s = &server{state: d.states[settings.ID], limiter: limit.New(settings.Slots, d.options.LimitPolicy)}
+			s = &server{
+				state: d.states[settings.ID], hearBy: d.now + d.options.HearingTime,
+				limiter: limit.New(settings.Slots, d.options.LimitPolicy),
+			}
 			delete(d.states, settings.ID)
 		}
 		s.groups = nil
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -49,6 +49,10 @@
 	// free; default limit.DefaultSpareConnections.
 	SpareConnections float64
 
+	// HearingTime is how long a server that is new in the configuration is not
+	// asked while it gave no account of itself; default one second; negative is
+	// none. Until then it may be leaving without the node's knowing.
+	HearingTime time.Duration
 	// ReplicaPolicy chooses among the servers of a group; default PowerOfTwo.
 	ReplicaPolicy ReplicaPolicy
 	// LoadWeight is the weight of a load just reported by a server beside the
@@ -90,6 +94,7 @@
 	DefaultBlockedShare    = 0.25
 	DefaultWaitingPerLimit = 2.0
 	DefaultLeastClassShare = 0.1
+	DefaultHearingTime     = time.Second
 	DefaultUrgentReserve   = 1
 	DefaultLoadWeight      = 0.1
 	DefaultLoadHalfLife    = 20 * time.Millisecond
@@ -106,6 +111,7 @@
 	setDefault(&o.BlockedShare, DefaultBlockedShare)
 	setDefault(&o.WaitingPerLimit, DefaultWaitingPerLimit)
 	setDefault(&o.LeastClassShare, DefaultLeastClassShare)
+	setDefault(&o.HearingTime, DefaultHearingTime)
 	setDefault(&o.UrgentReserve, DefaultUrgentReserve)
 	setDefault(&o.SpareConnections, limit.DefaultSpareConnections)
 	setDefault(&o.LoadWeight, DefaultLoadWeight)
--- a/dispatch/replica.go
+++ b/dispatch/replica.go
@@ -49,7 +49,7 @@
 	avoid := d.mayAvoid(g)
 	id := s.Query().Snapshot()
 	for _, replica := range g.servers {
-		if replica.leaving() || !replica.mayHold(id) {
+		if replica.leaving() || !replica.mayHold(d.now, id) {
 			continue
 		}
 		usable = true
--- a/dispatch/scenario_test.go
+++ b/dispatch/scenario_test.go
@@ -144,6 +144,28 @@
 	}
 }
 
+func TestServersThatWereNotHeardYet(t *testing.T) {
+	tests := []struct {
+		name string
+		at   time.Duration
+		want int
+	}{
+		{"may be leaving and are not asked at first", 500 * time.Millisecond, 1},
+		{"are asked when they can't be heard", 2 * time.Second, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			d := New(Options{})
+			d.Step(0, configuration(2, 2))
+			d.Step(0, Observed{Server: "0/0", Snapshots: []SnapshotID{7}})
+			asked := sends(d.Step(test.at, ask(1)))
+			if len(asked) != test.want || asked[0].Server != "0/0" {
+				t.Fatalf("sent %+v", asked)
+			}
+		})
+	}
+}
+
 func TestGroupOfOutliersIsStillAsked(t *testing.T) {
 	d := started(Options{}, 1, 2)
 	for _, s := range d.groups[0].servers {
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -15,8 +15,10 @@
 	groups   []*group
 	state    ServerState
 	draining bool // by its own reply; sticky until it is live again
-	holder   *snapshot.Holder
-	limiter  *limit.Limiter
+	// hearBy is when the server may be asked though it gave no account of itself.
+	hearBy  time.Duration
+	holder  *snapshot.Holder
+	limiter *limit.Limiter
 
 	// latency is the moving average of observed latencies, as of latencyAt.
 	latency   float64
@@ -67,9 +69,10 @@
 }
 
 // mayHold reports whether the server is worth asking for the snapshot: it is
-// known to hold it, or nothing is known.
-func (s *server) mayHold(id SnapshotID) bool {
-	return s.holder.Holds(id) || !s.holder.Observed()
+// known to hold it, or nothing could be learned in time. A server that was not
+// heard yet may be leaving, which others know and this node does not.
+func (s *server) mayHold(now time.Duration, id SnapshotID) bool {
+	return s.holder.Holds(id) || (!s.holder.Observed() && now >= s.hearBy)
 }
 
 // free reports whether the server may take one more request at now, when that
