The checker excuses a run by no call that came later

A request answered "not run" may run for a later call to another node; the checker took any such call as the excuse, also one sent after the sub-request had arrived. It must have been sent before. The new case was not caught before. Journals now take the wall clock that all processes of a machine share. Tests of judge, and of load that sends again.

--- a/cmd/banksail-lab/judge.go
+++ b/cmd/banksail-lab/judge.go
@@ -140,8 +140,8 @@
 	if err := table.Flush(); err != nil {
 		return err
 	}
-	_, err := fmt.Fprintf(writer, "%d calls, %d answers, %d sub-requests, %d accepted revisions, %d confirmations, %d runs of nodes, over %v\n",
-		len(joined.Calls), len(joined.Answers), len(joined.Attempts), len(joined.Accepted),
+	_, err := fmt.Fprintf(writer, "%d calls of %d requests, %d answers, %d sub-requests, %d accepted revisions, %d confirmations, %d runs of nodes, over %v\n",
+		len(joined.Calls), requests(joined), len(joined.Answers), len(joined.Attempts), len(joined.Accepted),
 		len(joined.Confirmations), len(joined.Runs), joined.End)
 	for _, limit := range v.report.Limits {
 		_, _ = fmt.Fprintf(writer, "known limit: %s\n", limit)
@@ -152,6 +152,15 @@
 	return err
 }
 
+// requests counts the requests, which may be sent more than once.
+func requests(joined *history.History) int {
+	seen := make(map[string]bool)
+	for _, call := range joined.Calls {
+		seen[call.RequestID] = true
+	}
+	return len(seen)
+}
+
 // err is nil for a run without violation.
 func (v verdict) err() error {
 	if len(v.violations) > 0 {
--- a/lab/history/answers.go
+++ b/lab/history/answers.go
@@ -132,14 +132,14 @@
 // answers and calls wait at it for any time.
 func (c *checker) sentAgain(call Call, answer Answer, attempt Attempt) bool {
 	for _, other := range c.history.Calls {
-		if other.RequestID != call.RequestID || other.ID == call.ID || c.answeredNotRun(other.ID) {
+		if other.RequestID != call.RequestID || other.ID == call.ID || c.answeredNotRun(other.ID) || other.At > attempt.ArrivedAt {
 			continue
 		}
 		if !c.sameProcess(call, other) {
 			return true
 		}
 		after := other.At+c.options.InFlightMargin >= answer.At || c.frozen(call.Node, other.At, answer.At)
-		if after && other.At <= attempt.ArrivedAt {
+		if after {
 			return true
 		}
 	}
--- a/lab/history/checker_test.go
+++ b/lab/history/checker_test.go
@@ -123,6 +123,11 @@
 			h.Calls = append(h.Calls, Call{ID: 6, RequestID: "r2", Node: "n1", Service: "search", Deadline: second, At: 2050 * time.Millisecond})
 			h.Answers = append(h.Answers, Answer{Call: 6, At: 2080 * time.Millisecond, Kind: AnswerRefusal, Execution: ExecutionNotRun, RequestID: "r2"})
 		}, "r2"},
+		{"not run, but ran before another node was asked", NotRun, func(h *History) {
+			h.Attempts = append(h.Attempts, ran("a9", "r3", coverage.Range{Start: 0, End: 50}, 3*second))
+			h.Calls = append(h.Calls, Call{ID: 6, RequestID: "r3", Node: "n2", Service: "search", Deadline: second, At: 4 * second})
+			h.Answers = append(h.Answers, Answer{Call: 6, At: 4 * second, Kind: AnswerRefusal, Execution: ExecutionUnknown, RequestID: "r3"})
+		}, "r3"},
 		{"ran twice", AtMostOnce, func(h *History) {
 			h.Attempts = append(h.Attempts, ran("a9", "r2", coverage.Range{Start: 0, End: 50}, 2*second))
 		}, "r2"},
--- a/lab/history/journal.go
+++ b/lab/history/journal.go
@@ -71,23 +71,19 @@
 	// mutex guards the fields below. Invariant: the buffer holds whole lines.
 	mutex  sync.Mutex
 	buffer *bufio.Writer
-	// start anchors the monotonic clock to the wall clock once, so that a
-	// change of the wall clock does not bend the journal's times.
-	start time.Time
-	calls CallID
+	calls  CallID
 	// failure is the first error of the writer.
 	failure error
 }
 
 // NewJournal starts a journal.
 func NewJournal(writer io.Writer) *Journal {
-	return &Journal{buffer: bufio.NewWriter(writer), start: time.Now()}
+	return &Journal{buffer: bufio.NewWriter(writer)}
 }
 
-// Now is the time since the Unix epoch.
-func (j *Journal) Now() time.Duration {
-	return time.Duration(j.start.UnixNano()) + time.Since(j.start)
-}
+// Now is the time since the Unix epoch by the wall clock, which all processes
+// of a machine share; clocks that each process anchors for itself drift apart.
+func (j *Journal) Now() time.Duration { return time.Duration(time.Now().UnixNano()) }
 
 // Call writes a call, giving it its ID and time.
 func (j *Journal) Call(call Call) CallID {
--- a/lab/load/load_test.go
+++ b/lab/load/load_test.go
@@ -4,15 +4,18 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/banksail/banksail/coverage"
 	"github.com/banksail/banksail/lab/emulator"
+	"github.com/banksail/banksail/lab/history"
 	"github.com/banksail/banksail/lab/profile"
 )
 
@@ -125,6 +128,7 @@
 	}{
 		{"no address", func(o *Options) { o.Address = "" }},
 		{"no mix", func(o *Options) { o.Mix = nil }},
+		{"journal without deadline", func(o *Options) { o.Journal = history.NewJournal(io.Discard) }},
 		{"weightless share", func(o *Options) { o.Mix = []profile.Share{{}} }},
 		{"negative rate", func(o *Options) { o.Rate = -1 }},
 		{"long duration", func(o *Options) { o.Duration = 2 * time.Hour }},
@@ -142,3 +146,74 @@
 		}
 	}
 }
+
+// failingNode loses the first sending of every request after reading it and
+// answers the others.
+type failingNode struct {
+	stubNode
+	mutex sync.Mutex
+	seen  map[string]bool
+}
+
+func (n *failingNode) RoundTrip(request *http.Request) (*http.Response, error) {
+	data, err := io.ReadAll(request.Body)
+	if err != nil {
+		return nil, err
+	}
+	asked := query{}
+	if err := json.Unmarshal(data, &asked); err != nil {
+		return nil, err
+	}
+	n.mutex.Lock()
+	again := n.seen[asked.RequestID]
+	n.seen[asked.RequestID] = true
+	n.mutex.Unlock()
+	if !again {
+		return nil, io.ErrUnexpectedEOF
+	}
+	request.Body = io.NopCloser(bytes.NewReader(data))
+	return n.stubNode.RoundTrip(request)
+}
+
+func TestUnansweredIsSentAgainAndWrittenToTheJournal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var written bytes.Buffer
+		journal := history.NewJournal(&written)
+		report, err := Run(t.Context(), Options{
+			Address: "10.0.0.1:80", RetryAddresses: []string{"10.0.0.1:80", "10.0.0.2:80"}, Journal: journal,
+			Rate: 100, Duration: time.Second, InFlight: 100, Deadline: time.Second,
+			Transport: &failingNode{stubNode: stubNode{t: t}, seen: make(map[string]bool)},
+			Mix: []profile.Share{
+				{Service: "once", Class: profile.Normal, Fraction: 1},
+				{Service: "any", Class: profile.Urgent, Fraction: 1, Repeatable: true},
+			},
+		})
+		if err != nil || journal.Flush() != nil {
+			t.Fatal(err)
+		}
+		once, repeatable := report.Lines()[0], report.Lines()[1]
+		if once.Sent == 0 || once.Answered != once.Sent || repeatable.Failed != repeatable.Sent {
+			t.Errorf("once %+v, repeatable %+v", once, repeatable)
+		}
+		entries, err := history.ReadJournal(&written)
+		if err != nil {
+			t.Fatal(err)
+		}
+		kinds := make(map[history.AnswerKind]int)
+		nodes := make(map[string]int)
+		for _, entry := range entries {
+			if entry.Answer != nil {
+				kinds[entry.Answer.Kind]++
+			}
+			if entry.Call != nil {
+				nodes[entry.Call.Node]++
+			}
+		}
+		if kinds[history.AnswerResult] != once.Sent || kinds[history.AnswerBroken] != once.Sent+repeatable.Sent {
+			t.Errorf("ends in the journal: %v", kinds)
+		}
+		if nodes["10.0.0.2:80"] == 0 || nodes["10.0.0.1:80"] <= once.Sent {
+			t.Errorf("sendings by node: %v", nodes)
+		}
+	})
+}
