--- a/backend/client.go
+++ b/backend/client.go
@@ -1,18 +1,18 @@
 package backend
 
 import (
-	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/banksail/banksail/internal/delivery"
+	"github.com/banksail/banksail/internal/httpcall"
 	"github.com/banksail/banksail/internal/strictjson"
 )
 
@@ -36,11 +36,6 @@
 	DefaultIdleTimeout          = 30 * time.Second
 )
 
-const (
-	maximumHeaderBytes = 64 << 10
-	contentTypeJSON    = "application/json"
-)
-
 // ClientOptions configures a Client. Zero fields get defaults.
 type ClientOptions struct {
 	// Dial opens connections; the default is the operating system's TCP.
@@ -76,15 +71,9 @@
 	if options.ConnectionsPerServer == nil {
 		options.ConnectionsPerServer = func(string) int { return DefaultConnectionsPerServer }
 	}
-	if options.SparesPerServer == 0 {
-		options.SparesPerServer = DefaultSparesPerServer
-	}
-	if options.DialTimeout == 0 {
-		options.DialTimeout = DefaultDialTimeout
-	}
-	if options.IdleTimeout == 0 {
-		options.IdleTimeout = DefaultIdleTimeout
-	}
+	options.SparesPerServer = cmp.Or(options.SparesPerServer, DefaultSparesPerServer)
+	options.DialTimeout = cmp.Or(options.DialTimeout, DefaultDialTimeout)
+	options.IdleTimeout = cmp.Or(options.IdleTimeout, DefaultIdleTimeout)
 	return &Client{options: options, pools: make(map[string]*pool)}
 }
 
@@ -97,7 +86,11 @@
 		return nil, fmt.Errorf("%w: encoding the request: %w", ErrNotDelivered, err)
 	}
 	var reply *Reply
-	err = c.exchange(ctx, address, http.MethodPost, QueryPath, body, func(data []byte, code int) error {
+	call := httpcall.Call{
+		Method: http.MethodPost, Address: address, Path: QueryPath, Body: body,
+		Header: http.Header{"Content-Type": {httpcall.JSON}},
+	}
+	err = c.exchange(ctx, call, func(data []byte, code int) error {
 		reply, err = decodeReply(data, code, request)
 		return err
 	})
@@ -107,7 +100,7 @@
 // Health reads a server's account of its health, which may lag or mislead.
 func (c *Client) Health(ctx context.Context, address string) (*Health, error) {
 	var health *Health
-	err := c.exchange(ctx, address, http.MethodGet, HealthPath, nil, func(data []byte, code int) (err error) {
+	err := c.exchange(ctx, httpcall.Call{Address: address, Path: HealthPath}, func(data []byte, code int) (err error) {
 		health, err = decodeHealth(data, code)
 		return err
 	})
@@ -117,7 +110,7 @@
 // Load reads a server's account of its work, which may lag or mislead.
 func (c *Client) Load(ctx context.Context, address string) (*Load, error) {
 	var load *Load
-	err := c.exchange(ctx, address, http.MethodGet, LoadPath, nil, func(data []byte, code int) (err error) {
+	err := c.exchange(ctx, httpcall.Call{Address: address, Path: LoadPath}, func(data []byte, code int) (err error) {
 		load, err = decodeLoad(data, code)
 		return err
 	})
@@ -149,23 +142,21 @@
 // exchange sends one request and gives its whole reply to decode. A connection
 // whose reply can't be decoded is closed: later replies on it may belong to
 // other requests.
-func (c *Client) exchange(
-	ctx context.Context, address, method, path string, body []byte, decode func(data []byte, code int) error,
-) error {
-	open := c.acquire(address)
+func (c *Client) exchange(ctx context.Context, call httpcall.Call, decode func(data []byte, code int) error) error {
+	open := c.acquire(call.Address)
 	defer open.release()
 	for {
 		trackedContext, tracker := delivery.Track(ctx)
-		data, code, err := open.roundTrip(trackedContext, address, method, path, body)
+		reply, err := open.roundTrip(trackedContext, call)
 		if err == nil {
-			err = decode(data, code)
+			err = decode(reply.Body, reply.Code)
 		}
 		if err == nil {
 			return nil
 		}
 		err = classify(tracker, err)
 		if !errors.Is(err, ErrNotDelivered) || !tracker.Reused() || ctx.Err() != nil {
-			return fmt.Errorf("asking %s: %w", address, err)
+			return fmt.Errorf("asking %s: %w", call.Address, err)
 		}
 		// A kept connection had closed before a byte was written; it is gone
 		// now, so this ends with the last of them.
@@ -173,21 +164,13 @@
 }
 
 // roundTrip sends one request and reads its whole reply.
-func (p *pool) roundTrip(ctx context.Context, address, method, path string, body []byte) ([]byte, int, error) {
-	request, err := newRequest(ctx, address, method, path, body)
-	if err != nil {
-		return nil, 0, err
-	}
-	response, err := p.transport.RoundTrip(request)
-	if err != nil {
-		return nil, 0, err
-	}
-	defer func() { _ = response.Body.Close() }()
-	data, err := strictjson.Read(response.Body, MaximumReplyBytes)
+func (p *pool) roundTrip(ctx context.Context, call httpcall.Call) (httpcall.Reply, error) {
+	call.Limit = MaximumReplyBytes
+	reply, err := httpcall.Send(ctx, p.transport, call)
 	if errors.Is(err, strictjson.ErrTooLarge) {
 		err = fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
-	return data, response.StatusCode, err
+	return reply, err
 }
 
 // classify turns the error of a request by what had been written, and closes
@@ -202,21 +185,3 @@
 	}
 	return fmt.Errorf("%w: %w", ErrNotDelivered, err)
 }
-
-// newRequest builds a request that net/http's transport never sends again: a
-// POST has neither GetBody nor an idempotency key.
-func newRequest(ctx context.Context, address, method, path string, body []byte) (*http.Request, error) {
-	var reader io.Reader
-	if body != nil {
-		reader = bytes.NewReader(body)
-	}
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, reader)
-	if err != nil {
-		return nil, err
-	}
-	request.GetBody = nil
-	if body != nil {
-		request.Header.Set("Content-Type", contentTypeJSON)
-	}
-	return request, nil
-}
--- a/lab/emulator/listener.go
+++ b/lab/emulator/listener.go
@@ -1,22 +1,11 @@
 package emulator
 
 import (
-	"context"
-	"errors"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 )
 
-// Timeouts of the stand-ins' HTTP servers.
-const (
-	readHeaderTimeout = 10 * time.Second
-	idleTimeout       = 2 * time.Minute
-	// controlTimeout bounds the reading of a request above the connection limit.
-	controlTimeout = 200 * time.Millisecond
-)
-
 // limitedListener parts the connections within a limit, whose first read it
 // delays, from those above it, which may only carry the fault switches.
 type limitedListener struct {
@@ -24,7 +13,7 @@
 	limit int
 	setup time.Duration
 	// above takes the connections above the limit.
-	above *handedListener
+	above *channelListener
 
 	// mutex guards open, the number of connections within the limit.
 	mutex sync.Mutex
@@ -32,7 +21,7 @@
 }
 
 func newLimitedListener(inner net.Listener, limit int, setup time.Duration) *limitedListener {
-	return &limitedListener{Listener: inner, limit: limit, setup: setup, above: newHandedListener(inner.Addr())}
+	return &limitedListener{Listener: inner, limit: limit, setup: setup, above: newChannelListener(inner.Addr())}
 }
 
 // Accept returns the next connection within the limit.
@@ -90,23 +79,23 @@
 	return c.Conn.Close()
 }
 
-// handedListener accepts the connections that it is handed.
-type handedListener struct {
+// channelListener accepts the connections that it is handed.
+type channelListener struct {
 	address net.Addr
 	conns   chan net.Conn
 	ended   chan struct{}
 	once    sync.Once
 }
 
-// handedBound is the number of connections that wait to be accepted; further
+// pendingBound is the number of connections that wait to be accepted; further
 // ones are closed.
-const handedBound = 16
+const pendingBound = 16
 
-func newHandedListener(address net.Addr) *handedListener {
-	return &handedListener{address: address, conns: make(chan net.Conn, handedBound), ended: make(chan struct{})}
+func newChannelListener(address net.Addr) *channelListener {
+	return &channelListener{address: address, conns: make(chan net.Conn, pendingBound), ended: make(chan struct{})}
 }
 
-func (l *handedListener) hand(conn net.Conn) {
+func (l *channelListener) hand(conn net.Conn) {
 	select {
 	case l.conns <- conn:
 	default:
@@ -115,7 +104,7 @@
 }
 
 // Accept returns the next connection.
-func (l *handedListener) Accept() (net.Conn, error) {
+func (l *channelListener) Accept() (net.Conn, error) {
 	select {
 	case conn := <-l.conns:
 		return conn, nil
@@ -125,83 +114,12 @@
 }
 
 // Close ends Accept.
-func (l *handedListener) Close() error {
+func (l *channelListener) Close() error {
 	l.once.Do(func() { close(l.ended) })
 	return nil
 }
 
 // Addr is the address of the listener that hands connections over.
-func (l *handedListener) Addr() net.Addr {
+func (l *channelListener) Addr() net.Addr {
 	return l.address
 }
-
-// lifetime owns the HTTP servers of a stand-in.
-type lifetime struct {
-	// ctx ends with the stand-in.
-	ctx    context.Context
-	cancel context.CancelFunc
-
-	// mutex guards the fields below. Invariant: after closed is set, no server
-	// is added.
-	mutex   sync.Mutex
-	closed  bool
-	servers []*http.Server
-}
-
-func newLifetime() *lifetime {
-	ctx, cancel := context.WithCancel(context.Background())
-	return &lifetime{ctx: ctx, cancel: cancel}
-}
-
-// serve serves the listener until close; it returns nil then.
-func (l *lifetime) serve(handler http.Handler, listener net.Listener) error {
-	return l.run(&http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-	}, listener)
-}
-
-// serveControl serves connections of one request each, which must come at once.
-func (l *lifetime) serveControl(handler http.Handler, listener net.Listener) error {
-	server := &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: controlTimeout,
-		ReadTimeout:       controlTimeout,
-	}
-	server.SetKeepAlivesEnabled(false)
-	return l.run(server, listener)
-}
-
-func (l *lifetime) run(server *http.Server, listener net.Listener) error {
-	if !l.add(server) {
-		return listener.Close()
-	}
-	err := server.Serve(listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
-
-func (l *lifetime) add(server *http.Server) bool {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	if l.closed {
-		return false
-	}
-	l.servers = append(l.servers, server)
-	return true
-}
-
-func (l *lifetime) close() error {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.closed = true
-	l.cancel()
-	var problems []error
-	for _, server := range l.servers {
-		problems = append(problems, server.Close())
-	}
-	return errors.Join(problems...)
-}
--- a/lab/emulator/server.go
+++ b/lab/emulator/server.go
@@ -5,6 +5,7 @@
 package emulator
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -17,6 +18,7 @@
 
 	"github.com/banksail/banksail/backend"
 	"github.com/banksail/banksail/coverage"
+	"github.com/banksail/banksail/internal/clock"
 	"github.com/banksail/banksail/policy"
 )
 
@@ -70,13 +72,12 @@
 
 // Server is a back end's stand-in.
 type Server struct {
+	endpoint
 	options  ServerOptions
 	started  time.Time
-	mux      *http.ServeMux
 	slots    *slots
 	recorder *recorder
 	loads    loadHistory
-	ended    *lifetime
 
 	// mutex guards the fields below. Invariant: thawed is closed whenever
 	// faults.Freeze is off; drains holds the changes of faults.Draining in order.
@@ -97,12 +98,11 @@
 	thawed := make(chan struct{})
 	close(thawed)
 	server := &Server{
+		endpoint: newEndpoint(),
 		options:  options,
 		started:  time.Now(),
-		mux:      http.NewServeMux(),
 		slots:    &slots{size: options.Slots, bound: max(0, options.QueueBound)},
 		recorder: &recorder{server: options.ID, callback: options.OnExecution},
-		ended:    newLifetime(),
 		random:   rand.New(rand.NewPCG(options.Seed, seedStream)),
 		thawed:   thawed,
 	}
@@ -110,9 +110,7 @@
 	server.mux.HandleFunc("GET "+backend.HealthPath, server.serveHealth)
 	server.mux.HandleFunc("GET "+backend.LoadPath, server.serveLoad)
 	server.mux.Handle("GET "+ExecutionsPath, server.recorder)
-	server.mux.Handle(FaultsPath, faultsHandler[ServerFaults]{
-		validate: newValidator(), get: server.Faults, set: server.SetFaults,
-	})
+	handleFaults(server.mux, server.Faults, server.SetFaults)
 	return server, nil
 }
 
@@ -120,46 +118,27 @@
 const seedStream = 0x656d756c61746f72
 
 func withServerDefaults(options ServerOptions) ServerOptions {
-	if options.Slots == 0 {
-		options.Slots = DefaultSlots
-	}
-	if options.QueueBound == 0 {
-		options.QueueBound = DefaultQueueBound
-	}
-	if options.Connections == 0 {
-		options.Connections = DefaultConnections
-	}
+	options.Slots = cmp.Or(options.Slots, DefaultSlots)
+	options.QueueBound = cmp.Or(options.QueueBound, DefaultQueueBound)
+	options.Connections = cmp.Or(options.Connections, DefaultConnections)
 	if len(options.Snapshots) == 0 {
 		options.Snapshots = []uint64{DefaultSnapshot}
 	}
-	if options.ServiceTime.Kind == "" {
-		options.ServiceTime.Kind = Fixed
-	}
-	if options.ColdFactor == 0 {
-		options.ColdFactor = 1
-	}
-	if options.ItemStride == 0 {
-		options.ItemStride = DefaultItemStride
-	}
-	if options.Incarnation == "" {
-		options.Incarnation = "1"
-	}
+	options.ServiceTime.Kind = cmp.Or(options.ServiceTime.Kind, Fixed)
+	options.ColdFactor = cmp.Or(options.ColdFactor, 1)
+	options.ItemStride = cmp.Or(options.ItemStride, DefaultItemStride)
+	options.Incarnation = cmp.Or(options.Incarnation, "1")
 	return options
 }
 
-// ServeHTTP serves the back end's protocol and the fault switches.
-func (s *Server) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	s.mux.ServeHTTP(writer, request)
-}
-
 // Serve serves connections of the listener until the server is closed. Those
 // above the connection limit are cut, unless they read or set fault switches or
 // read the execution history: a full or frozen server can still be switched.
 func (s *Server) Serve(listener net.Listener) error {
 	limited := newLimitedListener(listener, s.options.Connections, s.options.ConnectionSetup)
 	control := make(chan error, 1)
-	go func() { control <- s.ended.serveControl(http.HandlerFunc(s.serveControl), limited.above) }()
-	err := s.ended.serve(s, limited)
+	go func() { control <- s.servers.serveControl(http.HandlerFunc(s.serveControl), limited.above) }()
+	err := s.servers.serve(s, limited)
 	_ = limited.above.Close()
 	return errors.Join(err, ignoreClosed(<-control))
 }
@@ -179,9 +158,17 @@
 	return err
 }
 
-// Close ends Serve, cuts its connections and ends what is frozen.
-func (s *Server) Close() error {
-	return s.ended.close()
+// Drain stops the server as planned: it says that it leaves and refuses new
+// sub-requests for the notice time, then closes its listeners and waits for
+// what runs. It returns the context's error when that ends first.
+func (s *Server) Drain(ctx context.Context, notice time.Duration) error {
+	faults := s.Faults()
+	faults.Draining = true
+	s.SetFaults(faults)
+	if err := clock.Sleep(ctx, notice); err != nil {
+		return err
+	}
+	return s.servers.shutdown(ctx)
 }
 
 // Faults returns the fault switches.
@@ -274,24 +261,9 @@
 	}
 	select {
 	case <-thawed:
-		return s.ended.ctx, nil
-	case <-s.ended.ctx.Done():
-		return nil, s.ended.ctx.Err()
-	}
-}
-
-// sleep waits for the duration or the end of the context.
-func sleep(ctx context.Context, duration time.Duration) error {
-	if duration <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+		return s.servers.ctx, nil
+	case <-s.servers.ctx.Done():
+		return nil, s.servers.ctx.Err()
 	}
 }
 
--- a/lab/history/checker_test.go
+++ b/lab/history/checker_test.go
@@ -78,14 +78,17 @@
 	}
 }
 
-func TestCheckerCatches(t *testing.T) {
-	tests := []struct {
-		name      string
-		invariant Invariant
-		corrupt   func(h *History)
-		// subject must occur in the violation.
-		subject string
-	}{
+// corruption is a change of the sound history that breaches an invariant.
+type corruption struct {
+	name      string
+	invariant Invariant
+	corrupt   func(h *History)
+	// subject must occur in the violation.
+	subject string
+}
+
+func corruptions() []corruption {
+	return []corruption{
 		{"a part from another snapshot", OneSnapshot, func(h *History) { h.Attempts[1].Snapshot = 6 }, "r1"},
 		{"content from another snapshot", OneSnapshot, func(h *History) { h.Answers[0].Parts[1].Snapshot = 6 }, "r1"},
 		{"inflated coverage", TrueCoverage, func(h *History) { h.Answers[0].Parts = h.Answers[0].Parts[:1] }, "r1"},
@@ -120,6 +123,11 @@
 			h.Calls = append(h.Calls, Call{ID: 6, RequestID: "r2", Node: "n1", Service: "search", Deadline: second, At: 2050 * time.Millisecond})
 			h.Answers = append(h.Answers, Answer{Call: 6, At: 2080 * time.Millisecond, Kind: AnswerRefusal, Execution: ExecutionNotRun, RequestID: "r2"})
 		}, "r2"},
+		{"not run, but ran before another node was asked", NotRun, func(h *History) {
+			h.Attempts = append(h.Attempts, ran("a9", "r3", coverage.Range{Start: 0, End: 50}, 3*second))
+			h.Calls = append(h.Calls, Call{ID: 6, RequestID: "r3", Node: "n2", Service: "search", Deadline: second, At: 4 * second})
+			h.Answers = append(h.Answers, Answer{Call: 6, At: 4 * second, Kind: AnswerRefusal, Execution: ExecutionUnknown, RequestID: "r3"})
+		}, "r3"},
 		{"ran twice", AtMostOnce, func(h *History) {
 			h.Attempts = append(h.Attempts, ran("a9", "r2", coverage.Range{Start: 0, End: 50}, 2*second))
 		}, "r2"},
@@ -155,20 +163,35 @@
 			h.Answers[4] = Answer{Call: 5, At: 25 * second, Kind: AnswerRefusal, Execution: ExecutionUnknown}
 		}, "r5"},
 	}
-	for _, test := range tests {
+}
+
+// breached returns the sound history with the corruption.
+func (c corruption) breached() *History {
+	history := sound()
+	if c.name == "revision never in force" {
+		history.Runs[1].StopAsked, history.Runs[1].End = 0, 0
+	}
+	c.corrupt(history)
+	return history
+}
+
+// caught reports whether the violation is among those found.
+func (c corruption) caught(report Report) bool {
+	for _, violation := range report.Violations {
+		if violation.Invariant == c.invariant && strings.Contains(violation.Subject, c.subject) {
+			return true
+		}
+	}
+	return false
+}
+
+func TestCheckerCatches(t *testing.T) {
+	for _, test := range corruptions() {
 		t.Run(test.name, func(t *testing.T) {
-			history := sound()
-			if test.name == "revision never in force" {
-				history.Runs[1].StopAsked, history.Runs[1].End = 0, 0
-			}
-			test.corrupt(history)
-			report := Check(history, DefaultOptions())
-			for _, violation := range report.Violations {
-				if violation.Invariant == test.invariant && strings.Contains(violation.Subject, test.subject) {
-					return
-				}
+			report := Check(test.breached(), DefaultOptions())
+			if !test.caught(report) {
+				t.Fatalf("not caught; violations: %v", report.Violations)
 			}
-			t.Fatalf("not caught; violations: %v", report.Violations)
 		})
 	}
 }
@@ -176,12 +199,14 @@
 func TestRunAgainOnceEveryNodeWasLost(t *testing.T) {
 	tests := []struct {
 		name       string
-		secondEnds time.Duration
+		second     NodeRun
 		violations int
 	}{
-		{"every node lost between", 4 * second, 0},
-		{"one node outlived it", 0, 1},
-		{"one node lost after it", 9 * second, 1},
+		{"every node lost between", NodeRun{Node: "n2", End: 4 * second, Killed: true}, 0},
+		{"one node outlived it", NodeRun{Node: "n2"}, 1},
+		{"one node lost after it", NodeRun{Node: "n2", End: 9 * second, Killed: true}, 1},
+		{"one node told its successor", NodeRun{Node: "n2", StopAsked: 6 * second, End: 7 * second}, 1},
+		{"one node had nobody to tell", NodeRun{Node: "n2", StopAsked: 4 * second, End: 4500 * time.Millisecond}, 0},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -190,7 +215,7 @@
 				Calls:    []Call{{ID: 1, RequestID: "r", Node: "n1", Service: "search"}},
 				Attempts: []Attempt{ran("a", "r", low, 1*second), ran("b", "r", low, 8*second)},
 				Runs: []NodeRun{
-					{Node: "n1", End: 3 * second, Killed: true}, {Node: "n2", End: test.secondEnds, Killed: true},
+					{Node: "n1", End: 3 * second, Killed: true}, test.second,
 					{Node: "n1", Start: 5 * second},
 				},
 			}
--- a/lab/load/options.go
+++ b/lab/load/options.go
@@ -3,13 +3,16 @@
 package load
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net/http"
 	"slices"
 	"time"
 
+	"github.com/banksail/banksail/internal/httpcall"
 	"github.com/banksail/banksail/lab/emulator"
+	"github.com/banksail/banksail/lab/history"
 	"github.com/banksail/banksail/lab/profile"
 )
 
@@ -52,29 +55,24 @@
 	Seed uint64
 	// ItemStride is that of the stand-ins, for the check of results.
 	ItemStride uint64
+	// RetryAddresses lists the caller APIs, as a rule that of Address among
+	// them, to which queries that are not repeatable are sent again, with the
+	// same request ID, while they have no answer. Empty means never.
+	RetryAddresses []string
+	// Journal gets every sending and its end, unless nil. Queries must then
+	// state a deadline.
+	Journal *history.Journal
 	// Transport sends the queries; the default is net/http's, bounded as InFlight.
 	Transport http.RoundTripper
 }
 
 func (o Options) withDefaults() Options {
-	if o.Rate == 0 {
-		o.Rate = DefaultRate
-	}
-	if o.Duration == 0 {
-		o.Duration = DefaultDuration
-	}
-	if o.InFlight == 0 {
-		o.InFlight = DefaultInFlight
-	}
-	if o.ItemStride == 0 {
-		o.ItemStride = emulator.DefaultItemStride
-	}
+	o.Rate = cmp.Or(o.Rate, DefaultRate)
+	o.Duration = cmp.Or(o.Duration, DefaultDuration)
+	o.InFlight = cmp.Or(o.InFlight, DefaultInFlight)
+	o.ItemStride = cmp.Or(o.ItemStride, emulator.DefaultItemStride)
 	if o.Transport == nil {
-		o.Transport = &http.Transport{
-			MaxConnsPerHost:     o.InFlight,
-			MaxIdleConnsPerHost: o.InFlight,
-			DisableCompression:  true,
-		}
+		o.Transport = httpcall.NewTransport(nil, o.InFlight)
 	}
 	return o
 }
@@ -95,6 +93,8 @@
 		return fmt.Errorf("%w: duration must be over 0 and at most %v", ErrInvalidOptions, MaximumDuration)
 	case o.InFlight < 1 || o.InFlight > MaximumInFlight:
 		return fmt.Errorf("%w: in-flight bound must be from 1 to %d", ErrInvalidOptions, MaximumInFlight)
+	case o.Journal != nil && o.Deadline == 0:
+		return fmt.Errorf("%w: a journal needs a stated deadline", ErrInvalidOptions)
 	case o.Deadline < 0:
 		return fmt.Errorf("%w: deadline is negative", ErrInvalidOptions)
 	case !(o.MinimumCoverage >= 0 && o.MinimumCoverage <= 1):
--- a/rollout/confirm.go
+++ b/rollout/confirm.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/banksail/banksail/internal/clock"
 	"github.com/banksail/banksail/policy"
 	"github.com/banksail/banksail/store"
 )
@@ -130,7 +131,7 @@
 		if err == nil || !retryable(err) {
 			return revision, err
 		}
-		if !sleep(ctx, jitter(backoff)) {
+		if clock.Sleep(ctx, jitter(backoff)) != nil {
 			return 0, err
 		}
 		backoff = min(2*backoff, confirmBackoffMaximum)
@@ -225,7 +226,13 @@
 	_, err = k.options.Store.Put(ctx, policy.StoreKey, data, base, "")
 	switch {
 	case err == nil:
-		return next.Revision, k.adopt(stateOf(next, data), "")
+		err = k.adopt(stateOf(next, data), "")
+		if err != nil {
+			c.maybeSent = true // it is in the store, though not in force here
+		}
+		return next.Revision, err
+	case errors.Is(err, store.ErrInvalid):
+		return 0, fmt.Errorf("%w: %w", ErrRejected, err)
 	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrRateLimited), errors.Is(err, store.ErrUnavailable):
 		return 0, fmt.Errorf("%w: %w", ErrStoreUnavailable, err)
 	default:
@@ -265,15 +272,3 @@
 func jitter(mean time.Duration) time.Duration {
 	return mean/2 + rand.N(mean)
 }
-
-// sleep waits; it returns false when the context ends first.
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/rollout/keeper.go
+++ b/rollout/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -18,15 +19,14 @@
 
 // Errors of the package, wrapped with details.
 var (
-	// ErrNoConfiguration: the node knows no configuration yet.
-	ErrNoConfiguration = errors.New("rollout: no configuration known")
 	// ErrStoreUnavailable: the store can't be used now; nothing changed.
 	ErrStoreUnavailable = errors.New("rollout: store unavailable")
 	// ErrStoreBehind: the store answers a revision below the one in force; nothing changed.
 	ErrStoreBehind = errors.New("rollout: store answers an old revision")
 	// ErrOutcomeUnknown: the plan was sent to the store and may be in effect.
 	ErrOutcomeUnknown = errors.New("rollout: outcome unknown")
-	// ErrRejected: an offered record can't be read or breaks a rule.
+	// ErrRejected: a record can't be read, breaks a rule, or can't be stored;
+	// nothing changed.
 	ErrRejected = errors.New("rollout: record rejected")
 	// ErrDiverged: an offered record differs from the one of the same revision in force.
 	ErrDiverged = errors.New("rollout: two records of one revision differ")
@@ -113,10 +113,10 @@
 
 // NewKeeper makes a keeper that knows no configuration; Run starts it.
 func NewKeeper(options KeeperOptions) *Keeper {
-	setDefault(&options.StoreTimeout, DefaultStoreTimeout)
-	setDefault(&options.PeerTimeout, DefaultPeerTimeout)
-	setDefault(&options.ConfirmTimeout, DefaultConfirmTimeout)
-	setDefault(&options.MembersInterval, DefaultMembersInterval)
+	options.StoreTimeout = cmp.Or(options.StoreTimeout, DefaultStoreTimeout)
+	options.PeerTimeout = cmp.Or(options.PeerTimeout, DefaultPeerTimeout)
+	options.ConfirmTimeout = cmp.Or(options.ConfirmTimeout, DefaultConfirmTimeout)
+	options.MembersInterval = cmp.Or(options.MembersInterval, DefaultMembersInterval)
 	if options.Now == nil {
 		options.Now = time.Now
 	}
@@ -153,6 +153,22 @@
 	return current.record.Revision, current.bytes
 }
 
+// RecordAbove returns what a node with the given revision in force needs to get
+// to the one in force here: a delta when it is one revision behind and there is
+// one, else the record, byte for byte. Nothing is returned when it is not behind.
+// The bytes must not be changed.
+func (k *Keeper) RecordAbove(above policy.Revision) (policy.Revision, []byte) {
+	current := k.snapshot()
+	if current == nil || current.record.Revision <= above {
+		return 0, nil
+	}
+	revision := current.record.Revision
+	if above > 0 && revision == above+1 && current.delta != nil {
+		return revision, current.delta
+	}
+	return revision, current.bytes
+}
+
 // Current returns the configuration in force; ok is false when none is known.
 // The configuration must not be changed.
 func (k *Keeper) Current() (revision policy.Revision, config policy.Config, ok bool) {
@@ -232,7 +248,7 @@
 		k.metrics.rejected.Add(1)
 		return fmt.Errorf("%w: %w", ErrRejected, err)
 	}
-	record, encoded, err := policy.NextRecord(current.record, delta)
+	record, encoded, err := policy.ApplyDelta(current.record, delta)
 	if err != nil {
 		k.metrics.deltaMisfits.Add(1)
 		k.options.Logger.Warn().Err(err).Uint64("revision", uint64(revision)).Msg("delta refused")
