A record's rules are checked once when it is decoded

DecodeRecord checked the tags of the configuration within the record, and then Validate checked them again.

--- a/policy/record.go
+++ b/policy/record.go
@@ -85,13 +85,11 @@
 		return Record{}, &ValidationError{Faults: []Fault{{Field: "revision", Problem: "must be at least 1"}}}
 	}
 	faults := &faultList{}
-	checkTags(faults, "", record)
+	checkTags(faults, "", record) // those of the configuration too
+	checkRules(faults, record.Config)
 	if err := faults.err(); err != nil {
 		return Record{}, err
 	}
-	if err := Validate(record.Config); err != nil {
-		return Record{}, err
-	}
 	return record, nil
 }
 
--- a/policy/validate.go
+++ b/policy/validate.go
@@ -32,10 +32,15 @@
 func Validate(config Config) error {
 	faults := &faultList{}
 	checkTags(faults, "", config)
+	checkRules(faults, config)
+	return faults.err()
+}
+
+// checkRules checks what holds between fields, which tags can't say.
+func checkRules(faults *faultList, config Config) {
 	checkClasses(faults, config.Classes)
 	checkServices(faults, config.Services)
 	checkServerIdentities(faults, config.Services)
-	return faults.err()
 }
 
 // checkTags turns the validator's errors into faults below the prefix.
