--- a/cmd/banksail-lab/backends.go
+++ b/cmd/banksail-lab/backends.go
@@ -56,8 +56,8 @@
 	c.placement.register(flags)
 	flags.StringVar(&c.only, "only", "*", "pattern of the server IDs to serve, as in path.Match")
 	flags.Uint64Var(&c.seed, "seed", 1, "seed of service times and faults")
-	flags.IntVar(&c.snapshots, "snapshots", 1, "number of snapshots held: 1 to this")
-	flags.DurationVar(&c.notice, "drain", 0, "how long a signal makes the back ends drain before they stop")
+	flags.IntVar(&c.snapshots, "snapshots", 1, "highest snapshot held; those from 1 to it are")
+	flags.DurationVar(&c.notice, "drain", 0, "how long a signal makes the back ends drain before they stop; 0 stops them at once")
 	flags.Float64Var(&c.serviceMean, "service-ms", 0, "mean service time in milliseconds; 0 keeps the profile's")
 }
 
--- a/cmd/banksail-lab/spread.go
+++ b/cmd/banksail-lab/spread.go
@@ -46,7 +46,7 @@
 	flags.IntVar(&c.options.Zones, "zones", 8, "number of zones")
 	flags.IntVar(&c.options.StoreZones, "store-zones", 0, "number of zones that reach the store; 0 means all")
 	flags.BoolVar(&c.options.ConfirmerLost, "confirmer-lost", false, "the confirming node dies before it tells anybody")
-	flags.Float64Var(&c.options.PeerLoss, "peer-loss", 0, "share of calls between nodes that fail")
+	flags.Float64Var(&c.options.PeerLoss, "peer-loss", 0, "share of calls between nodes that fail, from 0 to 1")
 	flags.DurationVar(&c.options.PeerDelay, "peer-delay", spread.DefaultPeerDelay, "mean one-way delay between nodes")
 	flags.IntVar(&c.runs, "runs", 10, "number of seeds")
 }
--- a/cmd/banksailctl/command.go
+++ b/cmd/banksailctl/command.go
@@ -54,7 +54,7 @@
 	if node == "" {
 		node = defaultNode
 	}
-	flags.StringVar(&c.node, "node", node, "a node's operator listener, as host:port; any node will do (default from "+nodeVariable+")")
+	flags.StringVar(&c.node, "node", node, "a node's operator listener, as host:port; any node will do; "+nodeVariable+" in the environment replaces the default")
 	flags.DurationVar(&c.timeout, "timeout", operator.DefaultClientTimeout, "longest wait for the node's answer")
 	flags.BoolVar(&c.json, "json", false, "print JSON")
 }
