One validator that names fields as documents do

policy, settings and the stand-ins each set one up and cut the paths of its faults. policy's look-ups by name stand with the types, its lists find items by their own name, and cmp.Compare replaces a comparison of its own. The command that asks for a plan's outcome is written in one place.

--- a/cmd/banksailctl/confirm.go
+++ b/cmd/banksailctl/confirm.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"flag"
-	"fmt"
 
 	"github.com/google/subcommands"
 
@@ -69,7 +68,7 @@
 
 // unknown reports a confirmation whose answer was lost between node and operator.
 func (c *confirmCommand) unknown(plan policy.Plan, err error) subcommands.ExitStatus {
-	askAgain := fmt.Sprintf("banksailctl status --plan %s --base %d", plan.ID, plan.BaseRevision)
+	askAgain := operator.AskAgainCommand(plan)
 	if c.json {
 		c.printJSON(operator.Problem{
 			Title:    "The plan may be in effect",
--- a/lab/emulator/faults.go
+++ b/lab/emulator/faults.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"reflect"
 	"strings"
 
 	"github.com/go-playground/validator/v10"
@@ -13,6 +12,7 @@
 	"github.com/banksail/banksail/backend"
 	"github.com/banksail/banksail/coverage"
 	"github.com/banksail/banksail/internal/strictjson"
+	"github.com/banksail/banksail/internal/validation"
 )
 
 // FaultsPath is where every stand-in's fault switches are read (GET), merged
@@ -67,16 +67,6 @@
 	Ranges []coverage.Range `json:"ranges" validate:"max=1024,dive"`
 }
 
-// newValidator returns a validator that names fields as JSON does.
-func newValidator() *validator.Validate {
-	validate := validator.New(validator.WithRequiredStructEnabled())
-	validate.RegisterTagNameFunc(func(field reflect.StructField) string {
-		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
-		return name
-	})
-	return validate
-}
-
 // validateFaults turns the validator's errors into ErrInvalidFaults.
 func validateFaults(validate *validator.Validate, faults any) error {
 	err := validate.Struct(faults)
@@ -86,8 +76,7 @@
 	}
 	problems := make([]string, 0, len(fields))
 	for _, field := range fields {
-		_, path, _ := strings.Cut(field.Namespace(), ".")
-		problems = append(problems, fmt.Sprintf("%s: must satisfy %s=%s", path, field.Tag(), field.Param()))
+		problems = append(problems, fmt.Sprintf("%s: must satisfy %s=%s", validation.Path(field), field.Tag(), field.Param()))
 	}
 	return fmt.Errorf("%w: %s", ErrInvalidFaults, strings.Join(problems, "; "))
 }
@@ -120,7 +109,7 @@
 
 // handleFaults serves FaultsPath for the switches that get and set reach.
 func handleFaults[F any](mux *http.ServeMux, get func() F, set func(F)) {
-	mux.Handle(FaultsPath, faultsHandler[F]{validate: newValidator(), get: get, set: set})
+	mux.Handle(FaultsPath, faultsHandler[F]{validate: validation.New("json"), get: get, set: set})
 }
 
 // merge sets the switches that the body names and leaves the others.
--- a/lab/emulator/machines.go
+++ b/lab/emulator/machines.go
@@ -12,6 +12,7 @@
 	"github.com/go-playground/validator/v10"
 
 	"github.com/banksail/banksail/internal/strictjson"
+	"github.com/banksail/banksail/internal/validation"
 	"github.com/banksail/banksail/machinelist"
 )
 
@@ -62,7 +63,7 @@
 	}
 	server := &MachineListServer{
 		endpoint: newEndpoint(),
-		validate: newValidator(),
+		validate: validation.New("json"),
 		changed:  make(chan struct{}),
 		machines: slices.Clone(machines),
 		versions: []listVersion{{list: machinelist.List{Version: 1, Machines: slices.Clone(machines)}}},
--- a/machinelist/http.go
+++ b/machinelist/http.go
@@ -14,6 +14,7 @@
 
 	"github.com/banksail/banksail/internal/httpcall"
 	"github.com/banksail/banksail/internal/strictjson"
+	"github.com/banksail/banksail/internal/validation"
 )
 
 // The HTTP protocol of the machine list.
@@ -62,7 +63,7 @@
 		address:   options.Address,
 		timeout:   options.Timeout,
 		transport: httpcall.NewTransport(options.Dial, connections),
-		validate:  validator.New(validator.WithRequiredStructEnabled()),
+		validate:  validation.New("json"),
 	}
 }
 
--- a/operator/problem.go
+++ b/operator/problem.go
@@ -105,12 +105,17 @@
 	s.problem(response, problemFor(err))
 }
 
+// AskAgainCommand is the command line that asks whether a plan is in effect.
+func AskAgainCommand(plan policy.Plan) string {
+	return fmt.Sprintf("banksailctl status --plan %s --base %d", plan.ID, plan.BaseRevision)
+}
+
 // failReceipt answers a confirmation that was not applied, or whose outcome is unknown.
 func (s *Service) failReceipt(response *restful.Response, receipt policy.Receipt, plan policy.Plan, err error) {
 	problem := problemFor(err)
 	problem.Receipt = &receipt
 	if errors.Is(err, rollout.ErrOutcomeUnknown) {
-		problem.AskAgain = fmt.Sprintf("banksailctl status --plan %s --base %d", plan.ID, plan.BaseRevision)
+		problem.AskAgain = AskAgainCommand(plan)
 	}
 	s.problem(response, problem)
 }
--- a/policy/config.go
+++ b/policy/config.go
@@ -83,3 +83,31 @@
 func (m Milliseconds) Duration() time.Duration {
 	return time.Duration(float64(m) * float64(time.Millisecond))
 }
+
+// Class finds a class by name.
+func (c Config) Class(name string) (Class, bool) {
+	for _, class := range c.Classes {
+		if class.Name == name {
+			return class, true
+		}
+	}
+	return Class{}, false
+}
+
+// Service finds a service by name.
+func (c Config) Service(name string) (Service, bool) {
+	for _, service := range c.Services {
+		if service.Name == name {
+			return service, true
+		}
+	}
+	return Service{}, false
+}
+
+// named is an item of a list that its name identifies there.
+type named interface{ name() string }
+
+func (c Class) name() string   { return c.Name }
+func (s Service) name() string { return s.Name }
+func (g Group) name() string   { return g.Name }
+func (s Server) name() string  { return s.ID }
--- a/policy/difference.go
+++ b/policy/difference.go
@@ -85,14 +85,6 @@
 	c.value(path+".connections", before.Connections, after.Connections)
 }
 
-// named is an item of a list that its name identifies there.
-type named interface{ name() string }
-
-func (c Class) name() string   { return c.Name }
-func (s Service) name() string { return s.Name }
-func (g Group) name() string   { return g.Name }
-func (s Server) name() string  { return s.ID }
-
 // compareNamed pairs the items of two lists by name: removed ones first, then
 // the others in the order of the list after.
 func compareNamed[T named](c *comparison, path string, before, after []T, compare func(path string, before, after T)) {
--- a/policy/intent.go
+++ b/policy/intent.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -69,10 +70,10 @@
 	switch {
 	case change.SetClass != nil:
 		checkTags(faults, path+".set_class.", *change.SetClass)
-		config.Classes = upsert(config.Classes, *change.SetClass, func(class Class) string { return class.Name })
+		config.Classes = upsert(config.Classes, *change.SetClass)
 	case change.SetService != nil:
 		checkTags(faults, path+".set_service.", *change.SetService)
-		config.Services = upsert(config.Services, change.SetService.clone(), func(service Service) string { return service.Name })
+		config.Services = upsert(config.Services, change.SetService.clone())
 	case change.SetGroup != nil:
 		checkTags(faults, path+".set_group.", *change.SetGroup)
 		setGroup(faults, path+".set_group", config, *change.SetGroup)
@@ -81,13 +82,13 @@
 		return change.Replace.clone()
 	case change.RemoveClass != "":
 		var found bool
-		config.Classes, found = remove(config.Classes, change.RemoveClass, func(class Class) string { return class.Name })
+		config.Classes, found = remove(config.Classes, change.RemoveClass)
 		if !found {
 			faults.add(path+".remove_class", "there is no class %q", change.RemoveClass)
 		}
 	case change.RemoveService != "":
 		var found bool
-		config.Services, found = remove(config.Services, change.RemoveService, func(service Service) string { return service.Name })
+		config.Services, found = remove(config.Services, change.RemoveService)
 		if !found {
 			faults.add(path+".remove_service", "there is no service %q", change.RemoveService)
 		}
@@ -123,9 +124,9 @@
 }
 
 // upsert replaces the item of the same name, or appends it.
-func upsert[T any](items []T, item T, name func(T) string) []T {
+func upsert[T named](items []T, item T) []T {
 	for index := range items {
-		if name(items[index]) == name(item) {
+		if items[index].name() == item.name() {
 			items[index] = item
 			return items
 		}
@@ -133,9 +134,9 @@
 	return append(items, item)
 }
 
-func remove[T any](items []T, wanted string, name func(T) string) ([]T, bool) {
+func remove[T named](items []T, wanted string) ([]T, bool) {
 	for index := range items {
-		if name(items[index]) == wanted {
+		if items[index].name() == wanted {
 			return slices.Delete(items, index, index+1), true
 		}
 	}
@@ -154,7 +155,7 @@
 	slices.SortStableFunc(c.Classes, func(a, b Class) int { return a.Order - b.Order })
 	slices.SortStableFunc(c.Services, func(a, b Service) int { return strings.Compare(a.Name, b.Name) })
 	for _, service := range c.Services {
-		slices.SortStableFunc(service.Groups, func(a, b Group) int { return compareUint64(a.Range.Start, b.Range.Start) })
+		slices.SortStableFunc(service.Groups, func(a, b Group) int { return cmp.Compare(a.Range.Start, b.Range.Start) })
 		for _, group := range service.Groups {
 			slices.SortStableFunc(group.Servers, func(a, b Server) int { return strings.Compare(a.ID, b.ID) })
 		}
--- a/policy/validate.go
+++ b/policy/validate.go
@@ -1,10 +1,10 @@
 package policy
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net/netip"
-	"reflect"
 	"slices"
 	"strings"
 	"sync"
@@ -12,20 +12,14 @@
 	"github.com/go-playground/validator/v10"
 
 	"github.com/banksail/banksail/coverage"
+	"github.com/banksail/banksail/internal/validation"
 )
 
 // MaximumHeadroomSum bounds the headroom kept from the class served last.
 const MaximumHeadroomSum = 0.9
 
 // fieldValidator caches the struct tags; it is safe for concurrent use.
-var fieldValidator = sync.OnceValue(func() *validator.Validate {
-	validate := validator.New(validator.WithRequiredStructEnabled())
-	validate.RegisterTagNameFunc(func(field reflect.StructField) string {
-		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
-		return name
-	})
-	return validate
-})
+var fieldValidator = sync.OnceValue(func() *validator.Validate { return validation.New("json") })
 
 // Validate checks a whole configuration. It returns a *ValidationError that
 // names the path of each fault.
@@ -51,8 +45,7 @@
 		return
 	}
 	for _, fieldError := range invalid {
-		_, path, _ := strings.Cut(fieldError.Namespace(), ".")
-		faults.add(prefix+path, "%s", ruleText(fieldError))
+		faults.add(prefix+validation.Path(fieldError), "%s", ruleText(fieldError))
 	}
 }
 
@@ -148,7 +141,7 @@
 		ordered = append(ordered, indexed{index: index, keys: group.Range})
 	}
 	slices.SortStableFunc(ordered, func(a, b indexed) int {
-		return compareUint64(a.keys.Start, b.keys.Start)
+		return cmp.Compare(a.keys.Start, b.keys.Start)
 	})
 	next := service.KeySpace.Start
 	for _, group := range ordered {
@@ -168,17 +161,6 @@
 	}
 }
 
-func compareUint64(a, b uint64) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
-
 // checkServerIdentities verifies that a server that stands in several places
 // is described the same way in each.
 func checkServerIdentities(faults *faultList, services []Service) {
--- a/policy/warning.go
+++ b/policy/warning.go
@@ -80,23 +80,3 @@
 		}
 	}
 }
-
-// Class finds a class by name.
-func (c Config) Class(name string) (Class, bool) {
-	for _, class := range c.Classes {
-		if class.Name == name {
-			return class, true
-		}
-	}
-	return Class{}, false
-}
-
-// Service finds a service by name.
-func (c Config) Service(name string) (Service, bool) {
-	for _, service := range c.Services {
-		if service.Name == name {
-			return service, true
-		}
-	}
-	return Service{}, false
-}
--- a/settings/check.go
+++ b/settings/check.go
@@ -4,11 +4,12 @@
 	"errors"
 	"fmt"
 	"net/netip"
-	"reflect"
 	"regexp"
 	"strings"
 
 	"github.com/go-playground/validator/v10"
+
+	"github.com/banksail/banksail/internal/validation"
 )
 
 // identifierPattern is what node IDs and zones are made of.
@@ -31,7 +32,7 @@
 	}
 	var faults []Fault
 	for _, field := range invalid {
-		path := strings.TrimPrefix(field.Namespace(), "Settings"+pathDelimiter)
+		path := validation.Path(field)
 		if !faulty[path] {
 			faults = append(faults, Fault{Path: path, Problem: describe(field)})
 		}
@@ -40,8 +41,7 @@
 }
 
 func newValidator() *validator.Validate {
-	checker := validator.New(validator.WithRequiredStructEnabled())
-	checker.RegisterTagNameFunc(func(field reflect.StructField) string { return field.Tag.Get("koanf") })
+	checker := validation.New("koanf")
 	register := func(tag string, valid func(string) bool) {
 		function := func(level validator.FieldLevel) bool { return valid(level.Field().String()) }
 		if err := checker.RegisterValidation(tag, function); err != nil {
