--- a/cmd/banksail-lab/collect.go
+++ b/cmd/banksail-lab/collect.go
@@ -6,12 +6,12 @@
 	"flag"
 	"fmt"
 	"net/http"
-	"net/url"
 	"path"
 	"time"
 
 	"github.com/google/subcommands"
 
+	"github.com/banksail/banksail/internal/httpcall"
 	"github.com/banksail/banksail/internal/strictjson"
 	"github.com/banksail/banksail/lab/emulator"
 	"github.com/banksail/banksail/lab/history"
@@ -145,18 +145,12 @@
 	ctx, cancel := context.WithTimeout(ctx, collectTimeout)
 	defer cancel()
 	var ran emulator.ExecutionHistory
-	target := url.URL{Scheme: "http", Host: address, Path: emulator.ExecutionsPath}
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
+	reply, err := callOnce(ctx, httpcall.Call{Address: address, Path: emulator.ExecutionsPath, Limit: maximumExecutionsBytes})
 	if err != nil {
 		return ran, err
 	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return ran, err
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return ran, fmt.Errorf("%w: HTTP status %d", errNotCollected, response.StatusCode)
+	if reply.Code != http.StatusOK {
+		return ran, fmt.Errorf("%w: HTTP status %d", errNotCollected, reply.Code)
 	}
-	return ran, strictjson.Decode(response.Body, strictjson.Limits{Bytes: maximumExecutionsBytes}, &ran)
+	return ran, strictjson.Unmarshal(reply.Body, strictjson.Limits{Bytes: maximumExecutionsBytes}, &ran)
 }
--- a/cmd/banksail-lab/common.go
+++ b/cmd/banksail-lab/common.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"flag"
 	"fmt"
@@ -9,6 +10,7 @@
 
 	"github.com/google/subcommands"
 
+	"github.com/banksail/banksail/internal/httpcall"
 	"github.com/banksail/banksail/lab/profile"
 	"github.com/banksail/banksail/policy"
 )
@@ -59,6 +61,13 @@
 	return fmt.Errorf("%w: %q", errUnexpectedArgument, flags.Arg(0))
 }
 
+// callOnce sends one call on a connection of its own.
+func callOnce(ctx context.Context, call httpcall.Call) (httpcall.Reply, error) {
+	transport := httpcall.NewTransport(nil, 1)
+	defer transport.CloseIdleConnections()
+	return httpcall.Send(ctx, transport, call)
+}
+
 // stringList is a flag that may be given several times.
 type stringList []string
 
--- a/cmd/banksail-lab/fault.go
+++ b/cmd/banksail-lab/fault.go
@@ -169,9 +169,7 @@
 func callFaults(ctx context.Context, address, method string, body []byte) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, faultTimeout)
 	defer cancel()
-	transport := httpcall.NewTransport(nil, 1)
-	defer transport.CloseIdleConnections()
-	reply, err := httpcall.Send(ctx, transport, httpcall.Call{
+	reply, err := callOnce(ctx, httpcall.Call{
 		Method: method, Address: address, Path: emulator.FaultsPath, Body: body, Limit: maximumFaultReply,
 	})
 	if err != nil {
