--- a/internal/httpcall/httpcall_test.go
+++ b/internal/httpcall/httpcall_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/url"
+	"sync/atomic"
 	"testing"
 
 	"github.com/banksail/banksail/internal/strictjson"
@@ -53,22 +54,22 @@
 }
 
 func TestSendFollowsNoRedirect(t *testing.T) {
-	requests := 0
+	var requests atomic.Int64
 	reply, err := send(t, func(writer http.ResponseWriter, request *http.Request) {
-		requests++
+		requests.Add(1)
 		http.Redirect(writer, request, "/elsewhere", http.StatusTemporaryRedirect)
 	}, Call{Limit: 1000})
-	if err != nil || reply.Code != http.StatusTemporaryRedirect || requests != 1 {
-		t.Errorf("reply is %+v, %v after %d requests", reply, err, requests)
+	if err != nil || reply.Code != http.StatusTemporaryRedirect || requests.Load() != 1 {
+		t.Errorf("reply is %+v, %v after %d requests", reply, err, requests.Load())
 	}
 }
 
 func TestSendNeverSendsABodyTwice(t *testing.T) {
-	requests := 0
+	var requests atomic.Int64
 	handler := func(writer http.ResponseWriter, request *http.Request) {
-		requests++
+		requests.Add(1)
 		_, _ = io.ReadAll(request.Body)
-		if requests > 1 {
+		if requests.Load() > 1 {
 			panic(http.ErrAbortHandler)
 		}
 	}
@@ -81,7 +82,7 @@
 		t.Fatal(err)
 	}
 	// The kept connection closes after the server read the second request.
-	if _, err := Send(t.Context(), transport, call); err == nil || requests != 2 {
-		t.Errorf("error %v after %d requests, want an error after 2", err, requests)
+	if _, err := Send(t.Context(), transport, call); err == nil || requests.Load() != 2 {
+		t.Errorf("error %v after %d requests, want an error after 2", err, requests.Load())
 	}
 }
