--- /dev/null
+++ b/node/forward_bench_internal_test.go
@@ -0,0 +1,95 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/banksail/banksail/backend"
+	"github.com/banksail/banksail/membership"
+	"github.com/banksail/banksail/peer"
+)
+
+// benchmarkServer answers every sub-request at once.
+func benchmarkServer(writer http.ResponseWriter, request *http.Request) {
+	data, _ := io.ReadAll(request.Body)
+	var asked backend.Request
+	if json.Unmarshal(data, &asked) != nil {
+		http.Error(writer, "malformed", http.StatusBadRequest)
+		return
+	}
+	_, _ = fmt.Fprintf(writer, `{"attempt_id":%q,"status":"done","snapshot":%d,"range":{"start":%d,"end":%d},"body":{"found":%q}}`,
+		asked.AttemptID, asked.Snapshot, asked.Range.Start, asked.Range.End, strings.Repeat("x", benchmarkReplyBytes))
+}
+
+// benchmarkReplyBytes is the size of the replies' results.
+const benchmarkReplyBytes = 1 << 10
+
+// countedBytes counts the bytes of bodies that an owner answers with.
+type countedBytes struct {
+	http.ResponseWriter
+	sent *int64
+}
+
+func (c countedBytes) Write(data []byte) (int, error) {
+	*c.sent += int64(len(data))
+	return c.ResponseWriter.Write(data)
+}
+
+// processorTime is what the process has used so far, on all cores.
+func processorTime(b *testing.B) time.Duration {
+	b.Helper()
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkForward asks one server on loopback directly and through an owner.
+// Requester, owner and server share the process, so time and allocations are
+// those of all three.
+func BenchmarkForward(b *testing.B) {
+	server := httptest.NewServer(http.HandlerFunc(benchmarkServer))
+	defer server.Close()
+	address := server.Listener.Addr().String()
+	client := backend.NewClient(backend.ClientOptions{})
+	defer client.CloseIdleConnections()
+	served := testForwards(client, backend.DefaultConnectionsPerServer, b.Context())
+	served.own = func(string) (string, int) { return address, backend.DefaultConnectionsPerServer }
+	agent := peer.NewAgent(peer.AgentOptions{Self: membership.Member{ID: "owner"}, Forwards: served, Seed: 1})
+	var asked, sent int64
+	owner := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		asked += request.ContentLength
+		agent.Handler().ServeHTTP(countedBytes{ResponseWriter: writer, sent: &sent}, request)
+	}))
+	defer owner.Close()
+	forwarding := testRouter(b, []membership.Member{{ID: "owner", Address: owner.Listener.Addr().String()}})
+	direct := testRouter(b, nil)
+	direct.direct = client
+	direct.route = func(string) route { return route{connections: backend.DefaultConnectionsPerServer} }
+	for _, way := range []struct {
+		name   string
+		router *router
+	}{{"direct", direct}, {"forwarded", forwarding}} {
+		b.Run(way.name, func(b *testing.B) {
+			asked, sent = 0, 0
+			b.ReportAllocs()
+			before := processorTime(b)
+			for b.Loop() {
+				if _, err := way.router.Query(b.Context(), address, forwardedRequest()); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(processorTime(b)-before)/float64(b.N), "cpu-ns/op")
+			b.ReportMetric(float64(asked)/float64(b.N), "peer-request-B/op")
+			b.ReportMetric(float64(sent)/float64(b.N), "peer-reply-B/op")
+		})
+	}
+}
--- a/node/forward_internal_test.go
+++ b/node/forward_internal_test.go
@@ -47,7 +47,7 @@
 // noBackends fails the test when a server is asked directly.
 type noBackends struct {
 	backends
-	t *testing.T
+	t testing.TB
 }
 
 func (n noBackends) Query(context.Context, string, *backend.Request) (*backend.Reply, error) {
@@ -111,7 +111,7 @@
 	return members, scripted
 }
 
-func testRouter(t *testing.T, owners []membership.Member) *router {
+func testRouter(t testing.TB, owners []membership.Member) *router {
 	t.Helper()
 	forwarder := peer.NewForwarder((&net.Dialer{}).DialContext)
 	t.Cleanup(forwarder.CloseIdleConnections)
