--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 LINTER := $(TOOLS)/golangci-lint
 LINTER_VERSION := v2.15.0
 
-.PHONY: build test unit lint demo generate
+.PHONY: build test unit lint demo fault-run fault-run-short generate
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -27,6 +27,14 @@
 demo: build
 	./scripts/demo.sh
 
+# fault-run judges real processes under faults; SEED sets the order of the faults.
+SEED ?= 1
+fault-run: build
+	./scripts/fault-run.sh full $(SEED)
+
+fault-run-short: build
+	./scripts/fault-run.sh short $(SEED)
+
 # generate needs protoc, protoc-gen-go, protoc-gen-twirp and wire; the output is committed.
 generate:
 	$(GO) generate ./...
