Servers' health is read within a budget

Cause: every node read every server's health each 1.5 s, over 9 KB a second of control from 49 servers on.

Change: a node reads those servers every interval whose first three live owners it is one of, and spreads the rest of backend.health_readings (12 a second) over the others; a fleet whose servers fit the budget is read as before. What a node finds of a server (leaving, or a new incarnation) goes at once to three peers, each of which pushes news on once, and makes them read the server themselves.

--- a/membership/connections.go
+++ b/membership/connections.go
@@ -55,8 +55,13 @@
 // nodes that each miss at most M others hold at most N times that quotient at
 // N-M together, as long as N is at most ShareableConnections.
 func ConnectionShare(self string, server ServerPlace, nodes []Member) Share {
-	for _, owner := range Owners(server, nodes) {
-		if owner.ID == self {
+	return ShareOf(self, Owners(server, nodes))
+}
+
+// ShareOf returns a node's share among a server's owners.
+func ShareOf(node string, owners []Owner) Share {
+	for _, owner := range owners {
+		if owner.ID == node {
 			return owner.Share
 		}
 	}
@@ -99,6 +104,27 @@
 	return owners
 }
 
+// ReadersPerServer is the number of nodes that read a server's health every
+// interval, whatever their budget of readings.
+const ReadersPerServer = 3
+
+// Readers returns the nodes that read a server's health every interval: its
+// first live owners, so that no reading needs a connection that is not shared
+// out. The owners are those of Owners and don't change when a node is suspected;
+// its place is then taken by the next one.
+func Readers(owners []Owner, live func(node string) bool) []string {
+	readers := make([]string, 0, ReadersPerServer)
+	for _, owner := range owners {
+		if len(readers) == ReadersPerServer {
+			break
+		}
+		if live(owner.ID) {
+			readers = append(readers, owner.ID)
+		}
+	}
+	return readers
+}
+
 // rankZoneFirst returns the first count nodes in rendezvous order, those of the
 // server's zone before all others. The others are ranked only when the zone
 // has too few.
--- a/membership/leavings.go
+++ b/membership/leavings.go
@@ -77,9 +77,14 @@
 		return
 	}
 	if known.direct && leaving.Incarnation != known.incarnation {
+		s.doubt(leaving.ID)
 		return
 	}
 	server := ListedServer{ID: leaving.ID, Leaving: true, Incarnation: leaving.Incarnation}
 	s.observeIncarnation(now, server, known)
+	before := known.state
 	s.leave(now, leaving.ID, known)
+	if known.state != before {
+		s.doubt(leaving.ID)
+	}
 }
--- a/membership/servers.go
+++ b/membership/servers.go
@@ -109,6 +109,8 @@
 	// certain, as it was known when the leaving was told.
 	sticky bool
 	listed bool
+	// told is the last finding that was queued for peers.
+	told ServerFinding
 }
 
 // Servers merges what several sources say of the back-end servers.
@@ -124,6 +126,9 @@
 	changes []ServerChange
 	// leavings wait to be told to other nodes.
 	leavings []leavingBroadcast
+	// findings wait to be pushed; doubts are servers to be read.
+	findings []ServerFinding
+	doubts   []string
 }
 
 // NewServers returns an empty table; a server that it doesn't hold is live.
@@ -235,6 +240,7 @@
 	}
 	known.since = now
 	known.sticky = false
+	s.found(known, ServerFinding{ID: id, Incarnation: known.incarnation})
 	s.set(id, known, Live)
 }
 
@@ -294,6 +300,7 @@
 	s.set(id, known, Leaving)
 	if known.sticky {
 		s.spread(id, known.incarnation)
+		s.found(known, ServerFinding{ID: id, Incarnation: known.incarnation, Leaving: true})
 	}
 }
 
--- a/node/connections.go
+++ b/node/connections.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/banksail/banksail/dispatch"
+	"github.com/banksail/banksail/membership"
 )
 
 // membersInterval is the time between two looks at the live nodes, which share
@@ -24,6 +25,7 @@
 	defer ticker.Stop()
 	for {
 		n.shareConnections()
+		n.assignReaders()
 		select {
 		case <-ctx.Done():
 			return
@@ -72,8 +74,9 @@
 	routes := make(map[string]route, len(current.servers))
 	owned := 0
 	for _, server := range current.servers {
-		share := n.agent.ConnectionShare(server.place).Maximum
-		routes[server.address] = route{place: server.place, connections: share}
+		owners := n.agent.ServerOwners(server.place)
+		share := membership.ShareOf(n.options.Settings.Node.ID, owners).Maximum
+		routes[server.address] = route{place: server.place, owners: owners, connections: share}
 		if share > 0 {
 			owned++
 		}
--- a/node/crowd_test.go
+++ b/node/crowd_test.go
@@ -83,6 +83,9 @@
 	*world
 	nodes     []*crowdNode
 	listeners []*countingListener
+	// size is the number of nodes.
+	size int
+	webs []*http.Server
 }
 
 // crowdNode is one of them.
@@ -98,7 +101,7 @@
 func inCrowd(t *testing.T, run func(t *testing.T, c *crowd)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		c := &crowd{world: &world{t: t, network: network.New(network.Options{Seed: 1}), log: &lockedBuffer{}}}
+		c := &crowd{world: &world{t: t, network: network.New(network.Options{Seed: 1}), log: &lockedBuffer{}}, size: crowdNodes}
 		c.memory = store.NewMemory(store.MemoryOptions{})
 		c.startLimited()
 		config := c.configuration(crowdGroups)
@@ -138,7 +141,7 @@
 
 func (c *crowd) startNodes() {
 	var machines []machinelist.Machine
-	for index := range crowdNodes {
+	for index := range c.size {
 		one := &crowdNode{id: fmt.Sprintf("node-%02d", index), ip: fmt.Sprintf("10.0.2.%d", index+1)}
 		c.nodes = append(c.nodes, one)
 		machines = append(machines, machinelist.Machine{
@@ -188,6 +191,9 @@
 	}
 	ending.Wait()
 	c.client.CloseIdleConnections()
+	for _, web := range c.webs {
+		_ = web.Close()
+	}
 	for _, server := range c.servers {
 		_ = server.Close()
 	}
--- a/node/health.go
+++ b/node/health.go
@@ -1,12 +1,9 @@
 package node
 
 import (
-	"container/heap"
 	"context"
 	"errors"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -14,12 +11,11 @@
 )
 
 const (
-	// firstReadingSpread spreads the first readings of servers that are new in
-	// the configuration.
-	firstReadingSpread = 100 * time.Millisecond
 	// firstRetryPause is the pause after the first failed reading of a server;
 	// it doubles with each further one, up to the health interval.
 	firstRetryPause = 100 * time.Millisecond
+	// maximumRetryShift bounds the doubling of that pause.
+	maximumRetryShift = 16
 	// loadReadingPause is the least time between two load readings of a server;
 	// load rides on replies besides.
 	loadReadingPause = 30 * time.Second
@@ -43,7 +39,10 @@
 	interval    time.Duration
 	timeout     time.Duration
 	concurrency int
-	seed        uint64
+	// budget is the number of readings a second that this node makes; its duties
+	// are read beyond it. Zero means no bound.
+	budget float64
+	seed   uint64
 	// report takes each successful reading.
 	report func(reading)
 	// unreachable is told of every server to which no connection could be made.
@@ -52,73 +51,47 @@
 
 // poller reads the servers' health: it is how a drain that shows only there is
 // seen, and how a node learns the snapshots before any reply.
+//
+// It reads the servers that are its duty every interval; they are all servers
+// when the budget suffices. What the duties leave of the budget is spread evenly
+// over the others, of which those that replied within the interval need none.
 type poller struct {
 	options pollerOptions
 	changed chan struct{}
+	// heardTargets finds the target of a server's ID without the lock.
+	heardTargets sync.Map
 
 	mutex sync.Mutex
-	// mutex guards the fields below. Invariant: schedule holds exactly the
-	// targets that have no reading in progress, ordered by due time; targets
-	// holds all that are configured.
-	targets  map[string]*pollTarget
-	schedule pollSchedule
-	random   *rand.Rand
+	// mutex guards the fields below. Invariant: each target that has no reading
+	// in progress is in exactly one of urgent and others, ordered by due time;
+	// targets holds all that are configured.
+	targets map[string]*pollTarget
+	// urgent holds the duties, first readings and doubts, which wait for no budget.
+	urgent pollSchedule
+	others pollSchedule
+	// duties are the servers that this node reads for all nodes.
+	duties map[string]bool
+	// nodes is the number of live nodes.
+	nodes int
+	// pace spreads the readings of others.
+	pace   readingPace
+	random *rand.Rand
 	// phase keeps the ticks of different nodes apart; it never changes.
 	phase time.Duration
 }
 
-// pollTarget is one server that is read.
-type pollTarget struct {
-	server   string
-	address  string
-	due      time.Time
-	failures int
-	lastLoad time.Time
-	// index is the place in the schedule, or -1 during a reading.
-	index int
-}
-
 func newPoller(options pollerOptions) *poller {
 	random := rand.New(rand.NewPCG(options.seed, 0))
 	return &poller{
 		options: options,
 		changed: make(chan struct{}, 1),
 		targets: make(map[string]*pollTarget),
+		nodes:   1,
 		random:  random,
 		phase:   time.Duration(random.Int64N(int64(readingTick))),
 	}
 }
 
-// setServers makes the given servers the ones to read.
-func (p *poller) setServers(servers map[string]configuredServer) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	for server, target := range p.targets {
-		if _, kept := servers[server]; !kept {
-			delete(p.targets, server)
-			if target.index >= 0 {
-				heap.Remove(&p.schedule, target.index)
-			}
-		}
-	}
-	now := time.Now()
-	for _, server := range slices.Sorted(maps.Keys(servers)) {
-		p.setServer(server, servers[server].address, now)
-	}
-	p.wakeUp()
-}
-
-func (p *poller) setServer(server, address string, now time.Time) {
-	if target, known := p.targets[server]; known {
-		target.address = address
-		return
-	}
-	spread := time.Duration(p.random.Int64N(int64(firstReadingSpread)))
-	target := &pollTarget{server: server, address: address, due: now.Add(spread)}
-	p.targets[server] = target
-	heap.Push(&p.schedule, target)
-}
-
 func (p *poller) wakeUp() {
 	select {
 	case p.changed <- struct{}{}:
@@ -157,20 +130,6 @@
 	}
 }
 
-// takeDue removes the first target that is due, or tells how long to wait.
-func (p *poller) takeDue() (*pollTarget, time.Duration) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	if len(p.schedule) == 0 {
-		return nil, p.options.interval
-	}
-	wait := time.Until(p.schedule[0].due)
-	if wait > 0 {
-		return nil, wait
-	}
-	return heap.Pop(&p.schedule).(*pollTarget), 0
-}
-
 // read asks one server and schedules its next reading.
 func (p *poller) read(ctx context.Context, target *pollTarget) {
 	ctx, cancel := context.WithTimeout(ctx, p.options.timeout)
@@ -190,34 +149,57 @@
 	p.reschedule(target, err == nil, withLoad)
 }
 
+// plan tells how to read a target.
 func (p *poller) plan(target *pollTarget) (address string, withLoad bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return target.address, time.Since(target.lastLoad) >= loadReadingPause
+	wanted := target.duty || target.neverRead()
+	return target.address, wanted && time.Since(target.lastLoad) >= loadReadingPause
 }
 
 func (p *poller) reschedule(target *pollTarget, succeeded, withLoad bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	now := time.Now()
+	first := target.neverRead()
 	if succeeded {
 		target.failures = 0
-		target.due = p.nextTick(now.Add(p.jitter(p.options.interval)))
+		target.read = true
 		if withLoad {
 			target.lastLoad = now
 		}
 	} else {
-		pause := min(p.options.interval, firstRetryPause<<min(target.failures, 16))
-		target.due = now.Add(p.jitter(pause))
 		target.failures++
 	}
+	target.due = p.nextDue(target, now, first)
 	if p.targets[target.server] != target {
 		return
 	}
-	heap.Push(&p.schedule, target)
+	p.enqueue(target)
 	p.wakeUp()
 }
 
+// nextDue is when a target that was just read falls due again.
+func (p *poller) nextDue(target *pollTarget, now time.Time, first bool) time.Time {
+	usual := p.options.interval
+	if !target.urgent() {
+		usual = p.pace.pause
+	}
+	switch {
+	case target.doubted:
+		return now.Add(p.doubtDelay())
+	case target.failures > 0:
+		pause := firstRetryPause << min(target.failures-1, maximumRetryShift)
+		return now.Add(p.jitter(min(usual, pause)))
+	case target.duty:
+		return p.nextTick(now.Add(p.jitter(usual)))
+	case first:
+		return now.Add(time.Duration(p.random.Float64() * float64(usual)))
+	default:
+		return now.Add(p.jitter(usual))
+	}
+}
+
 // nextTick is the first tick after a time.
 func (p *poller) nextTick(after time.Time) time.Time {
 	return after.Add(-p.phase).Truncate(readingTick).Add(readingTick + p.phase)
@@ -226,37 +208,3 @@
 func (p *poller) jitter(mean time.Duration) time.Duration {
 	return time.Duration(float64(mean) * (1 + jitterShare*(2*p.random.Float64()-1)))
 }
-
-// pollSchedule is a heap of targets by due time, and by ID at equal times.
-type pollSchedule []*pollTarget
-
-func (s pollSchedule) Len() int { return len(s) }
-
-func (s pollSchedule) Less(i, j int) bool {
-	if s[i].due.Equal(s[j].due) {
-		return s[i].server < s[j].server
-	}
-	return s[i].due.Before(s[j].due)
-}
-
-func (s pollSchedule) Swap(i, j int) {
-	s[i], s[j] = s[j], s[i]
-	s[i].index, s[j].index = i, j
-}
-
-// Push appends a target; container/heap calls it.
-func (s *pollSchedule) Push(target any) {
-	added := target.(*pollTarget)
-	added.index = len(*s)
-	*s = append(*s, added)
-}
-
-// Pop removes the last target; container/heap calls it.
-func (s *pollSchedule) Pop() any {
-	last := len(*s) - 1
-	removed := (*s)[last]
-	(*s)[last] = nil
-	*s = (*s)[:last]
-	removed.index = -1
-	return removed
-}
--- /dev/null
+++ b/node/health_schedule.go
@@ -0,0 +1,269 @@
+package node
+
+import (
+	"container/heap"
+	"maps"
+	"slices"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// firstReadingSpread is the least time over which the first readings of
+	// servers that are new in the configuration are spread.
+	firstReadingSpread = 100 * time.Millisecond
+	// firstReadingPause is the time that each new server adds to that spread.
+	firstReadingPause = time.Millisecond
+	// maximumFirstFailures is the number of failures after which a server that
+	// was never read waits for its turn in the budget.
+	maximumFirstFailures = 8
+	// doubtPause times the number of live nodes is the time over which they
+	// spread their readings of a server in doubt.
+	doubtPause = 20 * time.Millisecond
+)
+
+// pollTarget is one server that is read.
+type pollTarget struct {
+	server  string
+	address string
+	due     time.Time
+	// failures counts failed readings in a row.
+	failures int
+	lastLoad time.Time
+	// duty says that this node reads the server every interval.
+	duty bool
+	// read says that a reading succeeded.
+	read bool
+	// doubted says that another node told news of the server.
+	doubted bool
+	// heard is the Unix time, in nanoseconds, of the last reply that told all
+	// that a reading tells; zero when none did.
+	heard atomic.Int64
+	// queue is the schedule that holds the target, and index its place there; nil
+	// and -1 during a reading.
+	queue *pollSchedule
+	index int
+}
+
+// neverRead says that the node needs a first reading of the server.
+func (t *pollTarget) neverRead() bool { return !t.read && t.failures < maximumFirstFailures }
+
+// urgent says that the target waits for no budget.
+func (t *pollTarget) urgent() bool { return t.duty || t.doubted || t.neverRead() }
+
+// setServers makes the given servers the ones to read.
+func (p *poller) setServers(servers map[string]configuredServer) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for server, target := range p.targets {
+		if _, kept := servers[server]; !kept {
+			delete(p.targets, server)
+			p.heardTargets.Delete(server)
+			p.dequeue(target)
+		}
+	}
+	added := len(servers) - len(p.targets)
+	spread := max(firstReadingSpread, time.Duration(added)*firstReadingPause)
+	now := time.Now()
+	for _, server := range slices.Sorted(maps.Keys(servers)) {
+		p.setServer(server, servers[server].address, now, spread)
+	}
+	p.assign()
+	p.wakeUp()
+}
+
+func (p *poller) setServer(server, address string, now time.Time, spread time.Duration) {
+	if target, known := p.targets[server]; known {
+		target.address = address
+		return
+	}
+	due := now.Add(time.Duration(p.random.Int64N(int64(spread))))
+	target := &pollTarget{server: server, address: address, due: due, index: -1}
+	p.targets[server] = target
+	p.heardTargets.Store(server, target)
+	p.enqueue(target)
+}
+
+// setDuties makes the given servers the ones that this node reads every
+// interval, being one of so many live nodes.
+func (p *poller) setDuties(duties map[string]bool, nodes int) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.duties = duties
+	p.nodes = nodes
+	p.assign()
+	p.wakeUp()
+}
+
+// assign parts the targets into duties and others. The lock is held.
+func (p *poller) assign() {
+	all := p.options.budget == 0 || float64(len(p.targets))*p.dutyRate() <= p.options.budget
+	now := time.Now()
+	duties := 0
+	for _, server := range slices.Sorted(maps.Keys(p.targets)) {
+		target := p.targets[server]
+		duty := all || p.duties[server]
+		if duty {
+			duties++
+		}
+		if duty != target.duty {
+			p.setDuty(target, duty, now)
+		}
+	}
+	p.pace.set(p.options, float64(duties)*p.dutyRate(), len(p.targets)-duties)
+}
+
+// setDuty changes whether a target is a duty. A new one is read soon. The lock
+// is held.
+func (p *poller) setDuty(target *pollTarget, duty bool, now time.Time) {
+	queued := target.queue != nil
+	p.dequeue(target)
+	target.duty = duty
+	if soon := now.Add(p.jitter(p.options.interval / 2)); duty && target.due.After(soon) {
+		target.due = soon
+	}
+	if queued {
+		p.enqueue(target)
+	}
+}
+
+// dutyRate is the number of readings a second that one duty takes.
+func (p *poller) dutyRate() float64 {
+	return 1/p.options.interval.Seconds() + 1/loadReadingPause.Seconds()
+}
+
+// heardReply notes that a server replied with all that a reading tells.
+func (p *poller) heardReply(server string) {
+	if target, known := p.heardTargets.Load(server); known {
+		target.(*pollTarget).heard.Store(time.Now().UnixNano())
+	}
+}
+
+// forgetReply makes earlier replies of a server count for nothing.
+func (p *poller) forgetReply(server string) {
+	if target, known := p.heardTargets.Load(server); known {
+		target.(*pollTarget).heard.Store(0)
+	}
+}
+
+// doubt makes the node read a server soon, as another one told news of it.
+func (p *poller) doubt(server string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	target, known := p.targets[server]
+	if !known || target.doubted {
+		return
+	}
+	queued := target.queue != nil
+	p.dequeue(target)
+	target.doubted = true
+	if soon := time.Now().Add(p.doubtDelay()); target.due.After(soon) {
+		target.due = soon
+	}
+	if queued {
+		p.enqueue(target)
+		p.wakeUp()
+	}
+}
+
+// doubtDelay spreads the nodes' readings of one server.
+func (p *poller) doubtDelay() time.Duration {
+	return time.Duration(p.random.Float64() * float64(p.nodes) * float64(doubtPause))
+}
+
+// takeDue removes the first target that is due, or tells how long to wait.
+func (p *poller) takeDue() (*pollTarget, time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	now := time.Now()
+	if len(p.urgent) > 0 && !p.urgent[0].due.After(now) {
+		return p.take(p.urgent[0], now), 0
+	}
+	p.putOffHeard(now)
+	if len(p.others) > 0 && !p.others[0].due.After(now) && p.pace.allows(now) {
+		return p.take(p.others[0], now), 0
+	}
+	wait := p.options.interval
+	if len(p.urgent) > 0 {
+		wait = min(wait, p.urgent[0].due.Sub(now))
+	}
+	if len(p.others) > 0 {
+		wait = min(wait, p.nextTick(p.pace.next(p.others[0].due)).Sub(now))
+	}
+	return nil, wait
+}
+
+// take removes a target for a reading.
+func (p *poller) take(target *pollTarget, now time.Time) *pollTarget {
+	p.dequeue(target)
+	if !target.duty && !target.neverRead() {
+		p.pace.spend(now)
+	}
+	target.doubted = false
+	return target
+}
+
+// putOffHeard gives the others that are due and replied within the interval
+// their next turn without a reading.
+func (p *poller) putOffHeard(now time.Time) {
+	for len(p.others) > 0 && !p.others[0].due.After(now) {
+		target := p.others[0]
+		heard := time.Unix(0, target.heard.Load())
+		if now.Sub(heard) > p.options.interval {
+			return
+		}
+		target.due = now.Add(p.jitter(p.pace.pause))
+		heap.Fix(&p.others, target.index)
+	}
+}
+
+// enqueue puts a target where it waits for its next reading.
+func (p *poller) enqueue(target *pollTarget) {
+	target.queue = &p.others
+	if target.urgent() {
+		target.queue = &p.urgent
+	}
+	heap.Push(target.queue, target)
+}
+
+// dequeue takes a target from where it waits, if it does.
+func (p *poller) dequeue(target *pollTarget) {
+	if target.queue != nil {
+		heap.Remove(target.queue, target.index)
+		target.queue = nil
+	}
+}
+
+// pollSchedule is a heap of targets by due time, and by ID at equal times.
+type pollSchedule []*pollTarget
+
+func (s pollSchedule) Len() int { return len(s) }
+
+func (s pollSchedule) Less(i, j int) bool {
+	if s[i].due.Equal(s[j].due) {
+		return s[i].server < s[j].server
+	}
+	return s[i].due.Before(s[j].due)
+}
+
+func (s pollSchedule) Swap(i, j int) {
+	s[i], s[j] = s[j], s[i]
+	s[i].index, s[j].index = i, j
+}
+
+// Push appends a target; container/heap calls it.
+func (s *pollSchedule) Push(target any) {
+	added := target.(*pollTarget)
+	added.index = len(*s)
+	*s = append(*s, added)
+}
+
+// Pop removes the last target; container/heap calls it.
+func (s *pollSchedule) Pop() any {
+	last := len(*s) - 1
+	removed := (*s)[last]
+	(*s)[last] = nil
+	*s = (*s)[:last]
+	removed.index = -1
+	return removed
+}
--- a/node/node.go
+++ b/node/node.go
@@ -75,6 +75,10 @@
 	lastShard    uint64
 	serverStates map[string]dispatch.ServerState
 	liveNodes    []string
+	// readingNodes and readRoutes are what the servers that this node reads for
+	// all nodes were worked out from.
+	readingNodes []string
+	readRoutes   *map[string]route
 }
 
 // New makes a node; it opens nothing before Run.
@@ -111,6 +115,7 @@
 		interval:    options.Settings.Backend.HealthInterval,
 		timeout:     options.Settings.Backend.HealthTimeout,
 		concurrency: options.Settings.Backend.HealthConcurrency,
+		budget:      options.Settings.Backend.HealthReadings,
 		seed:        options.Seed,
 		report:      n.heardHealth,
 		unreachable: n.serverUnreachable,
--- a/node/peers.go
+++ b/node/peers.go
@@ -77,6 +77,9 @@
 		n.report(server, membership.FromReply, membership.ServerDraining, "")
 		return
 	}
+	if tellsAll(reply) {
+		n.poller.heardReply(server)
+	}
 	if n.troubled(server) {
 		n.report(server, membership.FromReply, membership.ServerAnswered, "")
 	}
@@ -105,6 +108,7 @@
 // serverUnreachable takes a failure to connect to a server.
 func (n *Node) serverUnreachable(server string) {
 	n.troubledServers.Store(server, struct{}{})
+	n.poller.forgetReply(server)
 	n.report(server, membership.FromConnect, membership.ServerUnreachable, "")
 }
 
--- a/node/route.go
+++ b/node/route.go
@@ -35,6 +35,8 @@
 // route is the way to one server.
 type route struct {
 	place membership.ServerPlace
+	// owners are the nodes that hold connections to the server.
+	owners []membership.Owner
 	// connections is this node's share; at zero the way goes through an owner.
 	connections int
 }
@@ -132,7 +134,7 @@
 func (r *router) Health(ctx context.Context, address string) (*backend.Health, error) {
 	way := r.route(address)
 	if way.connections == 0 {
-		return r.forwardHealth(ctx, way.place)
+		return r.forwardHealth(ctx, way)
 	}
 	health, err := r.direct.Health(ctx, address)
 	if err == nil {
@@ -141,10 +143,10 @@
 	return health, err
 }
 
-func (r *router) forwardHealth(ctx context.Context, server membership.ServerPlace) (*backend.Health, error) {
-	owners := r.owners(server)
+func (r *router) forwardHealth(ctx context.Context, way route) (*backend.Health, error) {
+	owners := readersAmong(way, r.owners(way.place))
 	for _, owner := range owners[:min(len(owners), maximumOwnersAsked)] {
-		health, known, err := r.forwarder.ServerHealth(ctx, owner.Address, server.ID)
+		health, known, err := r.forwarder.ServerHealth(ctx, owner.Address, way.place.ID)
 		if err == nil && known {
 			return health, nil
 		}
--- a/node/run.go
+++ b/node/run.go
@@ -88,6 +88,7 @@
 func (n *Node) startDuties(ctx context.Context, duties *sync.WaitGroup) {
 	n.keeper.Subscribe(n.configure)
 	n.agent.SubscribeServers(n.serverChanged)
+	n.agent.SubscribeDoubts(n.poller.doubt)
 	duties.Go(func() { n.logEnd("configuration", n.keeper.Run(ctx)) })
 	duties.Go(func() { n.logEnd("peers", n.agent.Run(ctx)) })
 	duties.Go(func() { n.poller.run(ctx) })
--- a/peer/agent.go
+++ b/peer/agent.go
@@ -87,7 +87,7 @@
 		claims:         claimTable{ledger: claim.NewLedger(options.Claims)},
 		listAsked:      make(chan struct{}),
 		nodes:          nodeTable{core: membership.NewNodes(nodesOptions)},
-		servers:        serverTable{core: membership.NewServers(options.Servers)},
+		servers:        serverTable{core: membership.NewServers(options.Servers), foundNews: make(chan struct{}, 1)},
 		slots:          make(chan struct{}, maximumInFlight),
 		wake:           make(chan struct{}, 1),
 	}
@@ -136,6 +136,7 @@
 func (a *Agent) Run(ctx context.Context) error {
 	var loops sync.WaitGroup
 	loops.Go(func() { a.tickLoop(ctx) })
+	loops.Go(func() { a.findingLoop(ctx) })
 	if a.machineList != nil {
 		loops.Go(func() { a.listLoop(ctx) })
 	}
--- a/peer/servers.go
+++ b/peer/servers.go
@@ -17,6 +17,10 @@
 	subscribers []subscriber
 	deliveries  []delivery
 	delivering  bool
+	// doubted is told of the servers that the node is to read; it is set once.
+	doubted func(server string)
+	// foundNews wakes the loop that pushes findings; it holds one token.
+	foundNews chan struct{}
 }
 
 type subscriber func(id string, state dispatch.ServerState)
@@ -31,8 +35,26 @@
 	t.mutex.Lock()
 	change(t.core)
 	t.queue(t.core.TakeChanges(), t.subscribers)
+	doubts, doubted := t.core.TakeDoubts(), t.doubted
+	found := t.core.HasFindings()
 	t.mutex.Unlock()
 	t.deliver()
+	if found {
+		t.wakePushes()
+	}
+	for _, server := range doubts {
+		if doubted != nil {
+			doubted(server)
+		}
+	}
+}
+
+// wakePushes wakes the loop that pushes findings.
+func (t *serverTable) wakePushes() {
+	select {
+	case t.foundNews <- struct{}{}:
+	default:
+	}
 }
 
 // receiveLeavings takes in the leavings that another node told.
--- a/settings/descriptions.go
+++ b/settings/descriptions.go
@@ -21,6 +21,7 @@
 	"backend.health_interval":    "mean time between two health readings of a server",
 	"backend.health_timeout":     "longest time of one health reading",
 	"backend.health_concurrency": "health readings at once",
+	"backend.health_readings":    "health and load readings a second; servers that this node reads for all nodes are read beyond it",
 	"backend.spare_connections":  "idle connections kept ready to each server",
 	"at_most_once.window":        "time for which the outcome of a not-repeatable request is remembered after its end",
 	"at_most_once.requests":      "not-repeatable requests remembered; more are refused as not run",
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -69,6 +69,9 @@
 	HealthTimeout time.Duration `koanf:"health_timeout" validate:"min=10ms,max=60s"`
 	// HealthConcurrency bounds the health readings that run at once.
 	HealthConcurrency int `koanf:"health_concurrency" validate:"min=1,max=1024"`
+	// HealthReadings is the budget of health and load readings a second. Servers
+	// that this node must read every interval for all nodes are read beyond it.
+	HealthReadings float64 `koanf:"health_readings" validate:"min=0.1,max=100000"`
 	// SpareConnections is the number of idle connections kept to each server.
 	SpareConnections int `koanf:"spare_connections" validate:"min=0,max=1024"`
 }
@@ -122,6 +125,7 @@
 			HealthInterval:    1500 * time.Millisecond,
 			HealthTimeout:     time.Second,
 			HealthConcurrency: 64,
+			HealthReadings:    12,
 			SpareConnections:  2,
 		},
 		AtMostOnce:  AtMostOnce{Window: 10 * time.Minute, Requests: 100_000, ResultBytes: 64 << 20},
