--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -30,6 +30,11 @@
 	// what the class can do without: a class that needs full coverage starts only
 	// when every group has room. Default 0.25; negative is none.
 	BlockedShare float64
+	// WaitingRoom is the number of sub-requests that may wait in a group while
+	// queries still start that find no room there: a query needs many groups, and
+	// seldom have all of them room at once. It buys throughput for some latency
+	// of urgent queries; default none.
+	WaitingRoom int
 	// WaitingPerLimit bounds the first sub-requests that wait for room in a group,
 	// as a multiple of the group's limit; those over it are given up at once.
 	// Default 2.
@@ -49,6 +54,10 @@
 	// free; default limit.DefaultSpareConnections.
 	SpareConnections float64
 
+	// HearingTime is how long a server that is new in the configuration is not
+	// asked while it gave no account of itself; default one second; negative is
+	// none. Until then it may be leaving without the node's knowing.
+	HearingTime time.Duration
 	// ReplicaPolicy chooses among the servers of a group; default PowerOfTwo.
 	ReplicaPolicy ReplicaPolicy
 	// LoadWeight is the weight of a load just reported by a server beside the
@@ -90,6 +99,7 @@
 	DefaultBlockedShare    = 0.25
 	DefaultWaitingPerLimit = 2.0
 	DefaultLeastClassShare = 0.1
+	DefaultHearingTime     = time.Second
 	DefaultUrgentReserve   = 1
 	DefaultLoadWeight      = 0.1
 	DefaultLoadHalfLife    = 20 * time.Millisecond
@@ -106,6 +116,7 @@
 	setDefault(&o.BlockedShare, DefaultBlockedShare)
 	setDefault(&o.WaitingPerLimit, DefaultWaitingPerLimit)
 	setDefault(&o.LeastClassShare, DefaultLeastClassShare)
+	setDefault(&o.HearingTime, DefaultHearingTime)
 	setDefault(&o.UrgentReserve, DefaultUrgentReserve)
 	setDefault(&o.SpareConnections, limit.DefaultSpareConnections)
 	setDefault(&o.LoadWeight, DefaultLoadWeight)
--- a/node/health.go
+++ b/node/health.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/banksail/banksail/backend"
+	"github.com/banksail/banksail/internal/priority"
 )
 
 const (
@@ -67,8 +68,8 @@
 	// targets holds all that are configured.
 	targets map[string]*pollTarget
 	// urgent holds the duties, first readings and doubts, which wait for no budget.
-	urgent pollSchedule
-	others pollSchedule
+	urgent *priority.Queue[*pollTarget]
+	others *priority.Queue[*pollTarget]
 	// duties are the servers that this node reads for all nodes.
 	duties map[string]bool
 	// nodes is the number of live nodes.
@@ -86,6 +87,8 @@
 		options: options,
 		changed: make(chan struct{}, 1),
 		targets: make(map[string]*pollTarget),
+		urgent:  newPollSchedule(),
+		others:  newPollSchedule(),
 		nodes:   1,
 		random:  random,
 		phase:   time.Duration(random.Int64N(int64(readingTick))),
--- a/node/health_schedule.go
+++ b/node/health_schedule.go
@@ -1,11 +1,12 @@
 package node
 
 import (
-	"container/heap"
 	"maps"
 	"slices"
 	"sync/atomic"
 	"time"
+
+	"github.com/banksail/banksail/internal/priority"
 )
 
 const (
@@ -39,9 +40,9 @@
 	// heard is the Unix time, in nanoseconds, of the last reply that told all
 	// that a reading tells; zero when none did.
 	heard atomic.Int64
-	// queue is the schedule that holds the target, and index its place there; nil
-	// and -1 during a reading.
-	queue *pollSchedule
+	// queue is the schedule that holds the target, and index its place there; the
+	// queue is nil during a reading.
+	queue *priority.Queue[*pollTarget]
 	index int
 }
 
@@ -78,7 +79,7 @@
 		return
 	}
 	due := now.Add(time.Duration(p.random.Int64N(int64(spread))))
-	target := &pollTarget{server: server, address: address, due: due, index: -1}
+	target := &pollTarget{server: server, address: address, due: due}
 	p.targets[server] = target
 	p.heardTargets.Store(server, target)
 	p.enqueue(target)
@@ -176,19 +177,19 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	now := time.Now()
-	if len(p.urgent) > 0 && !p.urgent[0].due.After(now) {
-		return p.take(p.urgent[0], now), 0
+	if p.urgent.Len() > 0 && !p.urgent.First().due.After(now) {
+		return p.take(p.urgent.First(), now), 0
 	}
 	p.putOffHeard(now)
-	if len(p.others) > 0 && !p.others[0].due.After(now) && p.pace.allows(now) {
-		return p.take(p.others[0], now), 0
+	if p.others.Len() > 0 && !p.others.First().due.After(now) && p.pace.allows(now) {
+		return p.take(p.others.First(), now), 0
 	}
 	wait := p.options.interval
-	if len(p.urgent) > 0 {
-		wait = min(wait, p.urgent[0].due.Sub(now))
+	if p.urgent.Len() > 0 {
+		wait = min(wait, p.urgent.First().due.Sub(now))
 	}
-	if len(p.others) > 0 {
-		wait = min(wait, p.nextTick(p.pace.next(p.others[0].due)).Sub(now))
+	if p.others.Len() > 0 {
+		wait = min(wait, p.nextTick(p.pace.next(p.others.First().due)).Sub(now))
 	}
 	return nil, wait
 }
@@ -206,64 +207,42 @@
 // putOffHeard gives the others that are due and replied within the interval
 // their next turn without a reading.
 func (p *poller) putOffHeard(now time.Time) {
-	for len(p.others) > 0 && !p.others[0].due.After(now) {
-		target := p.others[0]
+	for p.others.Len() > 0 && !p.others.First().due.After(now) {
+		target := p.others.First()
 		heard := time.Unix(0, target.heard.Load())
 		if now.Sub(heard) > p.options.interval {
 			return
 		}
+		p.dequeue(target)
 		target.due = now.Add(p.jitter(p.pace.pause))
-		heap.Fix(&p.others, target.index)
+		p.enqueue(target)
 	}
 }
 
 // enqueue puts a target where it waits for its next reading.
 func (p *poller) enqueue(target *pollTarget) {
-	target.queue = &p.others
+	target.queue = p.others
 	if target.urgent() {
-		target.queue = &p.urgent
+		target.queue = p.urgent
 	}
-	heap.Push(target.queue, target)
+	target.queue.Push(target)
 }
 
 // dequeue takes a target from where it waits, if it does.
 func (p *poller) dequeue(target *pollTarget) {
 	if target.queue != nil {
-		heap.Remove(target.queue, target.index)
+		target.queue.Remove(target.index)
 		target.queue = nil
 	}
 }
 
-// pollSchedule is a heap of targets by due time, and by ID at equal times.
-type pollSchedule []*pollTarget
-
-func (s pollSchedule) Len() int { return len(s) }
-
-func (s pollSchedule) Less(i, j int) bool {
-	if s[i].due.Equal(s[j].due) {
-		return s[i].server < s[j].server
+// newPollSchedule returns a queue of targets by due time, and by ID at equal times.
+func newPollSchedule() *priority.Queue[*pollTarget] {
+	before := func(target, other *pollTarget) bool {
+		if target.due.Equal(other.due) {
+			return target.server < other.server
+		}
+		return target.due.Before(other.due)
 	}
-	return s[i].due.Before(s[j].due)
-}
-
-func (s pollSchedule) Swap(i, j int) {
-	s[i], s[j] = s[j], s[i]
-	s[i].index, s[j].index = i, j
-}
-
-// Push appends a target; container/heap calls it.
-func (s *pollSchedule) Push(target any) {
-	added := target.(*pollTarget)
-	added.index = len(*s)
-	*s = append(*s, added)
-}
-
-// Pop removes the last target; container/heap calls it.
-func (s *pollSchedule) Pop() any {
-	last := len(*s) - 1
-	removed := (*s)[last]
-	(*s)[last] = nil
-	*s = (*s)[:last]
-	removed.index = -1
-	return removed
+	return priority.NewQueue(before, func(target *pollTarget, place int) { target.index = place })
 }
