backend: a changed bound of connections changes the pool in place

Cause: a pool's bound was that of its transport, which can't change. Each change of a server's share retired the whole pool: all connections opened anew at 1 ms each, and those in flight came on top of the new bound.

Change: a pool holds connections, each with a transport of at most one, and hands them out itself. A greater bound serves waiting requests at once; a smaller one closes idle connections and spares at once, without waiting for a request (UpdateBound), and those in use when their request ends. There are never more than the greatest bound under which a running request began, also when a server was forgotten and asked again.

--- /dev/null
+++ b/backend/bound_test.go
@@ -0,0 +1,138 @@
+package backend_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/banksail/banksail/backend"
+)
+
+// changingBound returns options without spares whose bound is read from the
+// returned number.
+func changingBound(start int64) (backend.ClientOptions, *atomic.Int64) {
+	bound := &atomic.Int64{}
+	bound.Store(start)
+	options := backend.ClientOptions{
+		SparesPerServer:      -1,
+		ConnectionsPerServer: func(string) int { return int(bound.Load()) },
+	}
+	return options, bound
+}
+
+// startMany starts queries and returns once each has a connection or waits for one.
+func startMany(t *testing.T, client *backend.Client, count int) *sync.WaitGroup {
+	t.Helper()
+	started := &sync.WaitGroup{}
+	started.Go(func() { queryMany(t, client, count) })
+	time.Sleep(2 * time.Millisecond) // Virtual: the dial's millisecond is over, the service time is not.
+	return started
+}
+
+func TestAChangedBoundKeepsOpenConnections(t *testing.T) {
+	for name, test := range map[string]struct{ bound, queries, open int }{
+		"greater bound":                   {bound: 8, queries: 4, open: 4},
+		"greater bound, more are opened":  {bound: 6, queries: 6, open: 6},
+		"smaller bound, idle ones close":  {bound: 3, queries: 3, open: 3},
+		"smaller bound than the requests": {bound: 1, queries: 3, open: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			options, bound := changingBound(4)
+			inBubble(t, options, func(t *testing.T, client *backend.Client, network *pipeNetwork) {
+				queryMany(t, client, 4)
+				bound.Store(int64(test.bound))
+				queryMany(t, client, test.queries)
+				open, _, dials := network.counts()
+				if want := max(4, test.open); open != test.open || dials != want {
+					t.Errorf("%d connections are open after %d dials, want %d after %d", open, dials, test.open, want)
+				}
+			})
+		})
+	}
+}
+
+func TestConnectionsInFlightCountAgainstAChangedBound(t *testing.T) {
+	for name, bounds := range map[string][]int64{
+		"smaller":              {8, 4},
+		"greater":              {4, 8},
+		"smaller, then as was": {8, 1, 8},
+		"by one at a time":     {8, 7, 6, 5, 6, 7, 8},
+	} {
+		t.Run(name, func(t *testing.T) {
+			options, bound := changingBound(bounds[0])
+			inBubble(t, options, func(t *testing.T, client *backend.Client, network *pipeNetwork) {
+				var started []*sync.WaitGroup
+				for _, next := range bounds {
+					bound.Store(next)
+					started = append(started, startMany(t, client, 8))
+				}
+				for _, group := range started {
+					group.Wait()
+				}
+				open, highest, _ := network.counts()
+				if last := bounds[len(bounds)-1]; highest > 8 || int64(open) > last {
+					t.Errorf("%d connections were open at once and %d are, want 8 and %d at most", highest, open, last)
+				}
+			})
+		})
+	}
+}
+
+func TestConnectionsInFlightCountAfterTheServerWasForgotten(t *testing.T) {
+	options, _ := changingBound(4)
+	inBubble(t, options, func(t *testing.T, client *backend.Client, network *pipeNetwork) {
+		before := startMany(t, client, 6)
+		client.Forget("10.0.0.1:1")
+		after := startMany(t, client, 6)
+		before.Wait()
+		after.Wait()
+		if _, highest, _ := network.counts(); highest > 4 {
+			t.Errorf("%d connections were open at once, want 4 at most", highest)
+		}
+	})
+}
+
+func TestAGreaterBoundServesRequestsThatWait(t *testing.T) {
+	options, bound := changingBound(1)
+	inBubble(t, options, func(t *testing.T, client *backend.Client, _ *pipeNetwork) {
+		start := time.Now()
+		started := startMany(t, client, 4)
+		bound.Store(4)
+		client.UpdateBound("10.0.0.1:1")
+		started.Wait()
+		if took := time.Since(start); took != 13*time.Millisecond {
+			t.Errorf("four queries took %v, want 2 ms until the change, one dial and one service time", took)
+		}
+	})
+}
+
+func TestASmallerBoundClosesIdleConnectionsAndSparesWithoutARequest(t *testing.T) {
+	bound := 8
+	options := backend.ClientOptions{ConnectionsPerServer: func(string) int { return bound }}
+	inBubble(t, options, func(t *testing.T, client *backend.Client, network *pipeNetwork) {
+		queryMany(t, client, 8)
+		bound = 2
+		client.UpdateBound("10.0.0.1:1")
+		if open, _, _ := network.counts(); open != 2 {
+			t.Errorf("%d connections are open, want 2", open)
+		}
+	})
+}
+
+func TestARequestThatStopsWaitingLeavesTheConnectionToOthers(t *testing.T) {
+	options, _ := changingBound(1)
+	inBubble(t, options, func(t *testing.T, client *backend.Client, _ *pipeNetwork) {
+		started := startMany(t, client, 1)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+		defer cancel()
+		_, err := client.Query(ctx, "10.0.0.1:1", newQuery("a1"))
+		if !errors.Is(err, backend.ErrNotDelivered) || !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("error is %v, want ErrNotDelivered and the deadline", err)
+		}
+		queryMany(t, client, 2)
+		started.Wait()
+	})
+}
--- a/backend/client.go
+++ b/backend/client.go
@@ -40,7 +40,9 @@
 	// Dial opens connections; the default is the operating system's TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// ConnectionsPerServer bounds the open connections to the server at the
-	// address. It is asked at each request; the bound may change.
+	// address; less than 1 counts as 1. It is asked at each request and by
+	// UpdateBound. When it falls, connections above the bound close as soon as
+	// they carry no request; until then no others open.
 	ConnectionsPerServer func(address string) int
 	// SparesPerServer is the number of connections kept open before they are
 	// needed, at most a quarter of the bound; a negative one means none.
@@ -56,8 +58,8 @@
 type Client struct {
 	options ClientOptions
 
-	// mutex guards pools. Invariant: at most one pool per address takes new
-	// requests; the bound of that pool is the one last asked for.
+	// mutex guards pools; it is locked before a pool's own. Invariant: all
+	// connections to an address belong to its one pool here.
 	mutex sync.RWMutex
 	pools map[string]*pool
 }
@@ -124,33 +126,106 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for address, open := range c.pools {
-		delete(c.pools, address)
-		open.retire()
+		c.forget(address, open)
 	}
 }
 
-// Forget closes the idle connections to a server and drops its pool; requests
-// in flight end on their own.
+// Forget closes the idle connections to a server; those of requests in flight
+// close with them, unless a new request begins before.
 func (c *Client) Forget(address string) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if open, ok := c.pools[address]; ok {
+		c.forget(address, open)
+	}
+}
+
+// forget is called with the mutex held.
+func (c *Client) forget(address string, open *pool) {
+	open.forget()
+	if open.dropIfOver() {
 		delete(c.pools, address)
-		open.retire()
 	}
 }
 
+// UpdateBound asks for the bound of the connections to a server and closes idle
+// ones above it, without a request. A server without connections stays so.
+func (c *Client) UpdateBound(address string) {
+	c.mutex.RLock()
+	open := c.pools[address]
+	c.mutex.RUnlock()
+	if open != nil {
+		open.resize(c.bound(address))
+	}
+}
+
+func (c *Client) bound(address string) int {
+	return max(1, c.options.ConnectionsPerServer(address))
+}
+
+// pool returns the server's pool, made when there is none.
+func (c *Client) pool(address string, bound int) *pool {
+	c.mutex.RLock()
+	open := c.pools[address]
+	c.mutex.RUnlock()
+	if open != nil {
+		return open
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if open = c.pools[address]; open == nil {
+		open = c.newPool(bound)
+		c.pools[address] = open
+	}
+	return open
+}
+
+// acquire waits for a connection to the server; the caller must release it.
+func (c *Client) acquire(ctx context.Context, address string) (*pool, *connection, error) {
+	for {
+		bound := c.bound(address)
+		open := c.pool(address, bound)
+		conn, live, err := open.acquire(ctx, bound)
+		if live {
+			return open, conn, err
+		}
+	}
+}
+
+// release gives a connection back, and drops a forgotten pool with its last one.
+func (c *Client) release(address string, open *pool, conn *connection, sound bool) {
+	open.release(conn, sound)
+	if !open.isOver() {
+		return
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.pools[address] == open && open.dropIfOver() {
+		delete(c.pools, address)
+	}
+}
+
+func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.options.DialTimeout)
+	defer cancel()
+	return c.options.Dial(ctx, network, address)
+}
+
 // exchange sends one request and gives its whole reply to decode. A connection
 // whose reply can't be decoded is closed: later replies on it may belong to
 // other requests.
 func (c *Client) exchange(
 	ctx context.Context, address, method, path string, body []byte, decode func(data []byte, code int) error,
 ) error {
-	open := c.acquire(address)
-	defer open.release()
+	open, conn, err := c.acquire(ctx, address)
+	if err != nil {
+		return fmt.Errorf("asking %s: %w", address, err)
+	}
+	defer func() { c.release(address, open, conn, err == nil) }()
 	for {
 		trackedContext, tracker := delivery.Track(ctx)
-		reply, err := open.roundTrip(trackedContext, address, method, path, body)
+		var reply httpcall.Reply
+		reply, err = conn.roundTrip(trackedContext, address, method, path, body)
 		if err == nil {
 			err = decode(reply.Body, reply.Code)
 		}
@@ -161,18 +236,18 @@
 		if !errors.Is(err, ErrNotDelivered) || !tracker.Reused() || ctx.Err() != nil {
 			return fmt.Errorf("asking %s: %w", address, err)
 		}
-		// A kept connection had closed before a byte was written; it is gone
-		// now, so this ends with the last of them.
+		// The kept connection had closed before a byte was written; it is gone
+		// now, so the next one is new.
 	}
 }
 
 // roundTrip sends one request and reads its whole reply.
-func (p *pool) roundTrip(ctx context.Context, address, method, path string, body []byte) (httpcall.Reply, error) {
+func (c *connection) roundTrip(ctx context.Context, address, method, path string, body []byte) (httpcall.Reply, error) {
 	call := httpcall.Call{Method: method, Address: address, Path: path, Body: body, Limit: MaximumReplyBytes}
 	if body != nil {
 		call.Header = http.Header{"Content-Type": {httpcall.JSON}}
 	}
-	reply, err := httpcall.Send(ctx, p.transport, call)
+	reply, err := httpcall.Send(ctx, c.transport, call)
 	if errors.Is(err, strictjson.ErrTooLarge) {
 		err = fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
--- a/backend/spares.go
+++ b/backend/spares.go
@@ -16,16 +16,16 @@
 // so that a query doesn't wait for a new one.
 type spares struct {
 	dial delivery.DialFunc
-	size int
 	// idle is how long a spare connection is kept.
 	idle time.Duration
 
-	// mutex guards the fields below. Invariant: ready and opening together
-	// never exceed size, and ready holds no connection that was taken.
+	// mutex guards the fields below. Invariants: ready never exceeds size, and
+	// holds no connection that was taken; none begins to open while ready and
+	// opening together reach size.
 	mutex   sync.Mutex
+	size    int
 	ready   []*spare
 	opening int
-	closed  bool
 }
 
 // spare is one open connection that carried nothing yet.
@@ -86,7 +86,7 @@
 func (s *spares) refill(network, address string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	for !s.closed && len(s.ready)+s.opening < s.size {
+	for len(s.ready)+s.opening < s.size {
 		s.opening++
 		go s.open(network, address)
 	}
@@ -100,7 +100,7 @@
 	if err != nil {
 		return
 	}
-	if s.closed {
+	if len(s.ready) >= s.size {
 		_ = conn.Close()
 		return
 	}
@@ -134,13 +134,14 @@
 	return true
 }
 
-// close closes the spares; none opens afterwards.
-func (s *spares) close() {
+// resize changes the number of spares; those above it close.
+func (s *spares) resize(size int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.closed = true
-	for _, open := range s.ready {
+	s.size = size
+	above := max(0, len(s.ready)-size)
+	for _, open := range s.ready[:above] {
 		_ = open.Close()
 	}
-	s.ready = nil
+	s.ready = slices.Delete(s.ready, 0, above)
 }
--- a/node/connections.go
+++ b/node/connections.go
@@ -79,7 +79,7 @@
 		}
 	}
 	previous := n.routes.Swap(&routes)
-	n.forgetLost(previous, routes)
+	n.resizeConnections(previous, routes)
 	n.log.Info().Int("nodes", len(n.liveNodes)).Int("owned", owned).Int("forwarded", len(routes)-owned).
 		Msg("connections shared out")
 	for _, name := range slices.Sorted(maps.Keys(current.shards)) {
@@ -87,14 +87,20 @@
 	}
 }
 
-// forgetLost closes the idle connections to servers that now go through owners.
-func (n *Node) forgetLost(previous *map[string]route, routes map[string]route) {
+// resizeConnections closes idle connections above the new shares, all those to
+// servers that now go through owners.
+func (n *Node) resizeConnections(previous *map[string]route, routes map[string]route) {
 	if previous == nil {
 		return
 	}
 	for address, before := range *previous {
-		if now, known := routes[address]; known && now.connections == 0 && before.connections > 0 {
+		now, known := routes[address]
+		switch {
+		case !known || now.connections == before.connections:
+		case now.connections == 0:
 			n.client.Forget(address)
+		default:
+			n.client.UpdateBound(address)
 		}
 	}
 }
