--- a/node/health.go
+++ b/node/health.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -14,12 +12,11 @@
 )
 
 const (
-	// firstReadingSpread spreads the first readings of servers that are new in
-	// the configuration.
-	firstReadingSpread = 100 * time.Millisecond
 	// firstRetryPause is the pause after the first failed reading of a server;
 	// it doubles with each further one, up to the health interval.
 	firstRetryPause = 100 * time.Millisecond
+	// maximumRetryShift bounds the doubling of that pause.
+	maximumRetryShift = 16
 	// loadReadingPause is the least time between two load readings of a server;
 	// load rides on replies besides.
 	loadReadingPause = 30 * time.Second
@@ -43,7 +40,10 @@
 	interval    time.Duration
 	timeout     time.Duration
 	concurrency int
-	seed        uint64
+	// budget is the number of readings a second that this node makes; its duties
+	// are read beyond it. Zero means no bound.
+	budget float64
+	seed   uint64
 	// report takes each successful reading.
 	report func(reading)
 	// unreachable is told of every server to which no connection could be made.
@@ -52,75 +52,47 @@
 
 // poller reads the servers' health: it is how a drain that shows only there is
 // seen, and how a node learns the snapshots before any reply.
+//
+// It reads the servers that are its duty every interval; they are all servers
+// when the budget suffices. What the duties leave of the budget is spread evenly
+// over the others, of which those that replied within the interval need none.
 type poller struct {
 	options pollerOptions
 	changed chan struct{}
+	// heardTargets finds the target of a server's ID without the lock.
+	heardTargets sync.Map
 
 	mutex sync.Mutex
-	// mutex guards the fields below. Invariant: schedule holds exactly the
-	// targets that have no reading in progress, ordered by due time; targets
-	// holds all that are configured.
-	targets  map[string]*pollTarget
-	schedule *priority.Queue[*pollTarget]
-	random   *rand.Rand
+	// mutex guards the fields below. Invariant: each target that has no reading
+	// in progress is in exactly one of urgent and others, ordered by due time;
+	// targets holds all that are configured.
+	targets map[string]*pollTarget
+	// urgent holds the duties, first readings and doubts, which wait for no budget.
+	urgent *priority.Queue[*pollTarget]
+	others *priority.Queue[*pollTarget]
+	// duties are the servers that this node reads for all nodes.
+	duties map[string]bool
+	// nodes is the number of live nodes.
+	nodes int
+	// pace spreads the readings of others.
+	pace   readingPace
+	random *rand.Rand
 	// phase keeps the ticks of different nodes apart; it never changes.
 	phase time.Duration
 }
 
-// inReading is the index of a target that is being read.
-const inReading = -1
-
-// pollTarget is one server that is read.
-type pollTarget struct {
-	server   string
-	address  string
-	due      time.Time
-	failures int
-	lastLoad time.Time
-	// index is the place in the schedule, or inReading.
-	index int
-}
-
 func newPoller(options pollerOptions) *poller {
 	random := rand.New(rand.NewPCG(options.seed, 0))
 	return &poller{
-		options:  options,
-		changed:  make(chan struct{}, 1),
-		targets:  make(map[string]*pollTarget),
-		schedule: newPollSchedule(),
-		random:   random,
-		phase:    time.Duration(random.Int64N(int64(readingTick))),
-	}
-}
-
-// setServers makes the given servers the ones to read.
-func (p *poller) setServers(servers map[string]configuredServer) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	for server, target := range p.targets {
-		if _, kept := servers[server]; !kept {
-			delete(p.targets, server)
-			if target.index != inReading {
-				p.schedule.Remove(target.index)
-			}
-		}
-	}
-	now := time.Now()
-	for _, server := range slices.Sorted(maps.Keys(servers)) {
-		p.setServer(server, servers[server].address, now)
-	}
-	p.wakeUp()
-}
-
-func (p *poller) setServer(server, address string, now time.Time) {
-	if target, known := p.targets[server]; known {
-		target.address = address
-		return
+		options: options,
+		changed: make(chan struct{}, 1),
+		targets: make(map[string]*pollTarget),
+		urgent:  newPollSchedule(),
+		others:  newPollSchedule(),
+		nodes:   1,
+		random:  random,
+		phase:   time.Duration(random.Int64N(int64(readingTick))),
 	}
-	spread := time.Duration(p.random.Int64N(int64(firstReadingSpread)))
-	target := &pollTarget{server: server, address: address, due: now.Add(spread)}
-	p.targets[server] = target
-	p.schedule.Push(target)
 }
 
 func (p *poller) wakeUp() {
@@ -161,22 +133,6 @@
 	}
 }
 
-// takeDue removes the first target that is due, or tells how long to wait.
-func (p *poller) takeDue() (*pollTarget, time.Duration) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	if p.schedule.Len() == 0 {
-		return nil, p.options.interval
-	}
-	wait := time.Until(p.schedule.First().due)
-	if wait > 0 {
-		return nil, wait
-	}
-	due := p.schedule.Pop()
-	due.index = inReading
-	return due, 0
-}
-
 // read asks one server and schedules its next reading.
 func (p *poller) read(ctx context.Context, target *pollTarget) {
 	ctx, cancel := context.WithTimeout(ctx, p.options.timeout)
@@ -196,34 +152,57 @@
 	p.reschedule(target, err == nil, withLoad)
 }
 
+// plan tells how to read a target.
 func (p *poller) plan(target *pollTarget) (address string, withLoad bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return target.address, time.Since(target.lastLoad) >= loadReadingPause
+	wanted := target.duty || target.neverRead()
+	return target.address, wanted && time.Since(target.lastLoad) >= loadReadingPause
 }
 
 func (p *poller) reschedule(target *pollTarget, succeeded, withLoad bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	now := time.Now()
+	first := target.neverRead()
 	if succeeded {
 		target.failures = 0
-		target.due = p.nextTick(now.Add(p.jitter(p.options.interval)))
+		target.read = true
 		if withLoad {
 			target.lastLoad = now
 		}
 	} else {
-		pause := min(p.options.interval, firstRetryPause<<min(target.failures, 16))
-		target.due = now.Add(p.jitter(pause))
 		target.failures++
 	}
+	target.due = p.nextDue(target, now, first)
 	if p.targets[target.server] != target {
 		return
 	}
-	p.schedule.Push(target)
+	p.enqueue(target)
 	p.wakeUp()
 }
 
+// nextDue is when a target that was just read falls due again.
+func (p *poller) nextDue(target *pollTarget, now time.Time, first bool) time.Time {
+	usual := p.options.interval
+	if !target.urgent() {
+		usual = p.pace.pause
+	}
+	switch {
+	case target.doubted:
+		return now.Add(p.doubtDelay())
+	case target.failures > 0:
+		pause := firstRetryPause << min(target.failures-1, maximumRetryShift)
+		return now.Add(p.jitter(min(usual, pause)))
+	case target.duty:
+		return p.nextTick(now.Add(p.jitter(usual)))
+	case first:
+		return now.Add(time.Duration(p.random.Float64() * float64(usual)))
+	default:
+		return now.Add(p.jitter(usual))
+	}
+}
+
 // nextTick is the first tick after a time.
 func (p *poller) nextTick(after time.Time) time.Time {
 	return after.Add(-p.phase).Truncate(readingTick).Add(readingTick + p.phase)
@@ -232,14 +211,3 @@
 func (p *poller) jitter(mean time.Duration) time.Duration {
 	return time.Duration(float64(mean) * (1 + jitterShare*(2*p.random.Float64()-1)))
 }
-
-// newPollSchedule returns a queue of targets by due time, and by ID at equal times.
-func newPollSchedule() *priority.Queue[*pollTarget] {
-	before := func(target, other *pollTarget) bool {
-		if target.due.Equal(other.due) {
-			return target.server < other.server
-		}
-		return target.due.Before(other.due)
-	}
-	return priority.NewQueue(before, func(target *pollTarget, place int) { target.index = place })
-}
