--- a/cmd/banksail-lab/experiment.go
+++ b/cmd/banksail-lab/experiment.go
@@ -60,11 +60,7 @@
 		fmt.Fprint(os.Stderr, c.Usage())
 		return subcommands.ExitUsageError
 	}
-	if err := c.run(ctx, flags.Arg(0)); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return subcommands.ExitFailure
-	}
-	return subcommands.ExitSuccess
+	return status(c.run(ctx, flags.Arg(0)))
 }
 
 func (c *experimentCommand) run(ctx context.Context, path string) error {
--- a/lab/experiment/cluster/draw.go
+++ b/lab/experiment/cluster/draw.go
@@ -9,7 +9,6 @@
 	streamNode
 	streamService
 	streamNetwork
-	streamShed
 	streamConfiguration
 )
 
--- a/lab/experiment/cluster/result.go
+++ b/lab/experiment/cluster/result.go
@@ -55,15 +55,6 @@
 	return c.coverageSum / float64(c.Ran)
 }
 
-// BelowMinimumShare is the share of the queries that ran whose answer covers
-// less than the class's minimum.
-func (c *ClassResult) BelowMinimumShare() float64 {
-	if c.Ran == 0 {
-		return 0
-	}
-	return float64(c.Ran-c.Useful) / float64(c.Ran)
-}
-
 // Result measures one run.
 type Result struct {
 	Classes []*ClassResult
--- a/lab/experiment/summary.go
+++ b/lab/experiment/summary.go
@@ -38,15 +38,17 @@
 	// Tail is each seed's 99th percentile, in milliseconds.
 	Tail []float64
 	// Coverage is each seed's mean coverage of the queries that ran.
-	Coverage        []float64
-	WorstCoverage   float64
-	Arrived         int
-	Ran             int
-	Useful          int
-	Refused         map[dispatch.Reason]int
-	Timeline        []cluster.TimePoint
-	BelowMinimum    float64
-	coverageOverall float64
+	Coverage      []float64
+	WorstCoverage float64
+	Arrived       int
+	Ran           int
+	Useful        int
+	Refused       map[dispatch.Reason]int
+	// Timeline is the coverage by time of arrival, over all seeds.
+	Timeline []cluster.TimePoint
+	// BelowMinimum is the share of the queries that ran whose answer covers less
+	// than the class's minimum.
+	BelowMinimum float64
 }
 
 // Quantile is a latency percentile over all seeds, in milliseconds.
@@ -55,18 +57,15 @@
 }
 
 // MeanCoverage is the mean coverage over the seeds.
-func (c *ClassSummary) MeanCoverage() float64 { return c.coverageOverall }
+func (c *ClassSummary) MeanCoverage() float64 { return stat.Mean(c.Coverage, nil) }
 
-// RefusedShare is the share of arrivals that were refused as not run.
-func (c *ClassSummary) RefusedShare() float64 {
+// RefusedCount is the number of arrivals that were refused as not run.
+func (c *ClassSummary) RefusedCount() int {
 	refused := 0
 	for _, count := range c.Refused {
 		refused += count
 	}
-	if c.Arrived == 0 {
-		return 0
-	}
-	return float64(refused) / float64(c.Arrived)
+	return refused
 }
 
 func summarise(results []*cluster.Result) *Summary {
@@ -119,7 +118,6 @@
 			class.Timeline[bucket].Coverage += point.Coverage
 		}
 	}
-	class.coverageOverall = stat.Mean(class.Coverage, nil)
 	if class.Ran > 0 {
 		class.BelowMinimum = float64(class.Ran-class.Useful) / float64(class.Ran)
 	}
--- a/lab/experiment/table.go
+++ b/lab/experiment/table.go
@@ -112,7 +112,7 @@
 
 // refusals formats the share of refused queries, and each reason's.
 func refusals(class *ClassSummary) string {
-	if class.RefusedShare() == 0 {
+	if class.RefusedCount() == 0 {
 		return "0"
 	}
 	var reasons []string
@@ -173,10 +173,9 @@
 	class, summary := &cell.Summary.Classes[index], cell.Summary
 	least, most := extremes(class.Tail)
 	paired := pairedDifference(class.Tail, reference.Summary.Classes[index].Tail)
-	refused := int(class.RefusedShare()*float64(class.Arrived) + 0.5)
 	row := []string{
 		cell.Workload, cell.Fault, cell.Policy, class.Name,
-		strconv.Itoa(class.Arrived), strconv.Itoa(class.Ran), strconv.Itoa(class.Useful), strconv.Itoa(refused),
+		strconv.Itoa(class.Arrived), strconv.Itoa(class.Ran), strconv.Itoa(class.Useful), strconv.Itoa(class.RefusedCount()),
 	}
 	for _, value := range []float64{
 		class.Quantile(50), class.Quantile(90), class.Quantile(tailPercentile), class.Quantile(99.9), least, most,
