--- a/Makefile
+++ b/Makefile
@@ -10,8 +10,9 @@
 build:
 	$(GO) build -o bin/ ./cmd/...
 
-# test is what README and CI call: formatter, vet, linter, tests, smoke run.
-test: lint unit demo
+# test is what README and CI call: formatter, vet, linter, tests, smoke run, and a
+# short fault run that judges only what holds at any speed of the machine.
+test: lint unit demo fault-run-short
 
 unit:
 	./scripts/unit.sh
