Spare readers within the budget, findings to five peers, tests of liars and fresh nodes

A node leaves out servers to which it is the third reader when its budget is short; the first two read whatever it is. Pushes go to five peers, as no gossip carries new incarnations.

--- a/lab/scale/sweeps.go
+++ b/lab/scale/sweeps.go
@@ -13,7 +13,7 @@
 // Sweeps lists all sweeps, in the order of the page of capacity.
 func Sweeps() []Sweep {
 	return slices.Concat(
-		dispatchSweeps(), exchangeSweeps(), connectionSweeps(), shareSweeps(), ownerSweeps(),
+		dispatchSweeps(), exchangeSweeps(), healthSweeps(), connectionSweeps(), shareSweeps(), ownerSweeps(),
 		membershipSweeps(), outageSweeps(), recordSweeps(), spreadSweeps(),
 	)
 }
--- a/lab/scale/sweeps_test.go
+++ b/lab/scale/sweeps_test.go
@@ -51,6 +51,7 @@
 		"parted regions":               func() ([]Sample, error) { return measureParted(16) },
 		"exchange with servers":        func() ([]Sample, error) { return measureExchange(4) },
 		"health readings":              func() ([]Sample, error) { return measureHealth(30) },
+		"readers of health":            func() ([]Sample, error) { return measureReaders(24) },
 		"idle connections":             func() ([]Sample, error) { return measureConnections(context.Background(), 4) },
 		"connection owners":            func() ([]Sample, error) { return measureOwners(50), nil },
 		"table of servers":             func() ([]Sample, error) { return measureServerTable(20) },
--- a/membership/connections.go
+++ b/membership/connections.go
@@ -105,10 +105,10 @@
 }
 
 // ReadersPerServer is the number of nodes that read a server's health every
-// interval, whatever their budget of readings.
+// interval.
 const ReadersPerServer = 3
 
-// Readers returns the nodes that read a server's health every interval: its
+// Readers returns, in order, the nodes that read a server's health every interval: its
 // first live owners, so that no reading needs a connection that is not shared
 // out. The owners are those of Owners and don't change when a node is suspected;
 // its place is then taken by the next one.
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -1,9 +1,11 @@
 package node_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -14,6 +16,7 @@
 	"github.com/banksail/banksail/coverage"
 	"github.com/banksail/banksail/lab/emulator"
 	"github.com/banksail/banksail/lab/network"
+	"github.com/banksail/banksail/membership"
 	"github.com/banksail/banksail/policy"
 	"github.com/banksail/banksail/settings"
 	"github.com/banksail/banksail/store"
@@ -42,6 +45,8 @@
 type readingCounter struct {
 	mutex  sync.Mutex
 	byNode map[string]int
+	// deceived reads that a server is ready whatever it says.
+	deceived string
 	// readers holds who reads each server's health, and how often.
 	readers map[string]map[string]int
 }
@@ -102,7 +107,12 @@
 				}
 				c.readers[server][ip]++
 			}
+			deceived := ip == c.deceived && request.URL.Path == backend.HealthPath
 			c.mutex.Unlock()
+			if deceived {
+				_ = json.NewEncoder(writer).Encode(backend.Health{State: backend.HealthReady, Incarnation: "first", Snapshots: []uint64{1}})
+				return
+			}
 		}
 		next.ServeHTTP(writer, request)
 	})
@@ -119,7 +129,7 @@
 		f.readings.reset()
 		f.memory = store.NewMemory(store.MemoryOptions{})
 		for index := range fleetServers {
-			f.startFleetServer(index)
+			f.startFleetServer(index, "first")
 		}
 		f.putConfiguration(1, fleetConfiguration())
 		f.startNodes()
@@ -131,9 +141,9 @@
 	})
 }
 
-func (f *fleet) startFleetServer(index int) {
+func (f *fleet) startFleetServer(index int, incarnation string) {
 	server, err := emulator.NewServer(emulator.ServerOptions{
-		ID: serverID(index), Snapshots: []uint64{1}, Slots: 8, Seed: uint64(index + 1), Incarnation: "first",
+		ID: serverID(index), Snapshots: []uint64{1}, Slots: 8, Seed: uint64(index + 1), Incarnation: incarnation,
 		ServiceTime: emulator.Distribution{Kind: emulator.Fixed, Mean: serviceTime},
 	})
 	f.check(err)
@@ -143,6 +153,10 @@
 	f.check(err)
 	web := &http.Server{Handler: f.readings.count(serverID(index), server)}
 	go func() { _ = web.Serve(listener) }()
+	if index < len(f.servers) {
+		f.webs[index], f.servers[index] = web, server
+		return
+	}
 	f.webs = append(f.webs, web)
 	f.servers = append(f.servers, server)
 }
@@ -182,7 +196,7 @@
 		var asking sync.WaitGroup
 		for _, one := range nodes {
 			asking.Go(func() {
-				got := f.ask(one, fmt.Sprintf("%s-%d", one.id, round), true)
+				got := f.ask(one, fmt.Sprintf("%s-%d-%d", one.id, index, round), true)
 				if got.status != http.StatusOK || got.answer.Coverage != 1 {
 					f.t.Errorf("%s: status %d, coverage %g, %v", one.id, got.status, got.answer.Coverage, got.err)
 				}
@@ -211,42 +225,125 @@
 
 func TestDrainThatOnlyTheHealthEndpointTells(t *testing.T) {
 	const leaving = 7
-	tests := map[string]func(f *fleet, reader *crowdNode){
-		"all nodes are well":    func(*fleet, *crowdNode) {},
-		"a reader has vanished": func(f *fleet, reader *crowdNode) { f.vanish(reader) },
-		"a reader is frozen":    func(f *fleet, reader *crowdNode) { f.network.Freeze(reader.ip) },
-		"a reader is cut off from the server": func(f *fleet, reader *crowdNode) {
-			server := strings.Split(serverAddress(leaving), ":")[0]
-			f.network.Cut(server, reader.ip)
+	// Each fault hits readers of the server; it returns those that can't answer.
+	tests := map[string]func(f *fleet, readers []*crowdNode) []*crowdNode{
+		"all nodes are well": func(*fleet, []*crowdNode) []*crowdNode { return nil },
+		"a reader has vanished": func(f *fleet, readers []*crowdNode) []*crowdNode {
+			f.vanish(readers[0])
+			return readers[:1]
+		},
+		"two readers have vanished": func(f *fleet, readers []*crowdNode) []*crowdNode {
+			f.vanish(readers[0])
+			f.vanish(readers[1])
+			return readers[:2]
+		},
+		"a reader is frozen": func(f *fleet, readers []*crowdNode) []*crowdNode {
+			f.network.Freeze(readers[0].ip)
+			return readers[:1]
+		},
+		"a reader is cut off from the server": func(f *fleet, readers []*crowdNode) []*crowdNode {
+			f.network.Cut(strings.Split(serverAddress(leaving), ":")[0], readers[0].ip)
+			return nil
+		},
+		"a reader hears that the server is well": func(f *fleet, readers []*crowdNode) []*crowdNode {
+			f.readings.deceive(readers[0].ip)
+			return nil
 		},
 	}
 	for name, fault := range tests {
 		t.Run(name, func(t *testing.T) {
 			inFleet(t, func(t *testing.T, f *fleet) {
-				time.Sleep(fleetSettle)
-				readers := f.readings.mostFrequent(serverID(leaving), int(fleetSettle/(2*time.Second)))
-				if len(readers) < 3 {
-					t.Fatalf("%d nodes read the server every interval", len(readers))
-				}
-				var faulty *crowdNode
-				var well []*crowdNode
-				for _, one := range f.nodes {
-					if one.ip == readers[0] {
-						faulty = one
-					} else {
-						well = append(well, one)
-					}
-				}
-				fault(f, faulty)
+				readers := f.readersOf(leaving)
+				out := fault(f, readers)
 				f.drainQuietly(leaving)
 				time.Sleep(leavingGrace)
-				f.wantNoNewWork(leaving, well)
-				f.network.Thaw(faulty.ip)
+				f.wantNoNewWork(leaving, f.without(out))
+				for _, one := range out {
+					f.network.Thaw(one.ip)
+				}
 			})
 		})
 	}
 }
 
+// readersOf waits for and lists the nodes that read a server every interval.
+func (f *fleet) readersOf(index int) []*crowdNode {
+	f.readings.reset()
+	time.Sleep(fleetSettle)
+	ips := f.readings.mostFrequent(serverID(index), int(fleetSettle/(2500*time.Millisecond)))
+	var readers []*crowdNode
+	for _, one := range f.nodes {
+		if slices.Contains(ips, one.ip) {
+			readers = append(readers, one)
+		}
+	}
+	if len(readers) < membership.ReadersPerServer {
+		f.t.Fatalf("%d nodes read the server every interval", len(readers))
+	}
+	return readers
+}
+
+func (f *fleet) without(out []*crowdNode) []*crowdNode {
+	return slices.DeleteFunc(slices.Clone(f.nodes), func(one *crowdNode) bool { return slices.Contains(out, one) })
+}
+
+// deceive makes a node read that every server is ready.
+func (c *readingCounter) deceive(ip string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.deceived = ip
+}
+
+func TestServerThatComesBackTakesOverFromOneThatLeaves(t *testing.T) {
+	// The two servers of one group.
+	const first, second = 6, 7
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.drainQuietly(second)
+		time.Sleep(leavingGrace)
+		f.wantNoNewWork(second, f.nodes)
+		f.restart(second)
+		f.drainQuietly(first)
+		time.Sleep(leavingGrace)
+		f.wantNoNewWork(first, f.nodes)
+	})
+}
+
+// restart replaces a server by a new incarnation.
+func (f *fleet) restart(index int) {
+	_ = f.webs[index].Close()
+	_ = f.servers[index].Close()
+	f.network.Kill(strings.Split(serverAddress(index), ":")[0], network.KillReset)
+	f.startFleetServer(index, "second")
+}
+
+func TestFreshNodeAnswersSoonAndReadsEachServerOnce(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		fresh := f.nodes[5]
+		f.endNode(fresh)
+		f.network.Kill(fresh.ip, network.KillReset)
+		f.readings.reset()
+		f.startCrowdNode(5, fresh)
+		const span = 3 * time.Second
+		time.Sleep(span)
+		got := f.ask(fresh, "fresh", true)
+		if got.status != http.StatusOK || got.answer.Coverage != 1 {
+			t.Errorf("status %d, coverage %g, %v", got.status, got.answer.Coverage, got.problem)
+		}
+		// Each server is read once, its load with it, and what the budget allows.
+		most := 2*fleetServers + int(span.Seconds()*settings.Default().Backend.HealthReadings)
+		if readings := f.readings.of(fresh.ip); readings < fleetServers || readings > most {
+			t.Errorf("the fresh node made %d readings, want %d to %d", readings, fleetServers, most)
+		}
+	})
+}
+
+// of is the number of a node's readings.
+func (c *readingCounter) of(ip string) int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.byNode[ip]
+}
+
 // vanish ends a node's machine.
 func (f *fleet) vanish(one *crowdNode) {
 	f.network.Kill(one.ip, network.KillVanish)
--- a/node/health.go
+++ b/node/health.go
@@ -9,6 +9,7 @@
 
 	"github.com/banksail/banksail/backend"
 	"github.com/banksail/banksail/internal/priority"
+	"github.com/banksail/banksail/membership"
 )
 
 const (
@@ -40,10 +41,10 @@
 	interval    time.Duration
 	timeout     time.Duration
 	concurrency int
-	// budget is the number of readings a second that this node makes; its duties
-	// are read beyond it. Zero means no bound.
-	budget float64
-	seed   uint64
+	// budgetRate is the number of readings a second; the servers that are this
+	// node's duty are read beyond it. Zero means no bound.
+	budgetRate float64
+	seed       uint64
 	// report takes each successful reading.
 	report func(reading)
 	// unreachable is told of every server to which no connection could be made.
@@ -58,6 +59,7 @@
 // over the others, of which those that replied within the interval need none.
 type poller struct {
 	options pollerOptions
+	budget  membership.ReadingBudget
 	changed chan struct{}
 	// heardTargets finds the target of a server's ID without the lock.
 	heardTargets sync.Map
@@ -85,6 +87,9 @@
 	random := rand.New(rand.NewPCG(options.seed, 0))
 	return &poller{
 		options: options,
+		budget: membership.ReadingBudget{
+			Rate: options.budgetRate, Interval: options.interval, LoadInterval: loadReadingPause,
+		},
 		changed: make(chan struct{}, 1),
 		targets: make(map[string]*pollTarget),
 		urgent:  newPollSchedule(),
--- a/node/health_internal_test.go
+++ b/node/health_internal_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -65,3 +66,132 @@
 		}
 	})
 }
+
+// budgeted is a poller with a budget, of servers of which the first are its duty.
+func budgeted(client backends, servers, duties int, budget float64) *poller {
+	poller := newPoller(pollerOptions{
+		client: client, interval: 1500 * time.Millisecond, timeout: time.Second, concurrency: servers, seed: 1,
+		budgetRate: budget, report: func(reading) {}, unreachable: func(string) {},
+	})
+	configured, places := map[string]configuredServer{}, map[string]int{}
+	for number := range servers {
+		name := fmt.Sprint(number)
+		configured[name] = configuredServer{address: name}
+		if number < duties {
+			places[name] = 0
+		}
+	}
+	poller.setServers(configured)
+	poller.setDuties(places, 24)
+	return poller
+}
+
+func TestReadingsWithinABudget(t *testing.T) {
+	const (
+		servers = 70
+		duties  = 9
+		budget  = 12.0
+		warmUp  = 20 * time.Second
+		span    = 120 * time.Second
+	)
+	tests := map[string]struct {
+		// each runs once a second beside the poller.
+		each func(p *poller)
+		// wantOthers says whether servers that are no duty are read.
+		wantOthers bool
+	}{
+		"quiet": {func(*poller) {}, true},
+		"the others reply": {
+			func(p *poller) {
+				for number := duties; number < servers; number++ {
+					p.heardReply(fmt.Sprint(number))
+				}
+			}, false,
+		},
+		"a doubt each second": {func(p *poller) { p.doubt("40") }, true},
+		"replies of servers that then can't be reached": {
+			func(p *poller) {
+				for number := duties; number < servers; number++ {
+					p.heardReply(fmt.Sprint(number))
+					p.forgetReply(fmt.Sprint(number))
+				}
+			}, true,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				client := &timedHealth{readings: map[string][]time.Time{}, moments: map[time.Time]bool{}}
+				poller := budgeted(client, servers, duties, budget)
+				ctx, cancel := context.WithTimeout(t.Context(), warmUp+span)
+				defer cancel()
+				begin := time.Now().Add(warmUp)
+				go func() {
+					for ctx.Err() == nil {
+						test.each(poller)
+						time.Sleep(time.Second)
+					}
+				}()
+				poller.run(ctx)
+				time.Sleep(time.Second)
+				total, others := client.since(begin, duties)
+				if rate := float64(total) / span.Seconds(); rate > budget {
+					t.Errorf("%.1f readings a second, the budget is %g", rate, budget)
+				}
+				if (others > 0) != test.wantOthers {
+					t.Errorf("%d readings of servers that are no duty", others)
+				}
+				for number := range duties {
+					if read := len(client.readings[fmt.Sprint(number)]); read < int((span+warmUp)/(2*time.Second)) {
+						t.Errorf("server %d, a duty, was read %d times", number, read)
+					}
+				}
+			})
+		})
+	}
+}
+
+// since counts the readings from a time on, and those among them of servers that
+// are no duty.
+func (h *timedHealth) since(begin time.Time, duties int) (total, others int) {
+	for address, times := range h.readings {
+		number, _ := strconv.Atoi(address)
+		for _, at := range times {
+			if at.Before(begin) {
+				continue
+			}
+			total++
+			if number >= duties {
+				others++
+			}
+		}
+	}
+	return total, others
+}
+
+func TestServerInDoubtIsReadSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := &timedHealth{readings: map[string][]time.Time{}, moments: map[time.Time]bool{}}
+		poller := budgeted(client, 2000, 0, 2)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Minute)
+		defer cancel()
+		var asked time.Time
+		go func() {
+			time.Sleep(time.Minute)
+			asked = time.Now()
+			for number := range 10 {
+				poller.doubt(fmt.Sprint(number))
+			}
+		}()
+		poller.run(ctx)
+		for number := range 10 {
+			soon := false
+			for _, at := range client.readings[fmt.Sprint(number)] {
+				soon = soon || !at.Before(asked) && at.Sub(asked) <= 24*doubtPause+readingTick
+			}
+			if !soon {
+				t.Errorf("server %d was not read soon", number)
+			}
+		}
+	})
+}
--- a/node/health_pace.go
+++ b/node/health_pace.go
@@ -2,16 +2,7 @@
 
 import "time"
 
-const (
-	// leastOtherShare is the part of the budget that the others have even when
-	// the duties take more than the rest.
-	leastOtherShare = 0.1
-	// slackShare is the part of the others' readings that is kept for doubts and
-	// retries.
-	slackShare = 0.1
-)
-
-// readingPace spreads the readings that the duties leave of the budget.
+// readingPace spreads the readings of the servers that are not this node's duty.
 type readingPace struct {
 	// gap is the mean time between two readings, pause that between two of one
 	// server.
@@ -21,17 +12,6 @@
 	free time.Time
 }
 
-// set works out the pace, given the readings a second of the duties.
-func (r *readingPace) set(options pollerOptions, dutyRate float64, others int) {
-	if options.budget == 0 || others == 0 {
-		r.gap, r.pause = 0, options.interval
-		return
-	}
-	rate := max(options.budget-dutyRate, leastOtherShare*options.budget)
-	r.gap = time.Duration(float64(time.Second) / rate)
-	r.pause = max(options.interval, time.Duration(float64(others)*float64(r.gap)*(1+slackShare)))
-}
-
 // allows says whether a reading may be now.
 func (r *readingPace) allows(now time.Time) bool { return !r.free.After(now) }
 
--- a/node/health_schedule.go
+++ b/node/health_schedule.go
@@ -85,12 +85,15 @@
 	p.enqueue(target)
 }
 
-// setDuties makes the given servers the ones that this node reads every
-// interval, being one of so many live nodes.
-func (p *poller) setDuties(duties map[string]bool, nodes int) {
+// setDuties takes over this node's place among the readers of each server that it
+// reads for all nodes, and the number of live nodes.
+func (p *poller) setDuties(places map[string]int, nodes int) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.duties = duties
+	p.duties = make(map[string]bool)
+	for _, server := range p.budget.Duties(places) {
+		p.duties[server] = true
+	}
 	p.nodes = nodes
 	p.assign()
 	p.wakeUp()
@@ -98,7 +101,7 @@
 
 // assign parts the targets into duties and others. The lock is held.
 func (p *poller) assign() {
-	all := p.options.budget == 0 || float64(len(p.targets))*p.dutyRate() <= p.options.budget
+	all := p.budget.Covers(len(p.targets))
 	now := time.Now()
 	duties := 0
 	for _, server := range slices.Sorted(maps.Keys(p.targets)) {
@@ -111,7 +114,7 @@
 			p.setDuty(target, duty, now)
 		}
 	}
-	p.pace.set(p.options, float64(duties)*p.dutyRate(), len(p.targets)-duties)
+	p.pace.gap, p.pace.pause = p.budget.Others(duties, len(p.targets)-duties)
 }
 
 // setDuty changes whether a target is a duty. A new one is read soon. The lock
@@ -128,11 +131,6 @@
 	}
 }
 
-// dutyRate is the number of readings a second that one duty takes.
-func (p *poller) dutyRate() float64 {
-	return 1/p.options.interval.Seconds() + 1/loadReadingPause.Seconds()
-}
-
 // heardReply notes that a server replied with all that a reading tells.
 func (p *poller) heardReply(server string) {
 	if target, known := p.heardTargets.Load(server); known {
--- a/node/node.go
+++ b/node/node.go
@@ -115,7 +115,7 @@
 		interval:    options.Settings.Backend.HealthInterval,
 		timeout:     options.Settings.Backend.HealthTimeout,
 		concurrency: options.Settings.Backend.HealthConcurrency,
-		budget:      options.Settings.Backend.HealthReadings,
+		budgetRate:  options.Settings.Backend.HealthReadings,
 		seed:        options.Seed,
 		report:      n.heardHealth,
 		unreachable: n.serverUnreachable,
--- a/node/readers.go
+++ b/node/readers.go
@@ -23,14 +23,14 @@
 	for _, id := range live {
 		isLive[id] = true
 	}
-	duties := make(map[string]bool)
+	places := make(map[string]int)
 	for _, way := range *routes {
 		readers := membership.Readers(way.owners, func(id string) bool { return isLive[id] })
-		if slices.Contains(readers, self) {
-			duties[way.place.ID] = true
+		if place := slices.Index(readers, self); place >= 0 {
+			places[way.place.ID] = place
 		}
 	}
-	n.poller.setDuties(duties, len(live))
+	n.poller.setDuties(places, len(live))
 }
 
 // tellsAll says whether a reply tells all that a reading of health and load does.
--- a/peer/findings.go
+++ b/peer/findings.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// findingFanout is the number of peers that a finding is pushed to; each that
+	// FindingFanout is the number of peers that a finding is pushed to; each that
 	// learns news pushes it on once.
-	findingFanout = 3
+	FindingFanout = 5
 	// findingTimeout bounds one push.
 	findingTimeout = 500 * time.Millisecond
 	// findingPause bounds the rate of pushes; what waits goes together.
@@ -117,7 +117,7 @@
 			addresses = append(addresses, member.Address)
 		}
 	}
-	count := min(len(addresses), findingFanout)
+	count := min(len(addresses), FindingFanout)
 	for index := range count {
 		other := index + random.IntN(len(addresses)-index)
 		addresses[index], addresses[other] = addresses[other], addresses[index]
