--- a/lab/simulation/seeds_test.go
+++ b/lab/simulation/seeds_test.go
@@ -18,6 +18,7 @@
 	oneSeed    = flag.Int64("seed", -1, "run this seed alone, with all that is known of it")
 	repeats    = flag.Int("repeats", 1, "how often each seed runs; its verdicts must be equal")
 	showMatrix = flag.Bool("matrix", false, "also print how often each invariant was judged under each fault")
+	crowded    = flag.Bool("crowd", false, "run more nodes than the servers take connections")
 	bugName    = flag.String("bug", "", "seed the bug of this name; see TestSeededBugs")
 )
 
@@ -77,7 +78,11 @@
 			t.Run(fmt.Sprint(seed), func(t *testing.T) {
 				t.Parallel()
 				for range *repeats {
-					result := runSeed(t, Options{Seed: seed, Hooks: seeded.hooks, Faults: seeded.tableFaults()})
+					options := Options{Seed: seed, Hooks: seeded.hooks, Faults: seeded.tableFaults()}
+					if *crowded {
+						options = crowdOf(options)
+					}
+					result := runSeed(t, options)
 					summary.Add(result)
 					report(t, result)
 				}
--- a/lab/simulation/server.go
+++ b/lab/simulation/server.go
@@ -20,9 +20,8 @@
 
 // Size and speed of simulated back ends.
 const (
-	serverSlots       = 4
-	serverConnections = 70
-	serviceMean       = policy.Milliseconds(10)
+	serverSlots = 4
+	serviceMean = policy.Milliseconds(10)
 	// straggleBase is what a straggling server's service time is a multiple of.
 	straggleBase = 10 * time.Millisecond
 )
@@ -111,7 +110,7 @@
 	seed := one.system.options.Seed*1000 + uint64(one.index*100+one.incarnation)
 	stub, err := emulator.NewServer(emulator.ServerOptions{
 		ID: one.name, Service: one.service(), Ranges: one.ranges, Slots: serverSlots,
-		Connections: serverConnections, ServiceTime: emulator.Distribution{Kind: emulator.Exponential, Mean: serviceMean},
+		Connections: one.system.options.Connections, ServiceTime: emulator.Distribution{Kind: emulator.Exponential, Mean: serviceMean},
 		ColdStart: how.coldStart, ColdFactor: coldFactor, ItemStride: itemStride,
 		Incarnation: incarnation, Seed: seed, OnExecution: one.executed,
 	})
@@ -127,7 +126,7 @@
 	one.endLeaving()
 	one.faults.change(func(f *emulator.ServerFaults) { f.Draining = false })
 	one.list(machinelist.StateLive, incarnation)
-	limit := serverConnections
+	limit := one.system.options.Connections
 	if how.connections > 0 {
 		limit = how.connections
 	}
--- a/lab/simulation/simulation.go
+++ b/lab/simulation/simulation.go
@@ -27,9 +27,11 @@
 
 // Defaults of Options.
 const (
-	DefaultNodes    = 3
-	DefaultGroups   = 3
-	DefaultReplicas = 2
+	DefaultNodes  = 3
+	DefaultGroups = 3
+	// DefaultConnections is the number of connections that a server takes.
+	DefaultConnections = 70
+	DefaultReplicas    = 2
 )
 
 // Times of a run.
@@ -54,6 +56,8 @@
 	// Nodes, Groups and Replicas size the system; there is one more group, the
 	// pool of a second service.
 	Nodes, Groups, Replicas int
+	// Connections is the number that each server takes.
+	Connections int
 	// Checker holds the allowances.
 	Checker history.Options
 	// Faults replaces the schedule that the seed gives, unless nil.
@@ -109,6 +113,7 @@
 	setDefault(&options.Nodes, DefaultNodes)
 	setDefault(&options.Groups, DefaultGroups)
 	setDefault(&options.Replicas, DefaultReplicas)
+	setDefault(&options.Connections, DefaultConnections)
 	if options.Checker == (history.Options{}) {
 		options.Checker = history.DefaultOptions()
 	}
--- a/lab/simulation/topology.go
+++ b/lab/simulation/topology.go
@@ -57,13 +57,15 @@
 // layout tells which servers belong to which group of which service.
 type layout struct {
 	nodes int
+	// connections is the number that each server takes.
+	connections int
 	// groups lists the servers' indexes of each group; the last one is the pool
 	// of the notices.
 	groups [][]int
 }
 
 func newLayout(options Options) layout {
-	l := layout{nodes: options.Nodes}
+	l := layout{nodes: options.Nodes, connections: options.Connections}
 	next := 0
 	for range options.Groups + 1 {
 		var group []int
@@ -126,7 +128,7 @@
 		},
 		Services: []policy.Service{l.searchConfig(shift), {
 			Name: noticeService, KeySpace: keySpace,
-			Groups: []policy.Group{{Name: "pool", Range: keySpace, Servers: serverConfigs(l.pool())}},
+			Groups: []policy.Group{{Name: "pool", Range: keySpace, Servers: l.serverConfigs(l.pool())}},
 		}},
 	}
 }
@@ -136,18 +138,18 @@
 	service := policy.Service{Name: searchService, KeySpace: keySpace}
 	for index, keys := range l.ranges(shift) {
 		service.Groups = append(service.Groups, policy.Group{
-			Name: fmt.Sprintf("group-%d", index+1), Range: keys, Servers: serverConfigs(l.groups[index]),
+			Name: fmt.Sprintf("group-%d", index+1), Range: keys, Servers: l.serverConfigs(l.groups[index]),
 		})
 	}
 	return service
 }
 
-func serverConfigs(indexes []int) []policy.Server {
+func (l layout) serverConfigs(indexes []int) []policy.Server {
 	var servers []policy.Server
 	for _, index := range indexes {
 		servers = append(servers, policy.Server{
 			ID: serverName(index), Address: address(serverIP(index), serverPort), Zone: zoneOf(index),
-			Slots: serverSlots, Connections: serverConnections,
+			Slots: serverSlots, Connections: l.connections,
 		})
 	}
 	return servers
