A part of the key space waits to hear of its new servers

Cause: since a server that is new in the configuration is not asked for a second unless it was heard. A group of which no server was heard counted as one that can't be served, so its part was given up at once: a query in flight during a repartition lost that part although its time was not up. Excluded: the division itself; the other piece was sent at once. Change: such a part waits, as for room, and is sent once a server of the group is heard, or may be asked unheard. Before: TestRepartitionInFlightDividesTheRange and both cases of TestPartOfAnUnheardGroupWaits failed. After: they pass.

--- a/dispatch/membership.go
+++ b/dispatch/membership.go
@@ -70,6 +70,9 @@
 
 func (d *Dispatcher) observe(s *server, snapshots []SnapshotID, load Load) {
 	if len(snapshots) > 0 {
+		if !s.holder.Observed() {
+			d.markRoomy(s.groups) // queries may wait to hear of it
+		}
 		s.holder.Observe(snapshots)
 	}
 	if load != (Load{}) {
--- a/dispatch/replica.go
+++ b/dispatch/replica.go
@@ -48,8 +48,12 @@
 	}
 	avoid := d.mayAvoid(g)
 	id := s.Query().Snapshot()
+	var unheard *server
 	for _, replica := range g.servers {
 		if replica.leaving() || !replica.mayHold(d.now, id) {
+			if !replica.leaving() && !replica.holder.Observed() {
+				unheard = replica
+			}
 			continue
 		}
 		usable = true
@@ -68,6 +72,9 @@
 		candidates = append(candidates, candidate{server: replica, standing: rank})
 	}
 	switch {
+	case !usable && unheard != nil:
+		d.setTimer(timer{at: unheard.hearBy, server: unheard})
+		return nil, gather.Busy
 	case !usable:
 		return nil, gather.Unservable
 	case !untried:
--- a/dispatch/scenario_test.go
+++ b/dispatch/scenario_test.go
@@ -166,6 +166,29 @@
 	}
 }
 
+func TestPartOfAnUnheardGroupWaits(t *testing.T) {
+	const hearing = 50 * time.Millisecond
+	tests := []struct {
+		name  string
+		at    time.Duration
+		event Event
+	}{
+		{"until one of its servers is heard", 20 * time.Millisecond, Observed{Server: "1/0", Snapshots: []SnapshotID{7}}},
+		{"until they may be asked unheard", hearing, Woken{}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			d := New(Options{HearingTime: hearing})
+			d.Step(0, configuration(2, 2))
+			d.Step(0, Observed{Server: "0/0", Snapshots: []SnapshotID{7}})
+			d.Step(time.Millisecond, ask(1))
+			if sent := sends(d.Step(test.at, test.event)); len(sent) != 1 || sent[0].Range.Start != keysPerGroup {
+				t.Fatalf("sent %+v", sent)
+			}
+		})
+	}
+}
+
 func TestGroupOfOutliersIsStillAsked(t *testing.T) {
 	d := started(Options{}, 1, 2)
 	for _, s := range d.groups[0].servers {
--- a/dispatch/timers.go
+++ b/dispatch/timers.go
@@ -65,6 +65,7 @@
 			d.schedule(due.running)
 		case due.server != nil:
 			d.account(due.server)
+			d.markRoomy(due.server.groups)
 		}
 	}
 	for _, item := range d.queue.Expire(d.now) {
