--- a/node/connections.go
+++ b/node/connections.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/banksail/banksail/dispatch"
+	"github.com/banksail/banksail/membership"
 )
 
 // membersInterval is the time between two looks at the live nodes, which share
@@ -24,6 +25,7 @@
 	defer ticker.Stop()
 	for {
 		n.shareConnections()
+		n.assignReaders()
 		select {
 		case <-ctx.Done():
 			return
@@ -72,14 +74,15 @@
 	routes := make(map[string]route, len(current.servers))
 	owned := 0
 	for _, server := range current.servers {
-		share := n.agent.ConnectionShare(server.place).Maximum
-		routes[server.address] = route{place: server.place, connections: share}
+		owners := n.agent.ServerOwners(server.place)
+		share := membership.ShareOf(n.options.Settings.Node.ID, owners).Maximum
+		routes[server.address] = route{place: server.place, owners: owners, connections: share}
 		if share > 0 {
 			owned++
 		}
 	}
 	previous := n.routes.Swap(&routes)
-	n.forgetLost(previous, routes)
+	n.resizeConnections(previous, routes)
 	n.log.Info().Int("nodes", len(n.liveNodes)).Int("owned", owned).Int("forwarded", len(routes)-owned).
 		Msg("connections shared out")
 	for _, name := range slices.Sorted(maps.Keys(current.shards)) {
@@ -87,14 +90,20 @@
 	}
 }
 
-// forgetLost closes the idle connections to servers that now go through owners.
-func (n *Node) forgetLost(previous *map[string]route, routes map[string]route) {
+// resizeConnections closes idle connections above the new shares, all those to
+// servers that now go through owners.
+func (n *Node) resizeConnections(previous *map[string]route, routes map[string]route) {
 	if previous == nil {
 		return
 	}
 	for address, before := range *previous {
-		if now, known := routes[address]; known && now.connections == 0 && before.connections > 0 {
+		now, known := routes[address]
+		switch {
+		case !known || now.connections == before.connections:
+		case now.connections == 0:
 			n.client.Forget(address)
+		default:
+			n.client.UpdateBound(address)
 		}
 	}
 }
--- a/node/peers.go
+++ b/node/peers.go
@@ -83,6 +83,9 @@
 		n.agent.ReportServer(server, report)
 		return
 	}
+	if tellsAll(reply) {
+		n.poller.heardReply(server)
+	}
 	if n.troubled(server) {
 		n.agent.ReportServer(server, report)
 	}
@@ -111,6 +114,7 @@
 // serverUnreachable takes a failure to connect to a server.
 func (n *Node) serverUnreachable(server string) {
 	n.troubledServers.Store(server, struct{}{})
+	n.poller.forgetReply(server)
 	n.report(server, membership.FromConnect, membership.ServerUnreachable, "")
 }
 
