--- a/lab/profile/deployments.go
+++ b/lab/profile/deployments.go
@@ -58,8 +58,8 @@
 		Zones:   []string{"kingston-a", "kingston-b", "kingston-c", "kingston-d"},
 		Network: sharedNetwork(time.Millisecond),
 		Classes: []policy.Class{
-			{Name: Urgent, Order: 0, LongestWait: 50, Deadline: 250, MinimumCoverage: 0.85, HedgeShare: 0.1, Headroom: 0.2},
-			{Name: Normal, Order: 10, LongestWait: 200, Deadline: 1000, MinimumCoverage: 0.85, HedgeShare: 0.02, Headroom: 0.1},
+			{Name: Urgent, Order: 0, LongestWait: 50, Deadline: 250, MinimumCoverage: 0.85, HedgeShare: 0.25, Headroom: 0.2},
+			{Name: Normal, Order: 10, LongestWait: 200, Deadline: 1000, MinimumCoverage: 0.85, HedgeShare: 0, Headroom: 0.1},
 			{Name: Batch, Order: 20, LongestWait: 5000, Deadline: 30000, MinimumCoverage: 1, HedgeShare: 0, Headroom: 0},
 		},
 		Tiers: []Tier{
@@ -85,8 +85,8 @@
 		Zones:   []string{"new-england-a", "new-england-b", "new-england-c"},
 		Network: sharedNetwork(3 * time.Millisecond),
 		Classes: []policy.Class{
-			{Name: Check, Order: 0, LongestWait: 50, Deadline: 250, MinimumCoverage: 0.85, HedgeShare: 0.1, Headroom: 0.2},
-			{Name: Sweep, Order: 10, LongestWait: 500, Deadline: 2000, MinimumCoverage: 0.85, HedgeShare: 0.05, Headroom: 0.1},
+			{Name: Check, Order: 0, LongestWait: 50, Deadline: 250, MinimumCoverage: 0.85, HedgeShare: 0.2, Headroom: 0.2},
+			{Name: Sweep, Order: 10, LongestWait: 500, Deadline: 2000, MinimumCoverage: 0.95, HedgeShare: 0, Headroom: 0.1},
 			{Name: Records, Order: 20, LongestWait: 1000, Deadline: 5000, MinimumCoverage: 1, HedgeShare: 0, Headroom: 0},
 		},
 		Tiers: []Tier{
@@ -112,8 +112,8 @@
 		Zones:   []string{"zone-a", "zone-b"},
 		Network: sharedNetwork(time.Millisecond),
 		Classes: []policy.Class{
-			{Name: Urgent, Order: 0, LongestWait: 50, Deadline: 500, MinimumCoverage: 0.85, HedgeShare: 0.1, Headroom: 0.2},
-			{Name: Normal, Order: 10, LongestWait: 200, Deadline: 1000, MinimumCoverage: 0.85, HedgeShare: 0.02, Headroom: 0.1},
+			{Name: Urgent, Order: 0, LongestWait: 50, Deadline: 500, MinimumCoverage: 0.85, HedgeShare: 0.25, Headroom: 0.2},
+			{Name: Normal, Order: 10, LongestWait: 200, Deadline: 1000, MinimumCoverage: 0.85, HedgeShare: 0, Headroom: 0.1},
 			{Name: Batch, Order: 20, LongestWait: 2000, Deadline: 10000, MinimumCoverage: 1, HedgeShare: 0, Headroom: 0},
 		},
 		Tiers: []Tier{
