--- a/lab/simulation/seeds_test.go
+++ b/lab/simulation/seeds_test.go
@@ -16,6 +16,7 @@
 	seedCount  = flag.Uint64("seeds", 0, "number of seeds that TestSeeds runs; 0 runs the table of CI")
 	firstSeed  = flag.Uint64("first", 0, "first of the seeds that -seeds counts")
 	oneSeed    = flag.Int64("seed", -1, "run this seed alone, with all that is known of it")
+	nodeCount  = flag.Int("nodes", DefaultNodes, "number of nodes")
 	repeats    = flag.Int("repeats", 1, "how often each seed runs; its verdicts must be equal")
 	showMatrix = flag.Bool("matrix", false, "also print how often each invariant was judged under each fault")
 	crowded    = flag.Bool("crowd", false, "run more nodes than the servers take connections")
@@ -78,7 +79,7 @@
 			t.Run(fmt.Sprint(seed), func(t *testing.T) {
 				t.Parallel()
 				for range *repeats {
-					options := Options{Seed: seed, Hooks: seeded.hooks, Faults: seeded.tableFaults()}
+					options := Options{Seed: seed, Nodes: *nodeCount, Hooks: seeded.hooks, Faults: seeded.tableFaults()}
 					if *crowded {
 						options = crowdOf(options)
 					}
