--- a/settings/descriptions.go
+++ b/settings/descriptions.go
@@ -18,7 +18,7 @@
 	"caller.queries":             "queries held at once, queued and running; more are refused as not run",
 	"caller.read_timeout":        "longest time that reading one request may take",
 	"caller.idle_timeout":        "time after which a keep-alive connection without requests is closed",
-	"backend.health_interval":    "mean time between two health readings of a server",
+	"backend.health_interval":    "mean time between two health readings of a server by each of its readers",
 	"backend.health_timeout":     "longest time of one health reading",
 	"backend.health_concurrency": "health readings at once",
 	"backend.health_readings":    "health and load readings a second; servers that this node reads for all nodes are read beyond it",
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -63,14 +63,15 @@
 
 // Backend sets the node's dealings with the servers.
 type Backend struct {
-	// HealthInterval is the mean time between two health readings of a server.
+	// HealthInterval is the mean time between two health readings of a server by
+	// each node that reads it for all nodes.
 	HealthInterval time.Duration `koanf:"health_interval" validate:"min=100ms,max=1h"`
 	// HealthTimeout bounds one health reading.
 	HealthTimeout time.Duration `koanf:"health_timeout" validate:"min=10ms,max=60s"`
 	// HealthConcurrency bounds the health readings that run at once.
 	HealthConcurrency int `koanf:"health_concurrency" validate:"min=1,max=1024"`
-	// HealthReadings is the budget of health and load readings a second. Servers
-	// that this node must read every interval for all nodes are read beyond it.
+	// HealthReadings is the budget of health and load readings a second. A node
+	// that is one of a server's first two readers reads it beyond the budget.
 	HealthReadings float64 `koanf:"health_readings" validate:"min=0.1,max=100000"`
 	// SpareConnections is the number of idle connections kept to each server.
 	SpareConnections int `koanf:"spare_connections" validate:"min=0,max=1024"`
