Two nodes that are cut off from each other refuse rather than run a request twice

Each took the other for gone, so neither had an owner to ask, and the same request ID ran at both. The machine list named both all the time. Excluded: the claims' round (no owner was asked), late sends (both runs began after their claims). Change: where no other node is left, listed nodes that are taken for gone count as owners; the claim is then unavailable and the request refused as not run.

--- a/membership/sync.go
+++ b/membership/sync.go
@@ -200,6 +200,18 @@
 	return candidates
 }
 
+// ListedGone lists the gone members that the machine list still names as live,
+// sorted by ID: the node may only be cut off from them.
+func (n *Nodes) ListedGone() []Member {
+	var listed []Member
+	for _, id := range n.ids {
+		if known := n.entries[id]; known.member.State == Gone && known.listed {
+			listed = append(listed, known.member)
+		}
+	}
+	return listed
+}
+
 // joinContacts is the number of listed nodes that a joining node contacts at once.
 const joinContacts = 3
 
--- a/peer/claim.go
+++ b/peer/claim.go
@@ -112,10 +112,13 @@
 }
 
 // claimCandidates lists the other nodes that may be owners, by ID: members, and
-// nodes that the machine list names and that were not heard of yet.
+// nodes that the machine list names and that were not heard of yet. Where that
+// leaves none, listed nodes that are taken for gone count: each of two nodes that
+// are cut off from each other would otherwise take itself for the only one.
 func (a *Agent) claimCandidates() map[string]membership.Member {
 	a.nodes.mutex.Lock()
 	known := append(a.nodes.core.Members(), a.nodes.core.Candidates()...)
+	gone := a.nodes.core.ListedGone()
 	a.nodes.mutex.Unlock()
 	candidates := make(map[string]membership.Member)
 	for _, member := range known {
@@ -123,6 +126,12 @@
 			candidates[member.ID] = member
 		}
 	}
+	if len(candidates) > 0 {
+		return candidates
+	}
+	for _, member := range gone {
+		candidates[member.ID] = member
+	}
 	return candidates
 }
 
--- a/peer/claim_test.go
+++ b/peer/claim_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/banksail/banksail/claim"
 	"github.com/banksail/banksail/machinelist"
+	"github.com/banksail/banksail/membership"
 )
 
 // startAll starts a node for each ID, each with a list of all of them.
@@ -134,3 +135,26 @@
 		}
 	})
 }
+
+// TestTwoNodesCutOffFromEachOther: each takes the other for gone, but the machine
+// list names both. Once it drops one, the other may run requests again.
+func TestTwoNodesCutOffFromEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := newMemoryNetwork()
+		list := listOf("a", "b")
+		nodes := make(map[string]*testNode)
+		for _, id := range []string{"a", "b"} {
+			nodes[id] = startNode(t, network, AgentOptions{Self: member(id), MachineList: list, Seed: 1})
+		}
+		defer func() { stopAll(nodes) }()
+		time.Sleep(3 * time.Second)
+		network.setCut(addressOf("a"), addressOf("b"), true)
+		network.setCut(addressOf("b"), addressOf("a"), true)
+		time.Sleep(5 * time.Minute)
+		wantStates(t, nodes["b"].agent, map[string]membership.State{"b": membership.Live})
+		wantDecision(t, nodes["b"], "request", claim.Unavailable)
+		list.Set(machines("b")...)
+		time.Sleep(time.Minute)
+		wantDecision(t, nodes["b"], "request", claim.Won)
+	})
+}
