--- a/lab/simulation/node.go
+++ b/lab/simulation/node.go
@@ -78,9 +78,16 @@
 	return nil
 }
 
+// scarceReadings is a budget of health readings that doesn't suffice for all
+// servers; every other seed has it.
+const scarceReadings = 2
+
 // options are those of the daemon, over the simulated network.
 func (one *nodeHost) options(process *network.Process) node.Options {
 	set := settings.Default()
+	if one.system.options.Seed%2 == 1 {
+		set.Backend.HealthReadings = scarceReadings
+	}
 	set.Node = settings.Node{ID: one.name, Zone: zoneOf(one.index)}
 	set.Listen = settings.Listen{
 		Caller:   address(one.ip, callerPort),
