node: sub-requests run on goroutines that are kept

Cause: by the processor profile of BenchmarkOverhead at 64 groups, growing stacks took 4.9% of the whole process (1.25 of 25.5 s), nearly all of it twice per sub-request on the new goroutine that carries it.

A job takes a waiting goroutine or a new one, so none waits for another. They end with the node.

--- a/node/configuration.go
+++ b/node/configuration.go
@@ -108,6 +108,7 @@
 		counters:      newSendCounters(n.metrics, service),
 		background:    n.background,
 		running:       &n.running,
+		workers:       n.workers,
 	})
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -46,8 +46,10 @@
 	// background ends when the node aborts; it bounds all sub-requests.
 	background context.Context
 	abort      context.CancelFunc
-	// running counts the goroutines of sub-requests.
+	// running counts the sub-requests that are not yet reported back.
 	running sync.WaitGroup
+	// workers carry them.
+	workers *workers
 	held    atomic.Int64
 	// troubledServers holds the IDs of servers whose next reply is news to
 	// membership.
@@ -100,6 +102,7 @@
 		background:   background,
 		abort:        abort,
 		listening:    make(chan struct{}),
+		workers:      newWorkers(),
 		serverStates: make(map[string]dispatch.ServerState),
 	}
 	n.client = backend.NewClient(backend.ClientOptions{
--- a/node/run.go
+++ b/node/run.go
@@ -56,6 +56,7 @@
 	duties.Wait()
 	n.stopListeners(opened[1:], controlStopTimeout)
 	serving.Wait()
+	n.workers.close()
 	n.closeConnections()
 	return n.verdict(failure)
 }
--- a/node/shard.go
+++ b/node/shard.go
@@ -35,8 +35,10 @@
 	counters sendCounters
 	// background ends when the node aborts; it bounds every sub-request.
 	background context.Context
-	// running counts the goroutines of sub-requests.
+	// running counts the sub-requests that are not yet reported back.
 	running *sync.WaitGroup
+	// workers carry the sub-requests.
+	workers *workers
 }
 
 // shard drives the machine of one service: it serialises its events, carries
@@ -176,7 +178,7 @@
 	}
 	s.attempts[action.Attempt] = outgoing
 	s.options.running.Add(1)
-	go s.carry(ctx, outgoing)
+	s.options.workers.start(job{carrier: s, context: ctx, outgoing: outgoing})
 }
 
 // carry waits for the end of one sub-request and reports it.
--- a/node/shard_bench_internal_test.go
+++ b/node/shard_bench_internal_test.go
@@ -38,7 +38,7 @@
 	carrier := newShard(shardOptions{
 		service: "catalog", attemptPrefix: "node-1-0-1-", machine: dispatch.New(dispatch.Options{Seed: 1}),
 		asker: instantAsker{body: json.RawMessage(`{}`)}, now: func() time.Duration { return time.Since(epoch) },
-		counters: newSendCounters(telemetry.NewMetrics(), "catalog"), background: b.Context(), running: &running,
+		counters: newSendCounters(telemetry.NewMetrics(), "catalog"), background: b.Context(), running: &running, workers: newWorkers(),
 	})
 	service := policy.Service{Name: "catalog", KeySpace: coverage.Range{End: uint64(groups * size)}}
 	for index := range groups {
@@ -64,4 +64,5 @@
 	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*groups), "ns/send")
 	running.Wait()
 	carrier.close()
+	carrier.options.workers.close()
 }
