--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -70,7 +70,7 @@
 		field  string
 		status int
 	}{
-		"no JSON":                     {body: "find linen", field: "document"},
+		"no JSON":                     {body: "find orders", field: "document"},
 		"empty":                       {body: "", field: "document"},
 		"a list":                      {body: "[]", field: "document"},
 		"two documents":               {body: validBody + validBody, field: "document"},
--- a/node/crowd_test.go
+++ b/node/crowd_test.go
@@ -206,7 +206,7 @@
 }
 
 func (c *crowd) askWithin(ctx context.Context, one *crowdNode, requestID string, repeatable bool, deadline time.Duration) response {
-	document := fmt.Sprintf(`{"request_id":%q,"class":"normal","deadline_ms":%d,"repeatable":%t,"body":"linen"}`,
+	document := fmt.Sprintf(`{"request_id":%q,"class":"normal","deadline_ms":%d,"repeatable":%t,"body":"orders"}`,
 		requestID, deadline.Milliseconds(), repeatable)
 	return c.postTo(ctx, one.ip+":7101", document)
 }
--- a/node/forward_internal_test.go
+++ b/node/forward_internal_test.go
@@ -40,7 +40,7 @@
 func forwardedRequest() *backend.Request {
 	return &backend.Request{
 		AttemptID: "attempt-1", RequestID: "request-1", Service: "catalog", Class: "normal", Snapshot: 1,
-		Range: coverage.Range{End: 10}, RemainingMilliseconds: 5000, Body: json.RawMessage(`"linen"`),
+		Range: coverage.Range{End: 10}, RemainingMilliseconds: 5000, Body: json.RawMessage(`"orders"`),
 	}
 }
 
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -17,7 +17,7 @@
 
 func TestQueryThroughWholeNode(t *testing.T) {
 	inWorld(t, 8, nil, func(t *testing.T, w *world) {
-		got := w.query(t.Context(), "r-1", true, "linen")
+		got := w.query(t.Context(), "r-1", true, "orders")
 		if got.status != http.StatusOK || !got.answer.Complete || got.answer.Coverage != 1 || got.answer.Snapshot != 1 {
 			t.Fatalf("got %+v", got)
 		}
@@ -79,7 +79,7 @@
 		if status, _ := w.get("/healthz"); status != http.StatusOK {
 			t.Errorf("healthz: %d", status)
 		}
-		refused := w.query(t.Context(), "late", true, "linen")
+		refused := w.query(t.Context(), "late", true, "orders")
 		if refused.problem.Execution != "not_run" || refused.problem.Reason != "stopping" || !refused.closes {
 			t.Errorf("during the stop: %+v", refused)
 		}
@@ -172,7 +172,7 @@
 	shorten := func(chosen *settings.Settings) { chosen.Caller.ReadTimeout = 2 * time.Second }
 	inWorld(t, 1, shorten, func(t *testing.T, w *world) {
 		w.straggle(0, 15*time.Second)
-		if got := w.query(t.Context(), "r-1", true, "linen"); got.status != http.StatusOK || !got.answer.Complete {
+		if got := w.query(t.Context(), "r-1", true, "orders"); got.status != http.StatusOK || !got.answer.Complete {
 			t.Errorf("got %+v", got)
 		}
 	})
@@ -197,7 +197,7 @@
 				if len(executions) != 1 || executions[0].Completed != test.completes {
 					t.Errorf("executions %+v", executions)
 				}
-				again := w.query(t.Context(), "r-1", test.repeatable, "linen")
+				again := w.query(t.Context(), "r-1", test.repeatable, "orders")
 				if again.status != http.StatusOK || !again.answer.Complete {
 					t.Errorf("asked again: %+v", again)
 				}
@@ -212,7 +212,7 @@
 		faults.HealthState = "draining"
 		w.servers[0].SetFaults(faults)
 		time.Sleep(3 * time.Second)
-		got := w.query(t.Context(), "r-1", true, "linen")
+		got := w.query(t.Context(), "r-1", true, "orders")
 		if got.problem.Execution != "not_run" || w.executions("r-1") != 0 {
 			t.Errorf("3 s after the drain: %+v, %d executions", got, w.executions("r-1"))
 		}
@@ -230,7 +230,7 @@
 		time.Sleep(3 * time.Second)
 		ctx, leave := context.WithTimeout(t.Context(), time.Second)
 		defer leave()
-		w.query(ctx, "r-1", true, "linen")
+		w.query(ctx, "r-1", true, "orders")
 		if executions := w.servers[draining].Executions(); len(executions) != 0 {
 			t.Errorf("3 s after the drain: %+v", executions)
 		}
@@ -248,7 +248,7 @@
 		without.Services = []policy.Service{}
 		w.putConfiguration(2, without)
 		time.Sleep(2 * time.Second)
-		if got := w.query(t.Context(), "late", true, "linen"); got.status != http.StatusNotFound {
+		if got := w.query(t.Context(), "late", true, "orders"); got.status != http.StatusNotFound {
 			t.Errorf("a removed service answered %+v", got)
 		}
 		if got := <-running; got.status != http.StatusOK || !got.answer.Complete {
@@ -257,7 +257,7 @@
 		w.straggle(0, serviceTime*time.Millisecond)
 		w.putConfiguration(3, w.configuration(2))
 		time.Sleep(settle)
-		if got := w.query(t.Context(), "back", true, "linen"); got.status != http.StatusOK {
+		if got := w.query(t.Context(), "back", true, "orders"); got.status != http.StatusOK {
 			t.Errorf("a service that came back: %+v", got)
 		}
 		if _, text := w.get("/readyz"); text != "ready at revision 3\n" {
@@ -271,7 +271,7 @@
 		if status, text := w.get("/readyz"); status != http.StatusServiceUnavailable || text != "no configuration\n" {
 			t.Errorf("readyz: %d %q", status, text)
 		}
-		got := w.query(t.Context(), "r-1", true, "linen")
+		got := w.query(t.Context(), "r-1", true, "orders")
 		if got.status != http.StatusServiceUnavailable || got.problem.Reason != "no_configuration" || got.problem.Execution != "not_run" {
 			t.Errorf("got %+v", got)
 		}
@@ -283,7 +283,7 @@
 	inWorld(t, 1, bound, func(t *testing.T, w *world) {
 		w.straggle(0, time.Second)
 		first := w.start(t.Context(), "first", true)
-		if got := w.query(t.Context(), "second", true, "linen"); got.problem.Reason != "overload" || got.problem.Execution != "not_run" {
+		if got := w.query(t.Context(), "second", true, "orders"); got.problem.Reason != "overload" || got.problem.Execution != "not_run" {
 			t.Errorf("over the bound: %+v", got)
 		}
 		if got := <-first; got.status != http.StatusOK {
--- a/node/once_test.go
+++ b/node/once_test.go
@@ -15,15 +15,15 @@
 
 func TestNotRepeatableRequestRunsOnce(t *testing.T) {
 	inWorld(t, 2, nil, func(t *testing.T, w *world) {
-		first := w.query(t.Context(), "return-1", false, "linen")
-		second := w.query(t.Context(), "return-1", false, "linen")
+		first := w.query(t.Context(), "return-1", false, "orders")
+		second := w.query(t.Context(), "return-1", false, "orders")
 		if !slices.Equal(sortedBodies(first.answer), sortedBodies(second.answer)) || second.answer.Snapshot != 1 {
 			t.Errorf("first %+v, second %+v", first, second)
 		}
 		if len(second.answer.Warnings) != 1 {
 			t.Errorf("warnings %q", second.answer.Warnings)
 		}
-		other := w.query(t.Context(), "return-1", false, "other linen")
+		other := w.query(t.Context(), "return-1", false, "other orders")
 		if other.status != http.StatusConflict || other.problem.Field != "request_id" {
 			t.Errorf("other content got %+v", other)
 		}
@@ -71,12 +71,12 @@
 	inWorld(t, 1, bound, func(t *testing.T, w *world) {
 		w.straggle(0, time.Second)
 		first := w.start(t.Context(), "return-1", false)
-		if got := w.query(t.Context(), "return-1", false, "linen"); got.problem.Execution != "unknown" {
+		if got := w.query(t.Context(), "return-1", false, "orders"); got.problem.Execution != "unknown" {
 			t.Errorf("while it runs: %+v", got)
 		}
 		<-first
 		holder := w.start(t.Context(), "other", true)
-		if got := w.query(t.Context(), "return-1", false, "linen"); got.problem.Execution != "unknown" {
+		if got := w.query(t.Context(), "return-1", false, "orders"); got.problem.Execution != "unknown" {
 			t.Errorf("after it ran: %+v", got)
 		}
 		<-holder
@@ -125,14 +125,14 @@
 func TestWindowOfRequestIDsEnds(t *testing.T) {
 	shorten := func(chosen *settings.Settings) { chosen.AtMostOnce.Window = 30 * time.Second }
 	inWorld(t, 1, shorten, func(t *testing.T, w *world) {
-		w.query(t.Context(), "return-1", false, "linen")
+		w.query(t.Context(), "return-1", false, "orders")
 		time.Sleep(29 * time.Second)
-		w.query(t.Context(), "return-1", false, "linen")
+		w.query(t.Context(), "return-1", false, "orders")
 		if count := w.executions("return-1"); count != 1 {
 			t.Errorf("%d executions within the window", count)
 		}
 		time.Sleep(2 * time.Second)
-		w.query(t.Context(), "return-1", false, "linen")
+		w.query(t.Context(), "return-1", false, "orders")
 		if count := w.executions("return-1"); count != 2 {
 			t.Errorf("%d executions after the window", count)
 		}
@@ -142,7 +142,7 @@
 func TestUnknownFateOfNotRepeatableRequestIsLogged(t *testing.T) {
 	inWorld(t, 1, nil, func(t *testing.T, w *world) {
 		w.servers[0].SetFaults(emulator.ServerFaults{CloseAfterShare: 1})
-		got := w.query(t.Context(), "return-1", false, "secret linen")
+		got := w.query(t.Context(), "return-1", false, "secret orders")
 		if got.problem.Execution != "unknown" {
 			t.Errorf("got %+v", got)
 		}
@@ -150,7 +150,7 @@
 			t.Errorf("log:\n%s", log)
 		}
 		w.servers[0].SetFaults(emulator.ServerFaults{})
-		if again := w.query(t.Context(), "return-1", false, "secret linen"); again.problem.Execution != "unknown" || w.executions("return-1") != 1 {
+		if again := w.query(t.Context(), "return-1", false, "secret orders"); again.problem.Execution != "unknown" || w.executions("return-1") != 1 {
 			t.Errorf("asked again: %+v, %d executions", again, w.executions("return-1"))
 		}
 	})
@@ -159,8 +159,8 @@
 func TestForgottenResultIsNotRunAgain(t *testing.T) {
 	keepNone := func(chosen *settings.Settings) { chosen.AtMostOnce.ResultBytes = 0 }
 	inWorld(t, 1, keepNone, func(t *testing.T, w *world) {
-		w.query(t.Context(), "return-1", false, "linen")
-		got := w.query(t.Context(), "return-1", false, "linen")
+		w.query(t.Context(), "return-1", false, "orders")
+		got := w.query(t.Context(), "return-1", false, "orders")
 		if got.status != http.StatusConflict || got.problem.Reason != "result_forgotten" || got.problem.Execution != "unknown" {
 			t.Errorf("asked again: %+v", got)
 		}
@@ -175,14 +175,14 @@
 		faults := w.servers[0].Faults()
 		faults.ShedShare = 1
 		w.servers[0].SetFaults(faults)
-		first := w.query(t.Context(), "return-1", false, "linen")
+		first := w.query(t.Context(), "return-1", false, "orders")
 		if first.problem.Execution != "not_run" {
 			t.Errorf("shed by the only server: %+v", first)
 		}
 		faults.ShedShare = 0
 		w.servers[0].SetFaults(faults)
 		time.Sleep(time.Second)
-		if second := w.query(t.Context(), "return-1", false, "linen"); second.status != http.StatusOK {
+		if second := w.query(t.Context(), "return-1", false, "orders"); second.status != http.StatusOK {
 			t.Errorf("second try: %+v", second)
 		}
 		if count := w.executions("return-1"); count != 1 {
--- a/node/overhead_bench_test.go
+++ b/node/overhead_bench_test.go
@@ -129,7 +129,7 @@
 // throughNode sends one query to the node and reads its complete answer.
 func (f *fanOut) throughNode() error {
 	f.next++
-	document := `{"request_id":"r-` + strconv.Itoa(f.next) + `","class":"normal","minimum_coverage":1,"repeatable":true,"body":{"find":"linen"}}`
+	document := `{"request_id":"r-` + strconv.Itoa(f.next) + `","class":"normal","minimum_coverage":1,"repeatable":true,"body":{"find":"orders"}}`
 	reply, err := f.callers.Post(f.url, "application/json", bytes.NewReader([]byte(document)))
 	if err != nil {
 		return err
@@ -155,7 +155,7 @@
 			_, errs[index] = f.bare.Query(context.Background(), group.Servers[0].Address, &backend.Request{
 				AttemptID: "bare-" + strconv.Itoa(f.next) + "-" + strconv.Itoa(index),
 				RequestID: "r-" + strconv.Itoa(f.next), Service: service, Class: "normal", Snapshot: 1,
-				Range: group.Range, RemainingMilliseconds: 1000, Repeatable: true, Body: json.RawMessage(`{"find":"linen"}`),
+				Range: group.Range, RemainingMilliseconds: 1000, Repeatable: true, Body: json.RawMessage(`{"find":"orders"}`),
 			})
 		})
 	}
--- a/node/world_test.go
+++ b/node/world_test.go
@@ -212,7 +212,7 @@
 // how long the answer took.
 func (w *world) queryOnce(ctx context.Context, requestID string, deadline time.Duration) (response, time.Duration) {
 	sent := time.Now()
-	got := w.post(ctx, fmt.Sprintf(`{"request_id":%q,"class":"normal","deadline_ms":%d,"repeatable":false,"body":"linen"}`,
+	got := w.post(ctx, fmt.Sprintf(`{"request_id":%q,"class":"normal","deadline_ms":%d,"repeatable":false,"body":"orders"}`,
 		requestID, deadline.Milliseconds()))
 	return got, time.Since(sent)
 }
@@ -244,7 +244,7 @@
 // start posts a request in the background.
 func (w *world) start(ctx context.Context, requestID string, repeatable bool) <-chan response {
 	result := make(chan response, 1)
-	go func() { result <- w.query(ctx, requestID, repeatable, "linen") }()
+	go func() { result <- w.query(ctx, requestID, repeatable, "orders") }()
 	time.Sleep(delivery)
 	return result
 }
--- a/peer/forward_test.go
+++ b/peer/forward_test.go
@@ -59,7 +59,7 @@
 func testRequest() *backend.Request {
 	return &backend.Request{
 		AttemptID: "attempt-1", RequestID: "request-1", Service: "catalog", Class: "normal", Snapshot: 7,
-		Range: coverage.Range{Start: 10, End: 20}, RemainingMilliseconds: 5000, Body: json.RawMessage(`{"find":"linen"}`),
+		Range: coverage.Range{Start: 10, End: 20}, RemainingMilliseconds: 5000, Body: json.RawMessage(`{"find":"orders"}`),
 	}
 }
 
