--- a/node/overhead_bench_test.go
+++ b/node/overhead_bench_test.go
@@ -35,7 +35,10 @@
 	bare    *backend.Client
 	callers *http.Client
 	url     string
-	next    int
+	// bareURL answers a caller at once with lastAnswer, the node's last one.
+	bareURL    string
+	lastAnswer []byte
+	next       int
 }
 
 // leanServer answers every sub-request after the service time.
@@ -74,6 +77,12 @@
 		})
 	}
 	fan.startNode(b)
+	instant := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		_, _ = io.Copy(io.Discard, request.Body)
+		_, _ = writer.Write(fan.lastAnswer)
+	}))
+	b.Cleanup(instant.Close)
+	fan.bareURL = instant.URL
 	return fan
 }
 
@@ -128,9 +137,17 @@
 
 // throughNode sends one query to the node and reads its complete answer.
 func (f *fanOut) throughNode() error {
+	return f.post(f.url)
+}
+
+// throughNothing is the exchange between caller and node alone: the same request
+// and answer, which a server gives at once.
+func (f *fanOut) throughNothing() error { return f.post(f.bareURL) }
+
+func (f *fanOut) post(url string) error {
 	f.next++
 	document := `{"request_id":"r-` + strconv.Itoa(f.next) + `","class":"normal","minimum_coverage":1,"repeatable":true,"body":{"find":"linen"}}`
-	reply, err := f.callers.Post(f.url, "application/json", bytes.NewReader([]byte(document)))
+	reply, err := f.callers.Post(url, "application/json", bytes.NewReader([]byte(document)))
 	if err != nil {
 		return err
 	}
@@ -142,6 +159,7 @@
 	if reply.StatusCode != http.StatusOK || !bytes.Contains(data, []byte(`"complete":true`)) {
 		return fmt.Errorf("HTTP %d: %.200s", reply.StatusCode, data)
 	}
+	f.lastAnswer = data
 	return nil
 }
 
@@ -195,7 +213,8 @@
 }
 
 // BenchmarkOverhead compares one query through a node with the same fan-out by
-// a bare client, in turns within one run. Allocations are those of the whole
+// a bare client, in turns within one run. The exchange between caller and node
+// by itself takes its turn too; no node can add less. Allocations are those of the whole
 // process, so the servers' are in both; the difference is the node's and its
 // caller's.
 func BenchmarkOverhead(b *testing.B) {
@@ -205,13 +224,16 @@
 			for range 20 {
 				new(spent).measure(b, fan.throughBareClient)
 				new(spent).measure(b, fan.throughNode)
+				new(spent).measure(b, fan.throughNothing)
 			}
-			var bare, through spent
+			var bare, through, exchange spent
 			for b.Loop() {
 				bare.measure(b, fan.throughBareClient)
 				through.measure(b, fan.throughNode)
+				exchange.measure(b, fan.throughNothing)
 			}
 			report(b, groups, &bare, &through)
+			b.ReportMetric(float64(exchange.median().Microseconds()), "exchange-p50-us")
 		})
 	}
 }
