--- a/node/overhead_bench_test.go
+++ b/node/overhead_bench_test.go
@@ -146,7 +146,7 @@
 
 func (f *fanOut) post(url string) error {
 	f.next++
-	document := `{"request_id":"r-` + strconv.Itoa(f.next) + `","class":"normal","minimum_coverage":1,"repeatable":true,"body":{"find":"linen"}}`
+	document := `{"request_id":"r-` + strconv.Itoa(f.next) + `","class":"normal","minimum_coverage":1,"repeatable":true,"body":{"find":"orders"}}`
 	reply, err := f.callers.Post(url, "application/json", bytes.NewReader([]byte(document)))
 	if err != nil {
 		return err
@@ -173,7 +173,7 @@
 			_, errs[index] = f.bare.Query(context.Background(), group.Servers[0].Address, &backend.Request{
 				AttemptID: "bare-" + strconv.Itoa(f.next) + "-" + strconv.Itoa(index),
 				RequestID: "r-" + strconv.Itoa(f.next), Service: service, Class: "normal", Snapshot: 1,
-				Range: group.Range, RemainingMilliseconds: 1000, Repeatable: true, Body: json.RawMessage(`{"find":"linen"}`),
+				Range: group.Range, RemainingMilliseconds: 1000, Repeatable: true, Body: json.RawMessage(`{"find":"orders"}`),
 			})
 		})
 	}
