Simulation of many member tables as a package of the laboratory

It was a test file of package membership, though others who embed the package need it as much. No assertion changed; names are exported, and its event queue is internal/priority's.

--- /dev/null
+++ b/lab/gossip/gossip.go
@@ -0,0 +1,349 @@
+// Package gossip runs many membership state machines on an event queue with
+// virtual time, with delays, cuts, freezes and kills, and counts the bytes of
+// their messages. It drives the real cores, with the real message encodings.
+package gossip
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/banksail/banksail/internal/priority"
+	"github.com/banksail/banksail/membership"
+	"github.com/banksail/banksail/peer"
+)
+
+// exchangeOverheadBytes is what HTTP adds to the messages of one exchange;
+// package peer's TestExchangeOverhead measures it. TCP/IP headers are not in it.
+const exchangeOverheadBytes = 420
+
+// Simulation runs many Nodes on an event queue, with delays, cuts, freezes and
+// kills, and counts the bytes of their messages.
+type Simulation struct {
+	// Now is the virtual time since the start.
+	Now    time.Duration
+	events *priority.Queue[event]
+	// Random is the seeded source of delays.
+	Random *rand.Rand
+	// Nodes are all nodes, dead ones among them.
+	Nodes []*Node
+	// Delay is the longest time that a message takes one way.
+	Delay time.Duration
+	// Blocked tells whether a message between two nodes is lost.
+	Blocked func(from, to *Node) bool
+	order   uint64
+	// tombstoneTime overrides the default unless it is zero.
+	tombstoneTime time.Duration
+}
+
+// Node is one simulated node.
+type Node struct {
+	// Index is its place in Simulation.Nodes.
+	Index int
+	// ID is the one it was started under.
+	ID string
+	// Core is the state machine of its present life.
+	Core *membership.Nodes
+	// Alive is false for a node that was killed.
+	Alive bool
+	// FrozenUntil is when a frozen node goes on.
+	FrozenUntil time.Duration
+	// generation grows when the node restarts, so that timers of an earlier
+	// life do nothing.
+	generation int
+	// Bytes counts what it sent and received.
+	Bytes int
+}
+
+type event struct {
+	at    time.Duration
+	order uint64
+	run   func()
+}
+
+// earlier orders events by time, those at one time by when they were set.
+func earlier(a, b event) bool {
+	if a.at != b.at {
+		return a.at < b.at
+	}
+	return a.order < b.order
+}
+
+// New starts a number of nodes that know nobody.
+func New(size int, seed uint64) *Simulation {
+	return NewWithTombstones(size, seed, 0)
+}
+
+// NewWithTombstones does so with another time for which gone members are remembered.
+func NewWithTombstones(size int, seed uint64, tombstoneTime time.Duration) *Simulation {
+	s := &Simulation{
+		events:        priority.NewQueue(earlier, nil),
+		Random:        rand.New(rand.NewPCG(seed, 1)),
+		Delay:         2 * time.Millisecond,
+		Blocked:       func(_, _ *Node) bool { return false },
+		tombstoneTime: tombstoneTime,
+	}
+	for i := range size {
+		node := &Node{Index: i, ID: NodeID(i)}
+		s.Nodes = append(s.Nodes, node)
+		s.Start(node, seed, 1)
+	}
+	return s
+}
+
+// NodeID is the ID of the node at an index.
+func NodeID(index int) string { return fmt.Sprintf("node-%04d", index) }
+
+// Listed is the machine list's entry of the node at an index.
+func Listed(index int) membership.ListedNode {
+	return membership.ListedNode{ID: NodeID(index), Address: AddressOf(index), Zone: ZoneOf(index)}
+}
+
+// AddressOf is the address of the node at an index.
+func AddressOf(index int) string { return fmt.Sprintf("10.0.%d.%d:7300", index/250, index%250) }
+
+// ZoneOf is the zone of the node at an index.
+func ZoneOf(index int) string { return fmt.Sprintf("zone-%d", index%4) }
+
+// Start begins a life of a node, which knows nobody yet.
+func (s *Simulation) Start(node *Node, seed, incarnation uint64) {
+	s.StartAs(node, NodeID(node.Index), seed, incarnation)
+}
+
+// StartAs begins a life of a node under an ID of its own choice.
+func (s *Simulation) StartAs(node *Node, id string, seed, incarnation uint64) {
+	node.Core = membership.NewNodes(membership.NodesOptions{
+		Self: membership.Member{
+			ID: id, Address: AddressOf(node.Index), Zone: ZoneOf(node.Index), Incarnation: incarnation,
+		},
+		Seed:          seed*1_000_003 + uint64(node.Index),
+		TombstoneTime: s.tombstoneTime,
+	})
+	node.Alive = true
+	node.FrozenUntil = 0
+	node.generation++
+	s.scheduleTick(node, 0)
+}
+
+// List gives every node the machine list.
+func (s *Simulation) List(nodes ...membership.ListedNode) {
+	for _, node := range s.Nodes {
+		node.Core.ObserveList(nodes)
+	}
+}
+
+// ListAll gives every node a machine list that names all of them.
+func (s *Simulation) ListAll() {
+	var nodes []membership.ListedNode
+	for i := range s.Nodes {
+		nodes = append(nodes, Listed(i))
+	}
+	s.List(nodes...)
+}
+
+func (s *Simulation) after(delay time.Duration, run func()) {
+	s.order++
+	s.events.Push(event{at: s.Now + delay, order: s.order, run: run})
+}
+
+// RunUntil advances to a time.
+func (s *Simulation) RunUntil(end time.Duration) {
+	for s.events.Len() > 0 && s.events.First().at <= end {
+		next := s.events.Pop()
+		s.Now = next.at
+		next.run()
+	}
+	s.Now = end
+}
+
+// RunUntilTrue advances until the condition holds, checked ten times a second,
+// and returns the time that it took; ok is false when limit passed first.
+func (s *Simulation) RunUntilTrue(limit time.Duration, condition func() bool) (time.Duration, bool) {
+	begin := s.Now
+	for !condition() {
+		if s.Now-begin >= limit {
+			return s.Now - begin, false
+		}
+		s.RunUntil(s.Now + 100*time.Millisecond)
+	}
+	return s.Now - begin, true
+}
+
+// onNode runs a step of a node as soon as it isn't frozen.
+func (s *Simulation) onNode(node *Node, step func()) {
+	generation := node.generation
+	if !node.Alive {
+		return
+	}
+	if s.Now < node.FrozenUntil {
+		s.after(node.FrozenUntil-s.Now, func() {
+			if node.generation == generation {
+				s.onNode(node, step)
+			}
+		})
+		return
+	}
+	step()
+}
+
+func (s *Simulation) scheduleTick(node *Node, delay time.Duration) {
+	generation := node.generation
+	s.after(delay, func() {
+		if node.generation != generation {
+			return
+		}
+		s.onNode(node, func() {
+			s.send(node, node.Core.Tick(s.Now))
+			s.scheduleTick(node, min(max(0, node.Core.Next()-s.Now), 500*time.Millisecond))
+		})
+	})
+}
+
+func (s *Simulation) send(from *Node, requests []membership.Request) {
+	for _, request := range requests {
+		s.sendOne(from, request)
+	}
+}
+
+func (s *Simulation) sendOne(from *Node, request membership.Request) {
+	generation := from.generation
+	done := false
+	finish := func(result membership.Result) {
+		if done || from.generation != generation {
+			return
+		}
+		s.onNode(from, func() {
+			if done {
+				return
+			}
+			done = true
+			result.ID = request.ID
+			s.send(from, from.Core.Complete(s.Now, result))
+		})
+	}
+	s.after(request.Timeout, func() { finish(membership.Result{Failed: true}) })
+	switch request.Kind {
+	case membership.IndirectProbe:
+		s.indirect(from, request, finish)
+	case membership.Sync:
+		s.sync(from, request, finish)
+	default:
+		s.gossip(from, request.To, request.Sender, request.Updates, finish)
+	}
+}
+
+// deliver hands a message over unless it is lost, and counts its bytes at both ends.
+func (s *Simulation) deliver(from, to *Node, message proto.Message, overhead int, arrive func()) {
+	size := proto.Size(message) + overhead
+	from.Bytes += size
+	if s.Blocked(from, to) || !to.Alive {
+		return
+	}
+	s.after(1+time.Duration(s.Random.Int64N(int64(s.Delay))), func() {
+		to.Bytes += size
+		s.onNode(to, arrive)
+	})
+}
+
+// nodeAt finds the node that listens on an address.
+func (s *Simulation) nodeAt(address string) *Node {
+	var high, low int
+	if _, err := fmt.Sscanf(address, "10.0.%d.%d:7300", &high, &low); err != nil {
+		return nil
+	}
+	if index := high*250 + low; index < len(s.Nodes) {
+		return s.Nodes[index]
+	}
+	return nil
+}
+
+func (s *Simulation) gossip(from *Node, target, sender membership.Member, updates []membership.Member, finish func(membership.Result)) {
+	to := s.nodeAt(target.Address)
+	if to == nil {
+		return
+	}
+	request := &peer.GossipRequest{Sender: wire(sender), Updates: Wire(updates)}
+	s.deliver(from, to, request, exchangeOverheadBytes/2, func() {
+		self, reply := to.Core.Receive(s.Now, sender, updates)
+		response := &peer.GossipResponse{Responder: wire(self), Updates: Wire(reply)}
+		s.deliver(to, from, response, exchangeOverheadBytes/2, func() {
+			finish(membership.Result{Responder: self, Updates: reply})
+		})
+	})
+}
+
+func (s *Simulation) indirect(from *Node, request membership.Request, finish func(membership.Result)) {
+	helper := s.nodeAt(request.To.Address)
+	message := &peer.ProbeIndirectRequest{Target: wire(request.Target), TimeoutMs: 500}
+	s.deliver(from, helper, message, exchangeOverheadBytes/2, func() {
+		answered := false
+		answer := func(result membership.Result) {
+			if answered {
+				return
+			}
+			answered = true
+			response := &peer.ProbeIndirectResponse{Reached: result.Reached, Target: wire(result.Responder)}
+			s.deliver(helper, from, response, exchangeOverheadBytes/2, func() { finish(result) })
+		}
+		s.after(request.Timeout/2, func() { answer(membership.Result{}) })
+		updates := []membership.Member{request.Target}
+		s.gossip(helper, request.Target, helper.Core.Self(), updates, func(result membership.Result) {
+			reached := result.Responder.ID == request.Target.ID
+			answer(membership.Result{Reached: reached, Responder: result.Responder})
+		})
+	})
+}
+
+func (s *Simulation) sync(from *Node, request membership.Request, finish func(membership.Result)) {
+	to := s.nodeAt(request.To.Address)
+	message := &peer.ListMembersRequest{Sender: wire(request.Sender), Digests: request.Digests}
+	s.deliver(from, to, message, exchangeOverheadBytes/2, func() {
+		reply := to.Core.ReceiveSync(s.Now, request.Sender, request.Digests, request.FirstBucket)
+		response := &peer.ListMembersResponse{Members: Wire(reply.Members), Responder: wire(reply.Responder)}
+		s.deliver(to, from, response, exchangeOverheadBytes/2, func() {
+			finish(membership.Result{
+				Responder: reply.Responder, Updates: reply.Members, More: reply.More, NextBucket: reply.NextBucket,
+			})
+		})
+	})
+}
+
+func wire(m membership.Member) *peer.Member {
+	return &peer.Member{
+		Id: m.ID, Address: m.Address, Zone: m.Zone, Incarnation: m.Incarnation,
+		State: peer.Member_State(m.State), Revision: uint64(m.Revision),
+	}
+}
+
+// Wire converts members to messages.
+func Wire(members []membership.Member) []*peer.Member {
+	messages := make([]*peer.Member, 0, len(members))
+	for _, m := range members {
+		messages = append(messages, wire(m))
+	}
+	return messages
+}
+
+// AllSee tells whether each of the observers sees each of the subjects in a state.
+func AllSee(observers, subjects []*Node, state membership.State) bool {
+	for _, observer := range observers {
+		for _, subject := range subjects {
+			if observer == subject {
+				continue
+			}
+			known, ok := observer.Core.Lookup(subject.ID)
+			if !ok || known.State != state {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Sees gives an observer's state of a subject; zero when it is unknown.
+func Sees(observer, subject *Node) membership.State {
+	known, _ := observer.Core.Lookup(subject.ID)
+	return known.State
+}
--- a/membership/scale_bench_test.go
+++ b/membership/scale_bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/banksail/banksail/lab/gossip"
 	"github.com/banksail/banksail/membership"
 	"github.com/banksail/banksail/policy"
 )
@@ -23,46 +24,46 @@
 }
 
 func measureNodes(b *testing.B, size int) {
-	s := newSimulation(size, 1)
-	s.listAll()
-	join, ok := s.runUntilTrue(5*time.Minute, func() bool { return allSee(s.nodes, s.nodes, membership.Live) })
+	s := gossip.New(size, 1)
+	s.ListAll()
+	join, ok := s.RunUntilTrue(5*time.Minute, func() bool { return gossip.AllSee(s.Nodes, s.Nodes, membership.Live) })
 	if !ok {
 		b.Fatal("the nodes did not join")
 	}
-	joinBytes := s.meanBytes()
-	s.runUntil(s.now + time.Minute)
+	joinBytes := meanBytes(s)
+	s.RunUntil(s.Now + time.Minute)
 
 	steady := time.Minute
-	before := s.meanBytes()
+	before := meanBytes(s)
 	wall := time.Now()
-	s.runUntil(s.now + steady)
+	s.RunUntil(s.Now + steady)
 	processor := time.Since(wall).Seconds() / steady.Seconds() / float64(size)
-	bytes := (s.meanBytes() - before) / steady.Seconds()
+	bytes := (meanBytes(s) - before) / steady.Seconds()
 
-	before = s.meanBytes()
-	begin := s.now
-	for _, node := range s.nodes {
-		node.core.SetRevision(1)
+	before = meanBytes(s)
+	begin := s.Now
+	for _, node := range s.Nodes {
+		node.Core.SetRevision(1)
 	}
-	observers := s.nodes[:10]
-	spread, ok := s.runUntilTrue(5*time.Minute, func() bool { return allHaveRevision(observers, s.nodes, 1) })
+	observers := s.Nodes[:10]
+	spread, ok := s.RunUntilTrue(5*time.Minute, func() bool { return allHaveRevision(observers, s.Nodes, 1) })
 	if !ok {
 		b.Fatal("the revision in force at all nodes is not known")
 	}
-	s.runUntil(max(s.now, begin+changeInterval))
-	changeBytes := (s.meanBytes() - before) / (s.now - begin).Seconds()
+	s.RunUntil(max(s.Now, begin+changeInterval))
+	changeBytes := (meanBytes(s) - before) / (s.Now - begin).Seconds()
 
-	victim := s.nodes[size/2]
-	victim.alive = false
-	survivors := append(s.nodes[:size/2:size/2], s.nodes[size/2+1:]...)
-	first, ok := s.runUntilTrue(5*time.Minute, func() bool {
-		return !allSee(survivors, []*simulatedNode{victim}, membership.Live)
+	victim := s.Nodes[size/2]
+	victim.Alive = false
+	survivors := append(s.Nodes[:size/2:size/2], s.Nodes[size/2+1:]...)
+	first, ok := s.RunUntilTrue(5*time.Minute, func() bool {
+		return !gossip.AllSee(survivors, []*gossip.Node{victim}, membership.Live)
 	})
 	if !ok {
 		b.Fatal("nobody suspects the killed node")
 	}
-	all, ok := s.runUntilTrue(5*time.Minute, func() bool {
-		return allSee(survivors, []*simulatedNode{victim}, membership.Gone)
+	all, ok := s.RunUntilTrue(5*time.Minute, func() bool {
+		return gossip.AllSee(survivors, []*gossip.Node{victim}, membership.Gone)
 	})
 	if !ok {
 		b.Fatal("the killed node is not seen as gone")
@@ -81,10 +82,10 @@
 const changeInterval = 61 * time.Second
 
 // allHaveRevision tells whether the observers know that all subjects have a revision.
-func allHaveRevision(observers, subjects []*simulatedNode, revision policy.Revision) bool {
+func allHaveRevision(observers, subjects []*gossip.Node, revision policy.Revision) bool {
 	for _, observer := range observers {
 		for _, subject := range subjects {
-			known, ok := observer.core.Lookup(subject.id)
+			known, ok := observer.Core.Lookup(subject.ID)
 			if !ok || known.Revision < revision {
 				return false
 			}
@@ -94,10 +95,10 @@
 }
 
 // meanBytes is the mean of what a node has sent and received.
-func (s *simulation) meanBytes() float64 {
+func meanBytes(s *gossip.Simulation) float64 {
 	total := 0
-	for _, node := range s.nodes {
-		total += node.bytes
+	for _, node := range s.Nodes {
+		total += node.Bytes
 	}
-	return float64(total) / float64(len(s.nodes))
+	return float64(total) / float64(len(s.Nodes))
 }
