--- a/limit/limiter.go
+++ b/limit/limiter.go
@@ -87,36 +87,25 @@
 )
 
 func (o Options) withDefaults() Options {
-	if o.Minimum <= 0 {
-		o.Minimum = DefaultMinimum
-	}
-	if o.Growth <= 0 {
-		o.Growth = DefaultGrowth
-	}
-	if o.QueueShare <= 0 {
-		o.QueueShare = DefaultQueueShare
-	}
-	if o.Quantile <= 0 {
-		o.Quantile = DefaultQuantile
-	}
-	if o.Tolerance <= 0 {
-		o.Tolerance = DefaultTolerance
-	}
-	if o.Step <= 0 {
-		o.Step = DefaultStep
-	}
-	if o.LatencyBackoff <= 0 {
-		o.LatencyBackoff = DefaultLatencyBackoff
-	}
-	if o.ShedBackoff <= 0 {
-		o.ShedBackoff = DefaultShedBackoff
-	}
-	if o.WindowSamples <= 0 {
-		o.WindowSamples = DefaultWindowSamples
-	}
+	setDefault(&o.Minimum, DefaultMinimum)
+	setDefault(&o.Growth, DefaultGrowth)
+	setDefault(&o.QueueShare, DefaultQueueShare)
+	setDefault(&o.Quantile, DefaultQuantile)
+	setDefault(&o.Tolerance, DefaultTolerance)
+	setDefault(&o.Step, DefaultStep)
+	setDefault(&o.LatencyBackoff, DefaultLatencyBackoff)
+	setDefault(&o.ShedBackoff, DefaultShedBackoff)
+	setDefault(&o.WindowSamples, DefaultWindowSamples)
 	return o
 }
 
+// setDefault sets a field that is not positive.
+func setDefault[T int | float64](field *T, value T) {
+	if *field <= 0 {
+		*field = value
+	}
+}
+
 // Outcome is how a request ended.
 type Outcome int
 
--- a/peer/options.go
+++ b/peer/options.go
@@ -19,8 +19,6 @@
 	ErrUnknownMember = errors.New("peer: unknown member")
 	// ErrUnreachable: the peer gave no well-formed reply in time.
 	ErrUnreachable = errors.New("peer: unreachable")
-	// ErrWrongPeer: another node replied at the member's address.
-	ErrWrongPeer = errors.New("peer: reply of another node")
 	// ErrMalformed: a message is out of its bounds.
 	ErrMalformed = errors.New("peer: malformed message")
 	// ErrTooLarge: a configuration exceeds MaximumConfigurationBytes.
