--- /dev/null
+++ b/cmd/banksail-front/main.go
@@ -0,0 +1,97 @@
+// Command banksail-front runs one node on the users' platform. Its settings
+// file is named by the environment.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/banksail/banksail/front"
+	"github.com/banksail/banksail/platform"
+	"github.com/banksail/banksail/telemetry"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(&serveCommand{}, "")
+	subcommands.Register(&checkCommand{}, "")
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
+
+// fail names the error and gives the status of a failed command.
+func fail(err error) subcommands.ExitStatus {
+	fmt.Fprintln(os.Stderr, err)
+	return subcommands.ExitFailure
+}
+
+type checkCommand struct{}
+
+func (*checkCommand) Name() string           { return "check" }
+func (*checkCommand) Synopsis() string       { return "check the settings file" }
+func (*checkCommand) Usage() string          { return "check: reads the settings file and names what is wrong\n" }
+func (*checkCommand) SetFlags(*flag.FlagSet) {}
+
+func (*checkCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	if _, err := platform.ReadSettings(); err != nil {
+		return fail(err)
+	}
+	fmt.Println("the settings are valid")
+	return subcommands.ExitSuccess
+}
+
+type serveCommand struct{ level string }
+
+func (*serveCommand) Name() string     { return "serve" }
+func (*serveCommand) Synopsis() string { return "run the node" }
+func (*serveCommand) Usage() string    { return "serve [-log-level LEVEL]: runs until SIGTERM\n" }
+
+func (c *serveCommand) SetFlags(flags *flag.FlagSet) {
+	flags.StringVar(&c.level, "log-level", "info", "least level of the lines that are written")
+}
+
+// garbageTarget is the growth of the heap between two collections, in percent:
+// memory at its peak weighs more here than processor time.
+const garbageTarget = 50
+
+func (c *serveCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	debug.SetGCPercent(garbageTarget)
+	settings, err := platform.ReadSettings()
+	if err != nil {
+		return fail(err)
+	}
+	logger, err := telemetry.NewLogger(os.Stdout, c.level, settings.Front.Node)
+	if err != nil {
+		return fail(err)
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	signal.Ignore(syscall.SIGHUP)
+	started := time.Now().UnixNano()
+	store := platform.NewStore(settings.StoreAddress, nil)
+	node := front.New(front.Options{
+		Settings:      settings.Front,
+		Incarnation:   strconv.FormatInt(started, 36),
+		Headers:       platform.Headers(),
+		AnswerHeaders: platform.AnswerHeaders(),
+		Source:        store,
+		Registrar:     store,
+		Readiness:     platform.Readiness,
+		Directory:     platform.Directory,
+		Logger:        logger,
+		Seed:          uint64(started),
+	})
+	if err := node.Run(ctx); err != nil {
+		return fail(err)
+	}
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/discovery/follower.go
@@ -0,0 +1,227 @@
+package discovery
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/banksail/banksail/internal/clock"
+	"github.com/banksail/banksail/route"
+)
+
+// FollowerOptions configures a Follower. Zero fields get defaults.
+type FollowerOptions struct {
+	Source Source
+	View   Options
+	Logger zerolog.Logger
+	// Changed is called after every answer that may have changed something, one
+	// call at a time.
+	Changed func(News)
+	// Pace is the least time between two readings; default 700 ms. It is
+	// stretched so that all nodes together stay within ReadsPerSecond.
+	Pace time.Duration
+	// ReadsPerSecond is what all nodes together may spend; default 1,000.
+	ReadsPerSecond float64
+	// Wait is how long the registry may hold a reading; default 1 s.
+	Wait time.Duration
+	// CallTimeout bounds a reading beyond Wait; default 1 s.
+	CallTimeout time.Duration
+}
+
+// News is what a follower believes after an answer.
+type News struct {
+	Servers []Server
+	Nodes   []Node
+	// Table is the newest that came; nil when none did yet.
+	Table *route.Table
+}
+
+// Defaults of FollowerOptions.
+const (
+	DefaultPace           = 700 * time.Millisecond
+	DefaultReadsPerSecond = 1_000
+	DefaultWait           = time.Second
+	DefaultCallTimeout    = time.Second
+)
+
+// Bounds of the pause after a failed reading.
+const (
+	leastRetryPause = 100 * time.Millisecond
+	mostRetryPause  = 800 * time.Millisecond
+)
+
+// Follower keeps a View true to a Source.
+type Follower struct {
+	options FollowerOptions
+	epoch   time.Time
+
+	mutex sync.Mutex
+	// mutex guards the fields below.
+	view     *View
+	revision Revision
+	listed   bool
+	table    *route.Table
+	failures int
+}
+
+// NewFollower returns a follower that knows nothing.
+func NewFollower(options FollowerOptions) *Follower {
+	options.Pace = cmp.Or(options.Pace, DefaultPace)
+	options.ReadsPerSecond = cmp.Or(options.ReadsPerSecond, DefaultReadsPerSecond)
+	options.Wait = cmp.Or(options.Wait, DefaultWait)
+	options.CallTimeout = cmp.Or(options.CallTimeout, DefaultCallTimeout)
+	return &Follower{options: options, epoch: time.Now(), view: NewView(options.View)}
+}
+
+// Run follows the source until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		began := time.Now()
+		err := f.read(ctx)
+		pause := f.pace() - time.Since(began)
+		if err != nil {
+			pause = f.retryPause()
+		}
+		_ = clock.Sleep(ctx, pause) // the loop looks at ctx
+	}
+}
+
+// Age is how old the beliefs are; ok is false when there are none.
+func (f *Follower) Age() (age time.Duration, ok bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.view.Age(f.now())
+}
+
+// Nodes lists the nodes that are believed to be live.
+func (f *Follower) Nodes() []Node {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.view.Nodes()
+}
+
+func (f *Follower) now() time.Duration { return time.Since(f.epoch) }
+
+// pace is the time between two readings.
+func (f *Follower) pace() time.Duration {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	fair := time.Duration(float64(len(f.view.nodes)) / f.options.ReadsPerSecond * float64(time.Second))
+	return max(f.options.Pace, fair)
+}
+
+// retryPause doubles with each failure in a row, with jitter.
+func (f *Follower) retryPause() time.Duration {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	pause := min(leastRetryPause<<min(f.failures, 8), mostRetryPause)
+	return pause/2 + rand.N(pause/2+1)
+}
+
+// read takes the next answer in.
+func (f *Follower) read(ctx context.Context) error {
+	err := f.readOnce(ctx)
+	f.mutex.Lock()
+	before := f.failures
+	switch {
+	case err == nil:
+		f.failures = 0
+	default:
+		f.failures++
+	}
+	f.mutex.Unlock()
+	switch {
+	case err != nil && before == 0:
+		f.options.Logger.Warn().Err(err).Msg("registry lost")
+	case err == nil && before > 0:
+		f.options.Logger.Warn().Int("failures", before).Msg("registry regained")
+	}
+	return err
+}
+
+func (f *Follower) readOnce(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, f.options.Wait+f.options.CallTimeout)
+	defer cancel()
+	if !f.listed {
+		return f.list(ctx)
+	}
+	changes, err := f.options.Source.Changes(ctx, f.revision, f.options.Wait)
+	if errors.Is(err, ErrHistoryGone) {
+		f.options.Logger.Warn().Uint64("revision", uint64(f.revision)).Msg("history is gone, reading everything")
+		return f.list(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	f.take(changes)
+	return nil
+}
+
+// list reads everything.
+func (f *Follower) list(ctx context.Context) error {
+	listing, err := f.options.Source.List(ctx)
+	if err != nil {
+		return err
+	}
+	f.mutex.Lock()
+	now := f.now()
+	f.view.Heard(now)
+	kept := make(map[string]struct{}, len(listing.Invalid))
+	for _, invalid := range listing.Invalid {
+		kept[invalid.Name] = struct{}{}
+	}
+	f.view.RetainServers(now, listedIDs(listing.Servers, kept), listing.Revision)
+	f.view.RetainNodes(now, listedIDs(listing.Nodes, kept), listing.Revision)
+	f.mutex.Unlock()
+	f.take(Changes(listing))
+	f.listed = true
+	return nil
+}
+
+func listedIDs[T any](entries []Entry[T], kept map[string]struct{}) map[string]struct{} {
+	ids := make(map[string]struct{}, len(entries)+len(kept))
+	for _, e := range entries {
+		ids[e.ID] = struct{}{}
+	}
+	for id := range kept {
+		ids[id] = struct{}{}
+	}
+	return ids
+}
+
+// take brings the view up to date and tells what is believed now.
+func (f *Follower) take(changes Changes) {
+	for _, invalid := range changes.Invalid {
+		f.options.Logger.Error().Str("entry", invalid.Name).Err(invalid.Err).Msg("entry can't be read, the last good one stays")
+	}
+	f.mutex.Lock()
+	now := f.now()
+	f.view.Heard(now)
+	for _, e := range changes.Servers {
+		if e.Gone {
+			f.view.RemoveServer(now, e.ID, e.Revision)
+		} else {
+			f.view.PutServer(e.Value, e.Revision)
+		}
+	}
+	for _, e := range changes.Nodes {
+		if e.Gone {
+			f.view.RemoveNode(now, e.ID, e.Revision)
+		} else {
+			f.view.PutNode(e.Value, e.Revision)
+		}
+	}
+	f.view.Expire(now)
+	f.revision = max(f.revision, changes.Revision)
+	if changes.Table != nil && (f.table == nil || changes.Table.Version > f.table.Version) {
+		f.table = changes.Table
+	}
+	news := News{Servers: f.view.Servers(), Nodes: f.view.Nodes(), Table: f.table}
+	f.mutex.Unlock()
+	f.options.Changed(news)
+}
--- /dev/null
+++ b/discovery/source.go
@@ -0,0 +1,80 @@
+package discovery
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/banksail/banksail/route"
+)
+
+// Errors of a Source, wrapped in its own.
+var (
+	// ErrHistoryGone: the changes after the revision are not kept any more.
+	ErrHistoryGone = errors.New("discovery: history is gone")
+	// ErrUnavailable: the registry gave no answer, or refused to.
+	ErrUnavailable = errors.New("discovery: registry unavailable")
+)
+
+// Source is a registry of servers, nodes and tables. It may be slow, down or
+// cut off; its answers tell a revision.
+type Source interface {
+	// List reads everything.
+	List(ctx context.Context) (Listing, error)
+	// Changes waits for changes after the revision, no longer than wait.
+	Changes(ctx context.Context, after Revision, wait time.Duration) (Changes, error)
+}
+
+// Listing is all that a registry holds. Entries may be newer than its revision.
+type Listing struct {
+	Revision Revision
+	Servers  []Entry[Server]
+	Nodes    []Entry[Node]
+	// Table is nil when there is none, or none that is valid.
+	Table *route.Table
+	// Invalid lists the entries that could not be read; they count as kept.
+	Invalid []InvalidEntry
+}
+
+// Changes is what changed up to a revision, in order.
+type Changes struct {
+	Revision Revision
+	Servers  []Entry[Server]
+	Nodes    []Entry[Node]
+	Table    *route.Table
+	Invalid  []InvalidEntry
+}
+
+// Entry is a value with the revision that wrote it. Gone entries have only an ID.
+type Entry[T any] struct {
+	ID       string
+	Revision Revision
+	Gone     bool
+	Value    T
+}
+
+// InvalidEntry is one that can't be read; what was known before stays.
+type InvalidEntry struct {
+	Name string
+	Err  error
+}
+
+// Registrar keeps this node's own entry in a registry. An entry goes when its
+// lease does; leases are for liveness only, and nothing safe rests on them.
+type Registrar interface {
+	// Register writes the entry under a new lease of the given time to live.
+	Register(ctx context.Context, node Node, timeToLive time.Duration) (Lease, error)
+}
+
+// Lease holds a node's entry.
+type Lease interface {
+	// Renew extends the lease; ErrLeaseOver says that the entry went with it.
+	Renew(ctx context.Context) error
+	// Update writes the entry anew under the same lease.
+	Update(ctx context.Context, node Node) error
+	// End ends the lease and the entry with it.
+	End(ctx context.Context) error
+}
+
+// ErrLeaseOver: the lease has ended.
+var ErrLeaseOver = errors.New("discovery: lease is over")
--- /dev/null
+++ b/exchange/client.go
@@ -0,0 +1,238 @@
+package exchange
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/banksail/banksail/discovery"
+)
+
+// Errors that Do returns, wrapped.
+var (
+	// ErrNotDelivered: no byte of the request was written to the server.
+	ErrNotDelivered = errors.New("exchange: not delivered")
+	// ErrOutcomeUnknown: the server may have run the request; no whole answer came.
+	ErrOutcomeUnknown = errors.New("exchange: outcome unknown")
+	// ErrMalformed: bytes came that are no answer to the request. The server may
+	// have run it.
+	ErrMalformed = errors.New("exchange: malformed answer")
+)
+
+// Options configures a Client. Zero fields get defaults.
+type Options struct {
+	// Headers must be set.
+	Headers Headers
+	// Dial opens connections; the default is the operating system's TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// DialTimeout bounds the opening of a connection; default one second.
+	DialTimeout time.Duration
+	// IdleTimeout closes a connection that carried nothing for so long, unless
+	// the server said less; default 20 s.
+	IdleTimeout time.Duration
+	// BodyBytes bounds an answer's body; default 8 MiB.
+	BodyBytes int64
+}
+
+// Defaults of Options.
+const (
+	DefaultDialTimeout = time.Second
+	DefaultIdleTimeout = 20 * time.Second
+	DefaultBodyBytes   = 8 << 20
+)
+
+// Client asks servers. Its methods may be called from several goroutines.
+type Client struct {
+	options Options
+
+	mutex sync.Mutex
+	// mutex guards pools; it is not held while I/O runs. Invariant: all idle
+	// connections to a server's incarnation lie in its one pool.
+	pools map[string]*pool
+}
+
+// pool holds the connections to one incarnation of a server.
+type pool struct {
+	idle []*connection
+	// open counts the connections that are idle, in use or being opened.
+	open int
+	// closed says that the server is gone.
+	closed bool
+}
+
+// NewClient returns a client without connections.
+func NewClient(options Options) *Client {
+	options.DialTimeout = cmp.Or(options.DialTimeout, DefaultDialTimeout)
+	options.IdleTimeout = cmp.Or(options.IdleTimeout, DefaultIdleTimeout)
+	options.BodyBytes = cmp.Or(options.BodyBytes, DefaultBodyBytes)
+	if options.Dial == nil {
+		options.Dial = (&net.Dialer{}).DialContext
+	}
+	return &Client{options: options, pools: make(map[string]*pool)}
+}
+
+// Do sends the attempt and reads its whole answer. The end of ctx closes the
+// connection, which tells the server to stop.
+func (c *Client) Do(ctx context.Context, attempt *Attempt) (*Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, attempt.Remaining)
+	defer cancel()
+	conn, err := c.acquire(ctx, attempt.Server)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotDelivered, err)
+	}
+	stop := context.AfterFunc(ctx, conn.abort)
+	reply, err := conn.exchange(attempt, c.encode(attempt), c.options)
+	sound := stop() && err == nil && conn.reusable
+	c.release(attempt.Server.ID, conn, sound)
+	return reply, err
+}
+
+// acquire returns an idle connection that is sound, or a new one.
+func (c *Client) acquire(ctx context.Context, server discovery.Server) (*connection, error) {
+	for {
+		conn := c.takeIdle(server.ID)
+		if conn == nil {
+			return c.open(ctx, server)
+		}
+		if conn.quiet() {
+			return conn, nil
+		}
+		c.release(server.ID, conn, false)
+	}
+}
+
+func (c *Client) poolOf(id string) *pool {
+	p := c.pools[id]
+	if p == nil {
+		p = new(pool)
+		c.pools[id] = p
+	}
+	return p
+}
+
+// takeIdle takes the connection used last; without one it counts one to be opened.
+func (c *Client) takeIdle(id string) *connection {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	p := c.poolOf(id)
+	last := len(p.idle) - 1
+	if last < 0 {
+		p.open++
+		return nil
+	}
+	conn := p.idle[last]
+	p.idle[last] = nil
+	p.idle = p.idle[:last]
+	return conn
+}
+
+// open opens a connection, which takeIdle has counted.
+func (c *Client) open(ctx context.Context, server discovery.Server) (*connection, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.options.DialTimeout)
+	defer cancel()
+	opened, err := c.options.Dial(ctx, "tcp", server.Address)
+	if err != nil {
+		c.uncount(server.ID)
+		return nil, err
+	}
+	return newConnection(opened), nil
+}
+
+func (c *Client) uncount(id string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.uncountLocked(id)
+}
+
+func (c *Client) uncountLocked(id string) {
+	p := c.pools[id]
+	p.open--
+	if p.open == 0 {
+		delete(c.pools, id)
+	}
+}
+
+// release gives a connection back, or closes it when it is not sound.
+func (c *Client) release(id string, conn *connection, sound bool) {
+	c.mutex.Lock()
+	p := c.pools[id]
+	if sound && !p.closed {
+		conn.idleSince = time.Now()
+		p.idle = append(p.idle, conn)
+		c.mutex.Unlock()
+		return
+	}
+	c.uncountLocked(id)
+	c.mutex.Unlock()
+	conn.close()
+}
+
+// Warm opens a connection to the server unless there is one.
+func (c *Client) Warm(ctx context.Context, server discovery.Server) {
+	c.mutex.Lock()
+	p := c.poolOf(server.ID)
+	if p.open > 0 {
+		c.mutex.Unlock()
+		return
+	}
+	p.open++
+	c.mutex.Unlock()
+	if conn, err := c.open(ctx, server); err == nil {
+		c.release(server.ID, conn, true)
+	}
+}
+
+// Retain closes the idle connections to servers that are not listed, and those
+// of the others that rested too long or were closed by the server.
+func (c *Client) Retain(listed map[string]struct{}) {
+	for _, conn := range c.takeStale(listed) {
+		conn.close()
+	}
+}
+
+func (c *Client) takeStale(listed map[string]struct{}) []*connection {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	now := time.Now()
+	var stale []*connection
+	for id, p := range c.pools {
+		_, kept := listed[id]
+		p.closed = !kept
+		keep := p.idle[:0]
+		for _, conn := range p.idle {
+			if kept && now.Sub(conn.idleSince) < min(c.options.IdleTimeout, conn.keepFor) && conn.quiet() {
+				keep = append(keep, conn)
+				continue
+			}
+			stale = append(stale, conn)
+		}
+		clear(p.idle[len(keep):])
+		p.open -= len(p.idle) - len(keep)
+		p.idle = keep
+		if p.open == 0 {
+			delete(c.pools, id)
+		}
+	}
+	return stale
+}
+
+// Connections counts the connections that are open or being opened.
+func (c *Client) Connections() int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	count := 0
+	for _, p := range c.pools {
+		count += p.open
+	}
+	return count
+}
+
+// isSurplus reports whether an answer belongs to another request.
+func (h Headers) isSurplus(header http.Header, attemptID string) bool {
+	return attemptID != "" && header.Get(h.AttemptID) != attemptID
+}
--- /dev/null
+++ b/exchange/connection.go
@@ -0,0 +1,230 @@
+package exchange
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// readBuffer is the size of a connection's buffer.
+	readBuffer = 2 << 10
+	// inlineWrite is the size up to which a request is written before its answer
+	// is read; a longer one might block until the server answers.
+	inlineWrite = 16 << 10
+	// maximumSurplus is the number of answers to other requests that are passed over.
+	maximumSurplus = 2
+	// maximumInterim bounds the interim answers before a final one.
+	maximumInterim = 4
+	// silence is how long a peer may leave sent bytes unacknowledged.
+	silence = 4 * time.Second
+	// forever stands for a server that names no time.
+	forever = time.Duration(math.MaxInt64)
+	// keepAliveMargin is how much before the server a connection is closed.
+	keepAliveMargin = 500 * time.Millisecond
+)
+
+// connection carries one request at a time.
+type connection struct {
+	conn   net.Conn
+	reader *bufio.Reader
+	// idleSince and keepFor bound how long it may rest.
+	idleSince time.Time
+	keepFor   time.Duration
+	// reusable says that the last answer left the connection clean.
+	reusable  bool
+	closeOnce sync.Once
+}
+
+func newConnection(conn net.Conn) *connection {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		setUserTimeout(tcp)
+	}
+	return &connection{conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), keepFor: forever}
+}
+
+// setUserTimeout ends connections to machines that have fallen silent. A
+// failure only leaves it to deadlines.
+func setUserTimeout(conn *net.TCPConn) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(descriptor uintptr) {
+		_ = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence.Milliseconds()))
+	})
+}
+
+func (c *connection) abort() { c.close() }
+
+func (c *connection) close() { c.closeOnce.Do(func() { _ = c.conn.Close() }) }
+
+// quiet reports whether nothing has come on an idle connection: neither an end
+// nor bytes, which would belong to no request.
+func (c *connection) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	tcp, ok := c.conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(descriptor uintptr) bool {
+		var one [1]byte
+		_, _, peekErr := unix.Recvfrom(int(descriptor), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = peekErr == unix.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+// exchange writes the request and reads its answer.
+func (c *connection) exchange(a *Attempt, encoded []byte, options Options) (*Reply, error) {
+	c.reusable = false
+	written, wrote, err := c.write(encoded)
+	if err != nil {
+		if written == 0 {
+			return nil, fmt.Errorf("%w: %w", ErrNotDelivered, err)
+		}
+		return nil, fmt.Errorf("%w: writing: %w", ErrOutcomeUnknown, err)
+	}
+	reply, keep, err := c.readAnswer(a, options)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case writeErr := <-wrote:
+		c.reusable = keep && writeErr == nil && c.reader.Buffered() == 0
+	default:
+		// The answer came before the request was written: the rest of it would
+		// be taken for another request.
+	}
+	return reply, nil
+}
+
+// write writes the request, a long one in the background. Its end is told on wrote.
+func (c *connection) write(encoded []byte) (written int, wrote <-chan error, err error) {
+	end := make(chan error, 1)
+	if len(encoded) <= inlineWrite {
+		written, err = c.conn.Write(encoded)
+		end <- err
+		return written, end, err
+	}
+	go func() {
+		_, err := c.conn.Write(encoded)
+		end <- err
+	}()
+	return len(encoded), end, nil
+}
+
+// readAnswer reads answers until the one to the attempt.
+func (c *connection) readAnswer(a *Attempt, options Options) (reply *Reply, keep bool, err error) {
+	surplus := 0
+	for {
+		reply, keep, err = c.readOne(a, options)
+		if err != nil {
+			return nil, false, err
+		}
+		if !options.Headers.isSurplus(reply.Header, a.Request.AttemptID) {
+			return reply, keep && surplus == 0, nil
+		}
+		surplus++
+		if !keep || surplus > maximumSurplus {
+			return nil, false, fmt.Errorf("%w: it belongs to another request", ErrMalformed)
+		}
+	}
+}
+
+// readOne reads one whole answer; keep says that another may follow.
+func (c *connection) readOne(a *Attempt, options Options) (reply *Reply, keep bool, err error) {
+	response, err := c.readHeader(a.Request.Method)
+	if err != nil {
+		return nil, false, err
+	}
+	body, err := readBody(response, options.BodyBytes)
+	if err != nil {
+		return nil, false, err
+	}
+	c.takeKeepAlive(response.Header)
+	keep = !response.Close
+	header := response.Header
+	StripConnection(header)
+	return &Reply{Status: response.StatusCode, Header: header, Body: body}, keep, nil
+}
+
+// readHeader reads the header of the next final answer.
+func (c *connection) readHeader(method string) (*http.Response, error) {
+	for range maximumInterim {
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		switch {
+		case err != nil && isTransport(err):
+			return nil, fmt.Errorf("%w: reading the answer: %w", ErrOutcomeUnknown, err)
+		case err != nil:
+			return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
+		case response.StatusCode >= http.StatusOK:
+			return response, nil
+		case response.StatusCode == http.StatusSwitchingProtocols:
+			return nil, fmt.Errorf("%w: it switches protocols", ErrMalformed)
+		}
+	}
+	return nil, fmt.Errorf("%w: too many interim answers", ErrMalformed)
+}
+
+func isTransport(err error) bool {
+	if err == io.EOF || err == io.ErrUnexpectedEOF {
+		return true
+	}
+	_, network := err.(net.Error)
+	return network
+}
+
+func readBody(response *http.Response, most int64) ([]byte, error) {
+	defer func() { _ = response.Body.Close() }()
+	if response.ContentLength > most {
+		return nil, fmt.Errorf("%w: its body has %d bytes, more than %d", ErrMalformed, response.ContentLength, most)
+	}
+	if response.ContentLength >= 0 {
+		body := make([]byte, response.ContentLength)
+		if _, err := io.ReadFull(response.Body, body); err != nil {
+			return nil, fmt.Errorf("%w: reading the body: %w", ErrOutcomeUnknown, err)
+		}
+		return body, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, most+1))
+	switch {
+	case err != nil:
+		return nil, fmt.Errorf("%w: reading the body: %w", ErrOutcomeUnknown, err)
+	case int64(len(body)) > most:
+		return nil, fmt.Errorf("%w: its body has more than %d bytes", ErrMalformed, most)
+	default:
+		return body, nil
+	}
+}
+
+// takeKeepAlive notes how long the server keeps the connection.
+func (c *connection) takeKeepAlive(header http.Header) {
+	for field := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if seconds, err := strconv.Atoi(value); err == nil && seconds >= 0 {
+			c.keepFor = max(time.Duration(seconds)*time.Second-keepAliveMargin, 0)
+		}
+	}
+}
--- /dev/null
+++ b/front/node.go
@@ -0,0 +1,227 @@
+package front
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/banksail/banksail/directory"
+	"github.com/banksail/banksail/discovery"
+	"github.com/banksail/banksail/exchange"
+	"github.com/banksail/banksail/gateway"
+	"github.com/banksail/banksail/routing"
+)
+
+// Node is what the handlers of checks and of the directory ask.
+type Node interface {
+	// Ready reports whether callers should come.
+	Ready() bool
+	// Addresses lists where a caller may connect, and for how long that counts.
+	Addresses(caller directory.Caller, most int) (addresses []string, timeToLive time.Duration)
+}
+
+// Options sets up a Front.
+type Options struct {
+	Settings Settings
+	// Incarnation tells this process from earlier ones of the same node.
+	Incarnation   string
+	Headers       exchange.Headers
+	AnswerHeaders gateway.AnswerHeaders
+	Source        discovery.Source
+	Registrar     discovery.Registrar
+	// Readiness and Directory answer the node's other listeners.
+	Readiness, Directory func(Node) http.Handler
+	Logger               zerolog.Logger
+	Seed                 uint64
+	// Listen opens a listener; the default is the operating system's TCP.
+	Listen func(network, address string) (net.Listener, error)
+}
+
+// Front is one node. Run must be called once.
+type Front struct {
+	options   Options
+	gateway   *gateway.Gateway
+	follower  *discovery.Follower
+	announcer *discovery.Announcer
+	self      discovery.Node
+	leaving   atomic.Bool
+	// knows says that a table and the servers were heard of once.
+	knows atomic.Bool
+	tend  chan struct{}
+}
+
+const (
+	// directoryTTL is how long an answer of the directory counts.
+	directoryTTL = time.Second
+	// readShare is the part of the registry's readings that following may take.
+	readShare = 0.6
+	// tendInterval is the time between two looks at the connections.
+	tendInterval = time.Second
+	// headerBytes, headerTimeout and idleTimeout bound callers until a table
+	// says more.
+	headerBytes   = 16 << 10
+	headerTimeout = 3 * time.Second
+	idleTimeout   = time.Minute
+)
+
+// New returns a node that has not started.
+func New(options Options) *Front {
+	settings := options.Settings
+	if options.Listen == nil {
+		options.Listen = net.Listen
+	}
+	f := &Front{
+		options: options,
+		tend:    make(chan struct{}, 1),
+		self: discovery.Node{
+			ID:      settings.Node + "." + options.Incarnation,
+			Address: settings.Callers,
+			Zone:    settings.Zone,
+			Region:  settings.Region,
+		},
+	}
+	f.gateway = gateway.New(gateway.Options{
+		Headers:       options.Headers,
+		AnswerHeaders: options.AnswerHeaders,
+		Logger:        options.Logger,
+		Routing: routing.Options{
+			Seed:    options.Seed,
+			Zone:    settings.Zone,
+			Regions: settings.Regions,
+			Budget: routing.BudgetOptions{
+				Ratio:  settings.BudgetRatio,
+				Fixed:  settings.BudgetFixed,
+				Window: settings.BudgetWindow,
+			},
+			Fresh: !settings.FirstStart,
+		},
+	})
+	f.follower = discovery.NewFollower(discovery.FollowerOptions{
+		Source:         options.Source,
+		Logger:         options.Logger,
+		Changed:        f.changed,
+		ReadsPerSecond: settings.ReadsPerSecond * readShare,
+	})
+	f.announcer = discovery.NewAnnouncer(discovery.AnnouncerOptions{
+		Registrar:  options.Registrar,
+		Node:       f.self,
+		Logger:     options.Logger,
+		TimeToLive: max(discovery.DefaultTimeToLive, settings.LeastLease),
+	})
+	return f
+}
+
+// changed takes what the follower believes.
+func (f *Front) changed(news discovery.News) {
+	f.gateway.SetNodes(max(len(news.Nodes), 1))
+	f.gateway.SetServers(news.Servers)
+	if news.Table == nil {
+		return
+	}
+	if f.gateway.SetTable(news.Table) {
+		f.options.Logger.Info().Uint64("version", news.Table.Version).Int("routes", news.Table.Len()).Msg("table in force")
+		f.tendNow()
+	}
+	f.knows.Store(true)
+}
+
+func (f *Front) tendNow() {
+	select {
+	case f.tend <- struct{}{}:
+	default:
+	}
+}
+
+// Ready implements Node.
+func (f *Front) Ready() bool { return f.knows.Load() && !f.leaving.Load() }
+
+// Addresses implements Node. The node itself counts as live as long as it answers.
+func (f *Front) Addresses(caller directory.Caller, most int) ([]string, time.Duration) {
+	nodes := f.follower.Nodes()
+	seen := make(map[string]struct{}, len(nodes)+1)
+	kept := nodes[:0]
+	for _, node := range nodes {
+		if node.Address == f.self.Address {
+			continue
+		}
+		if _, twice := seen[node.Address]; !twice {
+			seen[node.Address] = struct{}{}
+			kept = append(kept, node)
+		}
+	}
+	self := f.self
+	self.Leaving = f.leaving.Load()
+	if f.knows.Load() || len(kept) == 0 {
+		kept = append(kept, self)
+	}
+	return directory.Addresses(kept, caller, most), min(directoryTTL, f.options.Settings.LongestTTL)
+}
+
+// Run serves until ctx ends, then stops as planned, and returns.
+func (f *Front) Run(ctx context.Context) error {
+	settings := f.options.Settings
+	callers, err := f.serve(settings.Callers, f.gateway)
+	if err != nil {
+		return err
+	}
+	ready, err := f.serve(settings.Readiness, f.options.Readiness(f))
+	if err != nil {
+		return err
+	}
+	resolve, err := f.serve(settings.Directory, f.options.Directory(f))
+	if err != nil {
+		return err
+	}
+	background, stop := context.WithCancel(context.Background())
+	var loops sync.WaitGroup
+	loops.Go(func() { f.follower.Run(background) })
+	loops.Go(func() { f.announcer.Run(background) })
+	loops.Go(func() { f.tendLoop(background) })
+	f.options.Logger.Info().Str("callers", settings.Callers).Msg("started")
+	<-ctx.Done()
+	f.stop(callers)
+	stop()
+	loops.Wait()
+	_ = resolve.Close()
+	_ = ready.Close()
+	f.options.Logger.Info().Msg("stopped")
+	return nil
+}
+
+// serve answers on an address in the background.
+func (f *Front) serve(address string, handler http.Handler) (*http.Server, error) {
+	listener, err := f.options.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("front: listening on %s: %w", address, err)
+	}
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    headerBytes,
+		ErrorLog:          nil,
+	}
+	go func() { _ = server.Serve(listener) }() // ends when the server is closed
+	return server, nil
+}
+
+// tendLoop looks after the connections to servers.
+func (f *Front) tendLoop(ctx context.Context) {
+	ticker := time.NewTicker(tendInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-f.tend:
+		}
+		f.gateway.Tend(ctx)
+	}
+}
--- /dev/null
+++ b/front/settings.go
@@ -0,0 +1,33 @@
+package front
+
+import "time"
+
+// Settings are those of one node.
+type Settings struct {
+	// Node names the node; Zone and Region are where it stands.
+	Node, Zone, Region string
+	// Regions names the region of each zone.
+	Regions map[string]string
+	// FirstStart says that no earlier incarnation of any node has run.
+	FirstStart bool
+	// Callers, Readiness and Directory are the addresses that are listened on;
+	// Metrics may be empty.
+	Callers, Readiness, Directory, Metrics string
+	// MemoryBytes is the memory that the process may take; zero is unknown.
+	MemoryBytes int64
+	// Grace is the time between the request to stop and the end.
+	Grace time.Duration
+	// DrainBound is the time after which a leaving server gets no new request,
+	// and ApplyBound that after which a table is in force.
+	DrainBound, ApplyBound time.Duration
+	// BudgetRatio, BudgetFixed and BudgetWindow bound the extra sends to a
+	// service by all nodes together.
+	BudgetRatio, BudgetFixed float64
+	BudgetWindow             time.Duration
+	// ReadsPerSecond is what all nodes together may ask the registry.
+	ReadsPerSecond float64
+	// LongestTTL is the longest time for which an answer of the directory counts.
+	LongestTTL time.Duration
+	// LeastLease is the shortest lease of the registry.
+	LeastLease time.Duration
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,288 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/banksail/banksail/discovery"
+	"github.com/banksail/banksail/exchange"
+	"github.com/banksail/banksail/gather"
+	"github.com/banksail/banksail/route"
+	"github.com/banksail/banksail/routing"
+)
+
+// Options sets up a Gateway. Zero fields get defaults but for Headers.
+type Options struct {
+	// Headers and AnswerHeaders name the headers towards servers and callers.
+	Headers       exchange.Headers
+	AnswerHeaders AnswerHeaders
+	Routing       routing.Options
+	Exchange      exchange.Options
+	Logger        zerolog.Logger
+	// CallerMargin is the part of a caller's deadline that is kept for the way
+	// back; default 10 ms.
+	CallerMargin time.Duration
+	// StragglerTime is how long an attempt that its request gave up may go on:
+	// its connection is worth keeping; default 300 ms.
+	StragglerTime time.Duration
+	// MaximumBytes bounds the bodies of the requests that are held; default 64 MiB.
+	MaximumBytes int64
+}
+
+// AnswerHeaders names the headers of merged answers.
+type AnswerHeaders struct {
+	// PartStamps holds the stamps of the parts that are in.
+	PartStamps string
+	// MissingParts is the number of shards that are left out.
+	MissingParts string
+}
+
+// Defaults of Options.
+const (
+	DefaultCallerMargin  = 10 * time.Millisecond
+	DefaultStragglerTime = 300 * time.Millisecond
+	DefaultMaximumBytes  = 64 << 20
+)
+
+// Gateway carries callers' requests. Its methods may be called from several
+// goroutines.
+type Gateway struct {
+	options Options
+	epoch   time.Time
+	client  *exchange.Client
+	table   atomic.Pointer[route.Table]
+	// draining says that connections are to end with their next answer.
+	draining atomic.Bool
+	held     atomic.Int64
+	counters counters
+
+	mutex sync.Mutex
+	// mutex serialises Step and guards the fields below. Invariants: pending
+	// holds exactly the requests without a Finish; attempts holds exactly the
+	// attempts that were sent and not reported back.
+	router      *routing.Router
+	pending     map[routing.RequestID]*pendingRequest
+	attempts    map[gather.AttemptID]*runningAttempt
+	lastRequest routing.RequestID
+	wake        *time.Timer
+	servers     map[string]discovery.Server
+}
+
+// pendingRequest is one without a final answer.
+type pendingRequest struct {
+	id       routing.RequestID
+	outgoing *exchange.Request
+	route    *route.Route
+	arrived  time.Time
+	done     chan routing.Outcome // has room for the one outcome
+}
+
+// runningAttempt is one that was not reported back.
+type runningAttempt struct {
+	cancel    context.CancelFunc
+	straggler *time.Timer // set once its request gave it up
+}
+
+// New returns a Gateway that knows no table and no server.
+func New(options Options) *Gateway {
+	options.CallerMargin = cmp.Or(options.CallerMargin, DefaultCallerMargin)
+	options.StragglerTime = cmp.Or(options.StragglerTime, DefaultStragglerTime)
+	options.MaximumBytes = cmp.Or(options.MaximumBytes, DefaultMaximumBytes)
+	options.Exchange.Headers = options.Headers
+	return &Gateway{
+		options:  options,
+		epoch:    time.Now(),
+		client:   exchange.NewClient(options.Exchange),
+		router:   routing.New(0, options.Routing),
+		pending:  make(map[routing.RequestID]*pendingRequest),
+		attempts: make(map[gather.AttemptID]*runningAttempt),
+	}
+}
+
+func (g *Gateway) now() time.Duration { return time.Since(g.epoch) }
+
+// Table is the table in force; nil until there is one.
+func (g *Gateway) Table() *route.Table { return g.table.Load() }
+
+// SetTable puts a table in force. One that is older than the table in force
+// changes nothing; it reports whether the table is now in force.
+func (g *Gateway) SetTable(table *route.Table) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if current := g.table.Load(); current != nil && table.Version <= current.Version {
+		return false
+	}
+	g.stepLocked(routing.TableChanged{Table: table})
+	g.table.Store(table)
+	return true
+}
+
+// SetServers tells all servers that may be there.
+func (g *Gateway) SetServers(servers []discovery.Server) {
+	byID := make(map[string]discovery.Server, len(servers))
+	for _, server := range servers {
+		byID[server.ID] = server
+	}
+	g.mutex.Lock()
+	if !maps.Equal(byID, g.servers) {
+		g.servers = byID
+		g.stepLocked(routing.ServersChanged{Servers: servers})
+	}
+	g.mutex.Unlock()
+}
+
+// SetNodes tells how many nodes are live, this one included.
+func (g *Gateway) SetNodes(live int) { g.step(routing.NodesChanged{Live: live}) }
+
+// Drain makes every connection end with its next answer.
+func (g *Gateway) Drain() { g.draining.Store(true) }
+
+// Pending is the number of requests without a final answer.
+func (g *Gateway) Pending() int {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return len(g.pending)
+}
+
+// Tend closes connections that are of no use any more and opens one to each
+// server of a service in force that has none.
+func (g *Gateway) Tend(ctx context.Context) {
+	g.mutex.Lock()
+	servers := g.servers
+	g.mutex.Unlock()
+	listed := make(map[string]struct{}, len(servers))
+	for id, server := range servers {
+		if server.State == discovery.Ready {
+			listed[id] = struct{}{}
+		}
+	}
+	g.client.Retain(listed)
+	table := g.table.Load()
+	if table == nil {
+		return
+	}
+	used := make(map[string]struct{})
+	for _, name := range table.UsedServices() {
+		used[name] = struct{}{}
+	}
+	for id := range listed {
+		if _, wanted := used[servers[id].Service]; wanted {
+			g.client.Warm(ctx, servers[id])
+		}
+	}
+}
+
+// step passes an event to the router and carries out its actions.
+func (g *Gateway) step(event routing.Event) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.stepLocked(event)
+}
+
+func (g *Gateway) stepLocked(event routing.Event) {
+	now := g.now()
+	for _, action := range g.router.Step(now, event) {
+		switch action := action.(type) {
+		case routing.Send:
+			g.send(action)
+		case routing.Cancel:
+			g.cancel(action.Attempt)
+		case routing.Finish:
+			g.finish(action)
+		case routing.Wake:
+			g.setWake(action.At - now)
+		}
+	}
+}
+
+func (g *Gateway) setWake(after time.Duration) {
+	after = max(after, 0)
+	if g.wake == nil {
+		g.wake = time.AfterFunc(after, func() { g.step(routing.Woken{}) })
+		return
+	}
+	g.wake.Reset(after)
+}
+
+func (g *Gateway) send(action routing.Send) {
+	asked := g.pending[action.Request]
+	ctx, cancel := context.WithCancel(context.Background())
+	g.attempts[action.Attempt] = &runningAttempt{cancel: cancel}
+	g.counters.sent(action.Kind)
+	go g.carry(ctx, cancel, asked, action)
+}
+
+// carry sends one attempt and reports its end.
+func (g *Gateway) carry(ctx context.Context, cancel context.CancelFunc, asked *pendingRequest, action routing.Send) {
+	defer cancel()
+	began := time.Now()
+	reply, err := g.client.Do(ctx, &exchange.Attempt{
+		Request:   asked.outgoing,
+		Server:    action.Server,
+		Remaining: action.Remaining,
+	})
+	event := g.report(asked.route, action, reply, err)
+	g.logAttempt(asked, action, reply, err, time.Since(began))
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if running := g.attempts[action.Attempt]; running.straggler != nil {
+		running.straggler.Stop()
+	}
+	delete(g.attempts, action.Attempt)
+	g.stepLocked(event)
+}
+
+// cancel lets an attempt go on for a while: most end soon, and their
+// connections can be used again.
+func (g *Gateway) cancel(id gather.AttemptID) {
+	running := g.attempts[id]
+	if running == nil || running.straggler != nil {
+		return
+	}
+	running.straggler = time.AfterFunc(g.options.StragglerTime, running.cancel)
+}
+
+func (g *Gateway) finish(action routing.Finish) {
+	asked := g.pending[action.Request]
+	delete(g.pending, action.Request)
+	asked.done <- action.Outcome
+}
+
+// report tells how an attempt ended.
+func (g *Gateway) report(r *route.Route, action routing.Send, reply *exchange.Reply, err error) routing.Event {
+	if err != nil {
+		delivery := gather.DeliveryUnknown
+		if errors.Is(err, exchange.ErrNotDelivered) {
+			delivery = gather.NotDelivered
+		}
+		return routing.Failed{Attempt: action.Attempt, Delivery: delivery, Reason: failureName(err)}
+	}
+	status, why := g.classify(r, reply)
+	if why != "" {
+		return routing.Failed{Attempt: action.Attempt, Delivery: gather.DeliveryUnknown, Reason: why}
+	}
+	event := routing.Replied{Attempt: action.Attempt, Status: status, Body: reply}
+	event.Load, event.LoadKnown = parseLoad(reply.Header.Get(g.options.Headers.Load))
+	if status == gather.ReplyShed {
+		event.RetryAfter = retryAfter(reply.Header)
+	}
+	return event
+}
+
+func failureName(err error) string {
+	switch {
+	case errors.Is(err, exchange.ErrNotDelivered):
+		return "not_delivered"
+	case errors.Is(err, exchange.ErrMalformed):
+		return "malformed"
+	default:
+		return "no_answer"
+	}
+}
--- /dev/null
+++ b/gateway/reply.go
@@ -0,0 +1,65 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/banksail/banksail/exchange"
+	"github.com/banksail/banksail/gather"
+	"github.com/banksail/banksail/route"
+	"github.com/banksail/banksail/routing"
+)
+
+// classify tells what a whole answer means; why is set when it is none.
+func (g *Gateway) classify(r *route.Route, reply *exchange.Reply) (status gather.ReplyStatus, why string) {
+	success := reply.Status >= 200 && reply.Status < 300
+	switch {
+	case reply.Status == http.StatusMisdirectedRequest:
+		return gather.ReplyNotOwner, ""
+	case reply.Header.Get(g.options.Headers.NotExecuted) != "" && !success:
+		return gather.ReplyShed, ""
+	case success && reply.Header.Get(g.options.Headers.Stamp) == "":
+		return 0, "no_stamp"
+	case success && reply.Header.Get("Content-Encoding") != "":
+		return 0, "encoded"
+	case success:
+		return gather.ReplyDone, ""
+	case r.Target.FanOut() || reply.Status >= http.StatusInternalServerError:
+		return gather.ReplyError, ""
+	default:
+		return gather.ReplyDone, ""
+	}
+}
+
+// loadFields is the number of fields of a load.
+const loadFields = 3
+
+// parseLoad reads a server's account of its work: running, waiting and slots.
+func parseLoad(value string) (routing.Load, bool) {
+	fields := strings.Split(value, ",")
+	if len(fields) != loadFields {
+		return routing.Load{}, false
+	}
+	var numbers [loadFields]int
+	for i, field := range fields {
+		number, err := strconv.Atoi(strings.TrimSpace(field))
+		if err != nil || number < 0 {
+			return routing.Load{}, false
+		}
+		numbers[i] = number
+	}
+	return routing.Load{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2]}, true
+}
+
+// mostRetryAfter bounds what a server's Retry-After says.
+const mostRetryAfter = 5 * time.Second
+
+func retryAfter(header http.Header) time.Duration {
+	seconds, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return min(time.Duration(seconds*float64(time.Second)), mostRetryAfter)
+}
--- /dev/null
+++ b/gateway/serve.go
@@ -0,0 +1,200 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/banksail/banksail/exchange"
+	"github.com/banksail/banksail/gather"
+	"github.com/banksail/banksail/record"
+	"github.com/banksail/banksail/route"
+	"github.com/banksail/banksail/routing"
+)
+
+// noTableRetryAfter is told to callers while no table is known.
+const noTableRetryAfter = 200 * time.Millisecond
+
+// ServeHTTP answers one caller's request.
+func (g *Gateway) ServeHTTP(writer http.ResponseWriter, incoming *http.Request) {
+	arrived := time.Now()
+	if g.draining.Load() {
+		writer.Header().Set("Connection", "close")
+	}
+	table := g.table.Load()
+	if table == nil {
+		g.refuse(writer, incoming, gather.ReasonNoConfiguration, noTableRetryAfter)
+		return
+	}
+	matched := table.Match(incoming.Host, pathOf(incoming))
+	if matched == nil {
+		g.reject(writer, incoming, http.StatusNotFound, "no_route")
+		return
+	}
+	outgoing, status := g.outgoing(incoming, table.Limits)
+	if outgoing == nil {
+		g.reject(writer, incoming, status, "body")
+		return
+	}
+	g.held.Add(int64(len(outgoing.Body)))
+	defer g.held.Add(-int64(len(outgoing.Body)))
+	asked := &pendingRequest{outgoing: outgoing, route: matched, arrived: arrived, done: make(chan routing.Outcome, 1)}
+	outcome := g.run(incoming, asked)
+	g.answer(writer, asked, outcome)
+	g.logRequest(asked, table, outcome)
+}
+
+// pathOf is the path as the caller wrote it, without the query.
+func pathOf(incoming *http.Request) string {
+	path, _, _ := strings.Cut(incoming.RequestURI, "?")
+	return path
+}
+
+// outgoing is the request as it goes to servers; nil, with a status, when it
+// can't be taken.
+func (g *Gateway) outgoing(incoming *http.Request, limits route.Limits) (*exchange.Request, int) {
+	if incoming.ContentLength > limits.BodyBytes {
+		return nil, http.StatusRequestEntityTooLarge
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(nil, incoming.Body, limits.BodyBytes))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, http.StatusRequestEntityTooLarge
+	case err != nil:
+		return nil, http.StatusBadRequest
+	case g.held.Load()+int64(len(body)) > g.options.MaximumBytes:
+		return nil, http.StatusServiceUnavailable
+	}
+	header := incoming.Header
+	exchange.StripConnection(header)
+	attemptID := header.Get(g.options.Headers.AttemptID)
+	return &exchange.Request{
+		Method:    incoming.Method,
+		Target:    incoming.RequestURI,
+		Host:      incoming.Host,
+		Header:    header,
+		Body:      body,
+		AttemptID: attemptID,
+	}, 0
+}
+
+// run hands the request to the router and waits for its outcome.
+func (g *Gateway) run(incoming *http.Request, asked *pendingRequest) routing.Outcome {
+	remaining := asked.route.Timeout
+	header := asked.outgoing.Header
+	if told, err := strconv.ParseInt(header.Get(g.options.Headers.Remaining), 10, 64); err == nil {
+		remaining = min(remaining, time.Duration(min(told, int64(time.Hour/time.Millisecond)))*time.Millisecond)
+	}
+	header.Del(g.options.Headers.Remaining)
+	header.Del(g.options.Headers.ExpectedServer)
+	g.mutex.Lock()
+	g.lastRequest++
+	asked.id = g.lastRequest
+	g.pending[asked.id] = asked
+	g.stepLocked(routing.Arrived{Request: routing.Request{
+		ID:        asked.id,
+		Route:     asked.route,
+		Remaining: remaining - g.options.CallerMargin,
+		Spent:     g.options.CallerMargin / 2,
+	}})
+	g.mutex.Unlock()
+	select {
+	case outcome := <-asked.done:
+		return outcome
+	case <-incoming.Context().Done():
+		g.step(routing.CallerGone{Request: asked.id})
+		return <-asked.done
+	}
+}
+
+// answer writes the final answer.
+func (g *Gateway) answer(writer http.ResponseWriter, asked *pendingRequest, outcome routing.Outcome) {
+	switch {
+	case outcome.Execution == gather.ExecutionDone && asked.route.Target.FanOut():
+		g.writeMerged(writer, asked, outcome)
+	case outcome.Execution == gather.ExecutionDone:
+		writeReply(writer, outcome.Parts[0].Body.(*exchange.Reply))
+	case outcome.Execution == gather.ExecutionNotRun:
+		writeRefusal(writer, outcome.RetryAfter)
+	case outcome.Failure != nil:
+		writeReply(writer, outcome.Failure.(*exchange.Reply))
+	case outcome.Reason == gather.ReasonDeadline:
+		writeEmpty(writer, http.StatusGatewayTimeout)
+	default:
+		writeEmpty(writer, http.StatusBadGateway)
+	}
+}
+
+// writeMerged writes the greatest records of the parts that are in.
+func (g *Gateway) writeMerged(writer http.ResponseWriter, asked *pendingRequest, outcome routing.Outcome) {
+	stamps := make([]string, 0, len(outcome.Parts))
+	bodies := make([][]byte, 0, len(outcome.Parts))
+	for _, part := range outcome.Parts {
+		reply := part.Body.(*exchange.Reply)
+		stamps = append(stamps, reply.Header.Get(g.options.Headers.Stamp))
+		bodies = append(bodies, reply.Body)
+	}
+	body := record.Top(bodies, asked.route.Target.Top)
+	header := writer.Header()
+	header.Set(g.options.AnswerHeaders.PartStamps, strings.Join(stamps, ", "))
+	header.Set(g.options.AnswerHeaders.MissingParts, strconv.Itoa(outcome.Missing))
+	if asked.outgoing.AttemptID != "" {
+		header.Set(g.options.Headers.AttemptID, asked.outgoing.AttemptID)
+	}
+	header.Set("Content-Type", "application/octet-stream")
+	writeBody(writer, http.StatusOK, body)
+}
+
+// writeReply passes a server's answer on.
+func writeReply(writer http.ResponseWriter, reply *exchange.Reply) {
+	header := writer.Header()
+	for name, values := range reply.Header {
+		header[name] = values
+	}
+	if _, given := header["Content-Type"]; !given {
+		header["Content-Type"] = nil // net/http would guess one
+	}
+	if _, given := header["Date"]; !given {
+		header["Date"] = nil
+	}
+	writeBody(writer, reply.Status, reply.Body)
+}
+
+func writeBody(writer http.ResponseWriter, status int, body []byte) {
+	if status != http.StatusNoContent && status != http.StatusNotModified {
+		writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	writer.WriteHeader(status)
+	_, _ = writer.Write(body) // a caller that has gone needs no answer
+}
+
+// writeRefusal promises that the request has not run and never will.
+func writeRefusal(writer http.ResponseWriter, after time.Duration) {
+	writer.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	writeEmpty(writer, http.StatusServiceUnavailable)
+}
+
+func writeEmpty(writer http.ResponseWriter, status int) {
+	writer.Header().Set("Content-Length", "0")
+	writer.WriteHeader(status)
+}
+
+// refuse answers a request that reached no route.
+func (g *Gateway) refuse(writer http.ResponseWriter, incoming *http.Request, reason gather.Reason, after time.Duration) {
+	g.logRejected(incoming, http.StatusServiceUnavailable, string(reason))
+	writeRefusal(writer, after)
+}
+
+// reject answers a request that is at fault.
+func (g *Gateway) reject(writer http.ResponseWriter, incoming *http.Request, status int, reason string) {
+	g.logRejected(incoming, status, reason)
+	if status == http.StatusServiceUnavailable {
+		writeRefusal(writer, g.options.Routing.RetryAfter)
+		return
+	}
+	writeEmpty(writer, status)
+}
--- /dev/null
+++ b/route/table.go
@@ -0,0 +1,189 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Table is one version of the routes and services.
+type Table struct {
+	// Version orders tables; a later one has a higher number.
+	Version uint64
+	// Services are by name.
+	Services map[string]Service
+	// Limits bound what a caller may send.
+	Limits Limits
+
+	// byHost holds the routes of a host, those with the longest prefix first.
+	byHost map[string][]*Route
+	count  int
+}
+
+// Service is a set of servers, each of which answers as well as another.
+type Service struct {
+	Name string
+	// HealthPath is where a server tells its health.
+	HealthPath string
+	// Connections is the number that each server accepts from all nodes together.
+	Connections int
+}
+
+// Limits bound a caller's requests.
+type Limits struct {
+	// HeaderBytes and BodyBytes are the largest that are accepted.
+	HeaderBytes, BodyBytes int64
+	// HeaderTimeout bounds how long a header may take to arrive.
+	HeaderTimeout time.Duration
+	// IdleTimeout is how long a connection may rest between requests.
+	IdleTimeout time.Duration
+}
+
+// Route is what is promised to the requests that match it.
+type Route struct {
+	Name string
+	// Host is matched without its port, in lower case.
+	Host string
+	// PathPrefix begins and ends with a slash.
+	PathPrefix string
+	// Repeatable says that a request may run more than once.
+	Repeatable bool
+	// Timeout is how long a request may be held.
+	Timeout time.Duration
+	// Aim is the time within which an answer is worth most; zero is none.
+	Aim time.Duration
+	// Attempts is the number of servers that may be asked for one part of a request.
+	Attempts int
+	// Priority ranks the route; zero is the most urgent.
+	Priority int
+	Target   Target
+}
+
+// Target is what answers a route: one of several services by weight, or a
+// server of each of several shards.
+type Target struct {
+	// Shares is set unless Shards is.
+	Shares []Share
+	// Shards names the services of which each is asked, and of which the answer
+	// merges the parts.
+	Shards []string
+	// Top is the number of the greatest records that an answer holds.
+	Top int
+	// MinimumCoverage is the least part of the shards that makes an answer.
+	MinimumCoverage float64
+}
+
+// Share is a service with its weight among others.
+type Share struct {
+	Service string
+	Weight  float64
+}
+
+// FanOut reports whether every shard is asked.
+func (t Target) FanOut() bool { return len(t.Shards) > 0 }
+
+// Names lists the services that may answer.
+func (t Target) Names() []string {
+	if t.FanOut() {
+		return t.Shards
+	}
+	names := make([]string, 0, len(t.Shares))
+	for _, share := range t.Shares {
+		names = append(names, share.Service)
+	}
+	return names
+}
+
+// Pick chooses a service by weight; point lies in [0, 1).
+func (t Target) Pick(point float64) string {
+	total := 0.0
+	for _, share := range t.Shares {
+		total += share.Weight
+	}
+	left := point * total
+	for _, share := range t.Shares {
+		if left < share.Weight {
+			return share.Service
+		}
+		left -= share.Weight
+	}
+	return t.Shares[len(t.Shares)-1].Service
+}
+
+// Definition is what a table is made of.
+type Definition struct {
+	Version  uint64
+	Routes   []Route
+	Services []Service
+	Limits   Limits
+}
+
+// New returns the table of a definition, or an error that names the field at
+// fault; it wraps ErrInvalid.
+func New(definition Definition) (*Table, error) {
+	if err := definition.validate(); err != nil {
+		return nil, err
+	}
+	t := &Table{
+		Version:  definition.Version,
+		Services: make(map[string]Service, len(definition.Services)),
+		Limits:   definition.Limits,
+		byHost:   make(map[string][]*Route),
+		count:    len(definition.Routes),
+	}
+	for _, service := range definition.Services {
+		t.Services[service.Name] = service
+	}
+	for i := range definition.Routes {
+		r := definition.Routes[i]
+		r.Host = strings.ToLower(r.Host)
+		t.byHost[r.Host] = append(t.byHost[r.Host], &r)
+	}
+	for _, routes := range t.byHost {
+		slices.SortStableFunc(routes, func(a, b *Route) int {
+			return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix))
+		})
+	}
+	return t, nil
+}
+
+// Len is the number of routes.
+func (t *Table) Len() int { return t.count }
+
+// Match finds the route of a request: of the host's routes the one with the
+// longest prefix that begins the path. It is nil when there is none.
+func (t *Table) Match(host, path string) *Route {
+	for _, r := range t.byHost[hostName(host)] {
+		if strings.HasPrefix(path, r.PathPrefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// hostName is the host without its port, in lower case.
+func hostName(host string) string {
+	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:colon]
+	}
+	return strings.ToLower(host)
+}
+
+// UsedServices lists the services that a route names, sorted.
+func (t *Table) UsedServices() []string {
+	used := make(map[string]struct{})
+	for _, routes := range t.byHost {
+		for _, r := range routes {
+			for _, name := range r.Target.Names() {
+				used[name] = struct{}{}
+			}
+		}
+	}
+	names := make([]string, 0, len(used))
+	for name := range used {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/routing/choose.go
@@ -0,0 +1,122 @@
+package routing
+
+import (
+	"slices"
+	"time"
+
+	"github.com/banksail/banksail/gather"
+)
+
+const (
+	// otherZone and otherRegion are added to the expected latency of a server
+	// that is not near.
+	otherZone   = 3 * time.Millisecond
+	otherRegion = 25 * time.Millisecond
+	// fallbackUsual is the latency expected of a route of which nothing is known.
+	fallbackUsual = 10 * time.Millisecond
+	// equalShare is the part of the best score within which servers are equal.
+	equalShare = 0.05
+)
+
+// choose picks a server for a part of a request.
+func (r *Router) choose(s *service, q *request, segment *gather.Segment, kind gather.SendKind) (*server, gather.Placement) {
+	done := &q.parts[segment.Range.Start]
+	usable, untried, affordable := false, false, true
+	if done.counted && !r.mayExtra(s, kind) {
+		affordable = false
+	}
+	room := r.share(s)
+	var best *server
+	bestScore := 0.0
+	for _, candidate := range s.servers {
+		if !candidate.usable() {
+			continue
+		}
+		usable = true
+		if segment.Tried(candidate) || !done.mayAsk(candidate, q.asked.Route.Attempts) {
+			continue
+		}
+		untried = true
+		if len(candidate.inFlight) >= room || candidate.shedUntil > r.now {
+			continue
+		}
+		if kind == gather.FirstSend && candidate.mayProbe(r.now) && r.affordsProbe(s, q) {
+			candidate.probeAt = r.now + leastProbePause
+			return candidate, gather.Placed
+		}
+		score := r.score(candidate, q)
+		if best == nil || score < bestScore {
+			best, bestScore = candidate, score
+		}
+	}
+	switch {
+	case !usable:
+		return nil, gather.Unservable
+	case !untried:
+		return nil, gather.Tried
+	case !affordable && kind == gather.HedgeSend:
+		return nil, gather.Busy
+	case !affordable:
+		return nil, gather.Overloaded
+	case best == nil:
+		return nil, gather.Busy
+	default:
+		return best, gather.Placed
+	}
+}
+
+// affordsProbe reports whether a hedge may follow if the probe is slow.
+func (r *Router) affordsProbe(s *service, q *request) bool {
+	return q.asked.Route.Repeatable && q.asked.Route.Attempts > 1 && r.mayExtra(s, gather.HedgeSend)
+}
+
+// mayAsk reports whether the part may be sent to the server: it may be sent to
+// no more servers than the route allows.
+func (p *part) mayAsk(s *server, attempts int) bool {
+	return len(p.asked) < attempts || slices.Contains(p.asked, s)
+}
+
+// score is the latency that is expected of a server.
+func (r *Router) score(s *server, q *request) float64 {
+	usual := q.latency.usual()
+	if usual == 0 {
+		usual = fallbackUsual
+	}
+	expected := float64(usual) * s.belief(r.now) * (1 + s.work(r.now))
+	expected += float64(r.distance(s.Zone))
+	return expected * (1 + equalShare*r.random.Float64())
+}
+
+// distance is what is added for the way to a zone.
+func (r *Router) distance(zone string) time.Duration {
+	switch {
+	case zone == r.options.Zone:
+		return 0
+	case r.options.Regions[zone] == r.options.Regions[r.options.Zone]:
+		return otherZone
+	default:
+		return otherRegion
+	}
+}
+
+const (
+	// leastHedgeDelay is the shortest wait before a hedge.
+	leastHedgeDelay = 4 * time.Millisecond
+	// unknownHedgeShare is the part of the aim after which a route of which
+	// little is known hedges.
+	unknownHedgeShare = 0.25
+	// timeoutHedgeShare bounds the wait by the time-out of a route without aim.
+	timeoutHedgeShare = 0.1
+)
+
+// hedgeDelay is how long an attempt is awaited before a second server is asked.
+func (r *Router) hedgeDelay(q *request) time.Duration {
+	longest := time.Duration(float64(q.asked.Route.Aim) * r.options.HedgeShareOfAim)
+	if longest == 0 {
+		longest = time.Duration(float64(q.asked.Route.Timeout) * timeoutHedgeShare)
+	}
+	if q.latency.sketch.Count() < enoughSamples {
+		return longest
+	}
+	return min(max(q.latency.sketch.Quantile(r.options.HedgeQuantile), leastHedgeDelay), longest)
+}
--- /dev/null
+++ b/routing/event.go
@@ -0,0 +1,145 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/banksail/banksail/discovery"
+	"github.com/banksail/banksail/gather"
+	"github.com/banksail/banksail/route"
+)
+
+// RequestID identifies a request towards the owner, which picks it and never
+// uses it twice.
+type RequestID uint64
+
+// Request is one caller's request.
+type Request struct {
+	ID    RequestID
+	Route *route.Route
+	// Remaining is the time until the caller's deadline.
+	Remaining time.Duration
+	// Spent is the time that the request is thought to have used before it
+	// arrived, which counts against the route's aim.
+	Spent time.Duration
+}
+
+// Event is something that happened; Step takes one.
+type Event interface{ event() }
+
+// Arrived reports a caller's request.
+type Arrived struct{ Request Request }
+
+// CallerGone reports that nobody waits for the request any more.
+type CallerGone struct{ Request RequestID }
+
+// Replied reports a server's whole reply to an attempt.
+type Replied struct {
+	Attempt gather.AttemptID
+	Status  gather.ReplyStatus
+	// Body is opaque; it is the owner's reference to the reply.
+	Body any
+	// Load is the server's own account; LoadKnown says that it gave one.
+	Load      Load
+	LoadKnown bool
+	// RetryAfter is when a server that shed asks to be tried again.
+	RetryAfter time.Duration
+}
+
+// Load is a server's own account of its work.
+type Load struct{ Running, Waiting, Slots int }
+
+// Failed reports that an attempt ended without a whole reply.
+type Failed struct {
+	Attempt  gather.AttemptID
+	Delivery gather.Delivery
+	// Reason is a short text for the explanation.
+	Reason string
+}
+
+// Woken reports that the time named by a Wake action has come.
+type Woken struct{}
+
+// ServersChanged gives all servers that may be there now.
+type ServersChanged struct{ Servers []discovery.Server }
+
+// TableChanged gives the table that is in force, for the bounds of its services.
+type TableChanged struct{ Table *route.Table }
+
+// NodesChanged tells how many nodes are live, this one included. They share
+// each server's connections and each service's budget.
+type NodesChanged struct{ Live int }
+
+func (Arrived) event()        {}
+func (CallerGone) event()     {}
+func (Replied) event()        {}
+func (Failed) event()         {}
+func (Woken) event()          {}
+func (ServersChanged) event() {}
+func (TableChanged) event()   {}
+func (NodesChanged) event()   {}
+
+// Action is something that the owner must do; Step returns them in order.
+type Action interface{ action() }
+
+// Send asks a server. The owner reports back exactly one Replied or Failed for
+// the attempt, also after a Cancel.
+type Send struct {
+	Attempt gather.AttemptID
+	Request RequestID
+	Server  discovery.Server
+	// Remaining is the time left until the request's deadline.
+	Remaining time.Duration
+	Kind      gather.SendKind
+	// Believed is what was thought of the server when it was chosen: its
+	// slowness against what is usual, and the attempts in flight there.
+	Believed Belief
+}
+
+// Belief is what decided on a server.
+type Belief struct {
+	Slowness float64
+	InFlight int
+}
+
+// Cancel tells that an attempt's reply is no longer wanted by its request. A
+// reply that comes all the same is still worth reporting.
+type Cancel struct{ Attempt gather.AttemptID }
+
+// Finish gives the request's one final answer.
+type Finish struct {
+	Request RequestID
+	Outcome Outcome
+}
+
+// Wake asks for a Woken event at the given time. A later one replaces it.
+type Wake struct{ At time.Duration }
+
+func (Send) action()   {}
+func (Cancel) action() {}
+func (Finish) action() {}
+func (Wake) action()   {}
+
+// Outcome is the final answer to a request.
+type Outcome struct {
+	Execution gather.Execution
+	Reason    gather.Reason
+	// Parts are the replies that count, in the order of the route's shards.
+	Parts []Part
+	// Missing is the number of shards that are left out.
+	Missing int
+	// Failure is the last failure that a server itself answered with, when the
+	// route has one service and no reply counts; nil when there is none.
+	Failure any
+	// RetryAfter is when to come back; it is set on every refusal.
+	RetryAfter time.Duration
+	// Sends, Hedges and Retries count what was sent.
+	Sends, Hedges, Retries int
+	// Steps tells what was done, in order.
+	Steps []gather.Step
+}
+
+// Part is one shard's reply.
+type Part struct {
+	Service string
+	Body    any
+}
--- /dev/null
+++ b/routing/options.go
@@ -0,0 +1,62 @@
+package routing
+
+import (
+	"cmp"
+	"time"
+)
+
+// Options sets up a Router. Zero fields get defaults.
+type Options struct {
+	// Seed makes random choices repeatable.
+	Seed uint64
+	// Zone is the node's own, and Regions names the region of each zone: servers
+	// that are near are preferred.
+	Zone    string
+	Regions map[string]string
+	// Budget bounds extra sends.
+	Budget BudgetOptions
+	// Fresh says that an earlier incarnation of the node may have spent its
+	// fixed share of the budget within the last window: it is kept back that long.
+	Fresh bool
+	// RetryAfter is told to refused callers; default 250 ms.
+	RetryAfter time.Duration
+	// MaximumRunning bounds the requests that run at once; default 512.
+	MaximumRunning int
+	// HedgeQuantile is the quantile of a route's latencies after which a second
+	// server is asked; default 0.9.
+	HedgeQuantile float64
+	// HedgeShareOfAim bounds the wait before a hedge by the route's aim; default 0.3.
+	HedgeShareOfAim float64
+	// AnswerMargin is the time before a route's aim at which an answer leaves at
+	// the latest; default 8 ms.
+	AnswerMargin time.Duration
+	// SpareConnections is the part of each server's connections that no node
+	// counts on; default 0.1.
+	SpareConnections float64
+	// MaximumSteps bounds the explanation of a request; default 64.
+	MaximumSteps int
+}
+
+// Defaults of Options.
+const (
+	DefaultRetryAfter       = 250 * time.Millisecond
+	DefaultMaximumRunning   = 512
+	DefaultHedgeQuantile    = 0.9
+	DefaultHedgeShareOfAim  = 0.3
+	DefaultAnswerMargin     = 8 * time.Millisecond
+	DefaultSpareConnections = 0.1
+	DefaultMaximumSteps     = 64
+	DefaultBudgetWindow     = 10 * time.Second
+)
+
+func (o Options) withDefaults() Options {
+	o.Budget.Window = cmp.Or(o.Budget.Window, DefaultBudgetWindow)
+	o.RetryAfter = cmp.Or(o.RetryAfter, DefaultRetryAfter)
+	o.MaximumRunning = cmp.Or(o.MaximumRunning, DefaultMaximumRunning)
+	o.HedgeQuantile = cmp.Or(o.HedgeQuantile, DefaultHedgeQuantile)
+	o.HedgeShareOfAim = cmp.Or(o.HedgeShareOfAim, DefaultHedgeShareOfAim)
+	o.AnswerMargin = cmp.Or(o.AnswerMargin, DefaultAnswerMargin)
+	o.SpareConnections = cmp.Or(o.SpareConnections, DefaultSpareConnections)
+	o.MaximumSteps = cmp.Or(o.MaximumSteps, DefaultMaximumSteps)
+	return o
+}
--- /dev/null
+++ b/routing/request.go
@@ -0,0 +1,206 @@
+package routing
+
+import (
+	"slices"
+	"time"
+
+	"github.com/banksail/banksail/coverage"
+	"github.com/banksail/banksail/gather"
+	"github.com/banksail/banksail/snapshot"
+)
+
+// request is one that runs. It implements gather.Environment: the key space of
+// its query has one key for each shard.
+type request struct {
+	router   *Router
+	asked    Request
+	query    *gather.Query
+	names    []string // of the services, one for each part
+	parts    []part
+	latency  *latencies
+	began    time.Duration
+	finished bool
+	failure  any // last failure that a server itself answered with
+	timerAt  time.Duration
+
+	sends, hedges, retries int
+}
+
+// part is what was done for one shard.
+type part struct {
+	// counted says that the part counts as a request to its service.
+	counted bool
+	// asked are the servers to which it was sent.
+	asked []*server
+}
+
+// pinned is the one snapshot of a request: its table's set of shards.
+const pinned snapshot.ID = 1
+
+func (r *Router) newRequest(asked Request) *request {
+	q := &request{router: r, asked: asked, began: r.now, latency: r.latenciesOf(asked.Route)}
+	if asked.Route.Target.FanOut() {
+		q.names = asked.Route.Target.Shards
+	} else {
+		q.names = []string{asked.Route.Target.Pick(r.random.Float64())}
+	}
+	q.parts = make([]part, len(q.names))
+	return q
+}
+
+// start sends the request's parts.
+func (q *request) start() {
+	r := q.router
+	target := q.asked.Route.Target
+	minimum := 1.0
+	if target.FanOut() {
+		minimum = target.MinimumCoverage
+	}
+	q.query = gather.New(gather.Options{
+		Owner:         q,
+		Space:         coverage.Range{Start: 0, End: uint64(len(q.names))},
+		Snapshot:      pinned,
+		Arrived:       r.now,
+		Deadline:      r.now + q.asked.Remaining,
+		Minimum:       minimum,
+		Rank:          q.asked.Route.Priority,
+		Repeatable:    q.asked.Route.Repeatable,
+		Stop:          stopByAim{q},
+		MaximumRounds: maximumRounds,
+		MaximumSteps:  r.options.MaximumSteps,
+	}, q)
+	q.query.Start(r.now)
+	r.schedule(q)
+}
+
+// maximumRounds is how often servers that were all tried are asked anew.
+const maximumRounds = 2
+
+// Generation implements gather.Environment.
+func (q *request) Generation() uint64 { return 1 }
+
+// Targets implements gather.Environment.
+func (q *request) Targets(span coverage.Range) []gather.Target {
+	targets := make([]gather.Target, 0, span.Size())
+	for key := span.Start; key < span.End; key++ {
+		targets = append(targets, gather.Target{
+			Range: coverage.Range{Start: key, End: key + 1},
+			Group: q.router.serviceNamed(q.names[key]),
+		})
+	}
+	return targets
+}
+
+// Place implements gather.Environment.
+func (q *request) Place(segment *gather.Segment, kind gather.SendKind) (gather.Server, gather.Placement) {
+	s := segment.Group.(*service)
+	chosen, placement := q.router.choose(s, q, segment, kind)
+	if placement == gather.Placed {
+		return chosen, placement
+	}
+	if placement == gather.Busy && kind != gather.HedgeSend {
+		q.router.enqueue(s, segment, q)
+	}
+	return nil, placement
+}
+
+// HedgeDelay implements gather.Environment.
+func (q *request) HedgeDelay(segment *gather.Segment) (time.Duration, bool) {
+	s := segment.Group.(*service)
+	if len(s.servers) < 2 || q.asked.Route.Attempts < 2 {
+		return 0, false
+	}
+	return q.router.hedgeDelay(q), true
+}
+
+// SpendHedge implements gather.Environment: Place has looked at the budget.
+func (q *request) SpendHedge(*gather.Query, float64) bool { return true }
+
+// SpendRetry implements gather.Environment: Place has looked at the budget.
+func (q *request) SpendRetry(*gather.Query, float64) bool { return true }
+
+// NextSnapshot implements gather.Environment: the set of shards is pinned.
+func (q *request) NextSnapshot([]snapshot.ID, uint64) (snapshot.ID, bool) { return 0, false }
+
+// Typical implements gather.Environment.
+func (q *request) Typical() time.Duration { return q.latency.usual() }
+
+// Expected implements gather.Environment.
+func (q *request) Expected(*gather.Segment) time.Duration { return 0 }
+
+// leastBackoff is the time before servers that were all tried are asked anew.
+const leastBackoff = 20 * time.Millisecond
+
+// Backoff implements gather.Environment.
+func (q *request) Backoff(round int) time.Duration {
+	pause := leastBackoff << min(round, 4)
+	return pause + time.Duration(q.router.random.Float64()*float64(pause))
+}
+
+// NextAttempt implements gather.Environment.
+func (q *request) NextAttempt() gather.AttemptID {
+	q.router.lastAttempt++
+	return q.router.lastAttempt
+}
+
+// Send implements gather.Environment.
+func (q *request) Send(a *gather.Attempt) {
+	r := q.router
+	s := a.Server.(*server)
+	number := int(a.Range.Start)
+	sent := &attempt{Attempt: a, server: s, usual: q.latency.usual()}
+	sent.extra = r.countSend(a.Segment.Group.(*service), q, number)
+	if !slices.Contains(q.parts[number].asked, s) {
+		q.parts[number].asked = append(q.parts[number].asked, s)
+	}
+	q.count(a.Kind)
+	action := Send{
+		Attempt:   a.ID,
+		Request:   q.asked.ID,
+		Server:    s.Server,
+		Remaining: q.query.Deadline() - r.now,
+		Kind:      a.Kind,
+		Believed:  Belief{Slowness: s.belief(r.now), InFlight: len(s.inFlight)},
+	}
+	s.inFlight = append(s.inFlight, sent)
+	r.attempts[a.ID] = sent
+	r.emit(action)
+}
+
+func (q *request) count(kind gather.SendKind) {
+	q.sends++
+	switch kind {
+	case gather.HedgeSend:
+		q.hedges++
+	case gather.RetrySend:
+		q.retries++
+	}
+}
+
+// Cancel implements gather.Environment.
+func (q *request) Cancel(a *gather.Attempt) { q.router.emit(Cancel{Attempt: a.ID}) }
+
+// Finish implements gather.Environment.
+func (q *request) Finish(_ *gather.Query, outcome gather.Outcome) {
+	q.finished = true
+	delete(q.router.running, q.asked.ID)
+	result := Outcome{
+		Execution: outcome.Execution,
+		Reason:    outcome.Reason,
+		Missing:   len(q.names) - len(outcome.Parts),
+		Sends:     q.sends,
+		Hedges:    q.hedges,
+		Retries:   q.retries,
+		Steps:     outcome.Explanation,
+	}
+	for _, p := range outcome.Parts {
+		result.Parts = append(result.Parts, Part{Service: q.names[p.Range.Start], Body: p.Body})
+	}
+	if outcome.Execution != gather.ExecutionDone {
+		result.RetryAfter = q.router.options.RetryAfter
+		if len(q.names) == 1 {
+			result.Failure = q.failure
+		}
+	}
+	q.router.emit(Finish{Request: q.asked.ID, Outcome: result})
+}
--- /dev/null
+++ b/routing/router.go
@@ -0,0 +1,317 @@
+package routing
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/banksail/banksail/discovery"
+	"github.com/banksail/banksail/gather"
+	"github.com/banksail/banksail/internal/priority"
+	"github.com/banksail/banksail/retry"
+	"github.com/banksail/banksail/route"
+)
+
+// Router carries the requests of one node. It is not safe for concurrent use:
+// its owner serialises calls to Step.
+type Router struct {
+	options   Options
+	random    *rand.Rand
+	now       time.Duration
+	startedAt time.Duration
+	actions   []Action
+
+	nodes     int
+	services  map[string]*service
+	servers   map[string]*server
+	latencies map[string]*latencies
+
+	running     map[RequestID]*request
+	attempts    map[gather.AttemptID]*attempt
+	lastAttempt gather.AttemptID
+	sequence    uint64
+	pumping     *service
+	passed      []waiter
+
+	timers *priority.Queue[timer]
+	wakeAt time.Duration
+}
+
+// timer is when a request must be looked at.
+type timer struct {
+	at      time.Duration
+	request *request
+}
+
+// never is later than any time.
+const never = time.Duration(math.MaxInt64)
+
+// New returns a Router that knows no server.
+func New(now time.Duration, options Options) *Router {
+	options = options.withDefaults()
+	return &Router{
+		options:   options,
+		now:       now,
+		startedAt: now,
+		random:    rand.New(rand.NewPCG(options.Seed, 0)),
+		services:  make(map[string]*service),
+		servers:   make(map[string]*server),
+		latencies: make(map[string]*latencies),
+		running:   make(map[RequestID]*request),
+		attempts:  make(map[gather.AttemptID]*attempt),
+		timers:    priority.NewQueue(func(a, b timer) bool { return a.at < b.at }, nil),
+		wakeAt:    never,
+	}
+}
+
+// Step takes one event at the given time and returns the actions to carry out,
+// in order. The caller owns the result.
+func (r *Router) Step(now time.Duration, event Event) []Action {
+	r.now = max(r.now, now)
+	r.actions = nil
+	switch event := event.(type) {
+	case Arrived:
+		r.arrive(event.Request)
+	case CallerGone:
+		r.callerGone(event.Request)
+	case Replied:
+		r.replied(event)
+	case Failed:
+		r.failed(event)
+	case Woken:
+		r.wakeAt = never
+	case ServersChanged:
+		r.serversChanged(event.Servers)
+	case TableChanged:
+		r.tableChanged(event.Table)
+	case NodesChanged:
+		r.nodes = event.Live
+	}
+	r.expire()
+	r.wake()
+	return r.actions
+}
+
+func (r *Router) emit(action Action) { r.actions = append(r.actions, action) }
+
+// Running is the number of requests without a final answer.
+func (r *Router) Running() int { return len(r.running) }
+
+// ConnectionShare is the number of connections that this node may have to a
+// server of the service.
+func (r *Router) ConnectionShare(name string) int { return r.share(r.serviceNamed(name)) }
+
+// urgencyStep is the part of the bound on running requests that each rank of
+// priority leaves to those above it.
+const urgencyStep = 0.15
+
+// arrive decides on a request.
+func (r *Router) arrive(asked Request) {
+	bound := float64(r.options.MaximumRunning) * max(1-urgencyStep*float64(asked.Route.Priority), urgencyStep)
+	if float64(len(r.running)) >= bound {
+		r.refuse(asked.ID, gather.ReasonOverload)
+		return
+	}
+	if asked.Remaining <= 0 {
+		r.refuse(asked.ID, gather.ReasonDeadline)
+		return
+	}
+	q := r.newRequest(asked)
+	r.running[asked.ID] = q
+	q.start()
+}
+
+// refuse gives the final answer to a request of which nothing was sent.
+func (r *Router) refuse(id RequestID, reason gather.Reason) {
+	r.emit(Finish{Request: id, Outcome: Outcome{
+		Execution:  gather.ExecutionNotRun,
+		Reason:     reason,
+		RetryAfter: r.options.RetryAfter,
+	}})
+}
+
+// callerGone ends a request whose caller no longer waits. One that may not be
+// repeated goes on: stopping it would not undo it.
+func (r *Router) callerGone(id RequestID) {
+	if q := r.running[id]; q != nil {
+		q.query.Abandon(r.now)
+	}
+}
+
+// settle takes an attempt whose end was reported; nil when it is not known.
+func (r *Router) settle(id gather.AttemptID) *attempt {
+	a := r.attempts[id]
+	if a == nil {
+		return nil
+	}
+	delete(r.attempts, id)
+	a.server.remove(a)
+	return a
+}
+
+// replied takes a server's reply.
+func (r *Router) replied(event Replied) {
+	a := r.settle(event.Attempt)
+	if a == nil {
+		return
+	}
+	q := r.requestOf(a)
+	if event.LoadKnown {
+		a.server.takeLoad(r.now, event.Load)
+	}
+	switch event.Status {
+	case gather.ReplyDone:
+		r.learnAnswer(q, a)
+	case gather.ReplyShed:
+		a.server.shedUntil = r.now + max(event.RetryAfter, leastShedPause)
+	case gather.ReplyNotOwner, gather.ReplyDraining:
+		a.server.State = discovery.Draining
+	default:
+		q.failure = event.Body
+		a.server.learn(r.now, failedSlowness/2)
+	}
+	q.query.Replied(r.now, a.Attempt, gather.Reply{
+		Status:   event.Status,
+		Snapshot: a.Snapshot,
+		Range:    a.Range,
+		Body:     event.Body,
+	})
+	r.schedule(q)
+	r.pump(a.Segment.Group.(*service))
+}
+
+// leastShedPause is how long a server that shed is left alone at least.
+const leastShedPause = 10 * time.Millisecond
+
+// learnAnswer takes the latency of an answer into the route's and the server's.
+func (r *Router) learnAnswer(q *request, a *attempt) {
+	latency := r.sinceSent(a)
+	q.latency.add(latency)
+	if usual := q.latency.usual(); usual > 0 {
+		a.server.learn(r.now, float64(latency)/float64(usual))
+	}
+}
+
+// failed takes the end of an attempt without a reply.
+func (r *Router) failed(event Failed) {
+	a := r.settle(event.Attempt)
+	if a == nil {
+		return
+	}
+	q := r.requestOf(a)
+	if a.Live() || a.server.overdue(r.now) > 0 || a.usual > 0 && float64(r.sinceSent(a)) > suspectSlowness*float64(a.usual) {
+		a.server.learn(r.now, failedSlowness)
+	}
+	q.query.Failed(r.now, a.Attempt, event.Delivery, event.Reason)
+	r.schedule(q)
+	r.pump(a.Segment.Group.(*service))
+}
+
+func (r *Router) requestOf(a *attempt) *request {
+	return a.Query().Owner().(*request)
+}
+
+// serversChanged takes the servers that are there now. What was learned of a
+// server stays while it does.
+func (r *Router) serversChanged(listed []discovery.Server) {
+	before := r.servers
+	r.servers = make(map[string]*server, len(listed))
+	for _, s := range r.services {
+		s.servers = s.servers[:0]
+	}
+	for _, l := range listed {
+		known := before[l.ID]
+		if known == nil {
+			known = &server{coldUntil: r.now + l.ColdFor}
+		}
+		known.Server = l
+		r.servers[l.ID] = known
+		s := r.serviceNamed(l.Service)
+		s.servers = append(s.servers, known)
+	}
+	for id, known := range before {
+		known.gone = r.servers[id] == nil
+	}
+	for _, s := range r.services {
+		r.pump(s)
+	}
+}
+
+// tableChanged takes the bounds of the services.
+func (r *Router) tableChanged(table *route.Table) {
+	for name, settings := range table.Services {
+		r.serviceNamed(name).connections = settings.Connections
+	}
+}
+
+func (r *Router) serviceNamed(name string) *service {
+	s := r.services[name]
+	if s == nil {
+		s = &service{name: name}
+		r.services[name] = s
+	}
+	return s
+}
+
+// enoughSamples is the weight of samples below which a quantile says little.
+const enoughSamples = 20
+
+// latencies are those of one route.
+type latencies struct{ sketch retry.Sketch }
+
+func (l *latencies) add(latency time.Duration) { l.sketch.Add(latency) }
+
+// usual is the latency that half of the answers stay below; zero when unknown.
+func (l *latencies) usual() time.Duration {
+	if l.sketch.Count() < enoughSamples {
+		return 0
+	}
+	return l.sketch.Quantile(0.5)
+}
+
+func (r *Router) latenciesOf(target *route.Route) *latencies {
+	known := r.latencies[target.Name]
+	if known == nil {
+		known = new(latencies)
+		r.latencies[target.Name] = known
+	}
+	return known
+}
+
+// schedule sets a request's timer.
+func (r *Router) schedule(q *request) {
+	if q.finished || q.query.NextAt() == q.timerAt {
+		return
+	}
+	q.timerAt = q.query.NextAt()
+	r.timers.Push(timer{at: q.timerAt, request: q})
+}
+
+// expire looks at the requests whose time has come.
+func (r *Router) expire() {
+	for r.timers.Len() > 0 && r.timers.First().at <= r.now {
+		due := r.timers.Pop()
+		if due.request.finished || due.at != due.request.timerAt {
+			continue
+		}
+		due.request.timerAt = 0
+		due.request.query.Tick(r.now)
+		r.schedule(due.request)
+	}
+}
+
+// wake asks to be woken for the first timer that still counts.
+func (r *Router) wake() {
+	for r.timers.Len() > 0 {
+		first := r.timers.First()
+		if !first.request.finished && first.at == first.request.timerAt {
+			break
+		}
+		r.timers.Pop()
+	}
+	if r.timers.Len() == 0 || r.timers.First().at >= r.wakeAt {
+		return
+	}
+	r.wakeAt = r.timers.First().at
+	r.emit(Wake{At: r.wakeAt})
+}
--- /dev/null
+++ b/routing/service.go
@@ -0,0 +1,126 @@
+package routing
+
+import (
+	"cmp"
+	"container/heap"
+	"time"
+
+	"github.com/banksail/banksail/gather"
+)
+
+// service is a set of servers that answer alike.
+type service struct {
+	name    string
+	servers []*server
+	// connections is what each server accepts from all nodes; zero is unknown.
+	connections int
+	budget      budget
+	waiting     waiters
+}
+
+// waiter is a segment that waits until a server of the service has room.
+type waiter struct {
+	priority int
+	sequence uint64
+	segment  *gather.Segment
+	request  *request
+}
+
+// waiters is a heap, the next to send first.
+type waiters []waiter
+
+// Len implements heap.Interface.
+func (w waiters) Len() int { return len(w) }
+
+// Less implements heap.Interface.
+func (w waiters) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(w[i].priority, w[j].priority), cmp.Compare(w[i].sequence, w[j].sequence)) < 0
+}
+
+// Swap implements heap.Interface.
+func (w waiters) Swap(i, j int) { w[i], w[j] = w[j], w[i] }
+
+// Push implements heap.Interface.
+func (w *waiters) Push(x any) { *w = append(*w, x.(waiter)) }
+
+// Pop implements heap.Interface.
+func (w *waiters) Pop() any {
+	old := *w
+	last := old[len(old)-1]
+	old[len(old)-1] = waiter{}
+	*w = old[:len(old)-1]
+	return last
+}
+
+// enqueue lets a segment wait for room.
+func (r *Router) enqueue(s *service, segment *gather.Segment, q *request) {
+	r.sequence++
+	w := waiter{priority: q.asked.Route.Priority, sequence: r.sequence, segment: segment, request: q}
+	if r.pumping == s {
+		r.passed = append(r.passed, w)
+		return
+	}
+	heap.Push(&s.waiting, w)
+}
+
+// pump sends what waits in a service in which a server may have room now.
+func (r *Router) pump(s *service) {
+	if len(s.waiting) == 0 {
+		return
+	}
+	r.pumping = s
+	for len(s.waiting) > 0 && len(r.passed) == 0 {
+		first := heap.Pop(&s.waiting).(waiter)
+		if first.request.finished || !first.segment.Waiting() {
+			continue
+		}
+		first.request.query.Resume(r.now, first.segment)
+		r.schedule(first.request)
+	}
+	for _, w := range r.passed {
+		heap.Push(&s.waiting, w)
+	}
+	clear(r.passed)
+	r.passed = r.passed[:0]
+	r.pumping = nil
+}
+
+// share is the number of connections that this node may have to each of the
+// service's servers, and so the attempts in flight there.
+func (r *Router) share(s *service) int {
+	if s.connections == 0 {
+		return 1
+	}
+	usable := float64(s.connections) * (1 - r.options.SpareConnections)
+	return max(int(usable/float64(max(r.nodes, 1))), 1)
+}
+
+// fixedShare is the node's part of each budget's fixed number.
+func (r *Router) fixedShare() float64 {
+	if r.nodes == 0 || r.options.Fresh && r.now < r.startedAt+r.options.Budget.Window {
+		return 0
+	}
+	return r.options.Budget.Fixed / float64(r.nodes)
+}
+
+// mayExtra reports whether one more extra send to the service is allowed.
+func (r *Router) mayExtra(s *service, kind gather.SendKind) bool {
+	left, most := s.budget.left(r.now, r.options.Budget, r.fixedShare())
+	if kind == gather.HedgeSend {
+		left -= most * hedgeReserve
+	}
+	return left >= 1
+}
+
+func (r *Router) countSend(s *service, q *request, part int) (extra bool) {
+	if q.parts[part].counted {
+		s.budget.addExtra(r.now, r.options.Budget.Window)
+		return true
+	}
+	q.parts[part].counted = true
+	s.budget.addRequest(r.now, r.options.Budget.Window)
+	return false
+}
+
+// sinceSent is the time since an attempt was sent.
+func (r *Router) sinceSent(a *attempt) time.Duration { return r.now - a.SentAt }
