--- a/front/node.go
+++ b/front/node.go
@@ -39,8 +39,10 @@
 	Readiness, Directory func(Node) http.Handler
 	Logger               zerolog.Logger
 	Seed                 uint64
-	// Listen opens a listener; the default is the operating system's TCP.
+	// Listen opens a listener and Dial a connection to a server; the default is
+	// the operating system's TCP.
 	Listen func(network, address string) (net.Listener, error)
+	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Front is one node. Run must be called once.
@@ -90,6 +92,7 @@
 		Headers:       options.Headers,
 		AnswerHeaders: options.AnswerHeaders,
 		Logger:        options.Logger,
+		Exchange:      exchange.Options{Dial: options.Dial},
 		Routing: routing.Options{
 			Seed:    options.Seed,
 			Zone:    settings.Zone,
