--- a/discovery/view.go
+++ b/discovery/view.go
@@ -106,7 +106,9 @@
 }
 
 // PutServer takes a server's entry; an older revision changes nothing.
-func (v *View) PutServer(server Server, revision Revision) { put(v.servers, server.ID, server, revision) }
+func (v *View) PutServer(server Server, revision Revision) {
+	put(v.servers, server.ID, server, revision)
+}
 
 // PutNode takes a node's entry; an older revision changes nothing.
 func (v *View) PutNode(node Node, revision Revision) { put(v.nodes, node.ID, node, revision) }
