--- a/front/node.go
+++ b/front/node.go
@@ -60,7 +60,7 @@
 
 const (
 	// directoryTTL is how long an answer of the directory counts.
-	directoryTTL = time.Second
+	directoryTTL = 5 * time.Second
 	// readShare is the part of the registry's readings that following may take.
 	readShare = 0.6
 	// tendInterval is the time between two looks at the connections.
--- a/front/stop.go
+++ b/front/stop.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// leaveTime is how long a leaving node goes on taking new connections:
-	// callers keep an answer of the directory for three times its time to live.
-	leaveTime = 3*directoryTTL + 300*time.Millisecond
+	// leaveTime is how long a leaving node goes on taking new connections, while
+	// callers that ask anew are sent elsewhere.
+	leaveTime = 3300 * time.Millisecond
 	// stopMargin is kept at the end of the grace for the process's own end.
 	stopMargin = 600 * time.Millisecond
 	// stopPoll is the time between two looks at what is pending.
