--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -22,14 +22,16 @@
 	// Changed is called after every answer that may have changed something, one
 	// call at a time.
 	Changed func(News)
-	// Pace is the least time between two readings; default 700 ms. It is
-	// stretched so that all nodes together stay within ReadsPerSecond.
+	// Pace is the least time between two readings; default 700 ms. What is
+	// believed is at most so much older than the registry, and twice that after
+	// one reading that failed. It is stretched so that all nodes together stay
+	// within ReadsPerSecond.
 	Pace time.Duration
 	// ReadsPerSecond is what all nodes together may spend; default 1,000.
 	ReadsPerSecond float64
-	// Wait is how long the registry may hold a reading; default 1 s.
+	// Wait is how long the registry may hold a reading; default 200 ms.
 	Wait time.Duration
-	// CallTimeout bounds a reading beyond Wait; default 1 s.
+	// CallTimeout bounds a reading beyond Wait; default 600 ms.
 	CallTimeout time.Duration
 }
 
@@ -45,8 +47,8 @@
 const (
 	DefaultPace           = 700 * time.Millisecond
 	DefaultReadsPerSecond = 1_000
-	DefaultWait           = time.Second
-	DefaultCallTimeout    = time.Second
+	DefaultWait           = 200 * time.Millisecond
+	DefaultCallTimeout    = 600 * time.Millisecond
 )
 
 // Bounds of the pause after a failed reading.
@@ -75,6 +77,7 @@
 	options.ReadsPerSecond = cmp.Or(options.ReadsPerSecond, DefaultReadsPerSecond)
 	options.Wait = cmp.Or(options.Wait, DefaultWait)
 	options.CallTimeout = cmp.Or(options.CallTimeout, DefaultCallTimeout)
+	options.View.OutageAfter = cmp.Or(options.View.OutageAfter, 2*options.Pace)
 	return &Follower{options: options, epoch: time.Now(), view: NewView(options.View)}
 }
 
--- a/front/node.go
+++ b/front/node.go
@@ -56,6 +56,8 @@
 	// knows says that a table and the servers were heard of once.
 	knows atomic.Bool
 	tend  chan struct{}
+	// presence tells where the servers stand; nil until it is known.
+	presence atomic.Pointer[directory.Presence]
 }
 
 const (
@@ -65,6 +67,10 @@
 	readShare = 0.6
 	// tendInterval is the time between two looks at the connections.
 	tendInterval = time.Second
+	// readPace is the part of the bounds on leaving servers and on tables that
+	// may pass between two readings of the registry: one reading may fail, and
+	// the next still falls within the bound.
+	readPace = 0.6
 	// headerBytes, headerTimeout and idleTimeout bound callers until a table
 	// says more.
 	headerBytes   = 16 << 10
@@ -109,6 +115,7 @@
 		Source:         options.Source,
 		Logger:         options.Logger,
 		Changed:        f.changed,
+		Pace:           time.Duration(float64(min(settings.DrainBound, settings.ApplyBound)) * readPace),
 		ReadsPerSecond: settings.ReadsPerSecond * readShare,
 	})
 	f.announcer = discovery.NewAnnouncer(discovery.AnnouncerOptions{
@@ -124,6 +131,7 @@
 func (f *Front) changed(news discovery.News) {
 	f.gateway.SetNodes(max(len(news.Nodes), 1))
 	f.gateway.SetServers(news.Servers)
+	f.presence.Store(presenceOf(news))
 	if news.Table == nil {
 		return
 	}
@@ -134,6 +142,30 @@
 	f.knows.Store(true)
 }
 
+// presenceOf tells which part of the services in use each zone has a server of.
+func presenceOf(news discovery.News) *directory.Presence {
+	presence := make(directory.Presence)
+	if news.Table == nil {
+		return &presence
+	}
+	used := make(map[string]struct{})
+	for _, name := range news.Table.UsedServices() {
+		used[name] = struct{}{}
+	}
+	type place struct{ zone, service string }
+	seen := make(map[place]struct{})
+	for _, server := range news.Servers {
+		at := place{server.Zone, server.Service}
+		_, twice := seen[at]
+		if _, inUse := used[server.Service]; !inUse || twice || server.State != discovery.Ready {
+			continue
+		}
+		seen[at] = struct{}{}
+		presence[server.Zone] += 1 / float64(len(used))
+	}
+	return &presence
+}
+
 func (f *Front) tendNow() {
 	select {
 	case f.tend <- struct{}{}:
@@ -163,7 +195,11 @@
 	if f.knows.Load() || len(kept) == 0 {
 		kept = append(kept, self)
 	}
-	return directory.Addresses(kept, caller, most), min(directoryTTL, f.options.Settings.LongestTTL)
+	var presence directory.Presence
+	if known := f.presence.Load(); known != nil {
+		presence = *known
+	}
+	return directory.Addresses(kept, presence, caller, most), min(directoryTTL, f.options.Settings.LongestTTL)
 }
 
 // Run serves until ctx ends, then stops as planned, and returns.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -16,7 +16,7 @@
 )
 
 // noTableRetryAfter is told to callers while no table is known.
-const noTableRetryAfter = 200 * time.Millisecond
+const noTableRetryAfter = 1500 * time.Millisecond
 
 // ServeHTTP answers one caller's request.
 func (g *Gateway) ServeHTTP(writer http.ResponseWriter, incoming *http.Request) {
