--- a/routing/server.go
+++ b/routing/server.go
@@ -19,6 +19,10 @@
 	// slownessHalfLife is the time in which an average loses half its weight
 	// against the next answer.
 	slownessHalfLife = 400 * time.Millisecond
+	// slownessFade is the time in which a slowness that no answer confirms loses
+	// half of its distance from what is usual: a server that is avoided would
+	// otherwise never be seen to be well again.
+	slownessFade = time.Second
 	// coldSlowness is expected of servers that have just started.
 	coldSlowness = 1.6
 	// failedSlowness stands for a failure.
@@ -74,8 +78,8 @@
 // belief is the slowness that is expected now: that of its answers, and that of
 // the attempts which it has not answered yet.
 func (s *server) belief(now time.Duration) float64 {
-	slowness := max(s.slowness, 0)
-	if slowness == 0 {
+	slowness := usualSlowness + (s.slowness-usualSlowness)*math.Exp2(-float64(now-s.learnedAt)/float64(slownessFade))
+	if s.slowness == 0 {
 		slowness = usualSlowness
 		if now < s.coldUntil {
 			slowness = coldSlowness
