--- a/gateway/log.go
+++ b/gateway/log.go
@@ -79,6 +79,7 @@
 		Uint64("version", table.Version).Int("execution", int(outcome.Execution)).
 		Str("reason", string(outcome.Reason)).Int("missing", outcome.Missing).
 		Int("sends", outcome.Sends).Int("hedges", outcome.Hedges).Int("retries", outcome.Retries).
+		Int("unaffordable", outcome.Unaffordable).Int("roomless", outcome.Roomless).Int("hopeless", outcome.Hopeless).
 		Dur("took_ms", took).Dur("retry_after_ms", outcome.RetryAfter).Msg("request answered")
 }
 
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -55,16 +55,32 @@
 	case !untried:
 		return nil, gather.Tried
 	case !affordable && kind == gather.HedgeSend:
+		q.unaffordable++
 		return nil, gather.Busy
 	case !affordable:
 		return nil, gather.Overloaded
+	case best != nil && kind == gather.HedgeSend && !q.inTime(time.Duration(bestScore)):
+		q.hopeless++
+		return nil, gather.Busy
 	case best == nil:
+		q.roomless++
 		return nil, gather.Busy
 	default:
 		return best, gather.Placed
 	}
 }
 
+// inTime reports whether an attempt that takes the given time may still answer
+// before the request stops waiting: half of the answers come in half of it. A
+// hedge that does not is wasted.
+func (q *request) inTime(expected time.Duration) bool {
+	by := q.began + q.answerBy()
+	if q.asked.Route.Aim == 0 || q.router.now > by {
+		return true
+	}
+	return q.router.now+expected/2 <= by
+}
+
 // affordsProbe reports whether a hedge may follow if the probe is slow.
 func (r *Router) affordsProbe(s *service, q *request) bool {
 	return q.asked.Route.Repeatable && q.asked.Route.Attempts > 1 && r.mayExtra(s, gather.HedgeSend)
--- a/routing/event.go
+++ b/routing/event.go
@@ -134,6 +134,10 @@
 	RetryAfter time.Duration
 	// Sends, Hedges and Retries count what was sent.
 	Sends, Hedges, Retries int
+	// Unaffordable counts the hedges for which there was no budget, Roomless the
+	// sends for which no server had room, Hopeless the hedges that could not have
+	// answered in time.
+	Unaffordable, Roomless, Hopeless int
 	// Steps tells what was done, in order.
 	Steps []gather.Step
 }
--- a/routing/request.go
+++ b/routing/request.go
@@ -24,6 +24,10 @@
 	timerAt  time.Duration
 
 	sends, hedges, retries int
+	// unaffordable counts the extra sends for which there was no budget, roomless
+	// the sends for which no server had room, and hopeless the hedges that could
+	// not have answered in time.
+	unaffordable, roomless, hopeless int
 }
 
 // part is what was done for one shard.
@@ -191,7 +195,11 @@
 		Sends:     q.sends,
 		Hedges:    q.hedges,
 		Retries:   q.retries,
-		Steps:     outcome.Explanation,
+
+		Unaffordable: q.unaffordable,
+		Roomless:     q.roomless,
+		Hopeless:     q.hopeless,
+		Steps:        outcome.Explanation,
 	}
 	for _, p := range outcome.Parts {
 		result.Parts = append(result.Parts, Part{Service: q.names[p.Range.Start], Body: p.Body})
