--- /dev/null
+++ b/routing/admit.go
@@ -0,0 +1,84 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/banksail/banksail/gather"
+)
+
+// urgencyStep is the part of the bound on running requests that each rank of
+// priority leaves to those above it.
+const urgencyStep = 0.15
+
+// crowdedTail is the multiple of the usual latency that the slowest part of a
+// request takes once it is sent, while servers are crowded.
+const crowdedTail = 3
+
+// refusal tells why a request can't be taken now; empty when it can.
+func (r *Router) refusal(q *request) gather.Reason {
+	bound := float64(r.options.MaximumRunning) * max(1-urgencyStep*float64(q.asked.Route.Priority), urgencyStep)
+	switch {
+	case q.asked.Remaining <= 0:
+		return gather.ReasonDeadline
+	case float64(len(r.running)) >= bound:
+		return gather.ReasonOverload
+	case r.crowded(q):
+		return gather.ReasonQueueWait
+	default:
+		return ""
+	}
+}
+
+// crowded reports whether so many parts would wait for room beyond the route's
+// aim that too few were left for an answer. Such a request is refused before
+// any of it runs: taken, it would be late, and so would those behind it.
+func (r *Router) crowded(q *request) bool {
+	limit := q.answerBy()
+	if q.asked.Route.Aim == 0 {
+		limit = q.asked.Remaining
+	}
+	usual := q.latency.usual()
+	spare := len(q.names) - q.least()
+	for _, name := range q.names {
+		s := r.serviceNamed(name)
+		if len(s.waiting) == 0 || r.expectedWait(s, q.asked.Route.Priority, usual)+crowdedTail*usual <= limit {
+			continue
+		}
+		spare--
+		if spare < 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// least is the number of parts that make an answer.
+func (q *request) least() int {
+	if !q.asked.Route.Target.FanOut() {
+		return 1
+	}
+	for parts := 1; parts < len(q.names); parts++ {
+		if float64(parts)/float64(len(q.names)) >= q.asked.Route.Target.MinimumCoverage {
+			return parts
+		}
+	}
+	return len(q.names)
+}
+
+// expectedWait is how long a part of the given priority would wait for room.
+func (r *Router) expectedWait(s *service, priority int, usual time.Duration) time.Duration {
+	ahead := 0
+	for _, w := range s.waiting {
+		if !w.late && w.priority <= priority && !w.request.finished && w.segment.Waiting() {
+			ahead++
+		}
+	}
+	usable := 0
+	for _, one := range s.servers {
+		if one.usable() {
+			usable++
+		}
+	}
+	places := max(usable*r.share(s), 1)
+	return time.Duration(ahead) * usual / time.Duration(places)
+}
--- a/routing/options.go
+++ b/routing/options.go
@@ -20,6 +20,9 @@
 	Fresh bool
 	// RetryAfter is told to refused callers; default 250 ms.
 	RetryAfter time.Duration
+	// CrowdedRetryAfter is told to callers that are refused because servers are
+	// crowded, which lasts; default 1.5 s.
+	CrowdedRetryAfter time.Duration
 	// MaximumRunning bounds the requests that run at once; default 512.
 	MaximumRunning int
 	// HedgeQuantile is the quantile of a route's latencies after which a second
@@ -40,6 +43,7 @@
 // Defaults of Options.
 const (
 	DefaultRetryAfter       = 250 * time.Millisecond
+	DefaultCrowdedRetry     = 1500 * time.Millisecond
 	DefaultMaximumRunning   = 512
 	DefaultHedgeQuantile    = 0.9
 	DefaultHedgeShareOfAim  = 0.3
@@ -52,6 +56,7 @@
 func (o Options) withDefaults() Options {
 	o.Budget.Window = cmp.Or(o.Budget.Window, DefaultBudgetWindow)
 	o.RetryAfter = cmp.Or(o.RetryAfter, DefaultRetryAfter)
+	o.CrowdedRetryAfter = cmp.Or(o.CrowdedRetryAfter, DefaultCrowdedRetry)
 	o.MaximumRunning = cmp.Or(o.MaximumRunning, DefaultMaximumRunning)
 	o.HedgeQuantile = cmp.Or(o.HedgeQuantile, DefaultHedgeQuantile)
 	o.HedgeShareOfAim = cmp.Or(o.HedgeShareOfAim, DefaultHedgeShareOfAim)
--- a/routing/router.go
+++ b/routing/router.go
@@ -101,32 +101,23 @@
 // server of the service.
 func (r *Router) ConnectionShare(name string) int { return r.share(r.serviceNamed(name)) }
 
-// urgencyStep is the part of the bound on running requests that each rank of
-// priority leaves to those above it.
-const urgencyStep = 0.15
-
 // arrive decides on a request.
 func (r *Router) arrive(asked Request) {
-	bound := float64(r.options.MaximumRunning) * max(1-urgencyStep*float64(asked.Route.Priority), urgencyStep)
-	if float64(len(r.running)) >= bound {
-		r.refuse(asked.ID, gather.ReasonOverload)
-		return
-	}
-	if asked.Remaining <= 0 {
-		r.refuse(asked.ID, gather.ReasonDeadline)
+	q := r.newRequest(asked)
+	if reason := r.refusal(q); reason != "" {
+		r.refuse(asked.ID, reason, r.options.CrowdedRetryAfter)
 		return
 	}
-	q := r.newRequest(asked)
 	r.running[asked.ID] = q
 	q.start()
 }
 
 // refuse gives the final answer to a request of which nothing was sent.
-func (r *Router) refuse(id RequestID, reason gather.Reason) {
+func (r *Router) refuse(id RequestID, reason gather.Reason, retryAfter time.Duration) {
 	r.emit(Finish{Request: id, Outcome: Outcome{
 		Execution:  gather.ExecutionNotRun,
 		Reason:     reason,
-		RetryAfter: r.options.RetryAfter,
+		RetryAfter: retryAfter,
 	}})
 }
 
--- a/routing/service.go
+++ b/routing/service.go
@@ -20,6 +20,9 @@
 
 // waiter is a segment that waits until a server of the service has room.
 type waiter struct {
+	// late says that its request will miss its aim anyway; it goes behind those
+	// that may still keep it.
+	late     bool
 	priority int
 	sequence uint64
 	segment  *gather.Segment
@@ -34,6 +37,9 @@
 
 // Less implements heap.Interface.
 func (w waiters) Less(i, j int) bool {
+	if w[i].late != w[j].late {
+		return w[j].late
+	}
 	return cmp.Or(cmp.Compare(w[i].priority, w[j].priority), cmp.Compare(w[i].sequence, w[j].sequence)) < 0
 }
 
@@ -55,7 +61,7 @@
 // enqueue lets a segment wait for room.
 func (r *Router) enqueue(s *service, segment *gather.Segment, q *request) {
 	r.sequence++
-	w := waiter{priority: q.asked.Route.Priority, sequence: r.sequence, segment: segment, request: q}
+	w := waiter{late: q.late(), priority: q.asked.Route.Priority, sequence: r.sequence, segment: segment, request: q}
 	if r.pumping == s {
 		r.passed = append(r.passed, w)
 		return
@@ -74,6 +80,11 @@
 		if first.request.finished || !first.segment.Waiting() {
 			continue
 		}
+		if !first.late && first.request.late() {
+			first.late = true
+			heap.Push(&s.waiting, first)
+			continue
+		}
 		first.request.query.Resume(r.now, first.segment)
 		r.schedule(first.request)
 	}
--- a/routing/stop.go
+++ b/routing/stop.go
@@ -38,3 +38,8 @@
 	after := q.asked.Route.Aim - q.asked.Spent - q.router.options.AnswerMargin
 	return max(after, q.asked.Route.Aim/4)
 }
+
+// late reports whether the request has missed its route's aim.
+func (q *request) late() bool {
+	return q.asked.Route.Aim > 0 && q.router.now > q.began+q.answerBy()
+}
