--- a/routing/choose.go
+++ b/routing/choose.go
@@ -9,9 +9,13 @@
 
 const (
 	// otherZone and otherRegion are added to the expected latency of a server
-	// that is not near.
-	otherZone   = 3 * time.Millisecond
-	otherRegion = 25 * time.Millisecond
+	// that is not near, and otherZoneShare and otherRegionShare of the route's
+	// aim: as long as an answer comes in time, the bytes between zones cost more
+	// than the time.
+	otherZone        = 3 * time.Millisecond
+	otherRegion      = 25 * time.Millisecond
+	otherZoneShare   = 0.12
+	otherRegionShare = 0.2
 	// fallbackUsual is the latency expected of a route of which nothing is known.
 	fallbackUsual = 10 * time.Millisecond
 	// equalShare is the part of the best score within which servers are equal.
@@ -99,19 +103,19 @@
 		usual = fallbackUsual
 	}
 	expected := float64(usual) * s.belief(r.now) * (1 + s.work(r.now))
-	expected += float64(r.distance(s.Zone))
+	expected += float64(r.distance(s.Zone, q.asked.Route.Aim))
 	return expected * (1 + equalShare*r.random.Float64())
 }
 
 // distance is what is added for the way to a zone.
-func (r *Router) distance(zone string) time.Duration {
+func (r *Router) distance(zone string, aim time.Duration) time.Duration {
 	switch {
 	case zone == r.options.Zone:
 		return 0
 	case r.options.Regions[zone] == r.options.Regions[r.options.Zone]:
-		return otherZone
+		return otherZone + time.Duration(otherZoneShare*float64(aim))
 	default:
-		return otherRegion
+		return otherRegion + time.Duration(otherRegionShare*float64(aim))
 	}
 }
 
