Two attempts at a server, one connection that rests

Cause: with half of the connections left free a node could ask each near server for one thing at a time, and went to other zones for the second.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -35,6 +35,10 @@
 	// IdleTimeout closes a connection that carried nothing for so long, unless
 	// the server said less; default 20 s.
 	IdleTimeout time.Duration
+	// SurplusTime is how long a connection rests beside one that was used later;
+	// default 1.5 s. A machine that loses power leaves its connections open at
+	// the servers, which then have fewer for others.
+	SurplusTime time.Duration
 	// BodyBytes bounds an answer's body; default 8 MiB.
 	BodyBytes int64
 }
@@ -43,6 +47,7 @@
 const (
 	DefaultDialTimeout = time.Second
 	DefaultIdleTimeout = 20 * time.Second
+	DefaultSurplusTime = 1500 * time.Millisecond
 	DefaultBodyBytes   = 8 << 20
 )
 
@@ -69,6 +74,7 @@
 func NewClient(options Options) *Client {
 	options.DialTimeout = cmp.Or(options.DialTimeout, DefaultDialTimeout)
 	options.IdleTimeout = cmp.Or(options.IdleTimeout, DefaultIdleTimeout)
+	options.SurplusTime = cmp.Or(options.SurplusTime, DefaultSurplusTime)
 	options.BodyBytes = cmp.Or(options.BodyBytes, DefaultBodyBytes)
 	if options.Dial == nil {
 		options.Dial = (&net.Dialer{}).DialContext
@@ -204,7 +210,11 @@
 		_, kept := listed[id]
 		p.closed = !kept
 		keep := p.idle[:0]
-		for _, conn := range p.idle {
+		for place, conn := range p.idle {
+			if surplus := len(p.idle) - place; surplus > 1 && now.Sub(conn.idleSince) > c.options.SurplusTime {
+				stale = append(stale, conn)
+				continue
+			}
 			if kept && now.Sub(conn.idleSince) < min(c.options.IdleTimeout, conn.keepFor) && conn.quiet() {
 				keep = append(keep, conn)
 				continue
--- a/routing/options.go
+++ b/routing/options.go
@@ -34,7 +34,7 @@
 	// the latest; default 8 ms.
 	AnswerMargin time.Duration
 	// SpareConnections is the part of each server's connections that no node
-	// counts on; default 0.5.
+	// counts on; default 0.1.
 	SpareConnections float64
 	// MaximumSteps bounds the explanation of a request; default 64.
 	MaximumSteps int
@@ -48,7 +48,7 @@
 	DefaultHedgeQuantile    = 0.9
 	DefaultHedgeShareOfAim  = 0.3
 	DefaultAnswerMargin     = 8 * time.Millisecond
-	DefaultSpareConnections = 0.5
+	DefaultSpareConnections = 0.1
 	DefaultMaximumSteps     = 64
 	DefaultBudgetWindow     = 10 * time.Second
 )
