--- /dev/null
+++ b/directory/directory_test.go
@@ -0,0 +1,54 @@
+package directory_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/banksail/banksail/directory"
+	"github.com/banksail/banksail/discovery"
+)
+
+func node(name, zone, region string) discovery.Node {
+	return discovery.Node{ID: name, Address: name, Zone: zone, Region: region}
+}
+
+func TestAddresses(t *testing.T) {
+	a1, a2, b1, b2, c1, far := node("a1", "a", "r"), node("a2", "a", "r"), node("b1", "b", "r"), node("b2", "b", "r"),
+		node("c1", "c", "r"), node("far", "z", "other")
+	leaving := func(n discovery.Node) discovery.Node { n.Leaving = true; return n }
+	all := []discovery.Node{a1, a2, b1, b2, c1, far}
+	everywhere := directory.Presence{"a": 1, "b": 1, "c": 1, "z": 1}
+	for name, test := range map[string]struct {
+		nodes    []discovery.Node
+		presence directory.Presence
+		caller   directory.Caller
+		want     []string
+	}{
+		"own zone":                          {all, everywhere, directory.Caller{Zone: "a", Region: "r"}, []string{"a1", "a2"}},
+		"one near node is too few":          {all, everywhere, directory.Caller{Zone: "c", Region: "r"}, []string{"a1", "a2", "b1", "b2", "c1"}},
+		"a region of one node":              {all, everywhere, directory.Caller{Zone: "z", Region: "other"}, []string{"a1", "a2", "b1", "b2", "c1", "far"}},
+		"a zone without servers":            {all, directory.Presence{"a": 1, "b": 0.9, "c": 0.1, "z": 1}, directory.Caller{Zone: "c", Region: "r"}, []string{"a1", "a2", "b1", "b2"}},
+		"nothing is known of the servers":   {all, nil, directory.Caller{Zone: "b", Region: "r"}, []string{"b1", "b2"}},
+		"leaving nodes are left out":        {[]discovery.Node{leaving(a1), a2, b1}, everywhere, directory.Caller{Zone: "a", Region: "r"}, []string{"a2", "b1"}},
+		"only leaving nodes":                {[]discovery.Node{leaving(a1)}, everywhere, directory.Caller{Zone: "a", Region: "r"}, []string{"a1"}},
+		"an unknown zone":                   {[]discovery.Node{a1, b1}, everywhere, directory.Caller{}, []string{"a1", "b1"}},
+		"servers only where no nodes stand": {all, directory.Presence{"q": 1}, directory.Caller{Zone: "a", Region: "r"}, []string{"a1", "a2"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := directory.Addresses(test.nodes, test.presence, test.caller, 64); !slices.Equal(got, test.want) {
+				t.Errorf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+func TestAddressesAreBounded(t *testing.T) {
+	var nodes []discovery.Node
+	for number := range 200 {
+		nodes = append(nodes, node(fmt.Sprintf("n%03d", number), "a", "r"))
+	}
+	if got := directory.Addresses(nodes, nil, directory.Caller{Zone: "a", Region: "r"}, 64); len(got) != 64 {
+		t.Errorf("%d addresses", len(got))
+	}
+}
