--- a/front/node.go
+++ b/front/node.go
@@ -205,15 +205,15 @@
 // Run serves until ctx ends, then stops as planned, and returns.
 func (f *Front) Run(ctx context.Context) error {
 	settings := f.options.Settings
-	callers, err := f.serve(settings.Callers, f.gateway)
+	callers, err := f.serve(settings.Callers, f.gateway, f.gateway.ConnContext)
 	if err != nil {
 		return err
 	}
-	ready, err := f.serve(settings.Readiness, f.options.Readiness(f))
+	ready, err := f.serve(settings.Readiness, f.options.Readiness(f), nil)
 	if err != nil {
 		return err
 	}
-	resolve, err := f.serve(settings.Directory, f.options.Directory(f))
+	resolve, err := f.serve(settings.Directory, f.options.Directory(f), nil)
 	if err != nil {
 		return err
 	}
@@ -234,7 +234,7 @@
 }
 
 // serve answers on an address in the background.
-func (f *Front) serve(address string, handler http.Handler) (*http.Server, error) {
+func (f *Front) serve(address string, handler http.Handler, connContext func(context.Context, net.Conn) context.Context) (*http.Server, error) {
 	listener, err := f.options.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("front: listening on %s: %w", address, err)
@@ -244,7 +244,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    headerBytes,
-		ErrorLog:          nil,
+		ConnContext:       connContext,
 	}
 	go func() { _ = server.Serve(listener) }() // ends when the server is closed
 	return server, nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,9 @@
 	// CallerMargin is the part of a caller's deadline that is kept for the way
 	// back; default 10 ms.
 	CallerMargin time.Duration
+	// CallerRoundTrip is the time that a message takes to a caller and back;
+	// default 6 ms.
+	CallerRoundTrip time.Duration
 	// StragglerTime is how long an attempt that its request gave up may go on:
 	// its connection is worth keeping; default 300 ms.
 	StragglerTime time.Duration
@@ -46,9 +49,10 @@
 
 // Defaults of Options.
 const (
-	DefaultCallerMargin  = 10 * time.Millisecond
-	DefaultStragglerTime = 300 * time.Millisecond
-	DefaultMaximumBytes  = 64 << 20
+	DefaultCallerMargin    = 10 * time.Millisecond
+	DefaultCallerRoundTrip = 6 * time.Millisecond
+	DefaultStragglerTime   = 300 * time.Millisecond
+	DefaultMaximumBytes    = 64 << 20
 )
 
 // Gateway carries callers' requests. Its methods may be called from several
@@ -93,6 +97,7 @@
 // New returns a Gateway that knows no table and no server.
 func New(options Options) *Gateway {
 	options.CallerMargin = cmp.Or(options.CallerMargin, DefaultCallerMargin)
+	options.CallerRoundTrip = cmp.Or(options.CallerRoundTrip, DefaultCallerRoundTrip)
 	options.StragglerTime = cmp.Or(options.StragglerTime, DefaultStragglerTime)
 	options.MaximumBytes = cmp.Or(options.MaximumBytes, DefaultMaximumBytes)
 	options.Exchange.Headers = options.Headers
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -1,11 +1,14 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/banksail/banksail/exchange"
@@ -99,7 +102,7 @@
 		ID:        asked.id,
 		Route:     asked.route,
 		Remaining: remaining - g.options.CallerMargin,
-		Spent:     g.options.CallerMargin / 2,
+		Spent:     g.spent(incoming),
 	}})
 	g.mutex.Unlock()
 	select {
@@ -111,6 +114,28 @@
 	}
 }
 
+// spent is the time that a request is thought to have taken on its way: a new
+// connection takes a round trip more.
+func (g *Gateway) spent(incoming *http.Request) time.Duration {
+	used, known := incoming.Context().Value(connectionKey{}).(*connectionUse)
+	if known && used.requests.Add(1) == 1 {
+		return g.options.CallerRoundTrip * 3 / 2
+	}
+	return g.options.CallerRoundTrip / 2
+}
+
+// connectionKey finds a connection's use in a request's context.
+type connectionKey struct{}
+
+// connectionUse counts the requests of one connection.
+type connectionUse struct{ requests atomic.Int64 }
+
+// ConnContext lets the gateway tell the first request of a connection; it is
+// for http.Server.
+func (g *Gateway) ConnContext(ctx context.Context, _ net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, new(connectionUse))
+}
+
 // answer writes the final answer.
 func (g *Gateway) answer(writer http.ResponseWriter, asked *pendingRequest, outcome routing.Outcome) {
 	switch {
