--- a/exchange/client.go
+++ b/exchange/client.go
@@ -30,7 +30,7 @@
 	Headers Headers
 	// Dial opens connections; the default is the operating system's TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
-	// DialTimeout bounds the opening of a connection; default one second.
+	// DialTimeout bounds the opening of a connection; default 300 ms.
 	DialTimeout time.Duration
 	// IdleTimeout closes a connection that carried nothing for so long, unless
 	// the server said less; default 20 s.
@@ -45,7 +45,7 @@
 
 // Defaults of Options.
 const (
-	DefaultDialTimeout = time.Second
+	DefaultDialTimeout = 300 * time.Millisecond
 	DefaultIdleTimeout = 20 * time.Second
 	DefaultSurplusTime = 1500 * time.Millisecond
 	DefaultBodyBytes   = 8 << 20
@@ -178,19 +178,23 @@
 	conn.close()
 }
 
-// Warm opens a connection to the server unless there is one.
-func (c *Client) Warm(ctx context.Context, server discovery.Server) {
+// Warm opens a connection to the server unless there is one. Its error wraps
+// ErrNotDelivered.
+func (c *Client) Warm(ctx context.Context, server discovery.Server) error {
 	c.mutex.Lock()
 	p := c.poolOf(server.ID)
 	if p.open > 0 {
 		c.mutex.Unlock()
-		return
+		return nil
 	}
 	p.open++
 	c.mutex.Unlock()
-	if conn, err := c.open(ctx, server); err == nil {
-		c.release(server.ID, conn, true)
+	conn, err := c.open(ctx, server)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrNotDelivered, err)
 	}
+	c.release(server.ID, conn, true)
+	return nil
 }
 
 // Retain closes the idle connections to servers that are not listed, and those
--- a/front/node.go
+++ b/front/node.go
@@ -225,6 +225,7 @@
 	f.options.Logger.Info().Str("callers", settings.Callers).Msg("started")
 	<-ctx.Done()
 	f.stop(callers)
+	f.gateway.Close()
 	stop()
 	loops.Wait()
 	_ = resolve.Close()
@@ -261,6 +262,6 @@
 		case <-ticker.C:
 		case <-f.tend:
 		}
-		f.gateway.Tend(ctx)
+		f.gateway.Tend()
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/banksail/banksail/discovery"
 	"github.com/banksail/banksail/exchange"
 	"github.com/banksail/banksail/gather"
+	"github.com/banksail/banksail/internal/clock"
 	"github.com/banksail/banksail/route"
 	"github.com/banksail/banksail/routing"
 )
@@ -77,6 +78,12 @@
 	lastRequest routing.RequestID
 	wake        *time.Timer
 	servers     map[string]discovery.Server
+
+	// background ends with the gateway; loops counts what runs until then. loops
+	// grows only under mutex and before background ends.
+	background context.Context
+	end        context.CancelFunc
+	loops      sync.WaitGroup
 }
 
 // pendingRequest is one without a final answer.
@@ -101,7 +108,11 @@
 	options.StragglerTime = cmp.Or(options.StragglerTime, DefaultStragglerTime)
 	options.MaximumBytes = cmp.Or(options.MaximumBytes, DefaultMaximumBytes)
 	options.Exchange.Headers = options.Headers
+	background, end := context.WithCancel(context.Background())
 	return &Gateway{
+		background: background,
+		end:        end,
+
 		options:  options,
 		epoch:    time.Now(),
 		client:   exchange.NewClient(options.Exchange),
@@ -158,7 +169,7 @@
 
 // Tend closes connections that are of no use any more and opens one to each
 // server of a service in force that has none.
-func (g *Gateway) Tend(ctx context.Context) {
+func (g *Gateway) Tend() {
 	g.mutex.Lock()
 	servers := g.servers
 	g.mutex.Unlock()
@@ -179,11 +190,60 @@
 	}
 	for id := range listed {
 		if _, wanted := used[servers[id].Service]; wanted {
-			g.client.Warm(ctx, servers[id])
+			g.mutex.Lock()
+			g.run(func() { g.warm(servers[id]) })
+			g.mutex.Unlock()
 		}
 	}
 }
 
+// warm opens a connection to a server that has none, and tells when it can't.
+func (g *Gateway) warm(server discovery.Server) {
+	if err := g.client.Warm(g.background, server); err != nil && g.background.Err() == nil {
+		g.step(routing.Unreached{Server: server.ID})
+	}
+}
+
+// reachPause is the time between two tries to connect to a server that could
+// not be reached.
+const reachPause = 250 * time.Millisecond
+
+// reach opens a connection to a server that could not be reached.
+func (g *Gateway) reach(server discovery.Server) {
+	for g.lists(server.ID) && clock.Sleep(g.background, reachPause) == nil {
+		if g.client.Warm(g.background, server) == nil {
+			g.step(routing.Reached{Server: server.ID})
+			return
+		}
+	}
+}
+
+// lists reports whether the server may still be there.
+func (g *Gateway) lists(id string) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	_, listed := g.servers[id]
+	return listed
+}
+
+// run starts what goes on in the background. The caller holds the mutex.
+func (g *Gateway) run(loop func()) {
+	if g.background.Err() == nil {
+		g.loops.Go(loop)
+	}
+}
+
+// Close ends what goes on in the background.
+func (g *Gateway) Close() {
+	g.mutex.Lock()
+	g.end()
+	if g.wake != nil {
+		g.wake.Stop()
+	}
+	g.mutex.Unlock()
+	g.loops.Wait()
+}
+
 // step passes an event to the router and carries out its actions.
 func (g *Gateway) step(event routing.Event) {
 	g.mutex.Lock()
@@ -199,6 +259,8 @@
 			g.send(action)
 		case routing.Cancel:
 			g.cancel(action.Attempt)
+		case routing.Reach:
+			g.run(func() { g.reach(action.Server) })
 		case routing.Finish:
 			g.finish(action)
 		case routing.Wake:
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -45,7 +45,7 @@
 	g.held.Add(int64(len(outgoing.Body)))
 	defer g.held.Add(-int64(len(outgoing.Body)))
 	asked := &pendingRequest{outgoing: outgoing, route: matched, arrived: arrived, done: make(chan routing.Outcome, 1)}
-	outcome := g.run(incoming, asked)
+	outcome := g.carryOut(incoming, asked)
 	g.answer(writer, asked, outcome)
 	g.logRequest(asked, table, outcome)
 }
@@ -85,8 +85,8 @@
 	}, 0
 }
 
-// run hands the request to the router and waits for its outcome.
-func (g *Gateway) run(incoming *http.Request, asked *pendingRequest) routing.Outcome {
+// carryOut hands the request to the router and waits for its outcome.
+func (g *Gateway) carryOut(incoming *http.Request, asked *pendingRequest) routing.Outcome {
 	remaining := asked.route.Timeout
 	header := asked.outgoing.Header
 	if told, err := strconv.ParseInt(header.Get(g.options.Headers.Remaining), 10, 64); err == nil {
--- a/routing/budget.go
+++ b/routing/budget.go
@@ -54,6 +54,16 @@
 	b.extras[b.latest%(budgetBuckets+1)]++
 }
 
+func (b *budget) takeBackRequest(now, window time.Duration) {
+	b.advance(now, window)
+	b.requests[b.latest%(budgetBuckets+1)]--
+}
+
+func (b *budget) takeBackExtra(now, window time.Duration) {
+	b.advance(now, window)
+	b.extras[b.latest%(budgetBuckets+1)]--
+}
+
 // left is the number of extra sends that are still allowed, and the most that
 // ever are at this rate of requests.
 func (b *budget) left(now time.Duration, options BudgetOptions, fixed float64) (left, most float64) {
--- a/routing/event.go
+++ b/routing/event.go
@@ -56,6 +56,12 @@
 	Reason string
 }
 
+// Unreached reports that no connection to the server could be opened.
+type Unreached struct{ Server string }
+
+// Reached reports that a connection to the server was opened after a Reach.
+type Reached struct{ Server string }
+
 // Woken reports that the time named by a Wake action has come.
 type Woken struct{}
 
@@ -74,6 +80,8 @@
 func (Replied) event()        {}
 func (Failed) event()         {}
 func (Woken) event()          {}
+func (Unreached) event()      {}
+func (Reached) event()        {}
 func (ServersChanged) event() {}
 func (TableChanged) event()   {}
 func (NodesChanged) event()   {}
@@ -105,6 +113,10 @@
 // reply that comes all the same is still worth reporting.
 type Cancel struct{ Attempt gather.AttemptID }
 
+// Reach asks the owner to open a connection to the server, again and again, and
+// to report Reached once there is one. It ends when the server is gone.
+type Reach struct{ Server discovery.Server }
+
 // Finish gives the request's one final answer.
 type Finish struct {
 	Request RequestID
@@ -116,6 +128,7 @@
 
 func (Send) action()   {}
 func (Cancel) action() {}
+func (Reach) action()  {}
 func (Finish) action() {}
 func (Wake) action()   {}
 
--- a/routing/router.go
+++ b/routing/router.go
@@ -80,6 +80,10 @@
 		r.failed(event)
 	case Woken:
 		r.wakeAt = never
+	case Unreached:
+		r.unreached(r.servers[event.Server])
+	case Reached:
+		r.reached(r.servers[event.Server])
 	case ServersChanged:
 		r.serversChanged(event.Servers)
 	case TableChanged:
@@ -190,7 +194,10 @@
 		return
 	}
 	q := r.requestOf(a)
-	if a.Live() || a.server.overdue(r.now) > 0 || a.usual > 0 && float64(r.sinceSent(a)) > suspectSlowness*float64(a.usual) {
+	if event.Delivery == gather.NotDelivered {
+		r.uncount(a, q)
+		r.unreached(a.server)
+	} else if a.Live() || a.server.overdue(r.now) > 0 || a.usual > 0 && float64(r.sinceSent(a)) > suspectSlowness*float64(a.usual) {
 		a.server.learn(r.now, failedSlowness)
 	}
 	q.query.Failed(r.now, a.Attempt, event.Delivery, event.Reason)
@@ -198,6 +205,25 @@
 	r.pump(a.Segment.Group.(*service))
 }
 
+// unreached sets a server aside until a connection to it is open again: requests
+// that try it would wait for connections that do not open.
+func (r *Router) unreached(s *server) {
+	if s == nil || s.unreachable || s.gone {
+		return
+	}
+	s.unreachable = true
+	r.emit(Reach{Server: s.Server})
+}
+
+// reached takes a server back, as one that is tried with care.
+func (r *Router) reached(s *server) {
+	if s == nil || !s.unreachable {
+		return
+	}
+	s.unreachable = false
+	r.pump(r.serviceNamed(s.Service))
+}
+
 func (r *Router) requestOf(a *attempt) *request {
 	return a.Query().Owner().(*request)
 }
--- a/routing/server.go
+++ b/routing/server.go
@@ -41,8 +41,10 @@
 // server is what the router knows of one server.
 type server struct {
 	discovery.Server
-	gone      bool // is in no listing any more
-	coldUntil time.Duration
+	gone bool // is in no listing any more
+	// unreachable says that no connection to it could be opened of late.
+	unreachable bool
+	coldUntil   time.Duration
 
 	// slowness is the average of its latencies against what is usual, as of
 	// learnedAt.
@@ -73,7 +75,9 @@
 func (s *server) ServerID() string { return s.ID }
 
 // usable reports whether the server takes new work.
-func (s *server) usable() bool { return !s.gone && s.State == discovery.Ready }
+func (s *server) usable() bool {
+	return !s.gone && !s.unreachable && s.State == discovery.Ready
+}
 
 // belief is the slowness that is expected now: that of its answers, and that of
 // the attempts which it has not answered yet.
--- a/routing/service.go
+++ b/routing/service.go
@@ -133,5 +133,20 @@
 	return false
 }
 
+// uncount takes an attempt back of which no byte was written: it was no send.
+func (r *Router) uncount(a *attempt, q *request) {
+	s := a.Segment.Group.(*service)
+	window := r.options.Budget.Window
+	if r.sinceSent(a) > window/budgetBuckets {
+		return
+	}
+	if a.extra {
+		s.budget.takeBackExtra(r.now, window)
+		return
+	}
+	s.budget.takeBackRequest(r.now, window)
+	q.parts[a.Range.Start].counted = false
+}
+
 // sinceSent is the time since an attempt was sent.
 func (r *Router) sinceSent(a *attempt) time.Duration { return r.now - a.SentAt }
--- a/routing/stop.go
+++ b/routing/stop.go
@@ -13,7 +13,7 @@
 
 // latePatience is the multiple of the aim until which an answer that is late
 // anyway waits for full coverage.
-const latePatience = 3
+const latePatience = 1.3
 
 // StopAfter implements gather.StopPolicy.
 func (p stopByAim) StopAfter(gather.Progress) (time.Duration, bool) {
@@ -24,7 +24,7 @@
 	}
 	after := q.answerBy()
 	if q.router.now > q.began+after+stopSlack {
-		return latePatience * aim, true
+		return time.Duration(latePatience * float64(aim)), true
 	}
 	return after, true
 }
