One node reads the registry for all

The first live node by hash reads it at 5/9 of the pace; the others ask it at 4/9, believe only what is fresher than 1.6 readings and no older than what they know, and read for themselves otherwise.

--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,6 +34,21 @@
 	Wait time.Duration
 	// CallTimeout bounds a reading beyond Wait; default 600 ms.
 	CallTimeout time.Duration
+
+	// Self is this incarnation's ID among the nodes.
+	Self string
+	// Publishers asks the nodes that read the registry for all; nil is none: then
+	// each node reads for itself.
+	Publishers Publishers
+	// PublisherTimeout bounds one asking; default 250 ms.
+	PublisherTimeout time.Duration
+	// StaleAfter is the age from which a publication is not believed; default
+	// 1.6 times ReaderPace.
+	StaleAfter time.Duration
+	// ReaderPace and AskPace are the times between two readings of the registry
+	// by a reader, and between two askings by the others; default 5/9 and 4/9 of
+	// Pace, so that a belief is no older than when all nodes read by themselves.
+	ReaderPace, AskPace time.Duration
 }
 
 // News is what a follower believes after an answer.
@@ -43,12 +59,26 @@
 	Table *route.Table
 }
 
+// equal reports whether others need not be told of the difference: a server's
+// warm-up counts down by itself.
+func (n News) equal(other News) bool {
+	alike := func(a, b Server) bool {
+		a.ColdFor, b.ColdFor = 0, 0
+		return a == b
+	}
+	return n.Table == other.Table && slices.Equal(n.Nodes, other.Nodes) && slices.EqualFunc(n.Servers, other.Servers, alike)
+}
+
 // Defaults of FollowerOptions.
 const (
 	DefaultPace           = 700 * time.Millisecond
 	DefaultReadsPerSecond = 1_000
 	DefaultWait           = 200 * time.Millisecond
 	DefaultCallTimeout    = 600 * time.Millisecond
+	DefaultAskTimeout     = 250 * time.Millisecond
+
+	readerShare = 5.0 / 9
+	staleShare  = 1.6
 )
 
 // Bounds of the pause after a failed reading.
@@ -69,6 +99,12 @@
 	listed   bool
 	table    *route.Table
 	failures int
+	// published is what others were told last, of which generation counts the
+	// changes.
+	published  News
+	generation uint64
+	// marks holds what was last believed of a reader; only reading uses it.
+	marks map[string]Mark
 }
 
 // NewFollower returns a follower that knows nothing.
@@ -77,6 +113,10 @@
 	options.ReadsPerSecond = cmp.Or(options.ReadsPerSecond, DefaultReadsPerSecond)
 	options.Wait = cmp.Or(options.Wait, DefaultWait)
 	options.CallTimeout = cmp.Or(options.CallTimeout, DefaultCallTimeout)
+	options.PublisherTimeout = cmp.Or(options.PublisherTimeout, DefaultAskTimeout)
+	options.ReaderPace = cmp.Or(options.ReaderPace, time.Duration(readerShare*float64(options.Pace)))
+	options.AskPace = cmp.Or(options.AskPace, options.Pace-options.ReaderPace)
+	options.StaleAfter = cmp.Or(options.StaleAfter, time.Duration(staleShare*float64(options.ReaderPace)))
 	options.View.OutageAfter = cmp.Or(options.View.OutageAfter, 2*options.Pace)
 	return &Follower{options: options, epoch: time.Now(), view: NewView(options.View)}
 }
@@ -85,11 +125,14 @@
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		began := time.Now()
-		err := f.read(ctx)
-		pause := f.pace() - time.Since(began)
-		if err != nil {
-			pause = f.retryPause()
+		pace := f.options.AskPace
+		if f.relayed(ctx) != nil {
+			pace = f.pace()
+			if err := f.read(ctx); err != nil {
+				pace = time.Since(began) + f.retryPause()
+			}
 		}
+		pause := pace - time.Since(began)
 		_ = clock.Sleep(ctx, pause) // the loop looks at ctx
 	}
 }
@@ -110,8 +153,12 @@
 
 func (f *Follower) now() time.Duration { return time.Since(f.epoch) }
 
-// pace is the time between two readings.
+// pace is the time between two readings of the registry. Without publishers all
+// nodes read, and share what the registry allows.
 func (f *Follower) pace() time.Duration {
+	if f.options.Publishers != nil {
+		return f.options.ReaderPace
+	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	fair := time.Duration(float64(len(f.view.nodes)) / f.options.ReadsPerSecond * float64(time.Second))
@@ -161,7 +208,7 @@
 	if err != nil {
 		return err
 	}
-	f.take(changes)
+	f.take(f.now(), changes)
 	return nil
 }
 
@@ -181,7 +228,7 @@
 	f.view.RetainServers(now, listedIDs(listing.Servers, kept), listing.Revision)
 	f.view.RetainNodes(now, listedIDs(listing.Nodes, kept), listing.Revision)
 	f.mutex.Unlock()
-	f.take(Changes(listing))
+	f.take(now, Changes(listing))
 	f.listed = true
 	return nil
 }
@@ -197,13 +244,13 @@
 	return ids
 }
 
-// take brings the view up to date and tells what is believed now.
-func (f *Follower) take(changes Changes) {
+// take brings the view up to date with what was heard at now, and tells what is
+// believed.
+func (f *Follower) take(now time.Duration, changes Changes) {
 	for _, invalid := range changes.Invalid {
 		f.options.Logger.Error().Str("entry", invalid.Name).Err(invalid.Err).Msg("entry can't be read, the last good one stays")
 	}
 	f.mutex.Lock()
-	now := f.now()
 	f.view.Heard(now)
 	for _, e := range changes.Servers {
 		if e.Gone {
@@ -225,6 +272,10 @@
 		f.table = changes.Table
 	}
 	news := News{Servers: f.view.Servers(), Nodes: f.view.Nodes(), Table: f.table}
+	if !news.equal(f.published) {
+		f.published = news
+		f.generation++
+	}
 	f.mutex.Unlock()
 	f.options.Changed(news)
 }
--- a/discovery/view.go
+++ b/discovery/view.go
@@ -33,8 +33,9 @@
 // Node is one live node.
 type Node struct {
 	ID string
-	// Address is where callers reach it.
+	// Address is where callers reach it, and Peer where other nodes do.
 	Address string
+	Peer    string
 	Zone    string
 	Region  string
 	// Leaving nodes finish what they have and are given to no caller.
@@ -97,7 +98,7 @@
 		v.doubtUntil = now + v.options.MissingFor
 	}
 	v.heard = true
-	v.heardAt = now
+	v.heardAt = max(v.heardAt, now)
 }
 
 // Age is the time since the registry was last heard; ok is false when it never was.
--- a/front/node.go
+++ b/front/node.go
@@ -15,6 +15,7 @@
 	"github.com/banksail/banksail/discovery"
 	"github.com/banksail/banksail/exchange"
 	"github.com/banksail/banksail/gateway"
+	"github.com/banksail/banksail/relay"
 	"github.com/banksail/banksail/routing"
 )
 
@@ -58,6 +59,9 @@
 	tend  chan struct{}
 	// presence tells where the servers stand; nil until it is known.
 	presence atomic.Pointer[directory.Presence]
+	// relay asks the nodes that read the registry; nil when this node has no
+	// address for other nodes.
+	relay *relay.Client
 }
 
 const (
@@ -90,6 +94,7 @@
 		self: discovery.Node{
 			ID:      settings.Node + "." + options.Incarnation,
 			Address: settings.Callers,
+			Peer:    settings.Peer,
 			Zone:    settings.Zone,
 			Region:  settings.Region,
 		},
@@ -111,7 +116,14 @@
 			Fresh: !settings.FirstStart,
 		},
 	})
+	var publishers discovery.Publishers
+	if settings.Peer != "" {
+		f.relay = relay.NewClient(options.Dial)
+		publishers = f.relay
+	}
 	f.follower = discovery.NewFollower(discovery.FollowerOptions{
+		Self:           f.self.ID,
+		Publishers:     publishers,
 		Source:         options.Source,
 		Logger:         options.Logger,
 		Changed:        f.changed,
@@ -217,6 +229,10 @@
 	if err != nil {
 		return err
 	}
+	peers, err := f.servePeers()
+	if err != nil {
+		return err
+	}
 	background, stop := context.WithCancel(context.Background())
 	var loops sync.WaitGroup
 	loops.Go(func() { f.follower.Run(background) })
@@ -228,12 +244,24 @@
 	f.gateway.Close()
 	stop()
 	loops.Wait()
+	if peers != nil {
+		_ = peers.Close()
+		f.relay.Close()
+	}
 	_ = resolve.Close()
 	_ = ready.Close()
 	f.options.Logger.Info().Msg("stopped")
 	return nil
 }
 
+// servePeers answers other nodes; nil when the node has no address for them.
+func (f *Front) servePeers() (*http.Server, error) {
+	if f.options.Settings.Peer == "" {
+		return nil, nil
+	}
+	return f.serve(f.options.Settings.Peer, relay.Handler(f.follower), nil)
+}
+
 // serve answers on an address in the background.
 func (f *Front) serve(address string, handler http.Handler, connContext func(context.Context, net.Conn) context.Context) (*http.Server, error) {
 	listener, err := f.options.Listen("tcp", address)
--- a/front/settings.go
+++ b/front/settings.go
@@ -11,8 +11,8 @@
 	// FirstStart says that no earlier incarnation of any node has run.
 	FirstStart bool
 	// Callers, Readiness and Directory are the addresses that are listened on;
-	// Metrics may be empty.
-	Callers, Readiness, Directory, Metrics string
+	// Metrics may be empty. Peer is that for other nodes; empty is none.
+	Callers, Readiness, Directory, Metrics, Peer string
 	// MemoryBytes is the memory that the process may take; zero is unknown.
 	MemoryBytes int64
 	// Grace is the time between the request to stop and the end.
--- a/route/table.go
+++ b/route/table.go
@@ -17,8 +17,8 @@
 	Limits Limits
 
 	// byHost holds the routes of a host, those with the longest prefix first.
-	byHost map[string][]*Route
-	count  int
+	byHost     map[string][]*Route
+	definition Definition
 }
 
 // Service is a set of servers, each of which answers as well as another.
@@ -126,11 +126,11 @@
 		return nil, err
 	}
 	t := &Table{
-		Version:  definition.Version,
-		Services: make(map[string]Service, len(definition.Services)),
-		Limits:   definition.Limits,
-		byHost:   make(map[string][]*Route),
-		count:    len(definition.Routes),
+		Version:    definition.Version,
+		Services:   make(map[string]Service, len(definition.Services)),
+		Limits:     definition.Limits,
+		byHost:     make(map[string][]*Route),
+		definition: definition,
 	}
 	for _, service := range definition.Services {
 		t.Services[service.Name] = service
@@ -149,7 +149,10 @@
 }
 
 // Len is the number of routes.
-func (t *Table) Len() int { return t.count }
+func (t *Table) Len() int { return len(t.definition.Routes) }
+
+// Definition is what the table was made of; it must not be changed.
+func (t *Table) Definition() Definition { return t.definition }
 
 // Match finds the route of a request: of the host's routes the one with the
 // longest prefix that begins the path. It is nil when there is none.
