Requests at fault and odd answers, over raw sockets; a length with chunks is refused

net/http takes a header with a length and chunks, and passes over the length; the gateway watches headers as they come and refuses them, and holds headers to the table's own limit.

--- a/front/node.go
+++ b/front/node.go
@@ -75,9 +75,9 @@
 	// may pass between two readings of the registry: one reading may fail, and
 	// the next still falls within the bound.
 	readPace = 0.6
-	// headerBytes, headerTimeout and idleTimeout bound callers until a table
-	// says more.
-	headerBytes   = 16 << 10
+	// headerBytes, headerTimeout and idleTimeout bound callers whatever the table
+	// says; the gateway holds them to the table's own limit of header bytes.
+	headerBytes   = 64 << 10
 	headerTimeout = 3 * time.Second
 	idleTimeout   = time.Minute
 )
@@ -268,6 +268,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("front: listening on %s: %w", address, err)
 	}
+	if connContext != nil {
+		listener = gateway.Watch(listener)
+	}
 	server := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -91,6 +91,7 @@
 	id       routing.RequestID
 	outgoing *exchange.Request
 	route    *route.Route
+	header   header
 	arrived  time.Time
 	done     chan routing.Outcome // has room for the one outcome
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/banksail/banksail/exchange"
@@ -24,6 +23,11 @@
 // ServeHTTP answers one caller's request.
 func (g *Gateway) ServeHTTP(writer http.ResponseWriter, incoming *http.Request) {
 	arrived := time.Now()
+	var seen header
+	if watched, ok := incoming.Context().Value(framingKey{}).(*framing); ok {
+		seen = watched.request()
+		defer watched.next()
+	}
 	if g.draining.Load() {
 		writer.Header().Set("Connection", "close")
 	}
@@ -32,6 +36,11 @@
 		g.refuse(writer, incoming, gather.ReasonNoConfiguration, noTableRetryAfter)
 		return
 	}
+	if status := faultOf(seen, table.Limits); status != 0 {
+		writer.Header().Set("Connection", "close")
+		g.reject(writer, incoming, status, "header")
+		return
+	}
 	matched := table.Match(incoming.Host, pathOf(incoming))
 	if matched == nil {
 		g.reject(writer, incoming, http.StatusNotFound, "no_route")
@@ -44,12 +53,24 @@
 	}
 	g.held.Add(int64(len(outgoing.Body)))
 	defer g.held.Add(-int64(len(outgoing.Body)))
-	asked := &pendingRequest{outgoing: outgoing, route: matched, arrived: arrived, done: make(chan routing.Outcome, 1)}
+	asked := &pendingRequest{outgoing: outgoing, route: matched, header: seen, arrived: arrived, done: make(chan routing.Outcome, 1)}
 	outcome := g.carryOut(incoming, asked)
 	g.answer(writer, asked, outcome)
 	g.logRequest(asked, table, outcome)
 }
 
+// faultOf is the status for a header that can't be taken; zero when it can.
+func faultOf(seen header, limits route.Limits) int {
+	switch {
+	case seen.ambiguous:
+		return http.StatusBadRequest
+	case seen.size > limits.HeaderBytes:
+		return http.StatusRequestHeaderFieldsTooLarge
+	default:
+		return 0
+	}
+}
+
 // pathOf is the path as the caller wrote it, without the query.
 func pathOf(incoming *http.Request) string {
 	path, _, _ := strings.Cut(incoming.RequestURI, "?")
@@ -102,7 +123,7 @@
 		ID:        asked.id,
 		Route:     asked.route,
 		Remaining: remaining - g.options.CallerMargin,
-		Spent:     g.spent(incoming),
+		Spent:     g.spent(asked.header),
 	}})
 	g.mutex.Unlock()
 	select {
@@ -116,24 +137,23 @@
 
 // spent is the time that a request is thought to have taken on its way: a new
 // connection takes a round trip more.
-func (g *Gateway) spent(incoming *http.Request) time.Duration {
-	used, known := incoming.Context().Value(connectionKey{}).(*connectionUse)
-	if known && used.requests.Add(1) == 1 {
+func (g *Gateway) spent(seen header) time.Duration {
+	if seen.first {
 		return g.options.CallerRoundTrip * 3 / 2
 	}
 	return g.options.CallerRoundTrip / 2
 }
 
-// connectionKey finds a connection's use in a request's context.
-type connectionKey struct{}
+// framingKey finds a connection's framing in a request's context.
+type framingKey struct{}
 
-// connectionUse counts the requests of one connection.
-type connectionUse struct{ requests atomic.Int64 }
-
-// ConnContext lets the gateway tell the first request of a connection; it is
-// for http.Server.
-func (g *Gateway) ConnContext(ctx context.Context, _ net.Conn) context.Context {
-	return context.WithValue(ctx, connectionKey{}, new(connectionUse))
+// ConnContext lets the gateway see a connection that Watch's listener took in;
+// it is for http.Server.
+func (g *Gateway) ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	if watched, ok := conn.(*watchedConn); ok {
+		return context.WithValue(ctx, framingKey{}, &watched.framing)
+	}
+	return ctx
 }
 
 // answer writes the final answer.
