--- a/cmd/banksail-front/main.go
+++ b/cmd/banksail-front/main.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/google/subcommands"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/banksail/banksail/front"
 	"github.com/banksail/banksail/platform"
@@ -36,9 +37,11 @@
 
 type checkCommand struct{}
 
-func (*checkCommand) Name() string           { return "check" }
-func (*checkCommand) Synopsis() string       { return "check the settings file" }
-func (*checkCommand) Usage() string          { return "check: reads the settings file and names what is wrong\n" }
+func (*checkCommand) Name() string     { return "check" }
+func (*checkCommand) Synopsis() string { return "check the settings file" }
+func (*checkCommand) Usage() string {
+	return "check: reads the settings file and names what is wrong\n"
+}
 func (*checkCommand) SetFlags(*flag.FlagSet) {}
 
 func (*checkCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
@@ -49,7 +52,10 @@
 	return subcommands.ExitSuccess
 }
 
-type serveCommand struct{ level string }
+type serveCommand struct {
+	level        string
+	lines, bytes int
+}
 
 func (*serveCommand) Name() string     { return "serve" }
 func (*serveCommand) Synopsis() string { return "run the node" }
@@ -57,6 +63,8 @@
 
 func (c *serveCommand) SetFlags(flags *flag.FlagSet) {
 	flags.StringVar(&c.level, "log-level", "info", "least level of the lines that are written")
+	flags.IntVar(&c.lines, "log-lines", telemetry.DefaultLinesPerSecond, "most lines a second; others are dropped and counted")
+	flags.IntVar(&c.bytes, "log-bytes", telemetry.DefaultBytesPerSecond, "most bytes a second; others are dropped and counted")
 }
 
 // garbageTarget is the growth of the heap between two collections, in percent:
@@ -69,10 +77,15 @@
 	if err != nil {
 		return fail(err)
 	}
-	logger, err := telemetry.NewLogger(os.Stdout, c.level, settings.Front.Node)
+	output := telemetry.NewBoundedWriter(os.Stdout, c.lines, c.bytes)
+	logger, err := telemetry.NewLogger(output, c.level, settings.Front.Node)
 	if err != nil {
 		return fail(err)
 	}
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "banksail_log_lines_dropped_total", Help: "Lines over the log's ceiling, or for which the output had no room.",
+	}, func() float64 { return float64(output.Dropped()) }))
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	signal.Ignore(syscall.SIGHUP)
@@ -88,6 +101,7 @@
 		Readiness:     platform.Readiness,
 		Directory:     platform.Directory,
 		Logger:        logger,
+		Registry:      registry,
 		Seed:          uint64(started),
 	})
 	if err := node.Run(ctx); err != nil {
--- a/cmd/banksailctl/explain.go
+++ b/cmd/banksailctl/explain.go
@@ -14,7 +14,16 @@
 )
 
 // explainCommand tells why a request was answered as it was.
-type explainCommand struct{ common }
+type explainCommand struct {
+	common
+	logs string
+}
+
+// SetFlags declares the flags.
+func (e *explainCommand) SetFlags(flags *flag.FlagSet) {
+	e.common.SetFlags(flags)
+	flags.StringVar(&e.logs, "logs", "", "files of nodes' logs, separated by commas, instead of a node; - is the standard input")
+}
 
 func (*explainCommand) Name() string     { return "explain" }
 func (*explainCommand) Synopsis() string { return "tell why a request got the answer it got" }
@@ -22,10 +31,12 @@
 	return `banksailctl explain [flags] REQUEST-ID
 
 Prints which servers were asked, hedged and cancelled for a request, and why it
-stopped. Ask the node that served the request: it keeps the latest ones.
+stopped. Ask the node that served the request: it keeps the latest ones. With
+--logs, reads the logs of several nodes and tells the story in order of time.
 
 Example:
   banksailctl explain --node 10.0.0.5:7102 req-42
+  banksailctl explain --logs node-1.log,node-2.log req-42
 
 Flags:
 `
@@ -36,6 +47,9 @@
 	if err != nil {
 		return e.usage("%v: the request ID", err)
 	}
+	if e.logs != "" {
+		return e.explainLogs(id)
+	}
 	document, err := e.client().Explanation(ctx, id)
 	if err != nil {
 		return e.fail(err)
--- a/front/node.go
+++ b/front/node.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rs/zerolog"
 
 	"github.com/banksail/banksail/directory"
@@ -39,7 +41,10 @@
 	// Readiness and Directory answer the node's other listeners.
 	Readiness, Directory func(Node) http.Handler
 	Logger               zerolog.Logger
-	Seed                 uint64
+	// Registry holds the node's metrics, which are served on their own address;
+	// nil is none.
+	Registry *prometheus.Registry
+	Seed     uint64
 	// Listen opens a listener and Dial a connection to a server; the default is
 	// the operating system's TCP.
 	Listen func(network, address string) (net.Listener, error)
@@ -99,7 +104,13 @@
 			Region:  settings.Region,
 		},
 	}
+	var registry prometheus.Registerer
+	if options.Registry != nil {
+		registry = options.Registry
+	}
 	f.gateway = gateway.New(gateway.Options{
+		Registry:      registry,
+		BeliefAge:     f.beliefAge,
 		Headers:       options.Headers,
 		AnswerHeaders: options.AnswerHeaders,
 		Logger:        options.Logger,
@@ -214,6 +225,16 @@
 	return directory.Addresses(kept, presence, caller, most), min(directoryTTL, f.options.Settings.LongestTTL)
 }
 
+// beliefAge is how old what the node believes of the registry is; -1 when it
+// believes nothing.
+func (f *Front) beliefAge() time.Duration {
+	age, known := f.follower.Age()
+	if !known {
+		return -1
+	}
+	return age
+}
+
 // Run serves until ctx ends, then stops as planned, and returns.
 func (f *Front) Run(ctx context.Context) error {
 	settings := f.options.Settings
@@ -233,6 +254,7 @@
 	if err != nil {
 		return err
 	}
+	metrics := f.serveMetrics()
 	background, stop := context.WithCancel(context.Background())
 	var loops sync.WaitGroup
 	loops.Go(func() { f.follower.Run(background) })
@@ -244,6 +266,9 @@
 	f.gateway.Close()
 	stop()
 	loops.Wait()
+	if metrics != nil {
+		_ = metrics.Close()
+	}
 	if peers != nil {
 		_ = peers.Close()
 		f.relay.Close()
@@ -262,6 +287,43 @@
 	return f.serve(f.options.Settings.Peer, relay.Handler(f.follower), nil)
 }
 
+// metricsPath is where the node's figures are.
+const metricsPath = "/metrics"
+
+// serveMetrics answers with the node's figures; nil when it has no address for
+// them, or can't listen there: a node without metrics still serves callers.
+func (f *Front) serveMetrics() *http.Server {
+	registry := f.options.Registry
+	if registry == nil || f.options.Settings.Metrics == "" {
+		return nil
+	}
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "banksail_belief_age_seconds", Help: "Age of what the node believes of the registry; -1 when nothing.",
+	}, func() float64 { return max(f.beliefAge().Seconds(), -1) }))
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "banksail_table_version", Help: "Version of the table in force; 0 when there is none.",
+	}, func() float64 {
+		if table := f.gateway.Table(); table != nil {
+			return float64(table.Version)
+		}
+		return 0
+	}))
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "banksail_live_nodes", Help: "Nodes that are believed to be live.",
+	}, func() float64 { return float64(len(f.follower.Nodes())) }))
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "banksail_server_connections", Help: "Connections to servers that are open or being opened.",
+	}, func() float64 { return float64(f.gateway.Connections()) }))
+	mux := http.NewServeMux()
+	mux.Handle("GET "+metricsPath, promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	server, err := f.serve(f.options.Settings.Metrics, mux, nil)
+	if err != nil {
+		f.options.Logger.Warn().Err(err).Msg("metrics are not served")
+		return nil
+	}
+	return server
+}
+
 // serve answers on an address in the background.
 func (f *Front) serve(address string, handler http.Handler, connContext func(context.Context, net.Conn) context.Context) (*http.Server, error) {
 	listener, err := f.options.Listen("tcp", address)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"github.com/banksail/banksail/discovery"
@@ -27,6 +28,10 @@
 	Routing       routing.Options
 	Exchange      exchange.Options
 	Logger        zerolog.Logger
+	// Registry takes the gateway's metrics; nil is none.
+	Registry prometheus.Registerer
+	// BeliefAge tells how old what is believed of the servers is; nil is unknown.
+	BeliefAge func() time.Duration
 	// CallerMargin is the part of a caller's deadline that is kept for the way
 	// back; default 10 ms.
 	CallerMargin time.Duration
@@ -66,7 +71,7 @@
 	// draining says that connections are to end with their next answer.
 	draining atomic.Bool
 	held     atomic.Int64
-	counters counters
+	counters *counters
 
 	mutex sync.Mutex
 	// mutex serialises Step and guards the fields below. Invariants: pending
@@ -111,6 +116,7 @@
 	options.Exchange.Headers = options.Headers
 	background, end := context.WithCancel(context.Background())
 	return &Gateway{
+		counters:   newCounters(options.Registry),
 		background: background,
 		end:        end,
 
@@ -168,6 +174,9 @@
 	return len(g.pending)
 }
 
+// Connections is the number of connections to servers.
+func (g *Gateway) Connections() int { return g.client.Connections() }
+
 // Tend closes connections that are of no use any more and opens one to each
 // server of a service in force that has none.
 func (g *Gateway) Tend() {
@@ -290,14 +299,12 @@
 // carry sends one attempt and reports its end.
 func (g *Gateway) carry(ctx context.Context, cancel context.CancelFunc, asked *pendingRequest, action routing.Send) {
 	defer cancel()
-	began := time.Now()
 	reply, err := g.client.Do(ctx, &exchange.Attempt{
 		Request:   asked.outgoing,
 		Server:    action.Server,
 		Remaining: action.Remaining,
 	})
 	event := g.report(asked.route, action, reply, err)
-	g.logAttempt(asked, action, reply, err, time.Since(began))
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if running := g.attempts[action.Attempt]; running.straggler != nil {
@@ -325,6 +332,17 @@
 
 // report tells how an attempt ended.
 func (g *Gateway) report(r *route.Route, action routing.Send, reply *exchange.Reply, err error) routing.Event {
+	event := g.eventOf(r, action, reply, err)
+	switch event := event.(type) {
+	case routing.Failed:
+		g.counters.ended(event.Reason)
+	case routing.Replied:
+		g.counters.ended(routing.StatusName(event.Status))
+	}
+	return event
+}
+
+func (g *Gateway) eventOf(r *route.Route, action routing.Send, reply *exchange.Reply, err error) routing.Event {
 	if err != nil {
 		delivery := gather.DeliveryUnknown
 		if errors.Is(err, exchange.ErrNotDelivered) {
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -1,92 +1,135 @@
 package gateway
 
 import (
+	"math"
 	"net/http"
-	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
-	"github.com/banksail/banksail/exchange"
 	"github.com/banksail/banksail/gather"
 	"github.com/banksail/banksail/route"
 	"github.com/banksail/banksail/routing"
+	"github.com/banksail/banksail/telemetry"
 )
 
-// counters count what a gateway did since its start.
-type counters struct {
-	first, hedges, retries  atomic.Uint64
-	done, partial           atomic.Uint64
-	refused, failed, errors atomic.Uint64
-}
+// sampledShare is one in how many good requests are logged: the same ones on
+// every node, by their ID.
+const sampledShare = 64
 
-func (c *counters) sent(kind gather.SendKind) {
-	switch kind {
-	case gather.HedgeSend:
-		c.hedges.Add(1)
-	case gather.RetrySend:
-		c.retries.Add(1)
-	default:
-		c.first.Add(1)
-	}
-}
+// sampled reports whether a good request is logged.
+func sampled(id string) bool { return xxhash.Sum64String(id)%sampledShare == 0 }
 
-// logAttempt tells of an attempt that did not end well.
-func (g *Gateway) logAttempt(asked *pendingRequest, action routing.Send, reply *exchange.Reply, err error, took time.Duration) {
-	if err == nil && reply.Status < http.StatusMultipleChoices {
+// logRequest tells of a final answer: always of one that is not whole and in
+// time, and of a sample of the others.
+func (g *Gateway) logRequest(asked *pendingRequest, table *route.Table, outcome routing.Outcome) {
+	took := time.Since(asked.arrived)
+	result := g.resultOf(asked, outcome, took)
+	g.counters.answered(asked.route, result, took)
+	if result == resultGood && !sampled(asked.outgoing.AttemptID) {
 		return
 	}
-	line := g.options.Logger.Debug()
+	line := g.options.Logger.Info()
 	if line == nil {
 		return
 	}
-	line.Str("request_id", asked.outgoing.AttemptID).
-		Str("server", action.Server.ID).Str("service", action.Server.Service).Str("address", action.Server.Address).
-		Int("kind", int(action.Kind)).Float64("slowness", action.Believed.Slowness).Dur("took_ms", took)
-	if err != nil {
-		line.Err(err).Msg("attempt failed")
-		return
-	}
-	line.Int("status", reply.Status).Msg("attempt failed")
+	line.Str(telemetry.FieldRequestID, asked.outgoing.AttemptID).Str("route", asked.route.Name).
+		Str("result", string(result)).Str("reason", string(outcome.Reason)).
+		Uint64("version", table.Version).Dur("belief_age_ms", g.beliefAge()).
+		Int("missing", outcome.Missing).
+		Int("sends", outcome.Sends).Int("hedges", outcome.Hedges).Int("retries", outcome.Retries).
+		Int("unaffordable", outcome.Unaffordable).Int("roomless", outcome.Roomless).Int("hopeless", outcome.Hopeless).
+		Dur("took_ms", took).Dur("retry_after_ms", outcome.RetryAfter).
+		Array("attempts", attemptList(outcome.Attempts)).
+		Msg("request answered")
 }
 
-// logRequest tells of a final answer: of every one that is not whole and in
-// time, and of the others at debug level.
-func (g *Gateway) logRequest(asked *pendingRequest, table *route.Table, outcome routing.Outcome) {
-	took := time.Since(asked.arrived)
-	level := zerolog.DebugLevel
+// result is how a request ended, as it is logged and counted.
+type result string
+
+const (
+	resultGood    result = "good"
+	resultLate    result = "late"
+	resultPartial result = "partial"
+	resultRefused result = "refused"
+	resultFailed  result = "failed"
+)
+
+func (g *Gateway) resultOf(asked *pendingRequest, outcome routing.Outcome, took time.Duration) result {
 	switch {
 	case outcome.Execution == gather.ExecutionNotRun:
-		g.counters.refused.Add(1)
-		level = zerolog.InfoLevel
+		return resultRefused
 	case outcome.Execution != gather.ExecutionDone:
-		g.counters.failed.Add(1)
-		level = zerolog.InfoLevel
-	case outcome.Missing > 0:
-		g.counters.partial.Add(1)
-		level = zerolog.InfoLevel
+		return resultFailed
 	case asked.route.Aim > 0 && took > asked.route.Aim:
-		g.counters.done.Add(1)
-		level = zerolog.InfoLevel
+		return resultLate
+	case outcome.Missing > 0:
+		return resultPartial
 	default:
-		g.counters.done.Add(1)
+		return resultGood
 	}
-	line := g.options.Logger.WithLevel(level)
-	if line == nil || level < g.options.Logger.GetLevel() {
-		return
+}
+
+// beliefAge is how old what the node believes of the servers is.
+func (g *Gateway) beliefAge() time.Duration {
+	if g.options.BeliefAge == nil {
+		return 0
+	}
+	return g.options.BeliefAge()
+}
+
+// mostAttemptsLogged bounds the attempts in one line: those that did not end
+// well, the extra ones first.
+const mostAttemptsLogged = 24
+
+// attemptList logs the attempts that tell something: extra ones, those that did
+// not answer, and those that took long.
+type attemptList []routing.AttemptRecord
+
+// MarshalZerologArray implements zerolog.LogArrayMarshaler.
+func (l attemptList) MarshalZerologArray(array *zerolog.Array) {
+	logged := 0
+	for _, one := range l {
+		if logged == mostAttemptsLogged {
+			return
+		}
+		if one.Kind == gather.FirstSend && one.End == "answered" && len(l) > 1 {
+			continue
+		}
+		array.Object(attemptLine(one))
+		logged++
+	}
+}
+
+type attemptLine routing.AttemptRecord
+
+// MarshalZerologObject implements zerolog.LogObjectMarshaler.
+func (a attemptLine) MarshalZerologObject(line *zerolog.Event) {
+	end := a.End
+	if end == "" {
+		end = "awaited"
+	}
+	line.Str("kind", kindName(a.Kind)).Str("service", a.Service).Str("server", a.Server).
+		Dur("sent_ms", a.SentAt).Dur("ended_ms", a.EndedAt).Str("end", end).
+		Float64("slowness", math.Round(a.Believed.Slowness*100)/100).Int("in_flight", a.Believed.InFlight)
+}
+
+func kindName(kind gather.SendKind) string {
+	switch kind {
+	case gather.HedgeSend:
+		return "hedge"
+	case gather.RetrySend:
+		return "retry"
+	default:
+		return "first"
 	}
-	line.Str("request_id", asked.outgoing.AttemptID).Str("route", asked.route.Name).
-		Uint64("version", table.Version).Int("execution", int(outcome.Execution)).
-		Str("reason", string(outcome.Reason)).Int("missing", outcome.Missing).
-		Int("sends", outcome.Sends).Int("hedges", outcome.Hedges).Int("retries", outcome.Retries).
-		Int("unaffordable", outcome.Unaffordable).Int("roomless", outcome.Roomless).Int("hopeless", outcome.Hopeless).
-		Dur("took_ms", took).Dur("retry_after_ms", outcome.RetryAfter).Msg("request answered")
 }
 
 // logRejected tells of a request that reached no route.
 func (g *Gateway) logRejected(incoming *http.Request, status int, reason string) {
-	g.counters.errors.Add(1)
+	g.counters.rejected.Add(1)
 	g.options.Logger.Info().
-		Str("request_id", incoming.Header.Get(g.options.Headers.AttemptID)).
+		Str(telemetry.FieldRequestID, incoming.Header.Get(g.options.Headers.AttemptID)).
 		Int("status", status).Str("reason", reason).Msg("request rejected")
 }
--- /dev/null
+++ b/gateway/metrics.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/banksail/banksail/gather"
+	"github.com/banksail/banksail/route"
+)
+
+// mostPriorities bounds the label of priorities; routes, which operators add by
+// the hundred, are no label.
+const mostPriorities = 8
+
+// latencyBuckets are in seconds.
+var latencyBuckets = []float64{0.005, 0.01, 0.02, 0.035, 0.05, 0.075, 0.1, 0.15, 0.25, 0.5, 1, 2, 4, 8}
+
+// counters count what a gateway did since its start.
+type counters struct {
+	rejected atomic.Uint64
+	attempts *prometheus.CounterVec
+	ends     *prometheus.CounterVec
+	requests *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+}
+
+func newCounters(registry prometheus.Registerer) *counters {
+	c := &counters{
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "banksail_gateway_attempts_total", Help: "Attempts sent to servers, by why they were sent.",
+		}, []string{"kind"}),
+		ends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "banksail_gateway_attempt_ends_total", Help: "Attempts that ended, by how.",
+		}, []string{"end"}),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "banksail_gateway_requests_total", Help: "Requests answered, by priority and result.",
+		}, []string{"priority", "result"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "banksail_gateway_request_seconds", Help: "Time to the final answer, by priority.", Buckets: latencyBuckets,
+		}, []string{"priority"}),
+	}
+	if registry != nil {
+		registry.MustRegister(c.attempts, c.ends, c.requests, c.latency)
+		registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "banksail_gateway_rejected_total", Help: "Requests that were at fault or had no route.",
+		}, func() float64 { return float64(c.rejected.Load()) }))
+	}
+	return c
+}
+
+func (c *counters) sent(kind gather.SendKind) { c.attempts.WithLabelValues(kindName(kind)).Inc() }
+
+func (c *counters) ended(end string) { c.ends.WithLabelValues(end).Inc() }
+
+func (c *counters) answered(answering *route.Route, end result, took time.Duration) {
+	priority := priorityLabels[min(answering.Priority, mostPriorities-1)]
+	c.requests.WithLabelValues(priority, string(end)).Inc()
+	c.latency.WithLabelValues(priority).Observe(took.Seconds())
+}
+
+var priorityLabels = [mostPriorities]string{"0", "1", "2", "3", "4", "5", "6", "7_or_more"}
--- a/routing/event.go
+++ b/routing/event.go
@@ -151,8 +151,20 @@
 	// sends for which no server had room, Hopeless the hedges that could not have
 	// answered in time.
 	Unaffordable, Roomless, Hopeless int
-	// Steps tells what was done, in order.
-	Steps []gather.Step
+	// Attempts tells what was sent, in order.
+	Attempts []AttemptRecord
+}
+
+// AttemptRecord tells of one attempt of a request.
+type AttemptRecord struct {
+	Service, Server string
+	Kind            gather.SendKind
+	// SentAt and EndedAt are since the request's arrival; an attempt that had not
+	// ended when the request was answered has no end.
+	SentAt, EndedAt time.Duration
+	Believed        Belief
+	// End is how it ended; empty while it has not.
+	End string
 }
 
 // Part is one shard's reply.
--- a/routing/options.go
+++ b/routing/options.go
@@ -36,8 +36,6 @@
 	// SpareConnections is the part of each server's connections that no node
 	// counts on; default 0.1.
 	SpareConnections float64
-	// MaximumSteps bounds the explanation of a request; default 64.
-	MaximumSteps int
 }
 
 // Defaults of Options.
@@ -49,7 +47,6 @@
 	DefaultHedgeShareOfAim  = 0.3
 	DefaultAnswerMargin     = 8 * time.Millisecond
 	DefaultSpareConnections = 0.1
-	DefaultMaximumSteps     = 64
 	DefaultBudgetWindow     = 10 * time.Second
 )
 
@@ -62,6 +59,5 @@
 	o.HedgeShareOfAim = cmp.Or(o.HedgeShareOfAim, DefaultHedgeShareOfAim)
 	o.AnswerMargin = cmp.Or(o.AnswerMargin, DefaultAnswerMargin)
 	o.SpareConnections = cmp.Or(o.SpareConnections, DefaultSpareConnections)
-	o.MaximumSteps = cmp.Or(o.MaximumSteps, DefaultMaximumSteps)
 	return o
 }
--- a/routing/request.go
+++ b/routing/request.go
@@ -24,6 +24,7 @@
 	timerAt  time.Duration
 
 	sends, hedges, retries int
+	records                []AttemptRecord
 	// unaffordable counts the extra sends for which there was no budget, roomless
 	// the sends for which no server had room, and hopeless the hedges that could
 	// not have answered in time.
@@ -38,6 +39,18 @@
 	asked []*server
 }
 
+// sparesRecords is the room for the records of extra sends.
+const sparesRecords = 4
+
+// ended notes how an attempt ended, unless the request was answered before.
+func (q *request) ended(a *attempt, end string) {
+	if q.finished {
+		return
+	}
+	record := &q.records[a.record]
+	record.EndedAt, record.End = q.router.now-q.began, end
+}
+
 // pinned is the one snapshot of a request: its table's set of shards.
 const pinned snapshot.ID = 1
 
@@ -49,6 +62,7 @@
 		q.names = []string{asked.Route.Target.Pick(r.random.Float64())}
 	}
 	q.parts = make([]part, len(q.names))
+	q.records = make([]AttemptRecord, 0, len(q.names)+sparesRecords)
 	return q
 }
 
@@ -71,7 +85,6 @@
 		Repeatable:    q.asked.Route.Repeatable,
 		Stop:          stopByAim{q},
 		MaximumRounds: maximumRounds,
-		MaximumSteps:  r.options.MaximumSteps,
 	}, q)
 	q.query.Start(r.now)
 	r.schedule(q)
@@ -152,7 +165,11 @@
 	r := q.router
 	s := a.Server.(*server)
 	number := int(a.Range.Start)
-	sent := &attempt{Attempt: a, server: s, usual: q.latency.usual()}
+	believed := Belief{Slowness: s.belief(r.now), InFlight: len(s.inFlight)}
+	sent := &attempt{Attempt: a, server: s, usual: q.latency.usual(), record: len(q.records)}
+	q.records = append(q.records, AttemptRecord{
+		Service: s.Service, Server: s.ID, Kind: a.Kind, SentAt: r.now - q.began, Believed: believed,
+	})
 	sent.extra = r.countSend(a.Segment.Group.(*service), q, number)
 	if !slices.Contains(q.parts[number].asked, s) {
 		q.parts[number].asked = append(q.parts[number].asked, s)
@@ -164,7 +181,7 @@
 		Server:    s.Server,
 		Remaining: q.query.Deadline() - r.now,
 		Kind:      a.Kind,
-		Believed:  Belief{Slowness: s.belief(r.now), InFlight: len(s.inFlight)},
+		Believed:  believed,
 	}
 	s.inFlight = append(s.inFlight, sent)
 	r.attempts[a.ID] = sent
@@ -199,7 +216,7 @@
 		Unaffordable: q.unaffordable,
 		Roomless:     q.roomless,
 		Hopeless:     q.hopeless,
-		Steps:        outcome.Explanation,
+		Attempts:     q.records,
 	}
 	for _, p := range outcome.Parts {
 		result.Parts = append(result.Parts, Part{Service: q.names[p.Range.Start], Body: p.Body})
--- a/routing/router.go
+++ b/routing/router.go
@@ -151,6 +151,7 @@
 		return
 	}
 	q := r.requestOf(a)
+	q.ended(a, StatusName(event.Status))
 	if event.LoadKnown {
 		a.server.takeLoad(r.now, event.Load)
 	}
@@ -175,6 +176,22 @@
 	r.pump(a.Segment.Group.(*service))
 }
 
+// StatusName names a reply's status in records and metrics.
+func StatusName(status gather.ReplyStatus) string {
+	switch status {
+	case gather.ReplyDone:
+		return "answered"
+	case gather.ReplyShed:
+		return "shed"
+	case gather.ReplyNotOwner:
+		return "not_expected_server"
+	case gather.ReplyDraining:
+		return "draining"
+	default:
+		return "server_error"
+	}
+}
+
 // leastShedPause is how long a server that shed is left alone at least.
 const leastShedPause = 10 * time.Millisecond
 
@@ -194,6 +211,7 @@
 		return
 	}
 	q := r.requestOf(a)
+	q.ended(a, event.Reason)
 	if event.Delivery == gather.NotDelivered {
 		r.uncount(a, q)
 		r.unreached(a.server)
--- a/routing/server.go
+++ b/routing/server.go
@@ -69,6 +69,7 @@
 	server *server
 	usual  time.Duration // latency that is usual for its route; zero is unknown
 	extra  bool
+	record int // its place in the request's records
 }
 
 // ServerID implements gather.Server.
--- /dev/null
+++ b/telemetry/bounded_test.go
@@ -0,0 +1,74 @@
+package telemetry_test
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/banksail/banksail/telemetry"
+)
+
+// An output that nobody reads costs lines, never the time of a writer.
+func TestBlockedOutputBlocksNoWriter(t *testing.T) {
+	reader, output := io.Pipe()
+	writer := telemetry.NewBoundedWriter(output, 1_000_000, 1_000_000_000)
+	finished := make(chan struct{})
+	const lines = 10_000
+	go func() {
+		defer close(finished)
+		for range lines {
+			if count, err := writer.Write([]byte("line\n")); count != 5 || err != nil {
+				t.Errorf("%d, %v", count, err)
+			}
+		}
+	}()
+	select {
+	case <-finished:
+	case <-time.After(30 * time.Second):
+		t.Fatal("a writer waits for the output")
+	}
+	if err := reader.Close(); err != nil {
+		t.Fatal(err)
+	}
+	_ = writer.Close()
+}
+
+// lockedBuffer may be read while it is written.
+type lockedBuffer struct {
+	mutex  sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(data []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.buffer.Write(data)
+}
+
+func (b *lockedBuffer) text() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.buffer.String()
+}
+
+func TestLinesOverTheCeilingAreDroppedAndCounted(t *testing.T) {
+	for name, test := range map[string]struct{ lines, bytes int }{
+		"lines": {lines: 10, bytes: 1_000_000},
+		"bytes": {lines: 1_000_000, bytes: 50},
+	} {
+		output := &lockedBuffer{}
+		writer := telemetry.NewBoundedWriter(output, test.lines, test.bytes)
+		const written = 400
+		for range written {
+			_, _ = writer.Write([]byte("line\n"))
+		}
+		_ = writer.Close()
+		got := strings.Count(output.text(), "line\n")
+		if got < 10 || got > 100 || uint64(got)+writer.Dropped() != written {
+			t.Errorf("%s: %d lines are written, %d dropped", name, got, writer.Dropped())
+		}
+	}
+}
