--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -178,11 +178,10 @@
 	err := f.readOnce(ctx)
 	f.mutex.Lock()
 	before := f.failures
-	switch {
-	case err == nil:
-		f.failures = 0
-	default:
+	if err != nil {
 		f.failures++
+	} else {
+		f.failures = 0
 	}
 	f.mutex.Unlock()
 	switch {
--- a/discovery/publication.go
+++ b/discovery/publication.go
@@ -12,7 +12,7 @@
 	"github.com/banksail/banksail/route"
 )
 
-// ErrStale: a publication is too old, or older than what is known already.
+// ErrStale is returned for a publication that is too old, or older than what is known already.
 var ErrStale = errors.New("discovery: publication is stale")
 
 // Mark names what a node published last: it changes with what is published.
--- a/discovery/source.go
+++ b/discovery/source.go
@@ -76,5 +76,5 @@
 	End(ctx context.Context) error
 }
 
-// ErrLeaseOver: the lease has ended.
+// ErrLeaseOver is returned for a lease that has ended.
 var ErrLeaseOver = errors.New("discovery: lease is over")
--- a/exchange/connection.go
+++ b/exchange/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -186,11 +187,8 @@
 }
 
 func isTransport(err error) bool {
-	if err == io.EOF || err == io.ErrUnexpectedEOF {
-		return true
-	}
-	_, network := err.(net.Error)
-	return network
+	var network net.Error
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &network)
 }
 
 func readBody(response *http.Response, most int64) ([]byte, error) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -15,7 +15,7 @@
 	"github.com/banksail/banksail/internal/httpcall"
 )
 
-// ErrUnavailable: the other node gave no usable answer.
+// ErrUnavailable is returned when the other node gave no usable answer.
 var ErrUnavailable = errors.New("relay: no usable answer")
 
 const (
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -122,9 +122,6 @@
 const (
 	// leastHedgeDelay is the shortest wait before a hedge.
 	leastHedgeDelay = 4 * time.Millisecond
-	// unknownHedgeShare is the part of the aim after which a route of which
-	// little is known hedges.
-	unknownHedgeShare = 0.25
 	// timeoutHedgeShare bounds the wait by the time-out of a route without aim.
 	timeoutHedgeShare = 0.1
 )
