--- /dev/null
+++ b/routing/budget_test.go
@@ -0,0 +1,107 @@
+package routing_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/banksail/banksail/gather"
+	"github.com/banksail/banksail/routing"
+)
+
+// arrival is one send to a service, by any node.
+type arrival struct {
+	at    time.Duration
+	extra bool
+}
+
+// worstExcess is the greatest number by which the extra sends of any window
+// exceed ratio times its requests and the fixed number.
+func worstExcess(arrivals []arrival, ratio, fixed float64, window time.Duration) float64 {
+	worst := -fixed
+	first, requests, extras := 0, 0, 0
+	for _, a := range arrivals {
+		if a.extra {
+			extras++
+		} else {
+			requests++
+		}
+		for arrivals[first].at <= a.at-window {
+			if arrivals[first].extra {
+				extras--
+			} else {
+				requests--
+			}
+			first++
+		}
+		worst = max(worst, float64(extras)-ratio*float64(requests)-fixed)
+	}
+	return worst
+}
+
+// Many nodes, each of whose requests would like a second server, keep the
+// budget together, though they know nothing of each other's spending, come,
+// restart, and get loads of their own.
+func TestBudgetHoldsOverManyNodes(t *testing.T) {
+	const (
+		ratio  = 0.2
+		fixed  = 56.0
+		window = 10 * time.Second
+		tick   = 50 * time.Millisecond
+	)
+	run := func(seed uint64, nodes, restarts int, perTick float64) bool {
+		random := rand.New(rand.NewPCG(seed, 1))
+		start := func(fresh bool) *world {
+			w := newWorld(t, routing.Options{
+				Seed: random.Uint64(), Fresh: fresh,
+				Budget: routing.BudgetOptions{Ratio: ratio, Fixed: fixed, Window: window},
+			})
+			w.setServers(servers(2, "s1"))
+			w.setTable(10_000, "s1")
+			w.step(routing.NodesChanged{Live: nodes})
+			return w
+		}
+		all := make([]*world, nodes)
+		offsets := make([]time.Duration, nodes)
+		for i := range all {
+			all[i] = start(false)
+		}
+		var arrivals []arrival
+		for now := time.Duration(0); now < 30*time.Second; now += tick {
+			for i, w := range all {
+				if restarts > 0 && random.Float64() < float64(restarts)/600/float64(nodes) {
+					all[i], offsets[i] = start(true), now
+					w = all[i]
+				}
+				load := random.IntN(int(2*perTick)+1) * random.IntN(2)
+				before := len(w.order)
+				for range load {
+					w.ask(single("s1", true))
+				}
+				w.pass(now + tick - offsets[i] - w.now)
+				seen := make(map[routing.RequestID]bool)
+				for _, send := range w.order[before:] {
+					arrivals = append(arrivals, arrival{at: now, extra: send.Kind != gather.FirstSend})
+					seen[send.Request] = true
+				}
+				for id := range seen {
+					for _, send := range w.open(id) {
+						w.end(send.Attempt, gather.ReplyError)
+					}
+				}
+			}
+		}
+		return worstExcess(arrivals, ratio, fixed, window) <= 0
+	}
+	parameters := gopter.DefaultTestParametersWithSeed(1)
+	parameters.MinSuccessfulTests = 12
+	properties := gopter.NewProperties(parameters)
+	properties.Property("extra sends stay within the budget", prop.ForAll(
+		run, gen.UInt64(), gen.IntRange(1, 12), gen.IntRange(0, 6), gen.Float64Range(0.5, 4),
+	))
+	properties.TestingRun(t)
+}
--- /dev/null
+++ b/routing/router_test.go
@@ -0,0 +1,251 @@
+package routing_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/banksail/banksail/discovery"
+	"github.com/banksail/banksail/gather"
+	"github.com/banksail/banksail/routing"
+)
+
+func TestEveryShardIsAskedOnce(t *testing.T) {
+	w := newWorld(t, routing.Options{})
+	w.setServers(servers(2, "s1", "s2", "s3"))
+	w.setTable(20, "s1", "s2", "s3")
+	id := w.ask(fanOut(0.5, "s1", "s2", "s3"))
+	open := w.open(id)
+	if len(open) != 3 {
+		t.Fatalf("%d sends", len(open))
+	}
+	for _, send := range open {
+		if send.Server.Zone != "a" {
+			t.Errorf("%s is not near", send.Server.ID)
+		}
+		w.end(send.Attempt, gather.ReplyDone)
+	}
+	got, finished := w.finished[id]
+	if !finished || got.Execution != gather.ExecutionDone || len(got.Parts) != 3 || got.Missing != 0 {
+		t.Fatalf("%+v", got)
+	}
+}
+
+func TestAnswerLeavesAtTheAim(t *testing.T) {
+	w := newWorld(t, routing.Options{})
+	w.setServers(servers(1, "s1", "s2"))
+	w.setTable(20, "s1", "s2")
+	id := w.ask(fanOut(0.5, "s1", "s2"))
+	w.end(w.open(id)[0].Attempt, gather.ReplyDone)
+	w.pass(testAim - 20*time.Millisecond)
+	if _, finished := w.finished[id]; finished {
+		t.Fatal("it stopped before its aim")
+	}
+	w.pass(20 * time.Millisecond)
+	got := w.finished[id]
+	if got.Execution != gather.ExecutionDone || got.Missing != 1 || len(got.Parts) != 1 {
+		t.Fatalf("%+v", got)
+	}
+}
+
+func TestTooLittleCoverageIsNoAnswer(t *testing.T) {
+	w := newWorld(t, routing.Options{})
+	w.setServers(servers(1, "s1", "s2"))
+	w.setTable(20, "s1", "s2")
+	id := w.ask(fanOut(0.9, "s1", "s2"))
+	open := w.open(id)
+	w.end(open[0].Attempt, gather.ReplyDone)
+	w.fail(open[1].Attempt, gather.DeliveryUnknown)
+	w.pass(2 * time.Second)
+	if got := w.finished[id]; got.Execution != gather.ExecutionPartial {
+		t.Fatalf("%+v", got)
+	}
+}
+
+// A request that may not be repeated goes on only while it certainly has not run.
+func TestNotRepeatable(t *testing.T) {
+	for name, test := range map[string]struct {
+		end    func(w *world, id gather.AttemptID)
+		sends  int
+		finish gather.Execution
+	}{
+		"shed":          {func(w *world, id gather.AttemptID) { w.end(id, gather.ReplyShed) }, 2, 0},
+		"not delivered": {func(w *world, id gather.AttemptID) { w.fail(id, gather.NotDelivered) }, 2, 0},
+		"lost":          {func(w *world, id gather.AttemptID) { w.fail(id, gather.DeliveryUnknown) }, 1, gather.ExecutionUnknown},
+		"failed":        {func(w *world, id gather.AttemptID) { w.end(id, gather.ReplyError) }, 1, gather.ExecutionUnknown},
+		"slow":          {func(w *world, _ gather.AttemptID) { w.pass(500 * time.Millisecond) }, 1, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, routing.Options{})
+			w.setServers(servers(3, "s1"))
+			w.setTable(20, "s1")
+			id := w.ask(single("s1", false))
+			test.end(w, w.open(id)[0].Attempt)
+			if len(w.order) != test.sends {
+				t.Errorf("%d sends, want %d", len(w.order), test.sends)
+			}
+			got, finished := w.finished[id]
+			if finished != (test.finish != 0) || finished && got.Execution != test.finish {
+				t.Errorf("finished %v %+v", finished, got)
+			}
+		})
+	}
+}
+
+// No part is sent to more servers than the route allows, whatever they answer.
+func TestNoMoreServersThanAllowed(t *testing.T) {
+	w := newWorld(t, routing.Options{})
+	w.setServers(servers(3, "s1"))
+	w.setTable(20, "s1")
+	id := w.ask(single("s1", true))
+	asked := make(map[string]bool)
+	for range 20 {
+		for _, send := range w.open(id) {
+			asked[send.Server.ID] = true
+			w.end(send.Attempt, gather.ReplyShed)
+		}
+		w.pass(50 * time.Millisecond)
+	}
+	if len(asked) != 2 {
+		t.Errorf("%d servers were asked, two are allowed", len(asked))
+	}
+	if got := w.finished[id]; got.Execution != gather.ExecutionNotRun || got.RetryAfter == 0 {
+		t.Errorf("%+v", got)
+	}
+}
+
+// An attempt that is late is evidence before it ends: the next requests go to
+// another server, and the slow one is tried again later by one of them.
+func TestLateAttemptsAreEvidence(t *testing.T) {
+	w := newWorld(t, routing.Options{})
+	w.setServers(servers(2, "s1"))
+	w.setTable(40, "s1")
+	r := single("s1", true)
+	w.warm(r, 5*time.Millisecond)
+	late := w.ask(r)
+	first := w.open(late)[0]
+	w.pass(40 * time.Millisecond)
+	w.end(w.open(late)[1].Attempt, gather.ReplyDone) // the hedge
+	for range 10 {
+		id := w.ask(r)
+		next := w.open(id)[0]
+		if next.Server.ID == first.Server.ID {
+			t.Fatalf("%s is asked although it is late", next.Server.ID)
+		}
+		w.pass(5 * time.Millisecond)
+		w.end(next.Attempt, gather.ReplyDone)
+	}
+	w.end(first.Attempt, gather.ReplyDone)
+	back := false
+	for range 40 {
+		w.pass(50 * time.Millisecond)
+		id := w.ask(r)
+		next := w.open(id)[0]
+		back = back || next.Server.ID == first.Server.ID
+		w.pass(5 * time.Millisecond)
+		for _, send := range w.open(id) {
+			w.end(send.Attempt, gather.ReplyDone)
+		}
+	}
+	if !back {
+		t.Error("the server that was slow is never asked again")
+	}
+}
+
+// A server to which no connection opens gets nothing until one does; a shard
+// without another server is given up at once.
+func TestServersThatCannotBeReached(t *testing.T) {
+	w := newWorld(t, routing.Options{})
+	w.setServers(servers(1, "s1", "s2"))
+	w.setTable(20, "s1", "s2")
+	r := fanOut(0.5, "s1", "s2")
+	id := w.ask(r)
+	open := w.open(id)
+	w.fail(open[0].Attempt, gather.NotDelivered)
+	if len(w.reached) != 1 || w.reached[0].ID != open[0].Server.ID {
+		t.Fatalf("to be reached: %v", w.reached)
+	}
+	w.end(open[1].Attempt, gather.ReplyDone)
+	if got := w.finished[id]; got.Missing != 1 {
+		t.Errorf("%+v", got)
+	}
+	if again := w.open(w.ask(r)); len(again) != 1 {
+		t.Errorf("%d sends while a server can't be reached", len(again))
+	}
+	w.step(routing.Reached{Server: open[0].Server.ID})
+	if again := w.open(w.ask(r)); len(again) != 2 {
+		t.Errorf("%d sends after it was reached", len(again))
+	}
+}
+
+func TestLeavingServersGetNothing(t *testing.T) {
+	w := newWorld(t, routing.Options{})
+	all := servers(2, "s1")
+	w.setServers(all)
+	w.setTable(20, "s1")
+	all[0].State = discovery.Draining
+	w.setServers(all)
+	for range 10 {
+		if got := w.open(w.ask(single("s1", true)))[0].Server.ID; got != all[1].ID {
+			t.Errorf("%s is asked", got)
+		}
+	}
+	w.setServers(nil)
+	id := w.ask(single("s1", true))
+	if got := w.finished[id]; got.Execution != gather.ExecutionNotRun || got.Reason != gather.ReasonNoServer {
+		t.Errorf("%+v", got)
+	}
+}
+
+// A node holds no more attempts at a server than its share of the connections;
+// what waits goes by priority, and what is late goes last.
+func TestPartsThatWaitGoByPriority(t *testing.T) {
+	w := newWorld(t, routing.Options{})
+	w.setServers(servers(1, "s1"))
+	w.setTable(2, "s1") // a share of one
+	slow, urgent, usual := single("s1", true), single("s1", true), single("s1", true)
+	slow.Priority, urgent.Priority, usual.Priority = 2, 0, 1
+	running := w.ask(slow)
+	second, first := w.ask(usual), w.ask(urgent)
+	if len(w.order) != 1 {
+		t.Fatalf("%d sends over a share of one", len(w.order))
+	}
+	w.end(w.open(running)[0].Attempt, gather.ReplyDone)
+	if len(w.open(first)) != 1 || len(w.open(second)) != 0 {
+		t.Error("the urgent one does not go first")
+	}
+}
+
+func TestCrowdedRequestsAreRefusedAtOnce(t *testing.T) {
+	w := newWorld(t, routing.Options{})
+	w.setServers(servers(1, "s1"))
+	w.setTable(2, "s1")
+	r := single("s1", true)
+	w.warm(r, 20*time.Millisecond)
+	refused := 0
+	for range 20 {
+		id := w.ask(r)
+		if got, finished := w.finished[id]; finished {
+			refused++
+			if got.Execution != gather.ExecutionNotRun || got.RetryAfter == 0 {
+				t.Fatalf("%+v", got)
+			}
+		}
+	}
+	if refused < 14 || refused > 19 {
+		t.Errorf("%d of 20 requests are refused where about four fit in their aim", refused)
+	}
+}
+
+func TestCallerGoneCancels(t *testing.T) {
+	w := newWorld(t, routing.Options{})
+	w.setServers(servers(1, "s1"))
+	w.setTable(20, "s1")
+	id := w.ask(single("s1", true))
+	w.step(routing.CallerGone{Request: id})
+	if got := w.finished[id]; got.Reason != gather.ReasonCallerGone {
+		t.Errorf("%+v", got)
+	}
+	if w.router.Running() != 0 {
+		t.Error("it still runs")
+	}
+}
