--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -59,13 +59,8 @@
 	Table *route.Table
 }
 
-// equal reports whether others need not be told of the difference: a server's
-// warm-up counts down by itself.
+// equal reports whether others need not be told of the difference.
 func (n News) equal(other News) bool {
-	alike := func(a, b Server) bool {
-		a.ColdFor, b.ColdFor = 0, 0
-		return a == b
-	}
 	return n.Table == other.Table && slices.Equal(n.Nodes, other.Nodes) && slices.EqualFunc(n.Servers, other.Servers, alike)
 }
 
@@ -99,12 +94,11 @@
 	listed   bool
 	table    *route.Table
 	failures int
-	// published is what others were told last, of which generation counts the
-	// changes.
-	published  News
-	generation uint64
-	// marks holds what was last believed of a reader; only reading uses it.
-	marks map[string]Mark
+	// published is what others are told, and history what changed in it of late.
+	published News
+	history   history
+	// mark is of the publication that was believed last; only reading uses it.
+	mark Mark
 }
 
 // NewFollower returns a follower that knows nothing.
@@ -272,8 +266,8 @@
 	}
 	news := News{Servers: f.view.Servers(), Nodes: f.view.Nodes(), Table: f.table}
 	if !news.equal(f.published) {
+		f.history.add(f.published, news)
 		f.published = news
-		f.generation++
 	}
 	f.mutex.Unlock()
 	f.options.Changed(news)
--- /dev/null
+++ b/discovery/history.go
@@ -0,0 +1,82 @@
+package discovery
+
+import "slices"
+
+// historyLength is the number of generations of which changes are kept.
+const historyLength = 64
+
+// history keeps what changed of late in what a node believes.
+type history struct {
+	// latest is the newest generation; zero is before the first.
+	latest  uint64
+	changes []generationChanges // of the last generations, in order
+}
+
+// generationChanges is what one generation changed. All entries that it names
+// are looked up in what is believed when it is told.
+type generationChanges struct {
+	servers, nodes         []string
+	goneServers, goneNodes []string
+	table                  bool
+}
+
+// add takes the next generation.
+func (h *history) add(before, after News) {
+	h.latest++
+	changed := generationChanges{table: before.Table != after.Table}
+	changed.servers, changed.goneServers = difference(before.Servers, after.Servers, Server.key, alike)
+	changed.nodes, changed.goneNodes = difference(before.Nodes, after.Nodes, Node.key, func(a, b Node) bool { return a == b })
+	h.changes = append(h.changes, changed)
+	if len(h.changes) > historyLength {
+		h.changes = slices.Delete(h.changes, 0, 1)
+	}
+}
+
+func (s Server) key() string { return s.ID }
+
+func (n Node) key() string { return n.ID }
+
+// alike reports whether others need not be told of the difference of two
+// servers: a warm-up counts down by itself.
+func alike(a, b Server) bool {
+	a.ColdFor, b.ColdFor = 0, 0
+	return a == b
+}
+
+// difference lists the IDs of what is new or changed, and of what went.
+func difference[T any](before, after []T, key func(T) string, same func(a, b T) bool) (changed, gone []string) {
+	old := make(map[string]T, len(before))
+	for _, one := range before {
+		old[key(one)] = one
+	}
+	for _, one := range after {
+		known, was := old[key(one)]
+		if !was || !same(known, one) {
+			changed = append(changed, key(one))
+		}
+		delete(old, key(one))
+	}
+	for id := range old {
+		gone = append(gone, id)
+	}
+	slices.Sort(gone)
+	return changed, gone
+}
+
+// covers reports whether all changes after the generation are kept.
+func (h *history) covers(generation uint64) bool {
+	return generation > 0 && generation <= h.latest && h.latest-generation <= uint64(len(h.changes))
+}
+
+// after tells which entries changed after the generation; the history covers it.
+func (h *history) after(generation uint64) generationChanges {
+	var all generationChanges
+	for _, one := range h.changes[uint64(len(h.changes))-(h.latest-generation):] {
+		all.servers = append(all.servers, one.servers...)
+		all.nodes = append(all.nodes, one.nodes...)
+		all.goneServers = append(all.goneServers, one.goneServers...)
+		all.goneNodes = append(all.goneNodes, one.goneNodes...)
+		all.table = all.table || one.table
+	}
+	return all
+}
--- a/discovery/publication.go
+++ b/discovery/publication.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -26,32 +27,71 @@
 // Publication is what a node that reads the registry believes.
 type Publication struct {
 	Mark
+	// Since is the generation after which the publication tells what changed;
+	// zero means that it is whole.
+	Since uint64 `json:"since,omitempty"`
 	// Revision is the registry's, up to which the publisher has read.
 	Revision Revision `json:"revision"`
 	// Age is how old the belief was when it was published.
 	Age time.Duration `json:"age_ns"`
-	// Unchanged says that the reader has it already; the rest is empty then.
-	Unchanged bool              `json:"unchanged,omitempty"`
-	Servers   []Server          `json:"servers,omitempty"`
-	Nodes     []Node            `json:"nodes,omitempty"`
-	Table     *route.Definition `json:"table,omitempty"`
+	// Servers and Nodes are those that are there, or those that changed; GoneServers
+	// and GoneNodes name those that went since.
+	Servers     []Server `json:"servers,omitempty"`
+	Nodes       []Node   `json:"nodes,omitempty"`
+	GoneServers []string `json:"gone_servers,omitempty"`
+	GoneNodes   []string `json:"gone_nodes,omitempty"`
+	// Table is missing in a publication of changes when it is the same.
+	Table *route.Definition `json:"table,omitempty"`
 }
 
 // Publishers asks other nodes for what they believe.
 type Publishers interface {
-	// Ask returns what the node at the address believes; Unchanged if that is
-	// what known marks.
+	// Ask returns what the node at the address believes: what changed since
+	// known, if the node still knows, and else the whole.
 	Ask(ctx context.Context, address string, known Mark) (Publication, error)
 }
 
-// readersOf returns the nodes that read the registry for all, the first choice
-// first. All nodes that see the same members choose the same.
-func readersOf(nodes []Node, count int) []Node {
+// nodesPerReader is the number of nodes that one reader of the registry tells.
+const nodesPerReader = 50
+
+// publishersTried bounds the readers that are asked for one reading.
+const publishersTried = 2
+
+// hashOf orders nodes alike everywhere.
+func hashOf(parts ...string) uint64 { return xxhash.Sum64String(strings.Join(parts, "\x00")) }
+
+// readersOf returns the nodes that read the registry, one for so many nodes, but
+// two at least, and one that does so only while the other is not there. All nodes
+// that see the same members choose the same.
+func readersOf(nodes []Node) []Node {
 	ranked := slices.DeleteFunc(slices.Clone(nodes), func(n Node) bool { return n.Leaving || n.Peer == "" })
 	slices.SortFunc(ranked, func(a, b Node) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(hashOf(a.ID), hashOf(b.ID)), cmp.Compare(a.ID, b.ID))
 	})
-	return ranked[:min(len(ranked), count)]
+	count := (len(ranked) + nodesPerReader - 1) / nodesPerReader
+	return ranked[:min(len(ranked), count+1)]
+}
+
+// readersFor returns the readers that a node asks, the first choice first; none
+// when it reads the registry itself. The last of the readers is a reserve, which
+// asks as the others do and reads when it finds no reader.
+func readersFor(self string, nodes []Node) []Node {
+	readers := readersOf(nodes)
+	active := readers[:max(len(readers)-1, 0)]
+	if len(readers) == 1 {
+		active = readers
+	}
+	for _, reader := range active {
+		if reader.ID == self {
+			return nil
+		}
+	}
+	asked := slices.Clone(active)
+	slices.SortFunc(asked, func(a, b Node) int { return cmp.Compare(hashOf(self, a.ID), hashOf(self, b.ID)) })
+	if len(asked) == 1 && len(readers) == 2 && readers[1].ID != self {
+		asked = append(asked, readers[1])
+	}
+	return asked[:min(len(asked), publishersTried)]
 }
 
 // Publish tells what the follower believes; it implements what Publishers ask.
@@ -63,38 +103,66 @@
 	if !heard || f.table == nil {
 		return Publication{}, false
 	}
-	publication = Publication{
-		Mark:     Mark{Publisher: f.options.Self, Generation: f.generation},
-		Revision: f.revision,
-		Age:      age,
+	if known.Publisher == f.options.Self && f.history.covers(known.Generation) {
+		publication = f.changesAfter(known.Generation)
+	} else {
+		definition := f.table.Definition()
+		publication = Publication{Servers: f.published.Servers, Nodes: f.published.Nodes, Table: &definition}
 	}
-	if publication.Mark == known {
-		publication.Unchanged = true
-		return publication, true
-	}
-	definition := f.table.Definition()
-	publication.Servers, publication.Nodes, publication.Table = f.view.Servers(), f.view.Nodes(), &definition
+	publication.Mark = Mark{Publisher: f.options.Self, Generation: f.history.latest}
+	publication.Revision = f.revision
+	publication.Age = age
 	return publication, true
 }
 
-// publishersTried bounds the readers that are asked for one reading.
-const publishersTried = 2
+// changesAfter tells what changed after a generation, as it is now. The lock is held.
+func (f *Follower) changesAfter(generation uint64) Publication {
+	changed := f.history.after(generation)
+	publication := Publication{Since: generation}
+	publication.Servers, publication.GoneServers = f.published.pickServers(changed)
+	publication.Nodes, publication.GoneNodes = f.published.pickNodes(changed)
+	if changed.table {
+		definition := f.table.Definition()
+		publication.Table = &definition
+	}
+	return publication
+}
+
+// pickServers looks up the servers that changed; those that are not there went.
+func (n News) pickServers(changed generationChanges) (servers []Server, gone []string) {
+	return pick(n.Servers, Server.key, changed.servers, changed.goneServers)
+}
+
+func (n News) pickNodes(changed generationChanges) (nodes []Node, gone []string) {
+	return pick(n.Nodes, Node.key, changed.nodes, changed.goneNodes)
+}
+
+func pick[T any](all []T, key func(T) string, changed, went []string) (found []T, gone []string) {
+	wanted := slices.Concat(changed, went)
+	slices.Sort(wanted)
+	for _, id := range slices.Compact(wanted) {
+		place, there := slices.BinarySearchFunc(all, id, func(one T, id string) int { return cmp.Compare(key(one), id) })
+		if there {
+			found = append(found, all[place])
+		} else {
+			gone = append(gone, id)
+		}
+	}
+	return found, gone
+}
 
 // relayed takes in what a reader of the registry believes. It fails when this
-// node is the first reader itself, or none of the readers has a fresh belief.
+// node is a reader itself, or none of the readers has a fresh belief.
 func (f *Follower) relayed(ctx context.Context) error {
 	if f.options.Publishers == nil || !f.listed {
 		return ErrUnavailable
 	}
-	for _, reader := range readersOf(f.Nodes(), publishersTried) {
-		if reader.ID == f.options.Self {
-			return ErrUnavailable
-		}
+	for _, reader := range readersFor(f.options.Self, f.Nodes()) {
 		asking, cancel := context.WithTimeout(ctx, f.options.PublisherTimeout)
-		publication, err := f.options.Publishers.Ask(asking, reader.Peer, f.marks[reader.ID])
+		publication, err := f.options.Publishers.Ask(asking, reader.Peer, f.mark)
 		cancel()
 		if err == nil {
-			err = f.takePublication(reader.ID, publication)
+			err = f.takePublication(publication)
 		}
 		if err == nil {
 			return nil
@@ -105,44 +173,52 @@
 }
 
 // takePublication believes what a reader does, unless that is too old.
-func (f *Follower) takePublication(reader string, publication Publication) error {
+func (f *Follower) takePublication(publication Publication) error {
 	f.mutex.Lock()
-	if publication.Age > f.options.StaleAfter || publication.Revision < f.revision {
-		f.mutex.Unlock()
-		return ErrStale
-	}
+	stale := publication.Age > f.options.StaleAfter || publication.Revision < f.revision ||
+		publication.Since > 0 && (publication.Publisher != f.mark.Publisher || publication.Since != f.mark.Generation)
 	heardAt := f.now() - publication.Age
-	f.revision = publication.Revision
-	if publication.Unchanged && f.marks[reader] == publication.Mark {
-		f.view.Heard(heardAt)
-		f.mutex.Unlock()
-		return nil
-	}
 	f.mutex.Unlock()
-	return f.adopt(reader, heardAt, publication)
-}
-
-// adopt replaces what is believed by a whole publication.
-func (f *Follower) adopt(reader string, heardAt time.Duration, publication Publication) error {
-	if publication.Unchanged || publication.Table == nil {
+	if stale {
+		f.mark = Mark{}
 		return ErrStale
 	}
-	table, err := route.New(*publication.Table)
+	changes, err := publication.changes()
 	if err != nil {
 		return err
 	}
-	changes := Changes{Revision: publication.Revision, Table: table}
-	for _, server := range publication.Servers {
-		changes.Servers = append(changes.Servers, Entry[Server]{ID: server.ID, Revision: publication.Revision, Value: server})
-	}
-	for _, node := range publication.Nodes {
-		changes.Nodes = append(changes.Nodes, Entry[Node]{ID: node.ID, Revision: publication.Revision, Value: node})
+	if publication.Since == 0 {
+		f.mutex.Lock()
+		f.view.RetainServers(heardAt, listedIDs(changes.Servers, nil), publication.Revision)
+		f.view.RetainNodes(heardAt, listedIDs(changes.Nodes, nil), publication.Revision)
+		f.mutex.Unlock()
 	}
-	f.mutex.Lock()
-	f.view.RetainServers(heardAt, listedIDs(changes.Servers, nil), publication.Revision)
-	f.view.RetainNodes(heardAt, listedIDs(changes.Nodes, nil), publication.Revision)
-	f.marks = map[string]Mark{reader: publication.Mark}
-	f.mutex.Unlock()
+	f.mark = publication.Mark
 	f.take(heardAt, changes)
 	return nil
 }
+
+// changes are what a publication tells, as of its revision.
+func (p Publication) changes() (Changes, error) {
+	changes := Changes{Revision: p.Revision}
+	if p.Table != nil {
+		table, err := route.New(*p.Table)
+		if err != nil {
+			return Changes{}, err
+		}
+		changes.Table = table
+	}
+	for _, server := range p.Servers {
+		changes.Servers = append(changes.Servers, Entry[Server]{ID: server.ID, Revision: p.Revision, Value: server})
+	}
+	for _, node := range p.Nodes {
+		changes.Nodes = append(changes.Nodes, Entry[Node]{ID: node.ID, Revision: p.Revision, Value: node})
+	}
+	for _, id := range p.GoneServers {
+		changes.Servers = append(changes.Servers, Entry[Server]{ID: id, Revision: p.Revision, Gone: true})
+	}
+	for _, id := range p.GoneNodes {
+		changes.Nodes = append(changes.Nodes, Entry[Node]{ID: id, Revision: p.Revision, Gone: true})
+	}
+	return changes, nil
+}
--- /dev/null
+++ b/discovery/relay_test.go
@@ -0,0 +1,262 @@
+package discovery_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/banksail/banksail/discovery"
+	"github.com/banksail/banksail/route"
+)
+
+// registry is a Source in memory that counts its readings.
+type registry struct {
+	t        *testing.T
+	mutex    sync.Mutex
+	revision discovery.Revision
+	events   discovery.Changes
+	readings int
+	down     bool
+}
+
+func (r *registry) List(context.Context) (discovery.Listing, error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.readings++
+	if r.down {
+		return discovery.Listing{}, discovery.ErrUnavailable
+	}
+	all := r.after(0)
+	var listing discovery.Listing
+	listing.Revision, listing.Table = all.Revision, all.Table
+	for _, e := range latest(all.Servers) {
+		listing.Servers = append(listing.Servers, e)
+	}
+	for _, e := range latest(all.Nodes) {
+		listing.Nodes = append(listing.Nodes, e)
+	}
+	return listing, nil
+}
+
+func latest[T any](entries []discovery.Entry[T]) map[string]discovery.Entry[T] {
+	kept := make(map[string]discovery.Entry[T])
+	for _, e := range entries {
+		if e.Gone {
+			delete(kept, e.ID)
+		} else {
+			kept[e.ID] = e
+		}
+	}
+	return kept
+}
+
+func (r *registry) Changes(_ context.Context, after discovery.Revision, wait time.Duration) (discovery.Changes, error) {
+	time.Sleep(wait / 10)
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.readings++
+	if r.down {
+		return discovery.Changes{}, discovery.ErrUnavailable
+	}
+	return r.after(after), nil
+}
+
+func (r *registry) after(revision discovery.Revision) discovery.Changes {
+	told := discovery.Changes{Revision: r.revision, Table: r.events.Table}
+	for _, e := range r.events.Servers {
+		if e.Revision > revision {
+			told.Servers = append(told.Servers, e)
+		}
+	}
+	for _, e := range r.events.Nodes {
+		if e.Revision > revision {
+			told.Nodes = append(told.Nodes, e)
+		}
+	}
+	return told
+}
+
+func (r *registry) putServer(server discovery.Server, gone bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.revision++
+	r.events.Servers = append(r.events.Servers, discovery.Entry[discovery.Server]{ID: server.ID, Revision: r.revision, Gone: gone, Value: server})
+}
+
+func (r *registry) putNode(node discovery.Node) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.revision++
+	r.events.Nodes = append(r.events.Nodes, discovery.Entry[discovery.Node]{ID: node.ID, Revision: r.revision, Value: node})
+}
+
+func (r *registry) putTable(version uint64) {
+	table, err := route.New(route.Definition{Version: version, Limits: route.Limits{HeaderBytes: 1, HeaderTimeout: 1, IdleTimeout: 1}})
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.revision++
+	r.events.Table = table
+}
+
+// network finds followers by their address.
+type network struct {
+	mutex     sync.Mutex
+	followers map[string]*discovery.Follower
+	silent    map[string]bool
+}
+
+func (n *network) Ask(ctx context.Context, address string, known discovery.Mark) (discovery.Publication, error) {
+	n.mutex.Lock()
+	asked, silent := n.followers[address], n.silent[address]
+	n.mutex.Unlock()
+	if asked == nil || silent {
+		<-ctx.Done()
+		return discovery.Publication{}, ctx.Err()
+	}
+	publication, ok := asked.Publish(known)
+	if !ok {
+		return discovery.Publication{}, discovery.ErrUnavailable
+	}
+	return publication, nil
+}
+
+// relayWorld is a registry with followers.
+type relayWorld struct {
+	registry *registry
+	network  *network
+	news     []discovery.News
+	stop     context.CancelFunc
+	loops    sync.WaitGroup
+	mutex    sync.Mutex
+}
+
+func startRelay(t *testing.T, count int) *relayWorld {
+	w := &relayWorld{
+		registry: &registry{t: t},
+		network:  &network{followers: make(map[string]*discovery.Follower), silent: make(map[string]bool)},
+		news:     make([]discovery.News, count),
+	}
+	w.registry.putTable(1)
+	for number := range count {
+		id := fmt.Sprintf("node-%02d", number)
+		w.registry.putNode(discovery.Node{ID: id, Address: id, Peer: id})
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	w.stop = stop
+	for number := range count {
+		id := fmt.Sprintf("node-%02d", number)
+		follower := discovery.NewFollower(discovery.FollowerOptions{
+			Source: w.registry, Self: id, Publishers: w.network, Logger: zerolog.Nop(), Pace: 1800 * time.Millisecond,
+			Changed: func(news discovery.News) {
+				w.mutex.Lock()
+				defer w.mutex.Unlock()
+				w.news[number] = news
+			},
+		})
+		w.network.followers[id] = follower
+		w.loops.Go(func() { follower.Run(ctx) })
+	}
+	time.Sleep(3 * time.Second)
+	return w
+}
+
+// wantAlike wants all followers to believe the same servers and version, but for some.
+func (w *relayWorld) wantAlike(t *testing.T, when string) {
+	t.Helper()
+	w.registry.mutex.Lock()
+	want := make(map[string]discovery.Server)
+	for id, e := range latest(w.registry.events.Servers) {
+		want[id] = e.Value
+	}
+	version := w.registry.events.Table.Version
+	w.registry.mutex.Unlock()
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for number, news := range w.news {
+		got := make(map[string]discovery.Server)
+		for _, server := range news.Servers {
+			got[server.ID] = server
+		}
+		if !reflect.DeepEqual(got, want) || news.Table == nil || news.Table.Version != version {
+			t.Fatalf("%s: node %d believes %d servers, want %d", when, number, len(got), len(want))
+		}
+	}
+}
+
+// Whatever changes, all nodes believe it within the bound, from one reader.
+func TestNodesBelieveWhatTheReaderDoes(t *testing.T) {
+	for seed := range uint64(8) {
+		synctest.Test(t, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 0))
+			w := startRelay(t, 6)
+			version := uint64(1)
+			for round := range 30 {
+				for range random.IntN(12) {
+					server := discovery.Server{ID: fmt.Sprintf("s%d", random.IntN(30)), Service: "x", Address: "y", State: discovery.State(random.IntN(2))}
+					w.registry.putServer(server, random.IntN(4) == 0)
+					if random.IntN(5) == 0 {
+						time.Sleep(time.Duration(random.IntN(500)) * time.Millisecond)
+					}
+				}
+				if random.IntN(4) == 0 {
+					version += uint64(1 + random.IntN(3))
+					w.registry.putTable(version)
+				}
+				time.Sleep(3 * time.Second)
+				w.wantAlike(t, fmt.Sprintf("seed %d round %d", seed, round))
+			}
+			before := w.registry.readings
+			time.Sleep(10 * time.Second)
+			if readings := w.registry.readings - before; readings > 12 {
+				t.Errorf("%d readings in 10 s by six nodes", readings)
+			}
+			w.stop()
+			w.loops.Wait()
+		})
+	}
+}
+
+// While a reader is silent, another reads; nobody goes back to what was before.
+func TestSilentReaders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := startRelay(t, 4)
+		for victim := range 4 {
+			id := fmt.Sprintf("node-%02d", victim)
+			w.network.mutex.Lock()
+			w.network.silent[id] = true
+			w.network.mutex.Unlock()
+			w.registry.putServer(discovery.Server{ID: fmt.Sprintf("new-%d", victim), Service: "x"}, false)
+			time.Sleep(3 * time.Second)
+			w.wantAlike(t, id+" is silent")
+			w.network.mutex.Lock()
+			w.network.silent[id] = false
+			w.network.mutex.Unlock()
+		}
+		w.stop()
+		w.loops.Wait()
+	})
+}
+
+// A few readers are enough for many nodes.
+func TestReadersGrowSlowly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := startRelay(t, 120)
+		before := w.registry.readings
+		time.Sleep(10 * time.Second)
+		if readings := w.registry.readings - before; readings > 40 {
+			t.Errorf("%d readings in 10 s by 120 nodes", readings)
+		}
+		w.stop()
+		w.loops.Wait()
+	})
+}
