--- a/exchange/client.go
+++ b/exchange/client.go
@@ -198,14 +198,15 @@
 }
 
 // Retain closes the idle connections to servers that are not listed, and those
-// of the others that rested too long or were closed by the server.
-func (c *Client) Retain(listed map[string]struct{}) {
-	for _, conn := range c.takeStale(listed) {
+// of the others that rested too long or were closed by the server. Of those that
+// rest beyond the surplus time it keeps so many to a server.
+func (c *Client) Retain(listed map[string]struct{}, resting int) {
+	for _, conn := range c.takeStale(listed, resting) {
 		conn.close()
 	}
 }
 
-func (c *Client) takeStale(listed map[string]struct{}) []*connection {
+func (c *Client) takeStale(listed map[string]struct{}, resting int) []*connection {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	now := time.Now()
@@ -215,7 +216,7 @@
 		p.closed = !kept
 		keep := p.idle[:0]
 		for place, conn := range p.idle {
-			if surplus := len(p.idle) - place; surplus > 1 && now.Sub(conn.idleSince) > c.options.SurplusTime {
+			if surplus := len(p.idle) - place; surplus > resting && now.Sub(conn.idleSince) > c.options.SurplusTime {
 				stale = append(stale, conn)
 				continue
 			}
--- a/front/node.go
+++ b/front/node.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +20,7 @@
 	"github.com/banksail/banksail/exchange"
 	"github.com/banksail/banksail/gateway"
 	"github.com/banksail/banksail/relay"
+	"github.com/banksail/banksail/route"
 	"github.com/banksail/banksail/routing"
 )
 
@@ -64,6 +67,8 @@
 	tend  chan struct{}
 	// presence tells where the servers stand; nil until it is known.
 	presence atomic.Pointer[directory.Presence]
+	// serving are the nodes to which callers are sent; nil until it is known.
+	serving atomic.Pointer[[]discovery.Node]
 	// relay asks the nodes that read the registry; nil when this node has no
 	// address for other nodes.
 	relay *relay.Client
@@ -152,7 +157,7 @@
 
 // changed takes what the follower believes.
 func (f *Front) changed(news discovery.News) {
-	f.gateway.SetNodes(max(len(news.Nodes), 1))
+	f.gateway.SetNodes(f.nodesOf(news))
 	f.gateway.SetServers(news.Servers)
 	f.presence.Store(presenceOf(news))
 	if news.Table == nil {
@@ -165,6 +170,33 @@
 	f.knows.Store(true)
 }
 
+// nodesOf tells how many nodes there are, and which of them serve callers.
+func (f *Front) nodesOf(news discovery.News) routing.NodesChanged {
+	serving := directory.Serving(news.Nodes, leastConnections(news.Table))
+	serves := slices.ContainsFunc(serving, func(n discovery.Node) bool { return n.ID == f.self.ID })
+	f.serving.Store(&serving)
+	return routing.NodesChanged{
+		Live:    max(len(news.Nodes), 1),
+		Serving: max(len(serving), 1),
+		Serves:  serves || len(serving) == len(news.Nodes),
+	}
+}
+
+// connectionsCounted is the part of a server's connections that may be held.
+const connectionsCounted = 0.8
+
+// leastConnections is the least number that a server of a service in use takes.
+func leastConnections(table *route.Table) int {
+	if table == nil {
+		return math.MaxInt
+	}
+	least := math.MaxInt
+	for _, name := range table.UsedServices() {
+		least = min(least, int(float64(table.Services[name].Connections)*connectionsCounted))
+	}
+	return least
+}
+
 // presenceOf tells which part of the services in use each zone has a server of.
 func presenceOf(news discovery.News) *directory.Presence {
 	presence := make(directory.Presence)
@@ -201,11 +233,16 @@
 
 // Addresses implements Node. The node itself counts as live as long as it answers.
 func (f *Front) Addresses(caller directory.Caller, most int) ([]string, time.Duration) {
-	nodes := f.follower.Nodes()
+	var nodes []discovery.Node
+	if serving := f.serving.Load(); serving != nil {
+		nodes = *serving
+	}
 	seen := make(map[string]struct{}, len(nodes)+1)
-	kept := nodes[:0]
+	kept := make([]discovery.Node, 0, len(nodes)+1)
+	serves := len(nodes) == 0
 	for _, node := range nodes {
 		if node.Address == f.self.Address {
+			serves = true
 			continue
 		}
 		if _, twice := seen[node.Address]; !twice {
@@ -215,7 +252,7 @@
 	}
 	self := f.self
 	self.Leaving = f.leaving.Load()
-	if f.knows.Load() || len(kept) == 0 {
+	if serves && f.knows.Load() || len(kept) == 0 {
 		kept = append(kept, self)
 	}
 	var presence directory.Presence
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,6 +71,7 @@
 	// draining says that connections are to end with their next answer.
 	draining atomic.Bool
 	held     atomic.Int64
+	serves   atomic.Bool
 	counters *counters
 
 	mutex sync.Mutex
@@ -83,6 +84,8 @@
 	lastRequest routing.RequestID
 	wake        *time.Timer
 	servers     map[string]discovery.Server
+	// wantedUntil is until when a connection to a server is kept ready.
+	wantedUntil map[string]time.Duration
 
 	// background ends with the gateway; loops counts what runs until then. loops
 	// grows only under mutex and before background ends.
@@ -126,6 +129,8 @@
 		router:   routing.New(0, options.Routing),
 		pending:  make(map[routing.RequestID]*pendingRequest),
 		attempts: make(map[gather.AttemptID]*runningAttempt),
+
+		wantedUntil: make(map[string]time.Duration),
 	}
 }
 
@@ -155,14 +160,39 @@
 	}
 	g.mutex.Lock()
 	if !maps.Equal(byID, g.servers) {
+		g.want(byID)
 		g.servers = byID
 		g.stepLocked(routing.ServersChanged{Servers: servers})
 	}
 	g.mutex.Unlock()
 }
 
-// SetNodes tells how many nodes are live, this one included.
-func (g *Gateway) SetNodes(live int) { g.step(routing.NodesChanged{Live: live}) }
+// wantedFor is how long a connection to a server is kept ready after it was
+// used, or after the server came: one that is seldom used would only be opened
+// again and again as the server closes it.
+const wantedFor = 15 * time.Second
+
+// want keeps a connection ready to the servers that came, and forgets those that
+// went. The caller holds the mutex.
+func (g *Gateway) want(servers map[string]discovery.Server) {
+	for id := range servers {
+		if _, known := g.servers[id]; !known {
+			g.wantedUntil[id] = g.now() + wantedFor
+		}
+	}
+	for id := range g.wantedUntil {
+		if _, listed := servers[id]; !listed {
+			delete(g.wantedUntil, id)
+		}
+	}
+}
+
+// SetNodes tells of the nodes that are live. One to which no callers are sent
+// keeps no connections that rest.
+func (g *Gateway) SetNodes(nodes routing.NodesChanged) {
+	g.serves.Store(nodes.Serves)
+	g.step(nodes)
+}
 
 // Drain makes every connection end with its next answer.
 func (g *Gateway) Drain() { g.draining.Store(true) }
@@ -189,20 +219,21 @@
 			listed[id] = struct{}{}
 		}
 	}
-	g.client.Retain(listed)
 	table := g.table.Load()
-	if table == nil {
+	if table == nil || !g.serves.Load() {
+		g.client.Retain(listed, 0)
 		return
 	}
+	g.client.Retain(listed, 1)
 	used := make(map[string]struct{})
 	for _, name := range table.UsedServices() {
 		used[name] = struct{}{}
 	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
 	for id := range listed {
-		if _, wanted := used[servers[id].Service]; wanted {
-			g.mutex.Lock()
+		if _, inUse := used[servers[id].Service]; inUse && g.wantedUntil[id] > g.now() {
 			g.run(func() { g.warm(servers[id]) })
-			g.mutex.Unlock()
 		}
 	}
 }
@@ -292,6 +323,7 @@
 	asked := g.pending[action.Request]
 	ctx, cancel := context.WithCancel(context.Background())
 	g.attempts[action.Attempt] = &runningAttempt{cancel: cancel}
+	g.wantedUntil[action.Server.ID] = g.now() + wantedFor
 	g.counters.sent(action.Kind)
 	go g.carry(ctx, cancel, asked, action)
 }
--- a/routing/budget_test.go
+++ b/routing/budget_test.go
@@ -68,7 +68,7 @@
 			}
 			w.setServers(roomy)
 			w.setTable(10_000, "s1")
-			w.step(routing.NodesChanged{Live: nodes})
+			w.step(routing.NodesChanged{Live: nodes, Serving: nodes, Serves: true})
 			return w
 		}
 		all := make([]*world, nodes)
--- a/routing/event.go
+++ b/routing/event.go
@@ -71,9 +71,14 @@
 // TableChanged gives the table that is in force, for the bounds of its services.
 type TableChanged struct{ Table *route.Table }
 
-// NodesChanged tells how many nodes are live, this one included. They share
-// each server's connections and each service's budget.
-type NodesChanged struct{ Live int }
+// NodesChanged tells how many nodes are live, this one included, and to how many
+// of them callers are sent. Those share each server's connections and most of
+// each service's budget.
+type NodesChanged struct {
+	Live, Serving int
+	// Serves says that callers are sent to this node.
+	Serves bool
+}
 
 func (Arrived) event()        {}
 func (CallerGone) event()     {}
--- a/routing/router.go
+++ b/routing/router.go
@@ -21,7 +21,7 @@
 	startedAt time.Duration
 	actions   []Action
 
-	nodes     int
+	nodes     NodesChanged
 	services  map[string]*service
 	servers   map[string]*server
 	latencies map[string]*latencies
@@ -89,7 +89,7 @@
 	case TableChanged:
 		r.tableChanged(event.Table)
 	case NodesChanged:
-		r.nodes = event.Live
+		r.nodes = event
 	}
 	r.expire()
 	r.wake()
--- a/routing/service.go
+++ b/routing/service.go
@@ -103,15 +103,27 @@
 		return 1
 	}
 	usable := float64(s.connections) * (1 - r.options.SpareConnections)
-	return max(int(usable/float64(max(r.nodes, 1))), 1)
+	return max(int(usable/float64(max(r.nodes.Serving, 1))), 1)
 }
 
+// otherNodesShare is the part of a budget's fixed number that the nodes share
+// to which callers are not sent.
+const otherNodesShare = 0.15
+
 // fixedShare is the node's part of each budget's fixed number.
 func (r *Router) fixedShare() float64 {
-	if r.nodes == 0 || r.options.Fresh && r.now < r.startedAt+r.options.Budget.Window {
+	if r.nodes.Live == 0 || r.nodes.Serving == 0 || r.options.Fresh && r.now < r.startedAt+r.options.Budget.Window {
 		return 0
 	}
-	return r.options.Budget.Fixed / float64(r.nodes)
+	others := r.nodes.Live - r.nodes.Serving
+	switch {
+	case others == 0:
+		return r.options.Budget.Fixed / float64(r.nodes.Live)
+	case r.nodes.Serves:
+		return r.options.Budget.Fixed * (1 - otherNodesShare) / float64(r.nodes.Serving)
+	default:
+		return r.options.Budget.Fixed * otherNodesShare / float64(others)
+	}
 }
 
 // mayExtra reports whether one more extra send to the service is allowed.
--- a/routing/world_test.go
+++ b/routing/world_test.go
@@ -37,7 +37,7 @@
 		t: t, router: routing.New(0, options), sends: make(map[gather.AttemptID]routing.Send),
 		finished: make(map[routing.RequestID]routing.Outcome),
 	}
-	w.step(routing.NodesChanged{Live: 1})
+	w.step(routing.NodesChanged{Live: 1, Serving: 1, Serves: true})
 	return w
 }
 
