--- a/cmd/banksail-front/main.go
+++ b/cmd/banksail-front/main.go
@@ -88,7 +88,6 @@
 	}, func() float64 { return float64(output.Dropped()) }))
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	signal.Ignore(syscall.SIGHUP)
 	started := time.Now().UnixNano()
 	store := platform.NewStore(settings.StoreAddress, nil)
 	node := front.New(front.Options{
@@ -104,6 +103,11 @@
 		Registry:      registry,
 		Seed:          uint64(started),
 	})
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go platform.WatchSettings(ctx, hangups,
+		func(changed platform.Settings) { node.Apply(changed.Front) },
+		func(err error) { logger.Error().Err(err).Msg("settings can't be read, the last good ones stay") })
 	if err := node.Run(ctx); err != nil {
 		return fail(err)
 	}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -2,6 +2,9 @@
 package directory
 
 import (
+	"math/rand/v2"
+	"slices"
+
 	"github.com/banksail/banksail/discovery"
 )
 
@@ -41,8 +44,14 @@
 	if len(near) < enoughNear {
 		near = staying
 	}
-	addresses := make([]string, 0, min(len(near), most))
-	for _, n := range near[:min(len(near), most)] {
+	if len(near) > most {
+		// Another sample for each caller, so that all nodes get some.
+		near = slices.Clone(near)
+		rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+		near = near[:most]
+	}
+	addresses := make([]string, 0, len(near))
+	for _, n := range near {
 		addresses = append(addresses, n.Address)
 	}
 	return addresses
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -48,7 +48,45 @@
 	for number := range 200 {
 		nodes = append(nodes, node(fmt.Sprintf("n%03d", number), "a", "r"))
 	}
-	if got := directory.Addresses(nodes, nil, directory.Caller{Zone: "a", Region: "r"}, 64); len(got) != 64 {
-		t.Errorf("%d addresses", len(got))
+	told := make(map[string]bool)
+	for range 100 {
+		got := directory.Addresses(nodes, nil, directory.Caller{Zone: "a", Region: "r"}, 64)
+		if len(got) != 64 {
+			t.Fatalf("%d addresses", len(got))
+		}
+		for _, address := range got {
+			told[address] = true
+		}
+	}
+	if len(told) != len(nodes) {
+		t.Errorf("callers are told of %d of %d nodes", len(told), len(nodes))
+	}
+}
+
+func TestServingNodesFollowTheConnections(t *testing.T) {
+	var nodes []discovery.Node
+	for number := range 90 {
+		nodes = append(nodes, node(fmt.Sprintf("n%03d", number), []string{"a", "b", "c"}[number%3], "r"))
+	}
+	if got := directory.Serving(nodes[:20], 20); len(got) != 20 {
+		t.Errorf("%d of 20 nodes serve where servers take 20 connections", len(got))
+	}
+	serving := directory.Serving(nodes, 20)
+	zones := make(map[string]int)
+	for _, n := range serving {
+		zones[n.Zone]++
+	}
+	if len(serving) != 20 || zones["a"] < 6 || zones["b"] < 6 || zones["c"] < 6 {
+		t.Errorf("%d nodes serve, by zone %v", len(serving), zones)
+	}
+	without := slices.DeleteFunc(slices.Clone(nodes), func(n discovery.Node) bool { return n.ID == serving[0].ID })
+	stay := 0
+	for _, n := range directory.Serving(without, 20) {
+		if slices.Contains(serving, n) {
+			stay++
+		}
+	}
+	if stay != 19 {
+		t.Errorf("one node went, and %d of the other 19 still serve", stay)
 	}
 }
--- a/front/node.go
+++ b/front/node.go
@@ -62,6 +62,7 @@
 	announcer *discovery.Announcer
 	self      discovery.Node
 	leaving   atomic.Bool
+	grace     atomic.Int64 // in nanoseconds
 	// knows says that a table and the servers were heard of once.
 	knows atomic.Bool
 	tend  chan struct{}
@@ -113,6 +114,7 @@
 	if options.Registry != nil {
 		registry = options.Registry
 	}
+	f.grace.Store(int64(settings.Grace))
 	f.gateway = gateway.New(gateway.Options{
 		Registry:      registry,
 		BeliefAge:     f.beliefAge,
@@ -155,6 +157,19 @@
 	return f
 }
 
+// Apply takes settings that were changed while the node runs: the grace of a
+// stop, the budget of extra sends, and the regions of zones. What names the node
+// and its listeners counts at the next start only.
+func (f *Front) Apply(settings Settings) {
+	f.grace.Store(int64(settings.Grace))
+	f.gateway.SetBounds(routing.SettingsChanged{
+		Budget:  routing.BudgetOptions{Ratio: settings.BudgetRatio, Fixed: settings.BudgetFixed},
+		Regions: settings.Regions,
+	})
+	f.options.Logger.Info().Dur("grace_ms", settings.Grace).Float64("budget_ratio", settings.BudgetRatio).
+		Float64("budget_fixed", settings.BudgetFixed).Msg("settings applied")
+}
+
 // changed takes what the follower believes.
 func (f *Front) changed(news discovery.News) {
 	f.gateway.SetNodes(f.nodesOf(news))
--- a/front/stop.go
+++ b/front/stop.go
@@ -21,7 +21,7 @@
 // nothing is pending.
 func (f *Front) stop(callers *http.Server) {
 	began := time.Now()
-	grace := f.options.Settings.Grace
+	grace := time.Duration(f.grace.Load())
 	f.options.Logger.Info().Dur("grace_ms", grace).Msg("stopping")
 	f.leaving.Store(true)
 	f.announcer.Leave()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -194,6 +194,9 @@
 	g.step(nodes)
 }
 
+// SetBounds takes bounds that were set anew.
+func (g *Gateway) SetBounds(bounds routing.SettingsChanged) { g.step(bounds) }
+
 // Drain makes every connection end with its next answer.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
--- a/routing/event.go
+++ b/routing/event.go
@@ -80,16 +80,23 @@
 	Serves bool
 }
 
-func (Arrived) event()        {}
-func (CallerGone) event()     {}
-func (Replied) event()        {}
-func (Failed) event()         {}
-func (Woken) event()          {}
-func (Unreached) event()      {}
-func (Reached) event()        {}
-func (ServersChanged) event() {}
-func (TableChanged) event()   {}
-func (NodesChanged) event()   {}
+// SettingsChanged gives the bounds that were set anew.
+type SettingsChanged struct {
+	Budget  BudgetOptions
+	Regions map[string]string
+}
+
+func (Arrived) event()         {}
+func (SettingsChanged) event() {}
+func (CallerGone) event()      {}
+func (Replied) event()         {}
+func (Failed) event()          {}
+func (Woken) event()           {}
+func (Unreached) event()       {}
+func (Reached) event()         {}
+func (ServersChanged) event()  {}
+func (TableChanged) event()    {}
+func (NodesChanged) event()    {}
 
 // Action is something that the owner must do; Step returns them in order.
 type Action interface{ action() }
--- a/routing/router.go
+++ b/routing/router.go
@@ -88,6 +88,8 @@
 		r.serversChanged(event.Servers)
 	case TableChanged:
 		r.tableChanged(event.Table)
+	case SettingsChanged:
+		r.settingsChanged(event)
 	case NodesChanged:
 		r.nodes = event
 	}
@@ -279,6 +281,14 @@
 	}
 }
 
+// settingsChanged takes bounds that were set anew. The window of budgets stays:
+// what was counted in another one would not fit.
+func (r *Router) settingsChanged(event SettingsChanged) {
+	event.Budget.Window = r.options.Budget.Window
+	r.options.Budget = event.Budget
+	r.options.Regions = event.Regions
+}
+
 func (r *Router) serviceNamed(name string) *service {
 	s := r.services[name]
 	if s == nil {
