--- /dev/null
+++ b/front/listeners.go
@@ -0,0 +1,79 @@
+package front
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/banksail/banksail/gateway"
+	"github.com/banksail/banksail/relay"
+)
+
+// servePeers answers other nodes; nil when the node has no address for them.
+func (f *Front) servePeers() (*http.Server, error) {
+	if f.options.Settings.Peer == "" {
+		return nil, nil
+	}
+	return f.serve(f.options.Settings.Peer, relay.Handler(f.follower), nil)
+}
+
+// metricsPath is where the node's figures are.
+const metricsPath = "/metrics"
+
+// serveMetrics answers with the node's figures; nil when it has no address for
+// them, or can't listen there: a node without metrics still serves callers.
+func (f *Front) serveMetrics() *http.Server {
+	registry := f.options.Registry
+	if registry == nil || f.options.Settings.Metrics == "" {
+		return nil
+	}
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "banksail_belief_age_seconds", Help: "Age of what the node believes of the registry; -1 when nothing.",
+	}, func() float64 { return max(f.beliefAge().Seconds(), -1) }))
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "banksail_table_version", Help: "Version of the table in force; 0 when there is none.",
+	}, func() float64 {
+		if table := f.gateway.Table(); table != nil {
+			return float64(table.Version)
+		}
+		return 0
+	}))
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "banksail_live_nodes", Help: "Nodes that are believed to be live.",
+	}, func() float64 { return float64(len(f.follower.Nodes())) }))
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "banksail_server_connections", Help: "Connections to servers that are open or being opened.",
+	}, func() float64 { return float64(f.gateway.Connections()) }))
+	mux := http.NewServeMux()
+	mux.Handle("GET "+metricsPath, promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	server, err := f.serve(f.options.Settings.Metrics, mux, nil)
+	if err != nil {
+		f.options.Logger.Warn().Err(err).Msg("metrics are not served")
+		return nil
+	}
+	return server
+}
+
+// serve answers on an address in the background.
+func (f *Front) serve(address string, handler http.Handler, connContext func(context.Context, net.Conn) context.Context) (*http.Server, error) {
+	listener, err := f.options.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("front: listening on %s: %w", address, err)
+	}
+	if connContext != nil {
+		listener = gateway.Watch(listener)
+	}
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    headerBytes,
+		ConnContext:       connContext,
+	}
+	go func() { _ = server.Serve(listener) }() // ends when the server is closed
+	return server, nil
+}
--- a/front/node.go
+++ b/front/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math"
 	"net"
 	"net/http"
@@ -185,57 +184,6 @@
 	f.knows.Store(true)
 }
 
-// nodesOf tells how many nodes there are, and which of them serve callers.
-func (f *Front) nodesOf(news discovery.News) routing.NodesChanged {
-	serving := directory.Serving(news.Nodes, leastConnections(news.Table))
-	serves := slices.ContainsFunc(serving, func(n discovery.Node) bool { return n.ID == f.self.ID })
-	f.serving.Store(&serving)
-	return routing.NodesChanged{
-		Live:    max(len(news.Nodes), 1),
-		Serving: max(len(serving), 1),
-		Serves:  serves || len(serving) == len(news.Nodes),
-	}
-}
-
-// connectionsCounted is the part of a server's connections that may be held.
-const connectionsCounted = 0.8
-
-// leastConnections is the least number that a server of a service in use takes.
-func leastConnections(table *route.Table) int {
-	if table == nil {
-		return math.MaxInt
-	}
-	least := math.MaxInt
-	for _, name := range table.UsedServices() {
-		least = min(least, int(float64(table.Services[name].Connections)*connectionsCounted))
-	}
-	return least
-}
-
-// presenceOf tells which part of the services in use each zone has a server of.
-func presenceOf(news discovery.News) *directory.Presence {
-	presence := make(directory.Presence)
-	if news.Table == nil {
-		return &presence
-	}
-	used := make(map[string]struct{})
-	for _, name := range news.Table.UsedServices() {
-		used[name] = struct{}{}
-	}
-	type place struct{ zone, service string }
-	seen := make(map[place]struct{})
-	for _, server := range news.Servers {
-		at := place{server.Zone, server.Service}
-		_, twice := seen[at]
-		if _, inUse := used[server.Service]; !inUse || twice || server.State != discovery.Ready {
-			continue
-		}
-		seen[at] = struct{}{}
-		presence[server.Zone] += 1 / float64(len(used))
-	}
-	return &presence
-}
-
 func (f *Front) tendNow() {
 	select {
 	case f.tend <- struct{}{}:
@@ -243,40 +191,6 @@
 	}
 }
 
-// Ready implements Node.
-func (f *Front) Ready() bool { return f.knows.Load() && !f.leaving.Load() }
-
-// Addresses implements Node. The node itself counts as live as long as it answers.
-func (f *Front) Addresses(caller directory.Caller, most int) ([]string, time.Duration) {
-	var nodes []discovery.Node
-	if serving := f.serving.Load(); serving != nil {
-		nodes = *serving
-	}
-	seen := make(map[string]struct{}, len(nodes)+1)
-	kept := make([]discovery.Node, 0, len(nodes)+1)
-	serves := len(nodes) == 0
-	for _, node := range nodes {
-		if node.Address == f.self.Address {
-			serves = true
-			continue
-		}
-		if _, twice := seen[node.Address]; !twice {
-			seen[node.Address] = struct{}{}
-			kept = append(kept, node)
-		}
-	}
-	self := f.self
-	self.Leaving = f.leaving.Load()
-	if serves && f.knows.Load() || len(kept) == 0 {
-		kept = append(kept, self)
-	}
-	var presence directory.Presence
-	if known := f.presence.Load(); known != nil {
-		presence = *known
-	}
-	return directory.Addresses(kept, presence, caller, most), min(directoryTTL, f.options.Settings.LongestTTL)
-}
-
 // beliefAge is how old what the node believes of the registry is; -1 when it
 // believes nothing.
 func (f *Front) beliefAge() time.Duration {
@@ -331,71 +245,6 @@
 	return nil
 }
 
-// servePeers answers other nodes; nil when the node has no address for them.
-func (f *Front) servePeers() (*http.Server, error) {
-	if f.options.Settings.Peer == "" {
-		return nil, nil
-	}
-	return f.serve(f.options.Settings.Peer, relay.Handler(f.follower), nil)
-}
-
-// metricsPath is where the node's figures are.
-const metricsPath = "/metrics"
-
-// serveMetrics answers with the node's figures; nil when it has no address for
-// them, or can't listen there: a node without metrics still serves callers.
-func (f *Front) serveMetrics() *http.Server {
-	registry := f.options.Registry
-	if registry == nil || f.options.Settings.Metrics == "" {
-		return nil
-	}
-	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "banksail_belief_age_seconds", Help: "Age of what the node believes of the registry; -1 when nothing.",
-	}, func() float64 { return max(f.beliefAge().Seconds(), -1) }))
-	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "banksail_table_version", Help: "Version of the table in force; 0 when there is none.",
-	}, func() float64 {
-		if table := f.gateway.Table(); table != nil {
-			return float64(table.Version)
-		}
-		return 0
-	}))
-	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "banksail_live_nodes", Help: "Nodes that are believed to be live.",
-	}, func() float64 { return float64(len(f.follower.Nodes())) }))
-	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "banksail_server_connections", Help: "Connections to servers that are open or being opened.",
-	}, func() float64 { return float64(f.gateway.Connections()) }))
-	mux := http.NewServeMux()
-	mux.Handle("GET "+metricsPath, promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
-	server, err := f.serve(f.options.Settings.Metrics, mux, nil)
-	if err != nil {
-		f.options.Logger.Warn().Err(err).Msg("metrics are not served")
-		return nil
-	}
-	return server
-}
-
-// serve answers on an address in the background.
-func (f *Front) serve(address string, handler http.Handler, connContext func(context.Context, net.Conn) context.Context) (*http.Server, error) {
-	listener, err := f.options.Listen("tcp", address)
-	if err != nil {
-		return nil, fmt.Errorf("front: listening on %s: %w", address, err)
-	}
-	if connContext != nil {
-		listener = gateway.Watch(listener)
-	}
-	server := &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    headerBytes,
-		ConnContext:       connContext,
-	}
-	go func() { _ = server.Serve(listener) }() // ends when the server is closed
-	return server, nil
-}
-
 // tendLoop looks after the connections to servers.
 func (f *Front) tendLoop(ctx context.Context) {
 	ticker := time.NewTicker(tendInterval)
--- /dev/null
+++ b/gateway/attempts.go
@@ -0,0 +1,98 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/banksail/banksail/exchange"
+	"github.com/banksail/banksail/gather"
+	"github.com/banksail/banksail/route"
+	"github.com/banksail/banksail/routing"
+)
+
+// runningAttempt is one that was not reported back.
+type runningAttempt struct {
+	cancel    context.CancelFunc
+	straggler *time.Timer // set once its request gave it up
+}
+
+func (g *Gateway) send(action routing.Send) {
+	asked := g.pending[action.Request]
+	ctx, cancel := context.WithCancel(context.Background())
+	g.attempts[action.Attempt] = &runningAttempt{cancel: cancel}
+	g.wantedUntil[action.Server.ID] = g.now() + wantedFor
+	g.counters.sent(action.Kind)
+	go g.carry(ctx, cancel, asked, action)
+}
+
+// carry sends one attempt and reports its end.
+func (g *Gateway) carry(ctx context.Context, cancel context.CancelFunc, asked *pendingRequest, action routing.Send) {
+	defer cancel()
+	reply, err := g.client.Do(ctx, &exchange.Attempt{
+		Request:   asked.outgoing,
+		Server:    action.Server,
+		Remaining: action.Remaining,
+	})
+	event := g.report(asked.route, action, reply, err)
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if running := g.attempts[action.Attempt]; running.straggler != nil {
+		running.straggler.Stop()
+	}
+	delete(g.attempts, action.Attempt)
+	g.stepLocked(event)
+}
+
+// cancel lets an attempt go on for a while: most end soon, and their
+// connections can be used again.
+func (g *Gateway) cancel(id gather.AttemptID) {
+	running := g.attempts[id]
+	if running == nil || running.straggler != nil {
+		return
+	}
+	running.straggler = time.AfterFunc(g.options.StragglerTime, running.cancel)
+}
+
+// report tells how an attempt ended.
+func (g *Gateway) report(r *route.Route, action routing.Send, reply *exchange.Reply, err error) routing.Event {
+	event := g.eventOf(r, action, reply, err)
+	switch event := event.(type) {
+	case routing.Failed:
+		g.counters.ended(event.Reason)
+	case routing.Replied:
+		g.counters.ended(routing.StatusName(event.Status))
+	}
+	return event
+}
+
+func (g *Gateway) eventOf(r *route.Route, action routing.Send, reply *exchange.Reply, err error) routing.Event {
+	if err != nil {
+		delivery := gather.DeliveryUnknown
+		if errors.Is(err, exchange.ErrNotDelivered) {
+			delivery = gather.NotDelivered
+		}
+		return routing.Failed{Attempt: action.Attempt, Delivery: delivery, Reason: failureName(err)}
+	}
+	status, why := g.classify(r, reply)
+	if why != "" {
+		return routing.Failed{Attempt: action.Attempt, Delivery: gather.DeliveryUnknown, Reason: why}
+	}
+	event := routing.Replied{Attempt: action.Attempt, Status: status, Body: reply}
+	event.Load, event.LoadKnown = parseLoad(reply.Header.Get(g.options.Headers.Load))
+	if status == gather.ReplyShed {
+		event.RetryAfter = retryAfter(reply.Header)
+	}
+	return event
+}
+
+func failureName(err error) string {
+	switch {
+	case errors.Is(err, exchange.ErrNotDelivered):
+		return "not_delivered"
+	case errors.Is(err, exchange.ErrMalformed):
+		return "malformed"
+	default:
+		return "no_answer"
+	}
+}
--- /dev/null
+++ b/gateway/connections.go
@@ -0,0 +1,92 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/banksail/banksail/discovery"
+	"github.com/banksail/banksail/internal/clock"
+	"github.com/banksail/banksail/routing"
+)
+
+// wantedFor is how long a connection to a server is kept ready after it was
+// used, or after the server came: one that is seldom used would only be opened
+// again and again as the server closes it.
+const wantedFor = 15 * time.Second
+
+// want keeps a connection ready to the servers that came, and forgets those that
+// went. The caller holds the mutex.
+func (g *Gateway) want(servers map[string]discovery.Server) {
+	for id := range servers {
+		if _, known := g.servers[id]; !known {
+			g.wantedUntil[id] = g.now() + wantedFor
+		}
+	}
+	for id := range g.wantedUntil {
+		if _, listed := servers[id]; !listed {
+			delete(g.wantedUntil, id)
+		}
+	}
+}
+
+// Connections is the number of connections to servers.
+func (g *Gateway) Connections() int { return g.client.Connections() }
+
+// Tend closes connections that are of no use any more and opens one to each
+// server of a service in force that has none.
+func (g *Gateway) Tend() {
+	g.mutex.Lock()
+	servers := g.servers
+	g.mutex.Unlock()
+	listed := make(map[string]struct{}, len(servers))
+	for id, server := range servers {
+		if server.State == discovery.Ready {
+			listed[id] = struct{}{}
+		}
+	}
+	table := g.table.Load()
+	if table == nil || !g.serves.Load() {
+		g.client.Retain(listed, 0)
+		return
+	}
+	g.client.Retain(listed, 1)
+	used := make(map[string]struct{})
+	for _, name := range table.UsedServices() {
+		used[name] = struct{}{}
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	for id := range listed {
+		if _, inUse := used[servers[id].Service]; inUse && g.wantedUntil[id] > g.now() {
+			g.run(func() { g.warm(servers[id]) })
+		}
+	}
+}
+
+// warm opens a connection to a server that has none, and tells when it can't.
+func (g *Gateway) warm(server discovery.Server) {
+	if err := g.client.Warm(g.background, server); err != nil && g.background.Err() == nil {
+		g.step(routing.Unreached{Server: server.ID})
+	}
+}
+
+// reachPause is the time between two tries to connect to a server that could
+// not be reached.
+const reachPause = 250 * time.Millisecond
+
+// reach opens a connection to a server that could not be reached.
+func (g *Gateway) reach(server discovery.Server) {
+	for g.lists(server.ID) && clock.Sleep(g.background, reachPause) == nil {
+		if g.client.Warm(g.background, server) == nil {
+			g.step(routing.Reached{Server: server.ID})
+			return
+		}
+	}
+}
+
+// lists reports whether the server may still be there.
+func (g *Gateway) lists(id string) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	_, listed := g.servers[id]
+	return listed
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"maps"
 	"sync"
 	"sync/atomic"
@@ -15,7 +14,6 @@
 	"github.com/banksail/banksail/discovery"
 	"github.com/banksail/banksail/exchange"
 	"github.com/banksail/banksail/gather"
-	"github.com/banksail/banksail/internal/clock"
 	"github.com/banksail/banksail/route"
 	"github.com/banksail/banksail/routing"
 )
@@ -104,12 +102,6 @@
 	done     chan routing.Outcome // has room for the one outcome
 }
 
-// runningAttempt is one that was not reported back.
-type runningAttempt struct {
-	cancel    context.CancelFunc
-	straggler *time.Timer // set once its request gave it up
-}
-
 // New returns a Gateway that knows no table and no server.
 func New(options Options) *Gateway {
 	options.CallerMargin = cmp.Or(options.CallerMargin, DefaultCallerMargin)
@@ -167,26 +159,6 @@
 	g.mutex.Unlock()
 }
 
-// wantedFor is how long a connection to a server is kept ready after it was
-// used, or after the server came: one that is seldom used would only be opened
-// again and again as the server closes it.
-const wantedFor = 15 * time.Second
-
-// want keeps a connection ready to the servers that came, and forgets those that
-// went. The caller holds the mutex.
-func (g *Gateway) want(servers map[string]discovery.Server) {
-	for id := range servers {
-		if _, known := g.servers[id]; !known {
-			g.wantedUntil[id] = g.now() + wantedFor
-		}
-	}
-	for id := range g.wantedUntil {
-		if _, listed := servers[id]; !listed {
-			delete(g.wantedUntil, id)
-		}
-	}
-}
-
 // SetNodes tells of the nodes that are live. One to which no callers are sent
 // keeps no connections that rest.
 func (g *Gateway) SetNodes(nodes routing.NodesChanged) {
@@ -207,69 +179,6 @@
 	return len(g.pending)
 }
 
-// Connections is the number of connections to servers.
-func (g *Gateway) Connections() int { return g.client.Connections() }
-
-// Tend closes connections that are of no use any more and opens one to each
-// server of a service in force that has none.
-func (g *Gateway) Tend() {
-	g.mutex.Lock()
-	servers := g.servers
-	g.mutex.Unlock()
-	listed := make(map[string]struct{}, len(servers))
-	for id, server := range servers {
-		if server.State == discovery.Ready {
-			listed[id] = struct{}{}
-		}
-	}
-	table := g.table.Load()
-	if table == nil || !g.serves.Load() {
-		g.client.Retain(listed, 0)
-		return
-	}
-	g.client.Retain(listed, 1)
-	used := make(map[string]struct{})
-	for _, name := range table.UsedServices() {
-		used[name] = struct{}{}
-	}
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	for id := range listed {
-		if _, inUse := used[servers[id].Service]; inUse && g.wantedUntil[id] > g.now() {
-			g.run(func() { g.warm(servers[id]) })
-		}
-	}
-}
-
-// warm opens a connection to a server that has none, and tells when it can't.
-func (g *Gateway) warm(server discovery.Server) {
-	if err := g.client.Warm(g.background, server); err != nil && g.background.Err() == nil {
-		g.step(routing.Unreached{Server: server.ID})
-	}
-}
-
-// reachPause is the time between two tries to connect to a server that could
-// not be reached.
-const reachPause = 250 * time.Millisecond
-
-// reach opens a connection to a server that could not be reached.
-func (g *Gateway) reach(server discovery.Server) {
-	for g.lists(server.ID) && clock.Sleep(g.background, reachPause) == nil {
-		if g.client.Warm(g.background, server) == nil {
-			g.step(routing.Reached{Server: server.ID})
-			return
-		}
-	}
-}
-
-// lists reports whether the server may still be there.
-func (g *Gateway) lists(id string) bool {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	_, listed := g.servers[id]
-	return listed
-}
-
 // run starts what goes on in the background. The caller holds the mutex.
 func (g *Gateway) run(loop func()) {
 	if g.background.Err() == nil {
@@ -322,88 +231,8 @@
 	g.wake.Reset(after)
 }
 
-func (g *Gateway) send(action routing.Send) {
-	asked := g.pending[action.Request]
-	ctx, cancel := context.WithCancel(context.Background())
-	g.attempts[action.Attempt] = &runningAttempt{cancel: cancel}
-	g.wantedUntil[action.Server.ID] = g.now() + wantedFor
-	g.counters.sent(action.Kind)
-	go g.carry(ctx, cancel, asked, action)
-}
-
-// carry sends one attempt and reports its end.
-func (g *Gateway) carry(ctx context.Context, cancel context.CancelFunc, asked *pendingRequest, action routing.Send) {
-	defer cancel()
-	reply, err := g.client.Do(ctx, &exchange.Attempt{
-		Request:   asked.outgoing,
-		Server:    action.Server,
-		Remaining: action.Remaining,
-	})
-	event := g.report(asked.route, action, reply, err)
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	if running := g.attempts[action.Attempt]; running.straggler != nil {
-		running.straggler.Stop()
-	}
-	delete(g.attempts, action.Attempt)
-	g.stepLocked(event)
-}
-
-// cancel lets an attempt go on for a while: most end soon, and their
-// connections can be used again.
-func (g *Gateway) cancel(id gather.AttemptID) {
-	running := g.attempts[id]
-	if running == nil || running.straggler != nil {
-		return
-	}
-	running.straggler = time.AfterFunc(g.options.StragglerTime, running.cancel)
-}
-
 func (g *Gateway) finish(action routing.Finish) {
 	asked := g.pending[action.Request]
 	delete(g.pending, action.Request)
 	asked.done <- action.Outcome
 }
-
-// report tells how an attempt ended.
-func (g *Gateway) report(r *route.Route, action routing.Send, reply *exchange.Reply, err error) routing.Event {
-	event := g.eventOf(r, action, reply, err)
-	switch event := event.(type) {
-	case routing.Failed:
-		g.counters.ended(event.Reason)
-	case routing.Replied:
-		g.counters.ended(routing.StatusName(event.Status))
-	}
-	return event
-}
-
-func (g *Gateway) eventOf(r *route.Route, action routing.Send, reply *exchange.Reply, err error) routing.Event {
-	if err != nil {
-		delivery := gather.DeliveryUnknown
-		if errors.Is(err, exchange.ErrNotDelivered) {
-			delivery = gather.NotDelivered
-		}
-		return routing.Failed{Attempt: action.Attempt, Delivery: delivery, Reason: failureName(err)}
-	}
-	status, why := g.classify(r, reply)
-	if why != "" {
-		return routing.Failed{Attempt: action.Attempt, Delivery: gather.DeliveryUnknown, Reason: why}
-	}
-	event := routing.Replied{Attempt: action.Attempt, Status: status, Body: reply}
-	event.Load, event.LoadKnown = parseLoad(reply.Header.Get(g.options.Headers.Load))
-	if status == gather.ReplyShed {
-		event.RetryAfter = retryAfter(reply.Header)
-	}
-	return event
-}
-
-func failureName(err error) string {
-	switch {
-	case errors.Is(err, exchange.ErrNotDelivered):
-		return "not_delivered"
-	case errors.Is(err, exchange.ErrMalformed):
-		return "malformed"
-	default:
-		return "no_answer"
-	}
-}
