--- a/front/node.go
+++ b/front/node.go
@@ -2,16 +2,13 @@
 
 import (
 	"context"
-	"math"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rs/zerolog"
 
 	"github.com/banksail/banksail/directory"
@@ -19,7 +16,6 @@
 	"github.com/banksail/banksail/exchange"
 	"github.com/banksail/banksail/gateway"
 	"github.com/banksail/banksail/relay"
-	"github.com/banksail/banksail/route"
 	"github.com/banksail/banksail/routing"
 )
 
