--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -97,8 +97,10 @@
 	// published is what others are told, and history what changed in it of late.
 	published News
 	history   history
-	// mark is of the publication that was believed last; only reading uses it.
-	mark Mark
+	// marks are of the publications that were believed last of each reader, and
+	// helped is the reader that was believed last; only reading uses them.
+	marks  map[string]Mark
+	helped string
 }
 
 // NewFollower returns a follower that knows nothing.
@@ -112,7 +114,7 @@
 	options.AskPace = cmp.Or(options.AskPace, options.Pace-options.ReaderPace)
 	options.StaleAfter = cmp.Or(options.StaleAfter, time.Duration(staleShare*float64(options.ReaderPace)))
 	options.View.OutageAfter = cmp.Or(options.View.OutageAfter, 2*options.Pace)
-	return &Follower{options: options, epoch: time.Now(), view: NewView(options.View)}
+	return &Follower{options: options, epoch: time.Now(), view: NewView(options.View), marks: make(map[string]Mark)}
 }
 
 // Run follows the source until ctx ends.
--- a/discovery/publication.go
+++ b/discovery/publication.go
@@ -54,6 +54,9 @@
 // nodesPerReader is the number of nodes that one reader of the registry tells.
 const nodesPerReader = 50
 
+// mostMarks bounds the readers of which a mark is kept.
+const mostMarks = 16
+
 // publishersTried bounds the readers that are asked for one reading.
 const publishersTried = 2
 
@@ -157,14 +160,15 @@
 	if f.options.Publishers == nil || !f.listed {
 		return ErrUnavailable
 	}
-	for _, reader := range readersFor(f.options.Self, f.Nodes()) {
+	for _, reader := range f.readersInTurn() {
 		asking, cancel := context.WithTimeout(ctx, f.options.PublisherTimeout)
-		publication, err := f.options.Publishers.Ask(asking, reader.Peer, f.mark)
+		publication, err := f.options.Publishers.Ask(asking, reader.Peer, f.marks[reader.ID])
 		cancel()
 		if err == nil {
-			err = f.takePublication(publication)
+			err = f.takePublication(reader.ID, publication)
 		}
 		if err == nil {
+			f.helped = reader.ID
 			return nil
 		}
 		f.options.Logger.Debug().Err(err).Str("reader", reader.ID).Msg("reader did not help")
@@ -172,15 +176,37 @@
 	return ErrUnavailable
 }
 
-// takePublication believes what a reader does, unless that is too old.
-func (f *Follower) takePublication(publication Publication) error {
+// readersInTurn are the readers to ask, the one that helped last first: another
+// one would have to tell more.
+func (f *Follower) readersInTurn() []Node {
+	readers := readersFor(f.options.Self, f.Nodes())
+	slices.SortStableFunc(readers, func(a, b Node) int {
+		return cmp.Compare(boolRank(b.ID == f.helped), boolRank(a.ID == f.helped))
+	})
+	return readers
+}
+
+func boolRank(value bool) int {
+	if value {
+		return 1
+	}
+	return 0
+}
+
+// takePublication believes what a reader does, unless that is too old. A reader
+// tells what changed since its mark; what is believed may be newer than that mark,
+// from another reader, but not newer than what the reader tells now.
+func (f *Follower) takePublication(reader string, publication Publication) error {
+	mark := f.marks[reader]
+	if publication.Since > 0 && (publication.Publisher != mark.Publisher || publication.Since != mark.Generation) {
+		delete(f.marks, reader)
+		return ErrStale
+	}
 	f.mutex.Lock()
-	stale := publication.Age > f.options.StaleAfter || publication.Revision < f.revision ||
-		publication.Since > 0 && (publication.Publisher != f.mark.Publisher || publication.Since != f.mark.Generation)
+	stale := publication.Age > f.options.StaleAfter || publication.Revision < f.revision
 	heardAt := f.now() - publication.Age
 	f.mutex.Unlock()
 	if stale {
-		f.mark = Mark{}
 		return ErrStale
 	}
 	changes, err := publication.changes()
@@ -193,7 +219,10 @@
 		f.view.RetainNodes(heardAt, listedIDs(changes.Nodes, nil), publication.Revision)
 		f.mutex.Unlock()
 	}
-	f.mark = publication.Mark
+	if len(f.marks) >= mostMarks {
+		clear(f.marks) // of readers that went; the next ones tell the whole once
+	}
+	f.marks[reader] = publication.Mark
 	f.take(heardAt, changes)
 	return nil
 }
