A node that starts while the store is down takes over what a seed believes

Ruled out: keeping beliefs on the machine, which keeps nothing. The role serves control, so settings name seeds; the first reading of the store replaces all.

--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -40,6 +40,9 @@
 	// Publishers asks the nodes that read the registry for all; nil is none: then
 	// each node reads for itself.
 	Publishers Publishers
+	// Seeds are addresses of nodes that are asked while the registry gives no answer
+	// and nothing is known yet; they may be stale or down.
+	Seeds []string
 	// PublisherTimeout bounds one asking; default 250 ms.
 	PublisherTimeout time.Duration
 	// StaleAfter is the age from which a publication is not believed; default
@@ -125,6 +128,7 @@
 		if f.relayed(ctx) != nil {
 			pace = f.pace()
 			if err := f.read(ctx); err != nil {
+				f.askSeeds(ctx)
 				pace = time.Since(began) + f.retryPause()
 			}
 		}
--- a/discovery/publication.go
+++ b/discovery/publication.go
@@ -176,6 +176,27 @@
 	return ErrUnavailable
 }
 
+// askSeeds takes over what another node believes, however old that is, as long as
+// the registry was never read: a node that starts during an outage would
+// otherwise refuse everything. Its first reading of the registry replaces it all.
+func (f *Follower) askSeeds(ctx context.Context) {
+	if f.listed || f.options.Publishers == nil {
+		return
+	}
+	for _, seed := range f.options.Seeds {
+		asking, cancel := context.WithTimeout(ctx, f.options.PublisherTimeout)
+		publication, err := f.options.Publishers.Ask(asking, seed, Mark{})
+		cancel()
+		if err != nil || publication.Revision < f.revision {
+			continue
+		}
+		if err := f.believe(publication); err == nil {
+			f.options.Logger.Warn().Str("seed", seed).Dur("age_ms", publication.Age).Msg("registry is not there, a node's belief is taken over")
+			return
+		}
+	}
+}
+
 // readersInTurn are the readers to ask, the one that helped last first: another
 // one would have to tell more.
 func (f *Follower) readersInTurn() []Node {
@@ -202,13 +223,22 @@
 		delete(f.marks, reader)
 		return ErrStale
 	}
-	f.mutex.Lock()
-	stale := publication.Age > f.options.StaleAfter || publication.Revision < f.revision
-	heardAt := f.now() - publication.Age
-	f.mutex.Unlock()
-	if stale {
+	if publication.Age > f.options.StaleAfter || publication.Revision < f.revision {
 		return ErrStale
 	}
+	if err := f.believe(publication); err != nil {
+		return err
+	}
+	if len(f.marks) >= mostMarks {
+		clear(f.marks) // of readers that went; the next ones tell the whole once
+	}
+	f.marks[reader] = publication.Mark
+	return nil
+}
+
+// believe takes a publication in, as heard when its publisher heard it.
+func (f *Follower) believe(publication Publication) error {
+	heardAt := f.now() - publication.Age
 	changes, err := publication.changes()
 	if err != nil {
 		return err
@@ -219,10 +249,6 @@
 		f.view.RetainNodes(heardAt, listedIDs(changes.Nodes, nil), publication.Revision)
 		f.mutex.Unlock()
 	}
-	if len(f.marks) >= mostMarks {
-		clear(f.marks) // of readers that went; the next ones tell the whole once
-	}
-	f.marks[reader] = publication.Mark
 	f.take(heardAt, changes)
 	return nil
 }
--- a/front/node.go
+++ b/front/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -137,6 +138,7 @@
 	f.follower = discovery.NewFollower(discovery.FollowerOptions{
 		Self:           f.self.ID,
 		Publishers:     publishers,
+		Seeds:          otherThan(settings.Seeds, settings.Peer),
 		Source:         options.Source,
 		Logger:         options.Logger,
 		Changed:        f.changed,
@@ -152,6 +154,10 @@
 	return f
 }
 
+func otherThan(addresses []string, self string) []string {
+	return slices.DeleteFunc(slices.Clone(addresses), func(address string) bool { return address == self })
+}
+
 // Apply takes settings that were changed while the node runs: the grace of a
 // stop, the budget of extra sends, and the regions of zones. What names the node
 // and its listeners counts at the next start only.
--- a/front/settings.go
+++ b/front/settings.go
@@ -13,6 +13,8 @@
 	// Callers, Readiness and Directory are the addresses that are listened on;
 	// Metrics may be empty. Peer is that for other nodes; empty is none.
 	Callers, Readiness, Directory, Metrics, Peer string
+	// Seeds are addresses of other nodes, which may be stale or down.
+	Seeds []string
 	// MemoryBytes is the memory that the process may take; zero is unknown.
 	MemoryBytes int64
 	// Grace is the time between the request to stop and the end.
