--- a/discovery/announcer.go
+++ b/discovery/announcer.go
@@ -62,7 +62,11 @@
 // Run keeps the entry until ctx ends, and then ends it.
 func (a *Announcer) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := a.keep(ctx); err != nil && ctx.Err() == nil {
+		err := a.keep(ctx)
+		if errors.Is(err, ErrLeaseOver) {
+			err = a.keep(ctx) // registers anew: others take the node for gone
+		}
+		if err != nil && ctx.Err() == nil {
 			a.options.Logger.Debug().Err(err).Msg("own entry could not be kept")
 		}
 		waiting, stop := context.WithTimeout(ctx, a.options.RenewEvery)
--- a/discovery/publication.go
+++ b/discovery/publication.go
@@ -245,6 +245,7 @@
 	}
 	if publication.Since == 0 {
 		f.mutex.Lock()
+		f.view.Heard(heardAt)
 		f.view.RetainServers(heardAt, listedIDs(changes.Servers, nil), publication.Revision)
 		f.view.RetainNodes(heardAt, listedIDs(changes.Nodes, nil), publication.Revision)
 		f.mutex.Unlock()
--- a/discovery/view.go
+++ b/discovery/view.go
@@ -60,14 +60,19 @@
 	// entries that go are not proof that their owners left: those could not
 	// renew them. Default 1.5 s.
 	OutageAfter time.Duration
-	// MissingFor is how long such entries are still used. Default 2 s.
+	// MissingFor is how long such entries of servers are still used. Default 2 s.
 	MissingFor time.Duration
+	// NodesMissingFor is the same for nodes, which must be registered anew first;
+	// no bound rests on them. Default 6 s.
+	NodesMissingFor time.Duration
 }
 
 // Defaults of Options.
 const (
 	DefaultOutageAfter = 1500 * time.Millisecond
 	DefaultMissingFor  = 2 * time.Second
+
+	DefaultNodesMissingFor = 6 * time.Second
 )
 
 // View is what a node believes. It is not safe for concurrent use.
@@ -85,6 +90,7 @@
 func NewView(options Options) *View {
 	options.OutageAfter = cmp.Or(options.OutageAfter, DefaultOutageAfter)
 	options.MissingFor = cmp.Or(options.MissingFor, DefaultMissingFor)
+	options.NodesMissingFor = cmp.Or(options.NodesMissingFor, DefaultNodesMissingFor)
 	return &View{
 		options: options,
 		servers: make(map[string]*entry[Server]),
@@ -165,7 +171,7 @@
 // Expire drops the entries that went some time ago; it reports whether any did.
 func (v *View) Expire(now time.Duration) bool {
 	servers := expire(v.servers, now-v.options.MissingFor)
-	nodes := expire(v.nodes, now-v.options.MissingFor)
+	nodes := expire(v.nodes, now-v.options.NodesMissingFor)
 	return servers || nodes
 }
 
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -249,3 +249,22 @@
 		t.Error("it still runs")
 	}
 }
+
+// Entries of nodes that lapse make no share grow at once: all nodes would take
+// more together than there is.
+func TestSharesDoNotGrowWhenNodesVanish(t *testing.T) {
+	w := newWorld(t, routing.Options{})
+	w.setServers(servers(1, "s1"))
+	w.setTable(20, "s1")
+	w.step(routing.NodesChanged{Live: 9, Serving: 9, Serves: true})
+	before := w.router.ConnectionShare("s1")
+	w.step(routing.NodesChanged{Live: 1, Serving: 1, Serves: true})
+	if got := w.router.ConnectionShare("s1"); got != before {
+		t.Errorf("the share of connections grew from %d to %d at once", before, got)
+	}
+	w.pass(31 * time.Second)
+	w.step(routing.NodesChanged{Live: 1, Serving: 1, Serves: true})
+	if got := w.router.ConnectionShare("s1"); got <= before {
+		t.Errorf("the share of connections stays at %d", got)
+	}
+}
--- a/routing/service.go
+++ b/routing/service.go
@@ -103,7 +103,7 @@
 		return 1
 	}
 	usable := float64(s.connections) * (1 - r.options.SpareConnections)
-	return max(int(usable/float64(max(r.nodes.Serving, 1))), 1)
+	return max(int(usable/float64(max(r.most.Serving, 1))), 1)
 }
 
 // otherNodesShare is the part of a budget's fixed number that the nodes share
@@ -112,15 +112,15 @@
 
 // fixedShare is the node's part of each budget's fixed number.
 func (r *Router) fixedShare() float64 {
-	if r.nodes.Live == 0 || r.nodes.Serving == 0 || r.options.Fresh && r.now < r.startedAt+r.options.Budget.Window {
+	if r.most.Live == 0 || r.most.Serving == 0 || r.options.Fresh && r.now < r.startedAt+r.options.Budget.Window {
 		return 0
 	}
-	others := r.nodes.Live - r.nodes.Serving
+	others := r.most.Live - r.most.Serving
 	switch {
 	case others == 0:
-		return r.options.Budget.Fixed / float64(r.nodes.Live)
+		return r.options.Budget.Fixed / float64(r.most.Live)
 	case r.nodes.Serves:
-		return r.options.Budget.Fixed * (1 - otherNodesShare) / float64(r.nodes.Serving)
+		return r.options.Budget.Fixed * (1 - otherNodesShare) / float64(r.most.Serving)
 	default:
 		return r.options.Budget.Fixed * otherNodesShare / float64(others)
 	}
