--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -100,10 +100,10 @@
 	// published is what others are told, and history what changed in it of late.
 	published News
 	history   history
-	// marks are of the publications that were believed last of each reader, and
-	// helped is the reader that was believed last; only reading uses them.
-	marks  map[string]Mark
+	// helped is the reader from which all that is believed came last, and mark is
+	// of what it told; empty after a reading of the registry. Only reading uses them.
 	helped string
+	mark   Mark
 }
 
 // NewFollower returns a follower that knows nothing.
@@ -117,7 +117,7 @@
 	options.AskPace = cmp.Or(options.AskPace, options.Pace-options.ReaderPace)
 	options.StaleAfter = cmp.Or(options.StaleAfter, time.Duration(staleShare*float64(options.ReaderPace)))
 	options.View.OutageAfter = cmp.Or(options.View.OutageAfter, 2*options.Pace)
-	return &Follower{options: options, epoch: time.Now(), view: NewView(options.View), marks: make(map[string]Mark)}
+	return &Follower{options: options, epoch: time.Now(), view: NewView(options.View)}
 }
 
 // Run follows the source until ctx ends.
@@ -184,6 +184,9 @@
 		f.failures = 0
 	}
 	f.mutex.Unlock()
+	if err == nil {
+		f.helped = ""
+	}
 	switch {
 	case err != nil && before == 0:
 		f.options.Logger.Warn().Err(err).Msg("registry lost")
--- a/discovery/publication.go
+++ b/discovery/publication.go
@@ -54,9 +54,6 @@
 // nodesPerReader is the number of nodes that one reader of the registry tells.
 const nodesPerReader = 50
 
-// mostMarks bounds the readers of which a mark is kept.
-const mostMarks = 16
-
 // publishersTried bounds the readers that are asked for one reading.
 const publishersTried = 2
 
@@ -162,13 +159,12 @@
 	}
 	for _, reader := range f.readersInTurn() {
 		asking, cancel := context.WithTimeout(ctx, f.options.PublisherTimeout)
-		publication, err := f.options.Publishers.Ask(asking, reader.Peer, f.marks[reader.ID])
+		publication, err := f.options.Publishers.Ask(asking, reader.Peer, f.markOf(reader.ID))
 		cancel()
 		if err == nil {
 			err = f.takePublication(reader.ID, publication)
 		}
 		if err == nil {
-			f.helped = reader.ID
 			return nil
 		}
 		f.options.Logger.Debug().Err(err).Str("reader", reader.ID).Msg("reader did not help")
@@ -214,13 +210,21 @@
 	return 0
 }
 
-// takePublication believes what a reader does, unless that is too old. A reader
-// tells what changed since its mark; what is believed may be newer than that mark,
-// from another reader, but not newer than what the reader tells now.
+// markOf is the mark to go on from with a reader: there is none unless all that is
+// believed came from that reader last. What another reader or the registry told
+// may lack what this reader has kept all the time.
+func (f *Follower) markOf(reader string) Mark {
+	if f.helped != reader {
+		return Mark{}
+	}
+	return f.mark
+}
+
+// takePublication believes what a reader does, unless that is too old.
 func (f *Follower) takePublication(reader string, publication Publication) error {
-	mark := f.marks[reader]
+	mark := f.markOf(reader)
 	if publication.Since > 0 && (publication.Publisher != mark.Publisher || publication.Since != mark.Generation) {
-		delete(f.marks, reader)
+		f.helped = ""
 		return ErrStale
 	}
 	if publication.Age > f.options.StaleAfter || publication.Revision < f.revision {
@@ -229,10 +233,7 @@
 	if err := f.believe(publication); err != nil {
 		return err
 	}
-	if len(f.marks) >= mostMarks {
-		clear(f.marks) // of readers that went; the next ones tell the whole once
-	}
-	f.marks[reader] = publication.Mark
+	f.helped, f.mark = reader, publication.Mark
 	return nil
 }
 
--- a/discovery/relay_test.go
+++ b/discovery/relay_test.go
@@ -260,3 +260,30 @@
 		w.loops.Wait()
 	})
 }
+
+// A node that has read the registry by itself does not go on from what it once
+// knew of a reader: entries that lapsed in an outage and came back are no change to
+// the reader, who kept them, but are missing at the node.
+func TestOwnReadingEndsAMark(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := startRelay(t, 3)
+		server := discovery.Server{ID: "s", Service: "x", Address: "y"}
+		w.registry.putServer(server, false)
+		time.Sleep(5 * time.Second)
+		w.wantAlike(t, "before")
+		w.registry.mutex.Lock()
+		w.registry.down = true
+		w.registry.mutex.Unlock()
+		time.Sleep(6 * time.Second)
+		w.registry.putServer(server, true)
+		w.registry.mutex.Lock()
+		w.registry.down = false
+		w.registry.mutex.Unlock()
+		time.Sleep(900 * time.Millisecond) // all have read that it went, and keep it
+		w.registry.putServer(server, false)
+		time.Sleep(6 * time.Second)
+		w.wantAlike(t, "after the outage")
+		w.stop()
+		w.loops.Wait()
+	})
+}
