--- a/discovery/relay_test.go
+++ b/discovery/relay_test.go
@@ -45,6 +45,13 @@
 	return listing, nil
 }
 
+// count is the number of readings so far.
+func (r *registry) count() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.readings
+}
+
 func latest[T any](entries []discovery.Entry[T]) map[string]discovery.Entry[T] {
 	kept := make(map[string]discovery.Entry[T])
 	for _, e := range entries {
@@ -215,9 +222,9 @@
 				time.Sleep(3 * time.Second)
 				w.wantAlike(t, fmt.Sprintf("seed %d round %d", seed, round))
 			}
-			before := w.registry.readings
+			before := w.registry.count()
 			time.Sleep(10 * time.Second)
-			if readings := w.registry.readings - before; readings > 12 {
+			if readings := w.registry.count() - before; readings > 12 {
 				t.Errorf("%d readings in 10 s by six nodes", readings)
 			}
 			w.stop()
@@ -251,9 +258,9 @@
 func TestReadersGrowSlowly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := startRelay(t, 120)
-		before := w.registry.readings
+		before := w.registry.count()
 		time.Sleep(10 * time.Second)
-		if readings := w.registry.readings - before; readings > 40 {
+		if readings := w.registry.count() - before; readings > 40 {
 			t.Errorf("%d readings in 10 s by 120 nodes", readings)
 		}
 		w.stop()
