--- a/discovery/publication.go
+++ b/discovery/publication.go
@@ -197,17 +197,11 @@
 // one would have to tell more.
 func (f *Follower) readersInTurn() []Node {
 	readers := readersFor(f.options.Self, f.Nodes())
-	slices.SortStableFunc(readers, func(a, b Node) int {
-		return cmp.Compare(boolRank(b.ID == f.helped), boolRank(a.ID == f.helped))
-	})
-	return readers
-}
-
-func boolRank(value bool) int {
-	if value {
-		return 1
+	last := slices.IndexFunc(readers, func(n Node) bool { return n.ID == f.helped })
+	if last > 0 {
+		readers[0], readers[last] = readers[last], readers[0]
 	}
-	return 0
+	return readers
 }
 
 // markOf is the mark to go on from with a reader: there is none unless all that is
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -91,7 +91,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotDelivered, err)
 	}
-	stop := context.AfterFunc(ctx, conn.abort)
+	stop := context.AfterFunc(ctx, conn.close)
 	reply, err := conn.exchange(attempt, c.encode(attempt), c.options)
 	sound := stop() && err == nil && conn.reusable
 	c.release(attempt.Server.ID, conn, sound)
--- a/exchange/connection.go
+++ b/exchange/connection.go
@@ -66,8 +66,6 @@
 	})
 }
 
-func (c *connection) abort() { c.close() }
-
 func (c *connection) close() { c.closeOnce.Do(func() { _ = c.conn.Close() }) }
 
 // quiet reports whether nothing has come on an idle connection: neither an end
--- a/front/settings.go
+++ b/front/settings.go
@@ -15,8 +15,6 @@
 	Callers, Readiness, Directory, Metrics, Peer string
 	// Seeds are addresses of other nodes, which may be stale or down.
 	Seeds []string
-	// MemoryBytes is the memory that the process may take; zero is unknown.
-	MemoryBytes int64
 	// Grace is the time between the request to stop and the end.
 	Grace time.Duration
 	// DrainBound is the time after which a leaving server gets no new request,
--- a/routing/request.go
+++ b/routing/request.go
@@ -39,8 +39,8 @@
 	asked []*server
 }
 
-// sparesRecords is the room for the records of extra sends.
-const sparesRecords = 4
+// spareRecords is the room for the records of extra sends.
+const spareRecords = 4
 
 // ended notes how an attempt ended, unless the request was answered before.
 func (q *request) ended(a *attempt, end string) {
@@ -62,7 +62,7 @@
 		q.names = []string{asked.Route.Target.Pick(r.random.Float64())}
 	}
 	q.parts = make([]part, len(q.names))
-	q.records = make([]AttemptRecord, 0, len(q.names)+sparesRecords)
+	q.records = make([]AttemptRecord, 0, len(q.names)+spareRecords)
 	return q
 }
 
