Callers go to the capable nodes; all serve while one of those is busy

Cause: at the grown deployments most machines have 0.19 cores.

Change: nodes tell their capacity in their entry; directory.Serving picks the capable ones, two of each zone at least. A node whose rate of attempts takes half of its processor says so, and then all serve. Shares of the budget wait a window when a node begins to serve: TestBudgetHoldsWhileRolesChange fails without that.

--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -90,3 +90,39 @@
 		t.Errorf("one node went, and %d of the other 19 still serve", stay)
 	}
 }
+
+func TestCapableNodesServe(t *testing.T) {
+	var nodes []discovery.Node
+	for number := range 40 {
+		n := node(fmt.Sprintf("n%03d", number), []string{"a", "b", "c", "d"}[number%4], "r")
+		n.Capacity = 0.2
+		if number < 8 {
+			n.Capacity = 0.8
+		}
+		nodes = append(nodes, n)
+	}
+	strong := func(serving []discovery.Node) int {
+		return len(slices.DeleteFunc(slices.Clone(serving), func(n discovery.Node) bool { return n.Capacity < 0.5 }))
+	}
+	serving := directory.Serving(nodes, 50)
+	if len(serving) != 8 || strong(serving) != 8 {
+		t.Errorf("%d nodes serve, %d of them capable; want the 8 capable ones", len(serving), strong(serving))
+	}
+	without := slices.DeleteFunc(slices.Clone(nodes), func(n discovery.Node) bool { return n.Capacity > 0.5 && n.Zone == "a" })
+	serving = directory.Serving(without, 50)
+	if len(serving) != 8 || strong(serving) != 6 {
+		t.Errorf("a zone lost its capable nodes: %d serve, %d of them capable; want 8 and 6", len(serving), strong(serving))
+	}
+	busy := slices.Clone(nodes)
+	busy[30].Busy = true
+	if serving = directory.Serving(busy, 50); len(serving) != 8 {
+		t.Errorf("a node that does not serve is busy, and %d serve", len(serving))
+	}
+	busy[3].Busy = true
+	if serving = directory.Serving(busy, 50); len(serving) != 40 {
+		t.Errorf("a capable node is busy, and %d of 40 serve", len(serving))
+	}
+	if serving = directory.Serving(busy, 20); len(serving) != 20 || strong(serving) != 8 {
+		t.Errorf("a capable node is busy: %d nodes serve servers that take 20 connections, %d of them capable", len(serving), strong(serving))
+	}
+}
--- a/directory/serving.go
+++ b/directory/serving.go
@@ -9,40 +9,84 @@
 	"github.com/banksail/banksail/discovery"
 )
 
-// leastServing is the number of nodes that serve callers at least, however few
-// connections a server takes: any one of them may be lost.
-const leastServing = 12
-
-// Serving returns the nodes to which callers are sent: all, as long as each can
-// hold connections to every server, and else as many as can, spread over the
-// zones. Connections is the least number that a server takes from all nodes
-// together. All nodes that see the same members choose the same, and one that
-// comes or goes changes few others' part.
+const (
+	// leastServing is the number of nodes that serve callers at least where servers
+	// take few connections: any one of them may be lost.
+	leastServing = 12
+	// leastInZone is the number of nodes of each zone that serve callers at least.
+	leastInZone = enoughNear
+	// capableShare is the part of the greatest capacity from which on a node is
+	// capable. On one with less the node itself is the slowest step of a request.
+	capableShare = 0.5
+)
+
+// Serving returns the nodes to which callers are sent: the capable ones and at
+// least two of each zone, as long as none of them is busy, and all otherwise.
+// They are never more than can hold connections to every server, and are spread
+// over the zones. Connections is the least number that a server takes from all
+// nodes together. All nodes that see the same members choose the same, and one
+// that comes or goes changes few others' part.
 func Serving(nodes []discovery.Node, connections int) []discovery.Node {
 	staying := filter(nodes, func(n discovery.Node) bool { return !n.Leaving })
-	most := max(connections, leastServing)
-	if len(staying) <= most {
+	if len(staying) == 0 {
 		return nodes
 	}
-	byZone := make(map[string][]discovery.Node)
-	for _, n := range staying {
-		byZone[n.Zone] = append(byZone[n.Zone], n)
+	most := max(connections, leastServing)
+	serving := spread(staying, most, capableOf(staying))
+	if slices.ContainsFunc(serving, func(n discovery.Node) bool { return n.Busy }) {
+		serving = spread(staying, most, func(discovery.Node) bool { return true })
 	}
-	zones := make([]string, 0, len(byZone))
-	for zone, inZone := range byZone {
-		zones = append(zones, zone)
-		slices.SortFunc(inZone, func(a, b discovery.Node) int {
-			return cmp.Or(cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)), cmp.Compare(a.ID, b.ID))
-		})
+	return serving
+}
+
+// capableOf tells which nodes are capable beside the best of them.
+func capableOf(nodes []discovery.Node) func(discovery.Node) bool {
+	greatest := 0.0
+	for _, n := range nodes {
+		greatest = max(greatest, n.Capacity)
 	}
-	slices.Sort(zones)
-	var serving []discovery.Node
-	for place := 0; len(serving) < most; place++ {
+	return func(n discovery.Node) bool { return n.Capacity >= greatest*capableShare }
+}
+
+// spread picks at most the given number of nodes, from all zones in turn, the
+// most capable first: the least of each zone, and beyond those the wanted ones.
+func spread(nodes []discovery.Node, most int, wanted func(discovery.Node) bool) []discovery.Node {
+	zones := byZone(nodes)
+	var picked []discovery.Node
+	for place := 0; ; place++ {
+		before := len(picked)
 		for _, zone := range zones {
-			if place < len(byZone[zone]) && len(serving) < most {
-				serving = append(serving, byZone[zone][place])
+			if len(picked) == most {
+				return picked
+			}
+			if place < len(zone) && (place < leastInZone || wanted(zone[place])) {
+				picked = append(picked, zone[place])
 			}
 		}
+		if len(picked) == before {
+			return picked
+		}
 	}
-	return serving
+}
+
+// byZone lists the nodes of each zone, the most capable first.
+func byZone(nodes []discovery.Node) [][]discovery.Node {
+	inZones := slices.Clone(nodes)
+	slices.SortFunc(inZones, func(a, b discovery.Node) int {
+		return cmp.Or(
+			cmp.Compare(a.Zone, b.Zone),
+			cmp.Compare(b.Capacity, a.Capacity),
+			cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)),
+			cmp.Compare(a.ID, b.ID),
+		)
+	})
+	var zones [][]discovery.Node
+	begin := 0
+	for place := range inZones {
+		if last := place == len(inZones)-1; last || inZones[place+1].Zone != inZones[place].Zone {
+			zones = append(zones, inZones[begin:place+1])
+			begin = place + 1
+		}
+	}
+	return zones
 }
--- a/discovery/announcer.go
+++ b/discovery/announcer.go
@@ -49,8 +49,23 @@
 
 // Leave announces that the node is leaving.
 func (a *Announcer) Leave() {
+	a.change(func(n *Node) { n.Leaving = true })
+}
+
+// SetBusy announces whether others should help the node.
+func (a *Announcer) SetBusy(busy bool) {
+	a.change(func(n *Node) { n.Busy = busy })
+}
+
+// change announces the node as it is now, soon, if that is news.
+func (a *Announcer) change(apply func(*Node)) {
 	a.mutex.Lock()
-	a.node.Leaving = true
+	before := a.node
+	apply(&a.node)
+	if a.node == before {
+		a.mutex.Unlock()
+		return
+	}
 	a.written = false
 	a.mutex.Unlock()
 	select {
--- a/discovery/view.go
+++ b/discovery/view.go
@@ -38,6 +38,10 @@
 	Peer    string
 	Zone    string
 	Region  string
+	// Capacity is the node's processor capacity, in cores; zero is unknown.
+	Capacity float64
+	// Busy nodes have so much to do that others should help.
+	Busy bool
 	// Leaving nodes finish what they have and are given to no caller.
 	Leaving bool
 }
--- a/front/node.go
+++ b/front/node.go
@@ -62,6 +62,8 @@
 	// knows says that a table and the servers were heard of once.
 	knows atomic.Bool
 	tend  chan struct{}
+	// load tells when others should help; only tendLoop uses it.
+	load loadMeter
 	// presence tells where the servers stand; nil until it is known.
 	presence atomic.Pointer[directory.Presence]
 	// serving are the nodes to which callers are sent; nil until it is known.
@@ -98,12 +100,14 @@
 	f := &Front{
 		options: options,
 		tend:    make(chan struct{}, 1),
+		load:    loadMeter{capacity: settings.Capacity},
 		self: discovery.Node{
-			ID:      settings.Node + "." + options.Incarnation,
-			Address: settings.Callers,
-			Peer:    settings.Peer,
-			Zone:    settings.Zone,
-			Region:  settings.Region,
+			ID:       settings.Node + "." + options.Incarnation,
+			Address:  settings.Callers,
+			Peer:     settings.Peer,
+			Zone:     settings.Zone,
+			Region:   settings.Region,
+			Capacity: settings.Capacity,
 		},
 	}
 	var registry prometheus.Registerer
@@ -259,5 +263,6 @@
 		case <-f.tend:
 		}
 		f.gateway.Tend()
+		f.announcer.SetBusy(f.load.take(time.Now(), f.gateway.Sends()))
 	}
 }
--- a/front/settings.go
+++ b/front/settings.go
@@ -8,6 +8,8 @@
 	Node, Zone, Region string
 	// Regions names the region of each zone.
 	Regions map[string]string
+	// Capacity is the node's processor capacity, in cores; zero is unknown.
+	Capacity float64
 	// FirstStart says that no earlier incarnation of any node has run.
 	FirstStart bool
 	// Callers, Readiness and Directory are the addresses that are listened on;
--- a/gateway/attempts.go
+++ b/gateway/attempts.go
@@ -22,6 +22,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g.attempts[action.Attempt] = &runningAttempt{cancel: cancel}
 	g.wantedUntil[action.Server.ID] = g.now() + wantedFor
+	g.sends.Add(1)
 	g.counters.sent(action.Kind)
 	go g.carry(ctx, cancel, asked, action)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -70,6 +70,8 @@
 	draining atomic.Bool
 	held     atomic.Int64
 	serves   atomic.Bool
+	// sends counts the attempts that were sent since the start.
+	sends    atomic.Uint64
 	counters *counters
 
 	mutex sync.Mutex
@@ -172,6 +174,9 @@
 // Drain makes every connection end with its next answer.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
+// Sends is the number of attempts that were sent to servers since the start.
+func (g *Gateway) Sends() uint64 { return g.sends.Load() }
+
 // Pending is the number of requests without a final answer.
 func (g *Gateway) Pending() int {
 	g.mutex.Lock()
--- a/routing/budget_test.go
+++ b/routing/budget_test.go
@@ -111,3 +111,71 @@
 	))
 	properties.TestingRun(t)
 }
+
+// Nodes take turns in serving callers, all of them eager for extra sends: what
+// those that served before have spent and what their successors spend keeps the
+// budget, however often roles change.
+func TestBudgetHoldsWhileRolesChange(t *testing.T) {
+	const (
+		ratio  = 0.2
+		fixed  = 56.0
+		window = 10 * time.Second
+		tick   = 100 * time.Millisecond
+		nodes  = 16
+	)
+	run := func(seed uint64, most int, lasting time.Duration) bool {
+		random := rand.New(rand.NewPCG(seed, 1))
+		all := make([]*world, nodes)
+		for i := range all {
+			all[i] = newWorld(t, routing.Options{
+				Seed:   random.Uint64(),
+				Budget: routing.BudgetOptions{Ratio: ratio, Fixed: fixed, Window: window},
+			})
+			roomy := servers(2, "s1")
+			roomy[0].Slots, roomy[1].Slots = 1_000, 1_000
+			all[i].setServers(roomy)
+			all[i].setTable(10_000, "s1")
+		}
+		var arrivals []arrival
+		serving := make(map[int]bool)
+		changeAt := time.Duration(0)
+		for now := time.Duration(0); now < 60*time.Second; now += tick {
+			if now >= changeAt {
+				changeAt = now + time.Duration(random.Float64()*float64(lasting))
+				clear(serving)
+				for range 1 + random.IntN(most) {
+					serving[random.IntN(nodes)] = true
+				}
+				for i, w := range all {
+					w.step(routing.NodesChanged{Live: nodes, Serving: len(serving), Serves: serving[i]})
+				}
+			}
+			for i, w := range all {
+				before := len(w.order)
+				if serving[i] {
+					for range 4 {
+						w.ask(single("s1", true))
+					}
+				}
+				w.pass(tick)
+				for _, send := range w.order[before:] {
+					arrivals = append(arrivals, arrival{at: now, extra: send.Kind != gather.FirstSend})
+				}
+				for _, send := range w.order[before:] {
+					if _, open := w.sends[send.Attempt]; open {
+						w.end(send.Attempt, gather.ReplyDone)
+					}
+				}
+			}
+		}
+		return worstExcess(arrivals, ratio, fixed, window) <= 0
+	}
+	parameters := gopter.DefaultTestParametersWithSeed(1)
+	parameters.MinSuccessfulTests = 12
+	properties := gopter.NewProperties(parameters)
+	properties.Property("extra sends stay within the budget", prop.ForAll(
+		run, gen.UInt64(), gen.IntRange(1, 12),
+		gen.Int64Range(1, 30).Map(func(seconds int64) time.Duration { return time.Duration(seconds) * time.Second }),
+	))
+	properties.TestingRun(t)
+}
--- a/routing/router.go
+++ b/routing/router.go
@@ -21,11 +21,7 @@
 	startedAt time.Duration
 	actions   []Action
 
-	nodes NodesChanged
-	// most are the greatest numbers of nodes of late, and mostAt is when they were
-	// last seen.
-	most      NodesChanged
-	mostAt    time.Duration
+	shares    shares
 	services  map[string]*service
 	servers   map[string]*server
 	latencies map[string]*latencies
@@ -95,7 +91,7 @@
 	case SettingsChanged:
 		r.settingsChanged(event)
 	case NodesChanged:
-		r.nodesChanged(event)
+		r.shares.take(r.now, event)
 	}
 	r.expire()
 	r.wake()
@@ -285,19 +281,6 @@
 	}
 }
 
-// nodesForgotten is how long nodes that are not seen any more still count for what
-// all nodes share: their entries may only have lapsed, and shares that grow at once
-// on all nodes would add up to more than there is.
-const nodesForgotten = 30 * time.Second
-
-// nodesChanged takes the nodes that are there now.
-func (r *Router) nodesChanged(event NodesChanged) {
-	r.nodes = event
-	if event.Live >= r.most.Live || r.now-r.mostAt > nodesForgotten {
-		r.most, r.mostAt = event, r.now
-	}
-}
-
 // settingsChanged takes bounds that were set anew. The window of budgets stays:
 // what was counted in another one would not fit.
 func (r *Router) settingsChanged(event SettingsChanged) {
--- a/routing/service.go
+++ b/routing/service.go
@@ -96,36 +96,6 @@
 	r.pumping = nil
 }
 
-// share is the number of connections that this node may have to each of the
-// service's servers, and so the attempts in flight there.
-func (r *Router) share(s *service) int {
-	if s.connections == 0 {
-		return 1
-	}
-	usable := float64(s.connections) * (1 - r.options.SpareConnections)
-	return max(int(usable/float64(max(r.most.Serving, 1))), 1)
-}
-
-// otherNodesShare is the part of a budget's fixed number that the nodes share
-// to which callers are not sent.
-const otherNodesShare = 0.15
-
-// fixedShare is the node's part of each budget's fixed number.
-func (r *Router) fixedShare() float64 {
-	if r.most.Live == 0 || r.most.Serving == 0 || r.options.Fresh && r.now < r.startedAt+r.options.Budget.Window {
-		return 0
-	}
-	others := r.most.Live - r.most.Serving
-	switch {
-	case others == 0:
-		return r.options.Budget.Fixed / float64(r.most.Live)
-	case r.nodes.Serves:
-		return r.options.Budget.Fixed * (1 - otherNodesShare) / float64(r.most.Serving)
-	default:
-		return r.options.Budget.Fixed * otherNodesShare / float64(others)
-	}
-}
-
 // mayExtra reports whether one more extra send to the service is allowed.
 func (r *Router) mayExtra(s *service, kind gather.SendKind) bool {
 	left, most := s.budget.left(r.now, r.options.Budget, r.fixedShare())
