Servers are told the time that remains when a request leaves

Cause: Remaining was taken when the attempt was decided on; opening a connection, up to 300 ms, came after it, so a server could be told too much.

Ruled out on the way: nodes are slow to serve after a loss of power (table in force 35 ms after the start).

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -85,14 +85,15 @@
 // Do sends the attempt and reads its whole answer. The end of ctx closes the
 // connection, which tells the server to stop.
 func (c *Client) Do(ctx context.Context, attempt *Attempt) (*Reply, error) {
-	ctx, cancel := context.WithTimeout(ctx, attempt.Remaining)
+	deadline := time.Now().Add(attempt.Remaining)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	conn, err := c.acquire(ctx, attempt.Server)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotDelivered, err)
 	}
 	stop := context.AfterFunc(ctx, conn.close)
-	reply, err := conn.exchange(attempt, c.encode(attempt), c.options)
+	reply, err := conn.exchange(attempt, c.encode(attempt, time.Until(deadline)), c.options)
 	sound := stop() && err == nil && conn.reusable
 	c.release(attempt.Server.ID, conn, sound)
 	return reply, err
--- a/exchange/connection.go
+++ b/exchange/connection.go
@@ -186,7 +186,8 @@
 
 func isTransport(err error) bool {
 	var network net.Error
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &network)
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, io.ErrClosedPipe) || errors.As(err, &network)
 }
 
 func readBody(response *http.Response, most int64) ([]byte, error) {
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -44,7 +44,7 @@
 type Attempt struct {
 	Request *Request
 	Server  discovery.Server
-	// Remaining is the time that is left for it.
+	// Remaining is the time that is left for it when Do is called.
 	Remaining time.Duration
 }
 
@@ -76,8 +76,9 @@
 	}
 }
 
-// encode writes the request for one server.
-func (c *Client) encode(a *Attempt) []byte {
+// encode writes the request for one server, which is told how much time remains
+// now: a connection may have taken some of it.
+func (c *Client) encode(a *Attempt, remaining time.Duration) []byte {
 	request := a.Request
 	buffer := bytes.NewBuffer(make([]byte, 0, encodedHeader+len(request.Body)))
 	buffer.WriteString(request.Method)
@@ -87,7 +88,7 @@
 	buffer.WriteString(request.Host)
 	buffer.WriteString("\r\n")
 	_ = request.Header.Write(buffer) // a buffer takes everything
-	writeHeader(buffer, c.options.Headers.Remaining, strconv.FormatInt(max(a.Remaining.Milliseconds(), 1), 10))
+	writeHeader(buffer, c.options.Headers.Remaining, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
 	writeHeader(buffer, c.options.Headers.ExpectedServer, a.Server.ID)
 	if len(request.Body) > 0 || hasBody(request.Method) {
 		writeHeader(buffer, "Content-Length", strconv.Itoa(len(request.Body)))
