Long contents between nodes are compressed and encoded once; readers are capable nodes

Cause: with 1,700 routes a table is 1.2 MB. Each configuration and each restart sent it whole to each of 70 nodes, from readers that may have 20 Mbit/s; answers missed their 250 ms, and nodes read the store themselves (2,259 calls for 898).

Change: relay caches a generation's content, compressed from 4 KiB on; a set of shards stands once, on the wire and in memory, and is checked once; the most capable nodes read.

Tests: relay (new), route.TestDefinitionIsEncodedOnce, discovery.TestReadersAreCapable.

--- a/discovery/publication.go
+++ b/discovery/publication.go
@@ -26,6 +26,12 @@
 
 // Publication is what a node that reads the registry believes.
 type Publication struct {
+	PublicationState
+	PublicationContent
+}
+
+// PublicationState tells what a publication is, and how old.
+type PublicationState struct {
 	Mark
 	// Since is the generation after which the publication tells what changed;
 	// zero means that it is whole.
@@ -34,6 +40,11 @@
 	Revision Revision `json:"revision"`
 	// Age is how old the belief was when it was published.
 	Age time.Duration `json:"age_ns"`
+}
+
+// PublicationContent is what a publication tells. It is the same for all that
+// have the same generation and tell what changed since the same one.
+type PublicationContent struct {
 	// Servers and Nodes are those that are there, or those that changed; GoneServers
 	// and GoneNodes name those that went since.
 	Servers     []Server `json:"servers,omitempty"`
@@ -61,12 +72,13 @@
 func hashOf(parts ...string) uint64 { return xxhash.Sum64String(strings.Join(parts, "\x00")) }
 
 // readersOf returns the nodes that read the registry, one for so many nodes, but
-// two at least, and one that does so only while the other is not there. All nodes
+// two at least, and one that does so only while the other is not there. They are
+// the most capable: a reader sends all that is long to all that ask it. All nodes
 // that see the same members choose the same.
 func readersOf(nodes []Node) []Node {
 	ranked := slices.DeleteFunc(slices.Clone(nodes), func(n Node) bool { return n.Leaving || n.Peer == "" })
 	slices.SortFunc(ranked, func(a, b Node) int {
-		return cmp.Or(cmp.Compare(hashOf(a.ID), hashOf(b.ID)), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(hashOf(a.ID), hashOf(b.ID)), cmp.Compare(a.ID, b.ID))
 	})
 	count := (len(ranked) + nodesPerReader - 1) / nodesPerReader
 	return ranked[:min(len(ranked), count+1)]
@@ -107,7 +119,7 @@
 		publication = f.changesAfter(known.Generation)
 	} else {
 		definition := f.table.Definition()
-		publication = Publication{Servers: f.published.Servers, Nodes: f.published.Nodes, Table: &definition}
+		publication.Servers, publication.Nodes, publication.Table = f.published.Servers, f.published.Nodes, &definition
 	}
 	publication.Mark = Mark{Publisher: f.options.Self, Generation: f.history.latest}
 	publication.Revision = f.revision
@@ -118,7 +130,8 @@
 // changesAfter tells what changed after a generation, as it is now. The lock is held.
 func (f *Follower) changesAfter(generation uint64) Publication {
 	changed := f.history.after(generation)
-	publication := Publication{Since: generation}
+	var publication Publication
+	publication.Since = generation
 	publication.Servers, publication.GoneServers = f.published.pickServers(changed)
 	publication.Nodes, publication.GoneNodes = f.published.pickNodes(changed)
 	if changed.table {
--- /dev/null
+++ b/discovery/readers_test.go
@@ -0,0 +1,33 @@
+package discovery
+
+import (
+	"fmt"
+	"testing"
+)
+
+func TestReadersAreCapable(t *testing.T) {
+	var nodes []Node
+	for number := range 120 {
+		id := fmt.Sprintf("node-%03d", number)
+		n := Node{ID: id, Peer: id, Capacity: 0.2}
+		if number%10 == 0 {
+			n.Capacity = 0.8
+		}
+		nodes = append(nodes, n)
+	}
+	readers := readersOf(nodes)
+	if len(readers) != 4 {
+		t.Errorf("%d readers of 120 nodes, want 3 and one in reserve", len(readers))
+	}
+	for _, reader := range readers {
+		if reader.Capacity != 0.8 {
+			t.Errorf("%s, which is less capable than others, is a reader", reader.ID)
+		}
+	}
+	for i := range nodes {
+		nodes[i].Leaving = nodes[i].Capacity == 0.8
+	}
+	if readers = readersOf(nodes); len(readers) != 4 || readers[0].Leaving {
+		t.Errorf("once the capable ones leave, there are %d readers", len(readers))
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -1,5 +1,9 @@
 // Package relay carries what a node that reads the registry believes to the
 // other nodes, over HTTP between nodes.
+//
+// An answer's body is the content of a publication, which is the same for all
+// nodes that ask after the same generation: it is encoded once, and compressed
+// when it is long. What differs each time stands in a header.
 package relay
 
 import (
@@ -24,9 +28,11 @@
 	// publisherField and generationField name what the asker has already.
 	publisherField  = "publisher"
 	generationField = "generation"
+	// stateHeader holds the publication without its content, as JSON.
+	stateHeader = "Banksail-Publication"
 	// connections bounds those to one node.
 	connections = 1
-	// answerBytes bounds an answer.
+	// answerBytes bounds an answer, also once it is decompressed.
 	answerBytes = 16 << 20
 )
 
@@ -47,20 +53,45 @@
 		publisherField:  {known.Publisher},
 		generationField: {strconv.FormatUint(known.Generation, 10)},
 	}
-	reply, err := httpcall.Send(ctx, c.transport, httpcall.Call{Address: address, Path: path, Query: query, Limit: answerBytes})
+	call := httpcall.Call{
+		Address: address,
+		Path:    path,
+		Query:   query,
+		Header:  http.Header{"Accept-Encoding": {compressed}},
+		Limit:   answerBytes,
+	}
+	reply, err := httpcall.Send(ctx, c.transport, call)
 	if err != nil {
 		return discovery.Publication{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
 	if reply.Code != http.StatusOK {
 		return discovery.Publication{}, fmt.Errorf("%w: status %d", ErrUnavailable, reply.Code)
 	}
-	var publication discovery.Publication
-	if err := json.Unmarshal(reply.Body, &publication); err != nil {
+	publication, err := decode(reply)
+	if err != nil {
 		return discovery.Publication{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
 	return publication, nil
 }
 
+func decode(reply httpcall.Reply) (discovery.Publication, error) {
+	var publication discovery.Publication
+	if err := json.Unmarshal([]byte(reply.Header.Get(stateHeader)), &publication.PublicationState); err != nil {
+		return discovery.Publication{}, fmt.Errorf("%s: %w", stateHeader, err)
+	}
+	body := reply.Body
+	if reply.Header.Get("Content-Encoding") == compressed {
+		var err error
+		if body, err = decompress(body); err != nil {
+			return discovery.Publication{}, err
+		}
+	}
+	if err := json.Unmarshal(body, &publication.PublicationContent); err != nil {
+		return discovery.Publication{}, err
+	}
+	return publication, nil
+}
+
 // Publisher tells what a node believes.
 type Publisher interface {
 	Publish(known discovery.Mark) (discovery.Publication, bool)
@@ -69,6 +100,7 @@
 // Handler answers other nodes.
 func Handler(publisher Publisher) http.Handler {
 	mux := http.NewServeMux()
+	encoded := new(cache)
 	mux.HandleFunc("GET "+path, func(writer http.ResponseWriter, request *http.Request) {
 		query := request.URL.Query()
 		generation, err := strconv.ParseUint(query.Get(generationField), 10, 64)
@@ -81,13 +113,28 @@
 			http.Error(writer, "nothing is known yet", http.StatusServiceUnavailable)
 			return
 		}
-		body, err := json.Marshal(publication)
-		if err != nil {
+		if err := answer(writer, publication, encoded); err != nil {
 			http.Error(writer, err.Error(), http.StatusInternalServerError)
-			return
 		}
-		writer.Header().Set("Content-Type", httpcall.JSON)
-		_, _ = writer.Write(body) // an asker that has gone asks another node
 	})
 	return mux
 }
+
+func answer(writer http.ResponseWriter, publication discovery.Publication, encoded *cache) error {
+	state, err := json.Marshal(publication.PublicationState)
+	if err != nil {
+		return err
+	}
+	content, err := encoded.content(publication)
+	if err != nil {
+		return err
+	}
+	header := writer.Header()
+	header.Set("Content-Type", httpcall.JSON)
+	header.Set(stateHeader, string(state))
+	if content.compressed {
+		header.Set("Content-Encoding", compressed)
+	}
+	_, _ = writer.Write(content.data) // an asker that has gone asks another node
+	return nil
+}
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,161 @@
+package relay_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/banksail/banksail/discovery"
+	"github.com/banksail/banksail/relay"
+	"github.com/banksail/banksail/route"
+)
+
+// publisher publishes what it holds; asked is the mark that it was asked with last.
+type publisher struct {
+	publication discovery.Publication
+	silent      bool
+	asked       discovery.Mark
+}
+
+func (p *publisher) Publish(known discovery.Mark) (discovery.Publication, bool) {
+	p.asked = known
+	return p.publication, !p.silent
+}
+
+// serve answers for the publisher and counts the bytes of its answers' bodies.
+func serve(t *testing.T, p *publisher) (address string, bytes *atomic.Int64) {
+	t.Helper()
+	bytes = new(atomic.Int64)
+	handler := relay.Handler(p)
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		handler.ServeHTTP(&countingWriter{writer, bytes}, request)
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://"), bytes
+}
+
+type countingWriter struct {
+	http.ResponseWriter
+	bytes *atomic.Int64
+}
+
+func (w *countingWriter) Write(data []byte) (int, error) {
+	w.bytes.Add(int64(len(data)))
+	return w.ResponseWriter.Write(data)
+}
+
+// bigTable is a table with many routes over the same shards.
+func bigTable(routes, shards int) route.Definition {
+	definition := route.Definition{Version: 3, Limits: route.Limits{HeaderBytes: 1, HeaderTimeout: 1, IdleTimeout: 1}}
+	var names []string
+	for i := range shards {
+		names = append(names, fmt.Sprintf("shard-%d", i))
+		definition.Services = append(definition.Services, route.Service{Name: names[i], Connections: 20})
+	}
+	for i := range routes {
+		definition.Routes = append(definition.Routes, route.Route{
+			Name: fmt.Sprintf("route-%d", i), Host: "host.example", PathPrefix: fmt.Sprintf("/%d/", i), Repeatable: true,
+			Timeout: time.Second, Attempts: 2, Target: route.Target{Shards: names, Top: 5, MinimumCoverage: 0.5},
+		})
+	}
+	return definition
+}
+
+func whole(definition *route.Definition) discovery.Publication {
+	var p discovery.Publication
+	p.Mark = discovery.Mark{Publisher: "node-1", Generation: 4}
+	p.Revision, p.Age = 77, 300*time.Millisecond
+	p.Table = definition
+	p.Servers = []discovery.Server{{ID: "s", Service: "shard-0", Address: "10.0.0.1:1", Slots: 2, State: discovery.Draining}}
+	p.Nodes = []discovery.Node{{ID: "n", Address: "10.0.0.2:1", Capacity: 0.8, Busy: true}}
+	return p
+}
+
+func TestPublicationArrivesWhole(t *testing.T) {
+	for name, routes := range map[string]int{"short": 1, "long, compressed": 1500} {
+		t.Run(name, func(t *testing.T) {
+			definition := bigTable(routes, 90)
+			p := &publisher{publication: whole(&definition)}
+			address, bytes := serve(t, p)
+			client := relay.NewClient(nil)
+			defer client.Close()
+			known := discovery.Mark{Publisher: "node-1", Generation: 3}
+			got, err := client.Ask(t.Context(), address, known)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !reflect.DeepEqual(got, p.publication) {
+				t.Error("the publication is not what it was")
+			}
+			if p.asked != known {
+				t.Errorf("asked with %v, want %v", p.asked, known)
+			}
+			if bytes.Load() > 40_000 {
+				t.Errorf("%d bytes for %d routes", bytes.Load(), routes)
+			}
+		})
+	}
+}
+
+// What is kept encoded is that of the generation, and of what changed since the
+// generation that was asked after.
+func TestContentsAreThoseOfTheGeneration(t *testing.T) {
+	definition := bigTable(200, 20)
+	p := &publisher{publication: whole(&definition)}
+	address, _ := serve(t, p)
+	client := relay.NewClient(nil)
+	defer client.Close()
+	ask := func() discovery.Publication {
+		got, err := client.Ask(t.Context(), address, discovery.Mark{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return got
+	}
+	ask()
+	p.publication.Age, p.publication.Revision = time.Second, 80
+	if got := ask(); got.Age != time.Second || got.Revision != 80 || got.Table == nil {
+		t.Errorf("age %s and revision %d of the second answer", got.Age, got.Revision)
+	}
+	p.publication.Since, p.publication.Table = 3, nil
+	if got := ask(); got.Table != nil || got.Since != 3 {
+		t.Error("changes since a generation are answered with the whole")
+	}
+	p.publication.Generation, p.publication.GoneServers = 5, []string{"s"}
+	if got := ask(); len(got.GoneServers) != 1 {
+		t.Error("the next generation is answered with the content of the one before")
+	}
+	p.publication.Generation, p.publication.GoneServers = 4, nil
+	if got := ask(); len(got.GoneServers) != 0 || got.Generation != 4 {
+		t.Error("a generation that was overtaken is answered with the content of the next")
+	}
+}
+
+func TestUnusableAnswers(t *testing.T) {
+	client := relay.NewClient(nil)
+	defer client.Close()
+	silent, _ := serve(t, &publisher{silent: true})
+	if _, err := client.Ask(t.Context(), silent, discovery.Mark{}); err == nil {
+		t.Error("a node that knows nothing gave an answer")
+	}
+	for name, answer := range map[string]http.HandlerFunc{
+		"no state":   func(writer http.ResponseWriter, _ *http.Request) { _, _ = writer.Write([]byte("{}")) },
+		"no content": func(writer http.ResponseWriter, _ *http.Request) { writer.Header().Set("Banksail-Publication", "{}") },
+		"wrong bytes": func(writer http.ResponseWriter, _ *http.Request) {
+			writer.Header().Set("Banksail-Publication", "{}")
+			writer.Header().Set("Content-Encoding", "gzip")
+			_, _ = writer.Write([]byte("{}"))
+		},
+	} {
+		server := httptest.NewServer(answer)
+		if _, err := client.Ask(t.Context(), strings.TrimPrefix(server.URL, "http://"), discovery.Mark{}); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+		server.Close()
+	}
+}
--- a/route/table.go
+++ b/route/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -19,6 +20,7 @@
 	// byHost holds the routes of a host, those with the longest prefix first.
 	byHost     map[string][]*Route
 	definition Definition
+	used       []string
 }
 
 // Service is a set of servers, each of which answers as well as another.
@@ -122,7 +124,8 @@
 // New returns the table of a definition, or an error that names the field at
 // fault; it wraps ErrInvalid.
 func New(definition Definition) (*Table, error) {
-	if err := definition.validate(); err != nil {
+	sets := definition.share()
+	if err := definition.validate(sets); err != nil {
 		return nil, err
 	}
 	t := &Table{
@@ -131,14 +134,15 @@
 		Limits:     definition.Limits,
 		byHost:     make(map[string][]*Route),
 		definition: definition,
+		used:       definition.used(sets),
 	}
 	for _, service := range definition.Services {
 		t.Services[service.Name] = service
 	}
 	for i := range definition.Routes {
-		r := definition.Routes[i]
+		r := &definition.Routes[i]
 		r.Host = strings.ToLower(r.Host)
-		t.byHost[r.Host] = append(t.byHost[r.Host], &r)
+		t.byHost[r.Host] = append(t.byHost[r.Host], r)
 	}
 	for _, routes := range t.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int {
@@ -173,20 +177,22 @@
 	return strings.ToLower(host)
 }
 
-// UsedServices lists the services that a route names, sorted.
-func (t *Table) UsedServices() []string {
-	used := make(map[string]struct{})
-	for _, routes := range t.byHost {
-		for _, r := range routes {
-			for _, name := range r.Target.Names() {
-				used[name] = struct{}{}
-			}
+// UsedServices lists the services that a route names, sorted. The list must not
+// be changed.
+func (t *Table) UsedServices() []string { return t.used }
+
+// used lists the services that a route names, sorted; sets are its sets of shards.
+func (d *Definition) used(sets [][]string) []string {
+	named := make(map[string]struct{})
+	for _, set := range sets {
+		for _, name := range set {
+			named[name] = struct{}{}
 		}
 	}
-	names := make([]string, 0, len(used))
-	for name := range used {
-		names = append(names, name)
+	for i := range d.Routes {
+		for _, share := range d.Routes[i].Target.Shares {
+			named[share.Service] = struct{}{}
+		}
 	}
-	slices.Sort(names)
-	return names
+	return slices.Sorted(maps.Keys(named))
 }
--- a/route/table_test.go
+++ b/route/table_test.go
@@ -1,7 +1,11 @@
 package route_test
 
 import (
+	"encoding/json"
 	"errors"
+	"fmt"
+	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -80,3 +84,51 @@
 		}
 	}
 }
+
+// A definition survives its encoding, and routes with the same shards share them.
+func TestDefinitionIsEncodedOnce(t *testing.T) {
+	shards := make([]string, 90)
+	definition := route.Definition{Version: 7, Limits: route.Limits{HeaderBytes: 1, BodyBytes: 2, HeaderTimeout: 3, IdleTimeout: 4}}
+	for i := range shards {
+		shards[i] = fmt.Sprintf("shard-number-%d", i)
+		definition.Services = append(definition.Services, route.Service{Name: shards[i], HealthPath: "/h", Connections: 5})
+	}
+	for i := range 500 {
+		definition.Routes = append(definition.Routes, route.Route{
+			Name: fmt.Sprint("r", i), Host: "h", PathPrefix: fmt.Sprintf("/%d/", i), Repeatable: true, Timeout: 1, Aim: 2, Attempts: 3, Priority: 4,
+			Target: route.Target{Shards: slices.Clone(shards), Top: 5, MinimumCoverage: 0.5},
+		})
+	}
+	definition.Routes = append(definition.Routes, route.Route{
+		Name: "single", Host: "h", PathPrefix: "/s/", Timeout: 1, Attempts: 1,
+		Target: route.Target{Shares: []route.Share{{Service: shards[0], Weight: 2}}},
+	})
+	encoded, err := json.Marshal(definition)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if least := 500 * len(shards) * len(shards[0]); len(encoded) > least/4 {
+		t.Errorf("%d bytes for 500 routes with %d bytes of shards", len(encoded), least)
+	}
+	var decoded route.Definition
+	if err := json.Unmarshal(encoded, &decoded); err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(decoded, definition) {
+		t.Error("the definition is not what it was")
+	}
+	table, err := route.New(definition)
+	if err != nil {
+		t.Fatal(err)
+	}
+	first, last := table.Match("h", "/0/x"), table.Match("h", "/499/x")
+	if &first.Target.Shards[0] != &last.Target.Shards[0] {
+		t.Error("routes with the same shards hold them twice")
+	}
+	if got := table.UsedServices(); len(got) != len(shards) {
+		t.Errorf("%d services are used, want %d", len(got), len(shards))
+	}
+	if err := json.Unmarshal([]byte(`{"routes":[{"set":1}]}`), &decoded); !errors.Is(err, route.ErrInvalid) || !strings.Contains(err.Error(), "routes[0]") {
+		t.Errorf("a set that is not there: %v", err)
+	}
+}
--- a/route/validate.go
+++ b/route/validate.go
@@ -9,102 +9,140 @@
 // ErrInvalid is wrapped by the errors of New.
 var ErrInvalid = errors.New("route: invalid table")
 
-func invalid(field, format string, values ...any) error {
-	return fmt.Errorf("%w: %s: %s", ErrInvalid, field, fmt.Sprintf(format, values...))
+// fieldError tells what is wrong with a field.
+type fieldError struct{ field, text string }
+
+// Error implements error.
+func (e *fieldError) Error() string { return fmt.Sprintf("%s: %s: %s", ErrInvalid, e.field, e.text) }
+
+// Unwrap lets errors.Is find ErrInvalid.
+func (e *fieldError) Unwrap() error { return ErrInvalid }
+
+// within is the error of a field that lies in another one.
+func (e *fieldError) within(field string) *fieldError {
+	return &fieldError{field: field + "." + e.field, text: e.text}
 }
 
-func (d Definition) validate() error {
+func invalid(field, format string, values ...any) *fieldError {
+	return &fieldError{field: field, text: fmt.Sprintf(format, values...)}
+}
+
+// validate looks at the definition, whose routes share the given sets of shards.
+// Each set is looked at once: tables have many routes with few long sets.
+func (d *Definition) validate(sets [][]string) error {
 	known := make(map[string]struct{}, len(d.Services))
 	for i, service := range d.Services {
-		field := fmt.Sprintf("services[%d]", i)
-		if service.Name == "" {
-			return invalid(field+".name", "must not be empty")
-		}
-		if _, twice := known[service.Name]; twice {
-			return invalid(field+".name", "%q stands twice", service.Name)
-		}
-		if service.Connections < 1 {
-			return invalid(field+".connections", "must be at least 1")
+		if err := service.validate(known); err != nil {
+			return err.within(fmt.Sprintf("services[%d]", i))
 		}
 		known[service.Name] = struct{}{}
 	}
+	sound := make(map[*string]bool, len(sets))
+	for _, set := range sets {
+		sound[&set[0]] = validateNames(set, known) == nil
+	}
 	for i := range d.Routes {
-		if err := d.Routes[i].validate(fmt.Sprintf("routes[%d]", i), known); err != nil {
-			return err
+		if err := d.Routes[i].validate(known, sound); err != nil {
+			return err.within(fmt.Sprintf("routes[%d]", i))
 		}
 	}
-	return d.Limits.validate()
+	if err := d.Limits.validate(); err != nil {
+		return err.within("limits")
+	}
+	return nil
 }
 
-func (l Limits) validate() error {
+func (s Service) validate(known map[string]struct{}) *fieldError {
+	if s.Name == "" {
+		return invalid("name", "must not be empty")
+	}
+	if _, twice := known[s.Name]; twice {
+		return invalid("name", "%q stands twice", s.Name)
+	}
+	if s.Connections < 1 {
+		return invalid("connections", "must be at least 1")
+	}
+	return nil
+}
+
+func (l Limits) validate() *fieldError {
 	switch {
 	case l.HeaderBytes <= 0:
-		return invalid("limits.header_bytes", "must be positive")
+		return invalid("header_bytes", "must be positive")
 	case l.BodyBytes < 0:
-		return invalid("limits.body_bytes", "must not be negative")
+		return invalid("body_bytes", "must not be negative")
 	case l.HeaderTimeout <= 0:
-		return invalid("limits.header_timeout", "must be positive")
+		return invalid("header_timeout", "must be positive")
 	case l.IdleTimeout <= 0:
-		return invalid("limits.idle_timeout", "must be positive")
+		return invalid("idle_timeout", "must be positive")
 	default:
 		return nil
 	}
 }
 
-func (r Route) validate(field string, services map[string]struct{}) error {
+func (r *Route) validate(services map[string]struct{}, sound map[*string]bool) *fieldError {
 	switch {
 	case r.Host == "":
-		return invalid(field+".host", "must not be empty")
+		return invalid("host", "must not be empty")
 	case !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/"):
-		return invalid(field+".path_prefix", "%q must begin and end with a slash", r.PathPrefix)
+		return invalid("path_prefix", "%q must begin and end with a slash", r.PathPrefix)
 	case r.Timeout <= 0:
-		return invalid(field+".timeout", "must be positive")
+		return invalid("timeout", "must be positive")
 	case r.Aim < 0:
-		return invalid(field+".aim", "must not be negative")
+		return invalid("aim", "must not be negative")
 	case r.Attempts < 1:
-		return invalid(field+".attempts", "must be at least 1")
+		return invalid("attempts", "must be at least 1")
 	case r.Priority < 0:
-		return invalid(field+".priority", "must not be negative")
+		return invalid("priority", "must not be negative")
 	default:
-		return r.validateTarget(field, services)
+		return r.validateTarget(services, sound)
 	}
 }
 
-func (r Route) validateTarget(field string, services map[string]struct{}) error {
-	t := r.Target
+func (r *Route) validateTarget(services map[string]struct{}, sound map[*string]bool) *fieldError {
+	t := &r.Target
 	switch {
 	case t.FanOut() && len(t.Shares) > 0:
-		return invalid(field+".target", "names both shards and weighted services")
+		return invalid("target", "names both shards and weighted services")
 	case !t.FanOut() && len(t.Shares) == 0:
-		return invalid(field+".target", "names no service")
+		return invalid("target", "names no service")
 	case t.FanOut() && !r.Repeatable:
-		return invalid(field+".repeatable", "must be true for a route over shards")
+		return invalid("repeatable", "must be true for a route over shards")
 	case t.FanOut() && t.Top < 0:
-		return invalid(field+".top", "must not be negative")
+		return invalid("top", "must not be negative")
 	case t.MinimumCoverage < 0 || t.MinimumCoverage > 1:
-		return invalid(field+".minimum_coverage", "must be from 0 to 1")
+		return invalid("minimum_coverage", "must be from 0 to 1")
+	case t.FanOut() && sound[&t.Shards[0]]:
+		return nil
+	}
+	if err := t.validateShares(); err != nil {
+		return err
 	}
+	return validateNames(t.Names(), services)
+}
+
+func (t *Target) validateShares() *fieldError {
 	total := 0.0
 	for i, share := range t.Shares {
 		if share.Weight < 0 {
-			return invalid(fmt.Sprintf("%s.shares[%d].weight", field, i), "must not be negative")
+			return invalid(fmt.Sprintf("shares[%d].weight", i), "must not be negative")
 		}
 		total += share.Weight
 	}
 	if !t.FanOut() && total <= 0 {
-		return invalid(field+".shares", "must have a positive weight")
+		return invalid("shares", "must have a positive weight")
 	}
-	return validateNames(field, t.Names(), services)
+	return nil
 }
 
-func validateNames(field string, names []string, services map[string]struct{}) error {
+func validateNames(names []string, services map[string]struct{}) *fieldError {
 	seen := make(map[string]struct{}, len(names))
 	for _, name := range names {
 		if _, known := services[name]; !known {
-			return invalid(field+".target", "names the service %q, which is not listed", name)
+			return invalid("target", "names the service %q, which is not listed", name)
 		}
 		if _, twice := seen[name]; twice {
-			return invalid(field+".target", "names the service %q twice", name)
+			return invalid("target", "names the service %q twice", name)
 		}
 		seen[name] = struct{}{}
 	}
