--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -79,6 +79,11 @@
 	if len(serving) != 20 || zones["a"] < 6 || zones["b"] < 6 || zones["c"] < 6 {
 		t.Errorf("%d nodes serve, by zone %v", len(serving), zones)
 	}
+	for connections, want := range map[int]int{8: 8, 4: 4, 1: 3} {
+		if got := directory.Serving(nodes[:9], connections); len(got) != want {
+			t.Errorf("%d of 9 nodes serve where servers take %d connections, want %d", len(got), connections, want)
+		}
+	}
 	without := slices.DeleteFunc(slices.Clone(nodes), func(n discovery.Node) bool { return n.ID == serving[0].ID })
 	stay := 0
 	for _, n := range directory.Serving(without, 20) {
--- a/directory/serving.go
+++ b/directory/serving.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// leastServing is the number of nodes that serve callers at least where servers
-	// take few connections: any one of them may be lost.
-	leastServing = 12
+	// leastServing is the number of nodes that serve callers at least, however few
+	// connections a server takes: any one of them may be lost.
+	leastServing = 3
 	// leastInZone is the number of nodes of each zone that serve callers at least.
 	leastInZone = enoughNear
 	// capableShare is the part of the greatest capacity from which on a node is
--- a/front/listeners.go
+++ b/front/listeners.go
@@ -9,7 +9,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
-	"github.com/banksail/banksail/gateway"
 	"github.com/banksail/banksail/relay"
 )
 
@@ -64,15 +63,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("front: listening on %s: %w", address, err)
 	}
-	if connContext != nil {
-		listener = gateway.Watch(listener)
-	}
 	server := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    headerBytes,
-		ConnContext:       connContext,
+	}
+	if connContext != nil {
+		listener = f.gateway.Watch(listener)
+		server.ConnContext = connContext
+		server.ReadHeaderTimeout, server.IdleTimeout = longestHeaderTimeout, longestIdleTimeout
 	}
 	go func() { _ = server.Serve(listener) }() // ends when the server is closed
 	return server, nil
--- a/front/node.go
+++ b/front/node.go
@@ -84,11 +84,14 @@
 	// may pass between two readings of the registry: one reading may fail, and
 	// the next still falls within the bound.
 	readPace = 0.6
-	// headerBytes, headerTimeout and idleTimeout bound callers whatever the table
-	// says; the gateway holds them to the table's own limit of header bytes.
+	// headerBytes, headerTimeout and idleTimeout bound those who call a node.
 	headerBytes   = 64 << 10
 	headerTimeout = 3 * time.Second
 	idleTimeout   = time.Minute
+	// longestHeaderTimeout and longestIdleTimeout bound callers whatever the table
+	// says; the gateway holds them to the table's own limits.
+	longestHeaderTimeout = 30 * time.Second
+	longestIdleTimeout   = 10 * time.Minute
 )
 
 // New returns a node that has not started.
--- a/gateway/framing.go
+++ b/gateway/framing.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"net"
 	"sync"
 )
 
@@ -23,13 +22,26 @@
 // longestName is the length of the longest header name that matters, with its colon.
 const longestName = len("transfer-encoding:")
 
-// take looks at bytes that the caller has sent.
-func (f *framing) take(data []byte) {
+// progress tells how far a request's header has come.
+type progress int
+
+const (
+	// headerAwaited: no byte of it has come.
+	headerAwaited progress = iota
+	// headerBegun: it has not ended.
+	headerBegun
+	// headerWhole: it has ended.
+	headerWhole
+)
+
+// take looks at bytes that the caller has sent, and tells how far they bring the
+// request's header.
+func (f *framing) take(data []byte) progress {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	for _, b := range data {
 		if f.ended {
-			return
+			return headerWhole
 		}
 		f.size++
 		if b == '\n' {
@@ -40,6 +52,14 @@
 			f.line = append(f.line, b)
 		}
 	}
+	switch {
+	case f.ended:
+		return headerWhole
+	case f.size > 0:
+		return headerBegun
+	default:
+		return headerAwaited
+	}
 }
 
 func (f *framing) endLine() {
@@ -82,30 +102,3 @@
 	f.lines, f.size = 0, 0
 	f.ended, f.length, f.chunked = false, false, false
 }
-
-// watchedListener hands out connections whose requests' headers are watched.
-type watchedListener struct{ net.Listener }
-
-// Watch lets the gateway see the framing of the requests that come in.
-func Watch(listener net.Listener) net.Listener { return watchedListener{listener} }
-
-// Accept implements net.Listener.
-func (l watchedListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &watchedConn{Conn: conn}, nil
-}
-
-type watchedConn struct {
-	net.Conn
-	framing framing
-}
-
-// Read implements net.Conn.
-func (c *watchedConn) Read(data []byte) (int, error) {
-	count, err := c.Conn.Read(data)
-	c.framing.take(data[:count])
-	return count, err
-}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -24,9 +24,10 @@
 func (g *Gateway) ServeHTTP(writer http.ResponseWriter, incoming *http.Request) {
 	arrived := time.Now()
 	var seen header
-	if watched, ok := incoming.Context().Value(framingKey{}).(*framing); ok {
-		seen = watched.request()
-		defer watched.next()
+	if watched, ok := incoming.Context().Value(connectionKey{}).(*watchedConn); ok {
+		seen = watched.framing.request()
+		watched.await(awaitNothing)
+		defer watched.answered()
 	}
 	if g.draining.Load() {
 		writer.Header().Set("Connection", "close")
@@ -144,14 +145,14 @@
 	return g.options.CallerRoundTrip / 2
 }
 
-// framingKey finds a connection's framing in a request's context.
-type framingKey struct{}
+// connectionKey finds a caller's connection in a request's context.
+type connectionKey struct{}
 
 // ConnContext lets the gateway see a connection that Watch's listener took in;
 // it is for http.Server.
 func (g *Gateway) ConnContext(ctx context.Context, conn net.Conn) context.Context {
 	if watched, ok := conn.(*watchedConn); ok {
-		return context.WithValue(ctx, framingKey{}, &watched.framing)
+		return context.WithValue(ctx, connectionKey{}, watched)
 	}
 	return ctx
 }
