One priority queue for what waits, one arithmetic for shares of connections

routing and dispatch each had a heap of their own in the shape of internal/priority, and routing computed what limit.ConnectionShare does. No change of behaviour; tests as they were.

--- a/dispatch/configure.go
+++ b/dispatch/configure.go
@@ -5,6 +5,7 @@
 	"reflect"
 	"slices"
 
+	"github.com/banksail/banksail/internal/priority"
 	"github.com/banksail/banksail/limit"
 	"github.com/banksail/banksail/policy"
 	"github.com/banksail/banksail/retry"
@@ -97,7 +98,12 @@
 	sorted := slices.Clone(service.Groups)
 	slices.SortFunc(sorted, func(a, b policy.Group) int { return cmp.Compare(a.Range.Start, b.Range.Start) })
 	for _, settings := range sorted {
-		g := &group{name: settings.Name, span: settings.Range, latencies: latencies[settings.Name]}
+		g := &group{
+			name:      settings.Name,
+			span:      settings.Range,
+			latencies: latencies[settings.Name],
+			waiting:   priority.NewQueue(waiter.before, nil),
+		}
 		if g.latencies == nil {
 			g.latencies = new(retry.Sketch)
 		}
--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -1,12 +1,12 @@
 package dispatch
 
 import (
-	"container/heap"
 	"sort"
 
 	"github.com/banksail/banksail/admission"
 	"github.com/banksail/banksail/coverage"
 	"github.com/banksail/banksail/gather"
+	"github.com/banksail/banksail/internal/priority"
 	"github.com/banksail/banksail/limit"
 	"github.com/banksail/banksail/retry"
 )
@@ -23,7 +23,7 @@
 	// admits is the number of classes, the most urgent first, whose queries may
 	// start: those that have room, or all while few sub-requests wait here.
 	admits  int
-	waiting waiters
+	waiting *priority.Queue[waiter]
 	roomy   bool // is listed in the dispatcher's roomy groups
 }
 
@@ -54,7 +54,7 @@
 		level++
 	}
 	admits := level
-	if len(g.waiting) < d.options.WaitingRoom {
+	if g.waiting.Len() < d.options.WaitingRoom {
 		admits = len(d.ranked)
 	}
 	for rank := admits; rank < g.admits; rank++ {
@@ -64,7 +64,7 @@
 		d.blocked[rank]--
 	}
 	g.level, g.admits = level, admits
-	if level < len(d.ranked) && (d.queue.Len() > 0 || len(g.waiting) > 0) {
+	if level < len(d.ranked) && (d.queue.Len() > 0 || g.waiting.Len() > 0) {
 		g.want()
 	}
 }
@@ -94,33 +94,12 @@
 	running  *running
 }
 
-// waiters is a heap of segments, the next to send first.
-type waiters []waiter
-
-// Len implements heap.Interface.
-func (w waiters) Len() int { return len(w) }
-
-// Less implements heap.Interface.
-func (w waiters) Less(i, j int) bool {
-	if w[i].key != w[j].key {
-		return w[i].key.Less(w[j].key)
+// before puts the more urgent first, then the older.
+func (w waiter) before(other waiter) bool {
+	if w.key != other.key {
+		return w.key.Less(other.key)
 	}
-	return w[i].sequence < w[j].sequence
-}
-
-// Swap implements heap.Interface.
-func (w waiters) Swap(i, j int) { w[i], w[j] = w[j], w[i] }
-
-// Push implements heap.Interface.
-func (w *waiters) Push(x any) { *w = append(*w, x.(waiter)) }
-
-// Pop implements heap.Interface.
-func (w *waiters) Pop() any {
-	old := *w
-	x := old[len(old)-1]
-	old[len(old)-1] = waiter{}
-	*w = old[:len(old)-1]
-	return x
+	return w.sequence < other.sequence
 }
 
 // enqueue lets the segment wait for room in its group.
@@ -132,7 +111,7 @@
 		d.passed = append(d.passed, w)
 		return
 	}
-	heap.Push(&g.waiting, w)
+	g.waiting.Push(w)
 	d.level(g)
 }
 
@@ -143,11 +122,11 @@
 // already. A longer queue would answer no more of them, only later.
 func (d *Dispatcher) crowded(g *group, r *running) bool {
 	most := max(int(float64(g.limit)*d.options.WaitingPerLimit), leastWaiting)
-	if len(g.waiting) < most || d.pumped == g {
+	if g.waiting.Len() < most || d.pumped == g {
 		return false
 	}
 	before := 0
-	for _, w := range g.waiting {
+	for _, w := range g.waiting.All() {
 		if w.running.query != nil && w.segment.Waiting() && !r.key.Less(w.key) {
 			before++
 		}
@@ -163,7 +142,7 @@
 // markRoomy lists the groups, to be pumped once the query at hand is done with.
 func (d *Dispatcher) markRoomy(groups []*group) {
 	for _, g := range groups {
-		if len(g.waiting) > 0 && !g.roomy {
+		if g.waiting.Len() > 0 && !g.roomy {
 			g.roomy = true
 			d.roomy = append(d.roomy, g)
 		}
@@ -187,8 +166,8 @@
 // pumpGroup tries the segments that wait, the first ones first.
 func (d *Dispatcher) pumpGroup(g *group) {
 	d.pumped = g
-	for len(g.waiting) > 0 && len(d.passed) < maximumPassed && (g.usable == 0 || g.level > 0) {
-		first := heap.Pop(&g.waiting).(waiter)
+	for g.waiting.Len() > 0 && len(d.passed) < maximumPassed && (g.usable == 0 || g.level > 0) {
+		first := g.waiting.Pop()
 		switch {
 		case first.running.query == nil || !first.segment.Waiting():
 		case g.usable > 0 && g.level <= first.running.class.rank:
@@ -201,7 +180,7 @@
 		}
 	}
 	for _, w := range d.passed {
-		heap.Push(&g.waiting, w)
+		g.waiting.Push(w)
 	}
 	clear(d.passed)
 	d.passed = d.passed[:0]
--- a/internal/priority/queue.go
+++ b/internal/priority/queue.go
@@ -23,6 +23,9 @@
 // First returns the first item without taking it out; the queue must not be empty.
 func (q *Queue[T]) First() T { return q.entries.items[0] }
 
+// All returns the items in no particular order; the caller must not change them.
+func (q *Queue[T]) All() []T { return q.entries.items }
+
 // Push adds an item.
 func (q *Queue[T]) Push(item T) {
 	place := len(q.entries.items)
--- a/routing/admit.go
+++ b/routing/admit.go
@@ -54,7 +54,7 @@
 	spare := len(q.names) - q.least()
 	for _, name := range q.names {
 		s := r.serviceNamed(name)
-		if len(s.waiting) == 0 || r.expectedWait(s, q.asked.Route.Priority, usual)+crowdedTail*usual <= limit {
+		if s.waiting.Len() == 0 || r.expectedWait(s, q.asked.Route.Priority, usual)+crowdedTail*usual <= limit {
 			continue
 		}
 		spare--
@@ -81,7 +81,7 @@
 // expectedWait is how long a part of the given priority would wait for room.
 func (r *Router) expectedWait(s *service, priority int, usual time.Duration) time.Duration {
 	ahead := 0
-	for _, w := range s.waiting {
+	for _, w := range s.waiting.All() {
 		if !w.late && w.priority <= priority && !w.request.finished && w.segment.Waiting() {
 			ahead++
 		}
--- a/routing/router.go
+++ b/routing/router.go
@@ -292,7 +292,7 @@
 func (r *Router) serviceNamed(name string) *service {
 	s := r.services[name]
 	if s == nil {
-		s = &service{name: name}
+		s = &service{name: name, waiting: priority.NewQueue(waiter.before, nil)}
 		r.services[name] = s
 	}
 	return s
--- a/routing/service.go
+++ b/routing/service.go
@@ -2,10 +2,10 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"time"
 
 	"github.com/banksail/banksail/gather"
+	"github.com/banksail/banksail/internal/priority"
 )
 
 // service is a set of servers that answer alike.
@@ -15,7 +15,7 @@
 	// connections is what each server accepts from all nodes; zero is unknown.
 	connections int
 	budget      budget
-	waiting     waiters
+	waiting     *priority.Queue[waiter]
 	pressure    pressure
 }
 
@@ -30,33 +30,12 @@
 	request  *request
 }
 
-// waiters is a heap, the next to send first.
-type waiters []waiter
-
-// Len implements heap.Interface.
-func (w waiters) Len() int { return len(w) }
-
-// Less implements heap.Interface.
-func (w waiters) Less(i, j int) bool {
-	if w[i].late != w[j].late {
-		return w[j].late
+// before puts what may still be in time first, then by priority, then by age.
+func (w waiter) before(other waiter) bool {
+	if w.late != other.late {
+		return other.late
 	}
-	return cmp.Or(cmp.Compare(w[i].priority, w[j].priority), cmp.Compare(w[i].sequence, w[j].sequence)) < 0
-}
-
-// Swap implements heap.Interface.
-func (w waiters) Swap(i, j int) { w[i], w[j] = w[j], w[i] }
-
-// Push implements heap.Interface.
-func (w *waiters) Push(x any) { *w = append(*w, x.(waiter)) }
-
-// Pop implements heap.Interface.
-func (w *waiters) Pop() any {
-	old := *w
-	last := old[len(old)-1]
-	old[len(old)-1] = waiter{}
-	*w = old[:len(old)-1]
-	return last
+	return cmp.Or(cmp.Compare(w.priority, other.priority), cmp.Compare(w.sequence, other.sequence)) < 0
 }
 
 // enqueue lets a segment wait for room.
@@ -67,30 +46,30 @@
 		r.passed = append(r.passed, w)
 		return
 	}
-	heap.Push(&s.waiting, w)
+	s.waiting.Push(w)
 }
 
 // pump sends what waits in a service in which a server may have room now.
 func (r *Router) pump(s *service) {
-	if len(s.waiting) == 0 {
+	if s.waiting.Len() == 0 {
 		return
 	}
 	r.pumping = s
-	for len(s.waiting) > 0 && len(r.passed) == 0 {
-		first := heap.Pop(&s.waiting).(waiter)
+	for s.waiting.Len() > 0 && len(r.passed) == 0 {
+		first := s.waiting.Pop()
 		if first.request.finished || !first.segment.Waiting() {
 			continue
 		}
 		if !first.late && first.request.late() {
 			first.late = true
-			heap.Push(&s.waiting, first)
+			s.waiting.Push(first)
 			continue
 		}
 		first.request.query.Resume(r.now, first.segment)
 		r.schedule(first.request)
 	}
 	for _, w := range r.passed {
-		heap.Push(&s.waiting, w)
+		s.waiting.Push(w)
 	}
 	clear(r.passed)
 	r.passed = r.passed[:0]
--- a/routing/shares.go
+++ b/routing/shares.go
@@ -1,6 +1,10 @@
 package routing
 
-import "time"
+import (
+	"time"
+
+	"github.com/banksail/banksail/limit"
+)
 
 const (
 	// nodesForgotten is how long nodes that are not seen any more still count for
@@ -73,8 +77,7 @@
 	if s.connections == 0 {
 		return 1
 	}
-	usable := float64(s.connections) * (1 - r.options.SpareConnections)
-	return max(int(usable/float64(max(r.shares.serving.value, 1))), 1)
+	return max(limit.ConnectionShare(s.connections, r.shares.serving.value, r.options.SpareConnections), 1)
 }
 
 // fixedShare is the node's part of each budget's fixed number. A fresh
