A stand-in of the users' platform as a package, and a tour of routes in make demo

The stand-ins of store and servers were test files; they are platform/standin now, used by the adapter's tests (their assertions are as they were), and by banksail-lab platform. scripts/demo-routes.sh starts it with a node as separate processes: refusal without a configuration, a route over shards, directory, readiness, a new set of shards, an order that is not repeated, an older version, a request at fault, a planned stop. make demo and so make test run it. README has the tour. The store's changes keep their conditions now (standin.TestConditionsOfAChange).

--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 
 demo: build
 	./scripts/demo.sh
+	./scripts/demo-routes.sh
 
 # fault-run judges real processes under faults; SEED sets the order of the faults.
 SEED ?= 1
--- a/cmd/banksail-lab/main.go
+++ b/cmd/banksail-lab/main.go
@@ -30,6 +30,7 @@
 	commander.Register(&backendsCommand{}, "stand-ins")
 	commander.Register(&storeCommand{}, "stand-ins")
 	commander.Register(&machinesCommand{}, "stand-ins")
+	commander.Register(&platformCommand{}, "stand-ins")
 	commander.Register(&profileCommand{}, "stand-ins")
 	commander.Register(&faultCommand{}, "stand-ins")
 	commander.Register(&loadCommand{}, "load")
