Readers hold their watch of the registry; a silent store is noticed as before

Heartbeats bring no event, so a held watch hears changes at once for about as many calls.

The discovery tests' registry answers when something changes, as the platform does, where it answered after a tenth of the wait always; their assertions are as they were.

--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -30,10 +30,19 @@
 	Pace time.Duration
 	// ReadsPerSecond is what all nodes together may spend; default 1,000.
 	ReadsPerSecond float64
-	// Wait is how long the registry may hold a reading; default 200 ms.
+	// Wait is how long the registry may hold a reading until something changes.
+	// Default: where readers tell the others, ReaderPace less ReadPause, so that
+	// changes are heard of at once; else 200 ms.
 	Wait time.Duration
-	// CallTimeout bounds a reading beyond Wait; default 600 ms.
+	// ReadPause is the time between a reader's readings of the registry, which
+	// bounds their rate while much changes; default 150 ms.
+	ReadPause time.Duration
+	// CallTimeout bounds a reading of changes beyond Wait; default 600 ms.
 	CallTimeout time.Duration
+	// ListTimeout bounds a reading of everything, which is long for a node with
+	// little bandwidth; that the registry is silent is for the Source to notice
+	// sooner. Default 2.5 s.
+	ListTimeout time.Duration
 
 	// Self is this incarnation's ID among the nodes.
 	Self string
@@ -72,7 +81,9 @@
 	DefaultPace           = 700 * time.Millisecond
 	DefaultReadsPerSecond = 1_000
 	DefaultWait           = 200 * time.Millisecond
+	DefaultReadPause      = 150 * time.Millisecond
 	DefaultCallTimeout    = 600 * time.Millisecond
+	DefaultListTimeout    = 2500 * time.Millisecond
 	DefaultAskTimeout     = 250 * time.Millisecond
 
 	readerShare = 5.0 / 9
@@ -110,11 +121,16 @@
 func NewFollower(options FollowerOptions) *Follower {
 	options.Pace = cmp.Or(options.Pace, DefaultPace)
 	options.ReadsPerSecond = cmp.Or(options.ReadsPerSecond, DefaultReadsPerSecond)
-	options.Wait = cmp.Or(options.Wait, DefaultWait)
 	options.CallTimeout = cmp.Or(options.CallTimeout, DefaultCallTimeout)
+	options.ListTimeout = cmp.Or(options.ListTimeout, DefaultListTimeout)
 	options.PublisherTimeout = cmp.Or(options.PublisherTimeout, DefaultAskTimeout)
 	options.ReaderPace = cmp.Or(options.ReaderPace, time.Duration(readerShare*float64(options.Pace)))
 	options.AskPace = cmp.Or(options.AskPace, options.Pace-options.ReaderPace)
+	options.ReadPause = cmp.Or(options.ReadPause, DefaultReadPause)
+	if options.Publishers != nil {
+		options.Wait = cmp.Or(options.Wait, max(options.ReaderPace-options.ReadPause, DefaultWait))
+	}
+	options.Wait = cmp.Or(options.Wait, DefaultWait)
 	options.StaleAfter = cmp.Or(options.StaleAfter, time.Duration(staleShare*float64(options.ReaderPace)))
 	options.View.OutageAfter = cmp.Or(options.View.OutageAfter, 2*options.Pace)
 	return &Follower{options: options, epoch: time.Now(), view: NewView(options.View)}
@@ -123,20 +139,26 @@
 // Run follows the source until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		began := time.Now()
-		pace := f.options.AskPace
-		if f.relayed(ctx) != nil {
-			pace = f.pace()
-			if err := f.read(ctx); err != nil {
-				f.askSeeds(ctx)
-				pace = time.Since(began) + f.retryPause()
-			}
-		}
-		pause := pace - time.Since(began)
-		_ = clock.Sleep(ctx, pause) // the loop looks at ctx
+		_ = clock.Sleep(ctx, f.follow(ctx)) // the loop looks at ctx
 	}
 }
 
+// follow brings the beliefs up to date and returns the pause until the next time.
+func (f *Follower) follow(ctx context.Context) time.Duration {
+	began := time.Now()
+	if f.relayed(ctx) == nil {
+		return f.options.AskPace - time.Since(began)
+	}
+	if err := f.read(ctx); err != nil {
+		f.askSeeds(ctx)
+		return f.retryPause()
+	}
+	if f.options.Publishers != nil {
+		return f.options.ReadPause // the registry held the reading for the rest
+	}
+	return f.pace() - time.Since(began)
+}
+
 // Age is how old the beliefs are; ok is false when there are none.
 func (f *Follower) Age() (age time.Duration, ok bool) {
 	f.mutex.Lock()
@@ -153,12 +175,9 @@
 
 func (f *Follower) now() time.Duration { return time.Since(f.epoch) }
 
-// pace is the time between two readings of the registry. Without publishers all
-// nodes read, and share what the registry allows.
+// pace is the time between two readings of the registry where all nodes read, and
+// share what the registry allows.
 func (f *Follower) pace() time.Duration {
-	if f.options.Publishers != nil {
-		return f.options.ReaderPace
-	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	fair := time.Duration(float64(len(f.view.nodes)) / f.options.ReadsPerSecond * float64(time.Second))
@@ -197,12 +216,12 @@
 }
 
 func (f *Follower) readOnce(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, f.options.Wait+f.options.CallTimeout)
-	defer cancel()
 	if !f.listed {
 		return f.list(ctx)
 	}
-	changes, err := f.options.Source.Changes(ctx, f.revision, f.options.Wait)
+	waiting, cancel := context.WithTimeout(ctx, f.options.Wait+f.options.CallTimeout)
+	defer cancel()
+	changes, err := f.options.Source.Changes(waiting, f.revision, f.options.Wait)
 	if errors.Is(err, ErrHistoryGone) {
 		f.options.Logger.Warn().Uint64("revision", uint64(f.revision)).Msg("history is gone, reading everything")
 		return f.list(ctx)
@@ -216,6 +235,8 @@
 
 // list reads everything.
 func (f *Follower) list(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, f.options.ListTimeout)
+	defer cancel()
 	listing, err := f.options.Source.List(ctx)
 	if err != nil {
 		return err
--- a/discovery/relay_test.go
+++ b/discovery/relay_test.go
@@ -64,15 +64,25 @@
 	return kept
 }
 
+// registryDelay is the time that the registry takes to notice a change.
+const registryDelay = 10 * time.Millisecond
+
+// Changes answers as soon as something has changed, or when the wait is over.
 func (r *registry) Changes(_ context.Context, after discovery.Revision, wait time.Duration) (discovery.Changes, error) {
-	time.Sleep(wait / 10)
 	r.mutex.Lock()
-	defer r.mutex.Unlock()
 	r.readings++
-	if r.down {
-		return discovery.Changes{}, discovery.ErrUnavailable
+	r.mutex.Unlock()
+	for end := time.Now().Add(wait); ; time.Sleep(registryDelay) {
+		r.mutex.Lock()
+		told, down := r.after(after), r.down
+		r.mutex.Unlock()
+		switch {
+		case down:
+			return discovery.Changes{}, discovery.ErrUnavailable
+		case told.Revision > after || !time.Now().Before(end):
+			return told, nil
+		}
 	}
-	return r.after(after), nil
 }
 
 func (r *registry) after(revision discovery.Revision) discovery.Changes {
@@ -294,3 +304,24 @@
 		w.loops.Wait()
 	})
 }
+
+// A reader hears of a change at once, so that all nodes believe it as soon as they
+// have asked again.
+func TestChangesAreHeardSoon(t *testing.T) {
+	const (
+		askPace = 800 * time.Millisecond // 4/9 of the pace
+		slack   = 250 * time.Millisecond // the reader's own pause, and the way
+	)
+	synctest.Test(t, func(t *testing.T) {
+		random := rand.New(rand.NewPCG(1, 0))
+		w := startRelay(t, 6)
+		for version := uint64(2); version < 40; version++ {
+			time.Sleep(time.Duration(random.IntN(2000)) * time.Millisecond)
+			w.registry.putTable(version)
+			time.Sleep(askPace + slack)
+			w.wantAlike(t, fmt.Sprintf("version %d", version))
+		}
+		w.stop()
+		w.loops.Wait()
+	})
+}
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -8,6 +8,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -62,6 +63,9 @@
 	Body []byte
 	// Limit bounds the bytes of the reply's body.
 	Limit int64
+	// HeaderTimeout bounds the time until the reply's header has come; zero leaves
+	// it to the context.
+	HeaderTimeout time.Duration
 }
 
 // Reply is the whole reply to a Call.
@@ -72,15 +76,29 @@
 	Body   []byte
 }
 
+// ErrSilent is Send's error when no header came within HeaderTimeout.
+var ErrSilent = errors.New("httpcall: no answer")
+
 // Send sends the request and reads its reply until the context ends. Its error
-// is the transport's, or strictjson.ErrTooLarge for a body over the limit.
+// is the transport's, ErrSilent, or strictjson.ErrTooLarge for a body over the
+// limit.
 func Send(ctx context.Context, transport http.RoundTripper, call Call) (Reply, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	request, err := newRequest(ctx, call)
 	if err != nil {
 		return Reply{}, err
 	}
+	if call.HeaderTimeout > 0 {
+		silence := time.AfterFunc(call.HeaderTimeout, func() { cancel(ErrSilent) })
+		defer silence.Stop()
+		transport = headerWatch{transport, silence}
+	}
 	response, err := transport.RoundTrip(request)
-	if err != nil {
+	switch {
+	case err != nil && errors.Is(context.Cause(ctx), ErrSilent):
+		return Reply{}, ErrSilent
+	case err != nil:
 		return Reply{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
@@ -91,6 +109,19 @@
 	return Reply{Code: response.StatusCode, Header: response.Header, Body: body}, nil
 }
 
+// headerWatch stops a timer once a header has come.
+type headerWatch struct {
+	http.RoundTripper
+	silence *time.Timer
+}
+
+// RoundTrip implements http.RoundTripper.
+func (w headerWatch) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := w.RoundTripper.RoundTrip(request)
+	w.silence.Stop()
+	return response, err
+}
+
 func newRequest(ctx context.Context, call Call) (*http.Request, error) {
 	target := "http://" + call.Address + call.Path
 	if len(call.Query) > 0 {
--- a/internal/httpcall/httpcall_test.go
+++ b/internal/httpcall/httpcall_test.go
@@ -8,6 +8,8 @@
 	"net/url"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/banksail/banksail/internal/strictjson"
 )
@@ -86,3 +88,39 @@
 		t.Errorf("error %v after %d requests, want an error after 2", err, requests.Load())
 	}
 }
+
+// slowTransport gives a header and a body after their times.
+type slowTransport struct{ header, body time.Duration }
+
+// RoundTrip implements http.RoundTripper.
+func (s slowTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	select {
+	case <-time.After(s.header):
+	case <-request.Context().Done():
+		return nil, request.Context().Err()
+	}
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(slowBody(s))}, nil
+}
+
+type slowBody struct{ header, body time.Duration }
+
+// Read implements io.Reader.
+func (s slowBody) Read([]byte) (int, error) {
+	time.Sleep(s.body)
+	return 0, io.EOF
+}
+
+// A reply whose header does not come in time is given up; one whose body takes
+// longer is not.
+func TestHeaderTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		call := Call{Address: "x", Path: "/", Limit: 10, HeaderTimeout: time.Second}
+		began := time.Now()
+		if _, err := Send(t.Context(), slowTransport{header: time.Minute}, call); !errors.Is(err, ErrSilent) || time.Since(began) != time.Second {
+			t.Errorf("got %v after %s, want ErrSilent", err, time.Since(began))
+		}
+		if _, err := Send(t.Context(), slowTransport{header: time.Second / 2, body: time.Minute}, call); err != nil {
+			t.Errorf("a long body: %v", err)
+		}
+	})
+}
