--- a/front/addresses.go
+++ b/front/addresses.go
@@ -16,11 +16,32 @@
 	serving := directory.Serving(news.Nodes, leastConnections(news.Table))
 	serves := slices.ContainsFunc(serving, func(n discovery.Node) bool { return n.ID == f.self.ID })
 	f.serving.Store(&serving)
-	return routing.NodesChanged{
+	nodes := routing.NodesChanged{
 		Live:    max(len(news.Nodes), 1),
 		Serving: max(len(serving), 1),
 		Serves:  serves || len(serving) == len(news.Nodes),
 	}
+	f.logRole(nodes)
+	return nodes
+}
+
+// logRole writes a line when the node's own part among the nodes has changed.
+func (f *Front) logRole(nodes routing.NodesChanged) {
+	if f.role == nodes {
+		return
+	}
+	if f.role.Serves != nodes.Serves || f.role.Live == 0 {
+		f.options.Logger.Info().Bool("serves", nodes.Serves).Int("serving", nodes.Serving).Int("live", nodes.Live).Msg("role changed")
+	}
+	f.role = nodes
+}
+
+// servingCount is the number of nodes to which callers are sent.
+func (f *Front) servingCount() int {
+	if serving := f.serving.Load(); serving != nil {
+		return len(*serving)
+	}
+	return 0
 }
 
 // connectionsCounted is the part of a server's connections that may be held.
--- a/front/listeners.go
+++ b/front/listeners.go
@@ -44,6 +44,17 @@
 	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "banksail_live_nodes", Help: "Nodes that are believed to be live.",
 	}, func() float64 { return float64(len(f.follower.Nodes())) }))
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "banksail_serving_nodes", Help: "Nodes to which callers are sent.",
+	}, func() float64 { return float64(f.servingCount()) }))
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "banksail_busy", Help: "1 while the node asks others for help.",
+	}, func() float64 {
+		if f.busy.Load() {
+			return 1
+		}
+		return 0
+	}))
 	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "banksail_server_connections", Help: "Connections to servers that are open or being opened.",
 	}, func() float64 { return float64(f.gateway.Connections()) }))
--- a/front/node.go
+++ b/front/node.go
@@ -68,6 +68,10 @@
 	presence atomic.Pointer[directory.Presence]
 	// serving are the nodes to which callers are sent; nil until it is known.
 	serving atomic.Pointer[[]discovery.Node]
+	// role is the node's part among the nodes as it was told last; only changed uses it.
+	role routing.NodesChanged
+	// busy says that others should help the node.
+	busy atomic.Bool
 	// relay asks the nodes that read the registry; nil when this node has no
 	// address for other nodes.
 	relay *relay.Client
@@ -266,6 +270,15 @@
 		case <-f.tend:
 		}
 		f.gateway.Tend()
-		f.announcer.SetBusy(f.load.take(time.Now(), f.gateway.Sends()))
+		f.lookAtLoad()
 	}
 }
+
+// lookAtLoad asks other nodes for help while this one is busy.
+func (f *Front) lookAtLoad() {
+	busy := f.load.take(time.Now(), f.gateway.Sends())
+	if f.busy.Swap(busy) != busy {
+		f.options.Logger.Info().Bool("busy", busy).Float64("cores", f.load.capacity).Msg("load changed")
+	}
+	f.announcer.SetBusy(busy)
+}
