--- a/lab/scale/shares.go
+++ b/lab/scale/shares.go
@@ -52,7 +52,7 @@
 			reached := false
 			for _, server := range group.Servers {
 				place := membership.ServerPlace{ID: server.ID, Zone: server.Zone, Limit: server.Connections}
-				share := membership.ConnectionShare(members[0].ID, place, members)
+				share := membership.OwnerShare(members[0].ID, place, members)
 				connections += share.Maximum
 				reached = reached || share.Maximum > 0
 			}
--- a/membership/connections.go
+++ b/membership/connections.go
@@ -44,7 +44,7 @@
 	Limit int
 }
 
-// ConnectionShare returns the share that a node has of a server's connections,
+// OwnerShare returns the share that a node has of a server's connections,
 // given the nodes that are neither leaving nor gone.
 //
 // Nodes that see the same members never hold more than the limit together.
@@ -54,7 +54,7 @@
 // ShareableConnections divided by the size of its own view, rounded up, so N
 // nodes that each miss at most M others hold at most N times that quotient at
 // N-M together, as long as N is at most ShareableConnections.
-func ConnectionShare(self string, server ServerPlace, nodes []Member) Share {
+func OwnerShare(self string, server ServerPlace, nodes []Member) Share {
 	return ShareOf(self, Owners(server, nodes))
 }
 
--- a/membership/connections_test.go
+++ b/membership/connections_test.go
@@ -23,7 +23,7 @@
 func shares(place membership.ServerPlace, nodes []membership.Member) map[string]int {
 	held := make(map[string]int)
 	for _, node := range nodes {
-		held[node.ID] = membership.ConnectionShare(node.ID, place, nodes).Maximum
+		held[node.ID] = membership.OwnerShare(node.ID, place, nodes).Maximum
 	}
 	return held
 }
@@ -112,7 +112,7 @@
 						view = append(view, nodes[j])
 					}
 				}
-				total += membership.ConnectionShare(node.ID, place(server, limit), view).Maximum
+				total += membership.OwnerShare(node.ID, place(server, limit), view).Maximum
 			}
 			shared := membership.ShareableConnections(limit)
 			if count > shared {
--- a/membership/example_test.go
+++ b/membership/example_test.go
@@ -64,7 +64,7 @@
 	server := membership.ServerPlace{ID: "search-1", Zone: "a", Limit: 70}
 	sum := 0
 	for _, node := range nodes {
-		share := membership.ConnectionShare(node.ID, server, nodes)
+		share := membership.OwnerShare(node.ID, server, nodes)
 		sum += share.Maximum
 	}
 	fmt.Println(sum, "of", server.Limit, "connections are shared out")
--- a/node/forward_test.go
+++ b/node/forward_test.go
@@ -31,7 +31,7 @@
 	c.t.Helper()
 	members := c.members()
 	for index, one := range c.nodes {
-		if membership.ConnectionShare(one.id, place(server), members).Maximum > 0 {
+		if membership.OwnerShare(one.id, place(server), members).Maximum > 0 {
 			continue
 		}
 		first := membership.ForwardOwners(members[index], place(server), members)[0]
--- a/peer/connections.go
+++ b/peer/connections.go
@@ -24,7 +24,7 @@
 	cache := a.currentShares()
 	share, known := cache.shares[server]
 	if !known {
-		share = membership.ConnectionShare(a.selfID, server, cache.nodes)
+		share = membership.OwnerShare(a.selfID, server, cache.nodes)
 		cache.shares[server] = share
 	}
 	return share
