--- a/membership/connections_test.go
+++ b/membership/connections_test.go
@@ -40,7 +40,7 @@
 	return membership.ServerPlace{ID: fmt.Sprintf("server-%d", server), Zone: gossip.ZoneOf(server), Limit: limit}
 }
 
-func TestConnectionShareProperties(t *testing.T) {
+func TestOwnerShareProperties(t *testing.T) {
 	parameters := gopter.DefaultTestParametersWithSeed(1)
 	properties := gopter.NewProperties(parameters)
 	serverNumber, limits, counts := gen.IntRange(0, 10000), gen.IntRange(0, 200), gen.IntRange(1, 150)
--- a/membership/doc.go
+++ b/membership/doc.go
@@ -5,7 +5,7 @@
 // Nodes is a failure detector and a table of nodes in the manner of SWIM:
 // shuffled probes, indirect probes, suspicion with a time-out, refutation by
 // incarnation, and updates that ride on probes. Servers merges what several
-// sources say of the back-end servers. ConnectionShare divides the connection
+// sources say of the back-end servers. OwnerShare divides the connection
 // limit of a server over the nodes by rendezvous hashing.
 //
 // Nothing in the package has a goroutine, a clock or I/O: the owner passes the
--- a/membership/example_test.go
+++ b/membership/example_test.go
@@ -55,7 +55,7 @@
 	// live
 }
 
-func ExampleConnectionShare() {
+func ExampleOwnerShare() {
 	nodes := []membership.Member{
 		{ID: "node-1", Zone: "a", State: membership.Live},
 		{ID: "node-2", Zone: "b", State: membership.Live},
--- a/membership/forward.go
+++ b/membership/forward.go
@@ -11,7 +11,7 @@
 // to which it owns no connection, the first choice first: owners in its own
 // zone, and among equals by the requester's own rendezvous order, so that the
 // requesters spread over the owners. Owners that are not live are left out, and
-// so is the requester. The nodes are those that ConnectionShare is given.
+// so is the requester. The nodes are those that OwnerShare is given.
 func ForwardOwners(requester Member, server ServerPlace, nodes []Member) []Member {
 	byID := make(map[string]*Member, OwnersPerServer)
 	owners := Owners(server, nodes)
