Weights are kept over short spans

Change: consecutive points are a golden step apart, from a random start. Test: routing.TestWeightsAreKeptOverShortSpans.

--- a/routing/request.go
+++ b/routing/request.go
@@ -59,7 +59,7 @@
 	if asked.Route.Target.FanOut() {
 		q.names = asked.Route.Target.Shards
 	} else {
-		q.names = []string{asked.Route.Target.Pick(r.random.Float64())}
+		q.names = []string{asked.Route.Target.Pick(q.latency.turn(r.random))}
 	}
 	q.parts = make([]part, len(q.names))
 	q.records = make([]AttemptRecord, 0, len(q.names)+spareRecords)
--- a/routing/router.go
+++ b/routing/router.go
@@ -302,7 +302,24 @@
 const enoughSamples = 20
 
 // latencies are those of one route.
-type latencies struct{ sketch retry.Sketch }
+type latencies struct {
+	sketch retry.Sketch
+	// point is where the last request fell among the route's weighted services.
+	point float64
+}
+
+// goldenStep spreads consecutive points evenly over an interval of one.
+const goldenStep = 0.6180339887498949
+
+// turn returns the next request's point in [0, 1). The points of any span of
+// requests are spread evenly, so that weights are kept over short spans, too.
+func (l *latencies) turn(random *rand.Rand) float64 {
+	if l.point == 0 {
+		l.point = random.Float64()
+	}
+	_, l.point = math.Modf(l.point + goldenStep)
+	return l.point
+}
 
 func (l *latencies) add(latency time.Duration) { l.sketch.Add(latency) }
 
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -307,3 +307,28 @@
 		t.Errorf("%d urgent requests are refused, and %d less urgent ones", refused["urgent"], refused["short"])
 	}
 }
+
+// Requests are shared by weight over short spans, too.
+func TestWeightsAreKeptOverShortSpans(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newWorld(t, routing.Options{Seed: seed})
+		w.setServers(servers(2, "few", "many"))
+		w.setTable(1_000, "few", "many")
+		r := single("few", true)
+		r.Target.Shares = []route.Share{{Service: "few", Weight: 3}, {Service: "many", Weight: 7}}
+		few := 0
+		const requests = 100
+		for range requests {
+			id := w.ask(r)
+			for _, send := range w.open(id) {
+				if send.Server.Service == "few" {
+					few++
+				}
+				w.end(send.Attempt, gather.ReplyDone)
+			}
+		}
+		if few < 28 || few > 32 {
+			t.Errorf("seed %d: %d of %d requests go to a weight of 0.3", seed, few, requests)
+		}
+	}
+}
