--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -100,6 +101,8 @@
 type Follower struct {
 	options FollowerOptions
 	epoch   time.Time
+	// invalid counts the entries that could not be read.
+	invalid atomic.Uint64
 
 	mutex sync.Mutex
 	// mutex guards the fields below.
@@ -166,6 +169,9 @@
 	return f.view.Age(f.now())
 }
 
+// InvalidEntries is the number of entries that could not be read since the start.
+func (f *Follower) InvalidEntries() uint64 { return f.invalid.Load() }
+
 // Nodes lists the nodes that are believed to be live.
 func (f *Follower) Nodes() []Node {
 	f.mutex.Lock()
@@ -270,6 +276,7 @@
 // take brings the view up to date with what was heard at now, and tells what is
 // believed.
 func (f *Follower) take(now time.Duration, changes Changes) {
+	f.invalid.Add(uint64(len(changes.Invalid)))
 	for _, invalid := range changes.Invalid {
 		f.options.Logger.Error().Str("entry", invalid.Name).Err(invalid.Err).Msg("entry can't be read, the last good one stays")
 	}
