Reading as a newcomer: a listing is as old as its beginning; three smaller mends

- front.nodesOf no longer logs; its caller does.
- The budget's two property tests share the set-up of their worlds; their assertions are as they were.

--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -243,21 +243,21 @@
 func (f *Follower) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, f.options.ListTimeout)
 	defer cancel()
+	began := f.now() // what is listed may be as old as that
 	listing, err := f.options.Source.List(ctx)
 	if err != nil {
 		return err
 	}
 	f.mutex.Lock()
-	now := f.now()
-	f.view.Heard(now)
+	f.view.Heard(began)
 	kept := make(map[string]struct{}, len(listing.Invalid))
 	for _, invalid := range listing.Invalid {
 		kept[invalid.Name] = struct{}{}
 	}
-	f.view.RetainServers(now, listedIDs(listing.Servers, kept), listing.Revision)
-	f.view.RetainNodes(now, listedIDs(listing.Nodes, kept), listing.Revision)
+	f.view.RetainServers(began, listedIDs(listing.Servers, kept), listing.Revision)
+	f.view.RetainNodes(began, listedIDs(listing.Nodes, kept), listing.Revision)
 	f.mutex.Unlock()
-	f.take(now, Changes(listing))
+	f.take(began, Changes(listing))
 	f.listed = true
 	return nil
 }
--- a/discovery/invalid_test.go
+++ b/discovery/listing_test.go
@@ -46,3 +46,36 @@
 		}
 	})
 }
+
+// slowSource takes a while to list everything.
+type slowSource struct {
+	oddSource
+	listing time.Duration
+}
+
+func (s slowSource) List(ctx context.Context) (discovery.Listing, error) {
+	time.Sleep(s.listing)
+	return s.oddSource.List(ctx)
+}
+
+// A listing that took long is as old as its beginning.
+func TestListingIsAsOldAsItsBeginning(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const listing = 2 * time.Second
+		var ages []time.Duration
+		var follower *discovery.Follower
+		follower = discovery.NewFollower(discovery.FollowerOptions{
+			Source: slowSource{listing: listing}, Logger: zerolog.Nop(),
+			Changed: func(discovery.News) {
+				age, _ := follower.Age()
+				ages = append(ages, age)
+			},
+		})
+		ctx, stop := context.WithTimeout(t.Context(), 5*time.Second)
+		defer stop()
+		follower.Run(ctx)
+		if len(ages) < 2 || ages[0] != listing || ages[1] != 0 {
+			t.Errorf("the ages of what is believed are %v, want %s first and none after the next reading", ages, listing)
+		}
+	})
+}
--- a/front/addresses.go
+++ b/front/addresses.go
@@ -16,13 +16,11 @@
 	serving := directory.Serving(news.Nodes, leastConnections(news.Table))
 	serves := slices.ContainsFunc(serving, func(n discovery.Node) bool { return n.ID == f.self.ID })
 	f.serving.Store(&serving)
-	nodes := routing.NodesChanged{
+	return routing.NodesChanged{
 		Live:    max(len(news.Nodes), 1),
 		Serving: max(len(serving), 1),
 		Serves:  serves || len(serving) == len(news.Nodes),
 	}
-	f.logRole(nodes)
-	return nodes
 }
 
 // logRole writes a line when the node's own part among the nodes has changed.
--- a/front/node.go
+++ b/front/node.go
@@ -184,7 +184,9 @@
 
 // changed takes what the follower believes.
 func (f *Front) changed(news discovery.News) {
-	f.gateway.SetNodes(f.nodesOf(news))
+	nodes := f.nodesOf(news)
+	f.logRole(nodes)
+	f.gateway.SetNodes(nodes)
 	f.gateway.SetServers(news.Servers)
 	f.presence.Store(presenceOf(news))
 	if news.Table == nil {
--- a/routing/budget_test.go
+++ b/routing/budget_test.go
@@ -43,6 +43,19 @@
 	return worst
 }
 
+// newRoomyWorld has one service whose servers never lack room or connections.
+func newRoomyWorld(t *testing.T, options routing.Options) *world {
+	t.Helper()
+	w := newWorld(t, options)
+	roomy := servers(2, "s1")
+	for i := range roomy {
+		roomy[i].Slots = 1_000
+	}
+	w.setServers(roomy)
+	w.setTable(10_000, "s1")
+	return w
+}
+
 // Many nodes, each of whose requests wants a second server, keep the
 // budget together, though they know nothing of each other's spending, come,
 // restart, and get loads of their own.
@@ -58,16 +71,10 @@
 	run := func(seed uint64, nodes, restarts int, perTick float64, herd bool) bool {
 		random := rand.New(rand.NewPCG(seed, 1))
 		start := func(fresh bool) *world {
-			w := newWorld(t, routing.Options{
+			w := newRoomyWorld(t, routing.Options{
 				Seed: random.Uint64(), Fresh: fresh,
 				Budget: routing.BudgetOptions{Ratio: ratio, Fixed: fixed, Window: window},
 			})
-			roomy := servers(2, "s1")
-			for i := range roomy {
-				roomy[i].Slots = 1_000
-			}
-			w.setServers(roomy)
-			w.setTable(10_000, "s1")
 			w.step(routing.NodesChanged{Live: nodes, Serving: nodes, Serves: true})
 			return w
 		}
@@ -127,14 +134,10 @@
 		random := rand.New(rand.NewPCG(seed, 1))
 		all := make([]*world, nodes)
 		for i := range all {
-			all[i] = newWorld(t, routing.Options{
+			all[i] = newRoomyWorld(t, routing.Options{
 				Seed:   random.Uint64(),
 				Budget: routing.BudgetOptions{Ratio: ratio, Fixed: fixed, Window: window},
 			})
-			roomy := servers(2, "s1")
-			roomy[0].Slots, roomy[1].Slots = 1_000, 1_000
-			all[i].setServers(roomy)
-			all[i].setTable(10_000, "s1")
 		}
 		var arrivals []arrival
 		serving := make(map[int]bool)
