--- /dev/null
+++ b/bench/variants.sh
@@ -0,0 +1,34 @@
+#!/usr/bin/env bash
+# Makes deployments of our own out of a site, and hunts on each: servers that take
+# few connections, shards of one server, a route whose requests must not be repeated,
+# machines in one zone, and machines of which few are large.
+# Usage: FLEETBENCH=path bench/variants.sh SITE [DAYS]
+# The site stays as it is; JOBS sets how many days are played at a time.
+set -euo pipefail
+: "${FLEETBENCH:?must name the bench}"
+site=$1
+days=${2:-10}
+jobs=${JOBS:-4}
+cd "$(dirname "$0")/.."
+folder=$(mktemp -d)
+trap 'rm -rf "$folder"' EXIT
+cp "$(dirname "$site")/wire.json" "$folder/"
+
+# variant NAME SED-EXPRESSION: writes one deployment.
+variant() { sed -E "$2" "$site" >"$folder/$1.toml"; }
+
+variant few-connections 's/conn_cap = [0-9]+/conn_cap = 6/g'
+variant one-server 's/(copies = )/\1/; /copies = /s/servers = \[(\{[^}]*\})[^]]*\]/servers = [\1]/'
+variant unsafe '/gather = /!s/(retries = 1, service)/kind = "unsafe", \1/'
+first_zone=$(sed -nE 's/.*\{ name = "([^"]+)", region.*/\1/p' "$site" | head -1)
+variant one-zone "s/(class = \"front\".*)zone = \"[^\"]+\"/\1zone = \"$first_zone\"/"
+variant few-large '/class = "front"/{s/cpu_share = [0-9.]+/cpu_share = 0.2/;s/(zone = "[^"]+", count = )([0-9]+)(.*)$/\1\2\3/}'
+
+for name in few-connections one-server unsafe one-zone few-large; do
+  "$FLEETBENCH" hunt "$folder/$name.toml" --days "$days" --jobs "$jobs" --why "own deployment $name" >"$folder/$name.txt" 2>&1 || true
+  printf '%-16s ' "$name"
+  grep -E 'with a rule broken' "$folder/$name.txt" || tail -1 "$folder/$name.txt"
+  grep -E 'BROKEN|the first that is wrong' "$folder/$name.txt" | cut -c1-240 || true
+  # Days that the site has marks for, the weakest first.
+  grep -E '^(hunt|mix|trouble|scale|quiet)' "$folder/$name.txt" | sort -k1,1 | awk '{print "   ", $0}' | sort -t/ -k2 | head -3
+done
--- a/routing/admit.go
+++ b/routing/admit.go
@@ -22,13 +22,26 @@
 		return gather.ReasonDeadline
 	case float64(len(r.running)) >= bound:
 		return gather.ReasonOverload
-	case r.crowded(q):
+	case r.pressed(q):
 		return gather.ReasonQueueWait
 	default:
 		return ""
 	}
 }
 
+// pressed reports whether the request is to be refused because its servers are
+// crowded. Less urgent requests to the same servers are refused at the rate of
+// the more urgent ones at least: their own parts may be short enough to pass
+// where those of urgent requests are not.
+func (r *Router) pressed(q *request) bool {
+	// Routes over the same shards name the same first one.
+	p := &r.serviceNamed(q.names[0]).pressure
+	priority := q.asked.Route.Priority
+	refused := r.crowded(q) || r.random.Float64() < p.aboveRefused(r.now, priority)
+	p.count(r.now, priority, refused)
+	return refused
+}
+
 // crowded reports whether so many parts would wait for room beyond the route's
 // aim that too few were left for an answer. Such a request is refused before
 // any of it runs: taken, it would be late, and so would those behind it.
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/banksail/banksail/discovery"
 	"github.com/banksail/banksail/gather"
+	"github.com/banksail/banksail/route"
 	"github.com/banksail/banksail/routing"
 )
 
@@ -268,3 +269,41 @@
 		t.Errorf("the share of connections stays at %d", got)
 	}
 }
+
+// Where urgent requests are refused because servers are crowded, less urgent ones
+// to the same servers are refused at least as often, though they are shorter.
+func TestLessUrgentRequestsAreRefusedAsOften(t *testing.T) {
+	w := newWorld(t, routing.Options{Seed: 1})
+	w.setServers(servers(1, "s1"))
+	w.setTable(2, "s1")
+	urgent, short := single("s1", true), single("s1", true)
+	urgent.Name, urgent.Priority = "urgent", 1
+	short.Name, short.Priority = "short", 2
+	w.warm(urgent, 25*time.Millisecond)
+	w.warm(short, 3*time.Millisecond)
+	refused := make(map[string]int)
+	const rounds = 400
+	for round := range rounds {
+		for _, r := range []*route.Route{urgent, short} {
+			if _, finished := w.finished[w.ask(r)]; finished {
+				refused[r.Name]++
+			}
+		}
+		w.pass(5 * time.Millisecond)
+		for _, send := range w.order {
+			if round%4 != 0 {
+				break // the server answers once in 20 ms
+			}
+			if _, open := w.sends[send.Attempt]; open {
+				w.end(send.Attempt, gather.ReplyDone)
+				break
+			}
+		}
+	}
+	if refused["urgent"] < rounds/4 {
+		t.Fatalf("only %d of %d urgent requests are refused: nothing is shown", refused["urgent"], rounds)
+	}
+	if refused["short"] < refused["urgent"]*9/10 {
+		t.Errorf("%d urgent requests are refused, and %d less urgent ones", refused["urgent"], refused["short"])
+	}
+}
--- a/routing/service.go
+++ b/routing/service.go
@@ -16,6 +16,7 @@
 	connections int
 	budget      budget
 	waiting     waiters
+	pressure    pressure
 }
 
 // waiter is a segment that waits until a server of the service has room.
