Nodes that the registry turns away hear from others; doubt about lapsed entries ends by itself

Besides, a reader that was refused asked nobody, a belief was refreshed up to 0.8 s after it had become too old, and a silent registry held a node for 1.45 s before it asked anyone. Ruled out: drains at readers that answer (heard at once), marks (TestOwnReadingEndsAMark). Change: kept entries end at the registry's return and 2 s, by a timer; publications tell listed entries only; a node that can't read asks any node that hears the registry; an asking comes before the belief is too old; inquiries say what is of no use to the asker, so that asking many is cheap; readings are held only by readers.

--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -45,7 +45,9 @@
 	// sooner. Default 2.5 s.
 	ListTimeout time.Duration
 
-	// Self is this incarnation's ID among the nodes.
+	// Seed and Self make random choices repeatable. Self is this incarnation's ID
+	// among the nodes.
+	Seed uint64
 	Self string
 	// Publishers asks the nodes that read the registry for all; nil is none: then
 	// each node reads for itself.
@@ -103,6 +105,9 @@
 	epoch   time.Time
 	// invalid counts the entries that could not be read.
 	invalid atomic.Uint64
+	// telling is held from a change of what is believed until it has been told, so
+	// that Changed is called in order. It is locked before mutex.
+	telling sync.Mutex
 
 	mutex sync.Mutex
 	// mutex guards the fields below.
@@ -114,10 +119,14 @@
 	// published is what others are told, and history what changed in it of late.
 	published News
 	history   history
+	// expiry tells what is believed anew when a missing entry's time is over.
+	expiry *time.Timer
 	// helped is the reader from which all that is believed came last, and mark is
 	// of what it told; empty after a reading of the registry. Only reading uses them.
 	helped string
 	mark   Mark
+	// random spreads pauses and askings; only Run uses it.
+	random *rand.Rand
 }
 
 // NewFollower returns a follower that knows nothing.
@@ -136,7 +145,12 @@
 	options.Wait = cmp.Or(options.Wait, DefaultWait)
 	options.StaleAfter = cmp.Or(options.StaleAfter, time.Duration(staleShare*float64(options.ReaderPace)))
 	options.View.OutageAfter = cmp.Or(options.View.OutageAfter, 2*options.Pace)
-	return &Follower{options: options, epoch: time.Now(), view: NewView(options.View)}
+	return &Follower{
+		options: options,
+		epoch:   time.Now(),
+		view:    NewView(options.View),
+		random:  rand.New(rand.NewPCG(options.Seed, hashOf(options.Self))),
+	}
 }
 
 // Run follows the source until ctx ends.
@@ -144,15 +158,27 @@
 	for ctx.Err() == nil {
 		_ = clock.Sleep(ctx, f.follow(ctx)) // the loop looks at ctx
 	}
+	f.telling.Lock()
+	defer f.telling.Unlock()
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.expiry != nil {
+		f.expiry.Stop()
+	}
 }
 
 // follow brings the beliefs up to date and returns the pause until the next time.
 func (f *Follower) follow(ctx context.Context) time.Duration {
 	began := time.Now()
 	if f.relayed(ctx) == nil {
-		return f.options.AskPace - time.Since(began)
+		return f.untilAsking(began)
 	}
-	if err := f.read(ctx); err != nil {
+	helped := f.failing() && f.askAnyone(ctx)
+	switch err := f.read(ctx); {
+	case err == nil:
+	case helped || f.askAnyone(ctx):
+		return f.untilAsking(began)
+	default:
 		f.askSeeds(ctx)
 		return f.retryPause()
 	}
@@ -162,6 +188,26 @@
 	return f.pace() - time.Since(began)
 }
 
+// failing reports whether the last reading of the registry failed.
+func (f *Follower) failing() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.failures > 0
+}
+
+// reads reports whether what is believed came from a reading of the registry last.
+func (f *Follower) reads() bool { return !f.failing() && f.helped == "" }
+
+// leastAskPause is the shortest time between two askings.
+const leastAskPause = 50 * time.Millisecond
+
+// untilAsking is the pause after an asking that helped: what is believed is to be
+// refreshed before it is too old to be believed of another node.
+func (f *Follower) untilAsking(began time.Time) time.Duration {
+	age, _ := f.Age()
+	return max(min(f.options.AskPace-time.Since(began), f.options.StaleAfter-age), leastAskPause)
+}
+
 // Age is how old the beliefs are; ok is false when there are none.
 func (f *Follower) Age() (age time.Duration, ok bool) {
 	f.mutex.Lock()
@@ -195,7 +241,7 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	pause := min(leastRetryPause<<min(f.failures, 8), mostRetryPause)
-	return pause/2 + rand.N(pause/2+1)
+	return pause/2 + time.Duration(f.random.Int64N(int64(pause/2)+1))
 }
 
 // read takes the next answer in.
@@ -225,9 +271,13 @@
 	if !f.listed {
 		return f.list(ctx)
 	}
-	waiting, cancel := context.WithTimeout(ctx, f.options.Wait+f.options.CallTimeout)
+	wait := f.options.Wait
+	if f.options.Publishers != nil && !f.reads() {
+		wait = 0 // what is believed may be old already: others are asked if no answer comes
+	}
+	waiting, cancel := context.WithTimeout(ctx, wait+f.options.CallTimeout)
 	defer cancel()
-	changes, err := f.options.Source.Changes(waiting, f.revision, f.options.Wait)
+	changes, err := f.options.Source.Changes(waiting, f.revision, wait)
 	if errors.Is(err, ErrHistoryGone) {
 		f.options.Logger.Warn().Uint64("revision", uint64(f.revision)).Msg("history is gone, reading everything")
 		return f.list(ctx)
@@ -280,32 +330,55 @@
 	for _, invalid := range changes.Invalid {
 		f.options.Logger.Error().Str("entry", invalid.Name).Err(invalid.Err).Msg("entry can't be read, the last good one stays")
 	}
-	f.mutex.Lock()
-	f.view.Heard(now)
-	for _, e := range changes.Servers {
-		if e.Gone {
-			f.view.RemoveServer(now, e.ID, e.Revision)
-		} else {
-			f.view.PutServer(e.Value, e.Revision)
+	f.tell(func() {
+		f.view.Heard(now)
+		for _, e := range changes.Servers {
+			if e.Gone {
+				f.view.RemoveServer(now, e.ID, e.Revision)
+			} else {
+				f.view.PutServer(e.Value, e.Revision)
+			}
 		}
-	}
-	for _, e := range changes.Nodes {
-		if e.Gone {
-			f.view.RemoveNode(now, e.ID, e.Revision)
-		} else {
-			f.view.PutNode(e.Value, e.Revision)
+		for _, e := range changes.Nodes {
+			if e.Gone {
+				f.view.RemoveNode(now, e.ID, e.Revision)
+			} else {
+				f.view.PutNode(e.Value, e.Revision)
+			}
 		}
-	}
-	f.view.Expire(now)
-	f.revision = max(f.revision, changes.Revision)
-	if changes.Table != nil && (f.table == nil || changes.Table.Version > f.table.Version) {
-		f.table = changes.Table
+		f.revision = max(f.revision, changes.Revision)
+		if changes.Table != nil && (f.table == nil || changes.Table.Version > f.table.Version) {
+			f.table = changes.Table
+		}
+	})
+}
+
+// tell changes what is believed, and tells it.
+func (f *Follower) tell(change func()) {
+	f.telling.Lock()
+	defer f.telling.Unlock()
+	f.mutex.Lock()
+	change()
+	f.view.Expire(f.now())
+	f.planExpiry()
+	published := News{Servers: f.view.ListedServers(), Nodes: f.view.ListedNodes(), Table: f.table}
+	if !published.equal(f.published) {
+		f.history.add(f.published, published)
+		f.published = published
 	}
 	news := News{Servers: f.view.Servers(), Nodes: f.view.Nodes(), Table: f.table}
-	if !news.equal(f.published) {
-		f.history.add(f.published, news)
-		f.published = news
-	}
 	f.mutex.Unlock()
 	f.options.Changed(news)
 }
+
+// planExpiry arranges that missing entries are dropped in time, also while a
+// reading is held. The lock is held.
+func (f *Follower) planExpiry() {
+	if f.expiry != nil {
+		f.expiry.Stop()
+		f.expiry = nil
+	}
+	if at, ok := f.view.NextExpiry(); ok {
+		f.expiry = time.AfterFunc(at-f.now(), func() { f.tell(func() {}) })
+	}
+}
--- a/discovery/publication.go
+++ b/discovery/publication.go
@@ -55,11 +55,23 @@
 	Table *route.Definition `json:"table,omitempty"`
 }
 
+// Inquiry is what a node asks another one with.
+type Inquiry struct {
+	// Known is what the asker has of the publisher already.
+	Known Mark
+	// Revision is the registry's up to which the asker knows: what is older is of
+	// no use to it.
+	Revision Revision
+	// MostAge is the greatest age that is of use; zero is any.
+	MostAge time.Duration
+}
+
 // Publishers asks other nodes for what they believe.
 type Publishers interface {
-	// Ask returns what the node at the address believes: what changed since
-	// known, if the node still knows, and else the whole.
-	Ask(ctx context.Context, address string, known Mark) (Publication, error)
+	// Ask returns what the node at the address believes: what changed since what
+	// is known, if the node still knows, and else the whole. It fails when that is
+	// of no use to the asker.
+	Ask(ctx context.Context, address string, inquiry Inquiry) (Publication, error)
 }
 
 // nodesPerReader is the number of nodes that one reader of the registry tells.
@@ -107,14 +119,16 @@
 }
 
 // Publish tells what the follower believes; it implements what Publishers ask.
-// ok is false while nothing is known.
-func (f *Follower) Publish(known Mark) (publication Publication, ok bool) {
+// ok is false while nothing is known, or nothing that is of use to the asker.
+func (f *Follower) Publish(inquiry Inquiry) (publication Publication, ok bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	age, heard := f.view.Age(f.now())
-	if !heard || f.table == nil {
+	tooOld := inquiry.MostAge > 0 && age > inquiry.MostAge
+	if !heard || f.table == nil || tooOld || f.revision < inquiry.Revision {
 		return Publication{}, false
 	}
+	known := inquiry.Known
 	if known.Publisher == f.options.Self && f.history.covers(known.Generation) {
 		publication = f.changesAfter(known.Generation)
 	} else {
@@ -171,12 +185,7 @@
 		return ErrUnavailable
 	}
 	for _, reader := range f.readersInTurn() {
-		asking, cancel := context.WithTimeout(ctx, f.options.PublisherTimeout)
-		publication, err := f.options.Publishers.Ask(asking, reader.Peer, f.markOf(reader.ID))
-		cancel()
-		if err == nil {
-			err = f.takePublication(reader.ID, publication)
-		}
+		err := f.ask(ctx, reader)
 		if err == nil {
 			return nil
 		}
@@ -185,6 +194,54 @@
 	return ErrUnavailable
 }
 
+// anyoneTried and anyoneTime bound the nodes that are asked in one round while the
+// registry can't be read, and the time that this takes.
+const (
+	anyoneTried = 10
+	anyoneTime  = 500 * time.Millisecond
+)
+
+// askAnyone takes in what any node believes that hears the registry: it may turn
+// some nodes away, the readers among them, while it serves the others.
+func (f *Follower) askAnyone(ctx context.Context) bool {
+	if f.options.Publishers == nil || !f.listed {
+		return false
+	}
+	nodes := slices.DeleteFunc(f.Nodes(), func(n Node) bool { return n.Peer == "" || n.ID == f.options.Self })
+	f.random.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+	if helper := slices.IndexFunc(nodes, func(n Node) bool { return n.ID == f.helped }); helper > 0 {
+		nodes[0], nodes[helper] = nodes[helper], nodes[0]
+	}
+	ctx, cancel := context.WithTimeout(ctx, anyoneTime)
+	defer cancel()
+	for _, node := range nodes[:min(len(nodes), anyoneTried)] {
+		if f.ask(ctx, node) == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// ask takes in what a node believes, unless that is too old.
+func (f *Follower) ask(ctx context.Context, node Node) error {
+	asking, cancel := context.WithTimeout(ctx, f.options.PublisherTimeout)
+	defer cancel()
+	publication, err := f.options.Publishers.Ask(asking, node.Peer, Inquiry{
+		Known: f.markOf(node.ID), Revision: f.known(), MostAge: f.options.StaleAfter,
+	})
+	if err != nil {
+		return err
+	}
+	return f.takePublication(node.ID, publication)
+}
+
+// known is the registry's revision up to which this node knows.
+func (f *Follower) known() Revision {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.revision
+}
+
 // askSeeds takes over what another node believes, however old that is, as long as
 // the registry was never read: a node that starts during an outage would
 // otherwise refuse everything. Its first reading of the registry replaces it all.
@@ -194,7 +251,7 @@
 	}
 	for _, seed := range f.options.Seeds {
 		asking, cancel := context.WithTimeout(ctx, f.options.PublisherTimeout)
-		publication, err := f.options.Publishers.Ask(asking, seed, Mark{})
+		publication, err := f.options.Publishers.Ask(asking, seed, Inquiry{Revision: f.known()})
 		cancel()
 		if err != nil || publication.Revision < f.revision {
 			continue
--- a/discovery/relay_test.go
+++ b/discovery/relay_test.go
@@ -100,6 +100,12 @@
 	return told
 }
 
+func (r *registry) setDown(down bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.down = down
+}
+
 func (r *registry) putServer(server discovery.Server, gone bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -132,7 +138,7 @@
 	silent    map[string]bool
 }
 
-func (n *network) Ask(ctx context.Context, address string, known discovery.Mark) (discovery.Publication, error) {
+func (n *network) Ask(ctx context.Context, address string, inquiry discovery.Inquiry) (discovery.Publication, error) {
 	n.mutex.Lock()
 	asked, silent := n.followers[address], n.silent[address]
 	n.mutex.Unlock()
@@ -140,7 +146,7 @@
 		<-ctx.Done()
 		return discovery.Publication{}, ctx.Err()
 	}
-	publication, ok := asked.Publish(known)
+	publication, ok := asked.Publish(inquiry)
 	if !ok {
 		return discovery.Publication{}, discovery.ErrUnavailable
 	}
@@ -150,11 +156,13 @@
 // relayWorld is a registry with followers.
 type relayWorld struct {
 	registry *registry
-	network  *network
-	news     []discovery.News
-	stop     context.CancelFunc
-	loops    sync.WaitGroup
-	mutex    sync.Mutex
+	// gates are the nodes' ways to the registry.
+	gates   []*gate
+	network *network
+	news    []discovery.News
+	stop    context.CancelFunc
+	loops   sync.WaitGroup
+	mutex   sync.Mutex
 }
 
 func startRelay(t *testing.T, count int) *relayWorld {
@@ -172,8 +180,9 @@
 	w.stop = stop
 	for number := range count {
 		id := fmt.Sprintf("node-%02d", number)
+		w.gates = append(w.gates, &gate{registry: w.registry})
 		follower := discovery.NewFollower(discovery.FollowerOptions{
-			Source: w.registry, Self: id, Publishers: w.network, Logger: zerolog.Nop(), Pace: 1800 * time.Millisecond,
+			Source: w.gates[number], Self: id, Publishers: w.network, Logger: zerolog.Nop(), Pace: 1800 * time.Millisecond,
 			Changed: func(news discovery.News) {
 				w.mutex.Lock()
 				defer w.mutex.Unlock()
--- a/discovery/view.go
+++ b/discovery/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -53,9 +54,9 @@
 type entry[T any] struct {
 	value    T
 	revision Revision
-	// missingSince is when the entry went, while it is kept all the same.
-	missingSince time.Duration
-	missing      bool
+	// missing says that the entry went and is kept all the same, until keptUntil.
+	missing   bool
+	keptUntil time.Duration
 }
 
 // Options sets up a View. Zero fields get defaults.
@@ -64,10 +65,12 @@
 	// entries that go are not proof that their owners left: those could not
 	// renew them. Default 1.5 s.
 	OutageAfter time.Duration
-	// MissingFor is how long such entries of servers are still used. Default 2 s.
+	// MissingFor is how long after the registry's return such entries of servers
+	// are still used: an owner that lives has written its entry again by then.
+	// Default 2 s.
 	MissingFor time.Duration
-	// NodesMissingFor is the same for nodes, which must be registered anew first;
-	// no bound rests on them. Default 6 s.
+	// NodesMissingFor is how long such entries of nodes, which must be registered
+	// anew first, are still used after they went; no bound rests on them. Default 6 s.
 	NodesMissingFor time.Duration
 }
 
@@ -86,7 +89,10 @@
 	nodes   map[string]*entry[Node]
 	heard   bool
 	heardAt time.Duration
-	// doubtUntil is until when entries that go are kept for a while.
+	// doubtUntil is until when entries that go are kept. It counts from the
+	// registry's return, not from when an entry went: an entry that goes later is
+	// kept for less, so that no entry is used for longer than the time to hear of
+	// the return and MissingFor.
 	doubtUntil time.Duration
 }
 
@@ -133,15 +139,16 @@
 
 // RemoveServer notes that a server's entry went.
 func (v *View) RemoveServer(now time.Duration, id string, revision Revision) {
-	remove(v, v.servers, now, id, revision)
+	remove(v, v.servers, now, v.doubtUntil, id, revision)
 }
 
 // RemoveNode notes that a node's entry went.
 func (v *View) RemoveNode(now time.Duration, id string, revision Revision) {
-	remove(v, v.nodes, now, id, revision)
+	remove(v, v.nodes, now, now+v.options.NodesMissingFor, id, revision)
 }
 
-func remove[T any](v *View, entries map[string]*entry[T], now time.Duration, id string, revision Revision) {
+// remove drops an entry, or keeps it for a while as missing.
+func remove[T any](v *View, entries map[string]*entry[T], now, keptUntil time.Duration, id string, revision Revision) {
 	known := entries[id]
 	if known == nil || known.revision > revision || known.missing {
 		return
@@ -150,60 +157,80 @@
 		delete(entries, id)
 		return
 	}
-	known.missing, known.missingSince = true, now
+	known.missing, known.keptUntil = true, keptUntil
 }
 
 // RetainServers notes a whole listing as of a revision: servers that it does
 // not hold have gone, unless they came later.
 func (v *View) RetainServers(now time.Duration, listed map[string]struct{}, revision Revision) {
-	retain(v, v.servers, now, listed, revision)
+	retain(v.servers, listed, func(id string) { v.RemoveServer(now, id, revision) })
 }
 
 // RetainNodes does the same for nodes.
 func (v *View) RetainNodes(now time.Duration, listed map[string]struct{}, revision Revision) {
-	retain(v, v.nodes, now, listed, revision)
+	retain(v.nodes, listed, func(id string) { v.RemoveNode(now, id, revision) })
 }
 
-func retain[T any](v *View, entries map[string]*entry[T], now time.Duration, listed map[string]struct{}, revision Revision) {
+func retain[T any](entries map[string]*entry[T], listed map[string]struct{}, remove func(id string)) {
 	for id := range entries {
 		if _, kept := listed[id]; !kept {
-			remove(v, entries, now, id, revision)
+			remove(id)
 		}
 	}
 }
 
-// Expire drops the entries that went some time ago; it reports whether any did.
-func (v *View) Expire(now time.Duration) bool {
-	servers := expire(v.servers, now-v.options.MissingFor)
-	nodes := expire(v.nodes, now-v.options.NodesMissingFor)
-	return servers || nodes
+// Expire drops the missing entries whose time is over.
+func (v *View) Expire(now time.Duration) {
+	expire(v.servers, now)
+	expire(v.nodes, now)
 }
 
-func expire[T any](entries map[string]*entry[T], before time.Duration) bool {
-	dropped := false
+func expire[T any](entries map[string]*entry[T], now time.Duration) {
 	for id, e := range entries {
-		if e.missing && e.missingSince <= before {
+		if e.missing && e.keptUntil <= now {
 			delete(entries, id)
-			dropped = true
 		}
 	}
-	return dropped
 }
 
-// Servers lists the servers that are believed to be there, by ID.
-func (v *View) Servers() []Server {
-	return list(v.servers, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
+// NextExpiry is when the next missing entry is to be dropped; ok is false when
+// none is missing.
+func (v *View) NextExpiry() (at time.Duration, ok bool) {
+	at = min(nextExpiry(v.servers), nextExpiry(v.nodes))
+	return at, at < math.MaxInt64
 }
 
-// Nodes lists the nodes that are believed to be there, by ID.
-func (v *View) Nodes() []Node {
-	return list(v.nodes, func(a, b Node) int { return cmp.Compare(a.ID, b.ID) })
+func nextExpiry[T any](entries map[string]*entry[T]) time.Duration {
+	next := time.Duration(math.MaxInt64)
+	for _, e := range entries {
+		if e.missing {
+			next = min(next, e.keptUntil)
+		}
+	}
+	return next
 }
 
-func list[T any](entries map[string]*entry[T], compare func(a, b T) int) []T {
+// Servers lists the servers that are believed to be there, by ID, with those that
+// are missing and kept.
+func (v *View) Servers() []Server { return list(v.servers, true, Server.key) }
+
+// Nodes lists the nodes in the same way.
+func (v *View) Nodes() []Node { return list(v.nodes, true, Node.key) }
+
+// ListedServers lists the servers without those that are missing, by ID. It is
+// what others may be told: each node keeps what it misses by its own doubt.
+func (v *View) ListedServers() []Server { return list(v.servers, false, Server.key) }
+
+// ListedNodes lists the nodes in the same way.
+func (v *View) ListedNodes() []Node { return list(v.nodes, false, Node.key) }
+
+func list[T any](entries map[string]*entry[T], missing bool, key func(T) string) []T {
+	compare := func(a, b T) int { return cmp.Compare(key(a), key(b)) }
 	values := make([]T, 0, len(entries))
 	for _, e := range entries {
-		values = append(values, e.value)
+		if missing || !e.missing {
+			values = append(values, e.value)
+		}
 	}
 	slices.SortFunc(values, compare)
 	return values
--- a/front/node.go
+++ b/front/node.go
@@ -147,6 +147,7 @@
 		publishers = f.relay
 	}
 	f.follower = discovery.NewFollower(discovery.FollowerOptions{
+		Seed:           options.Seed,
 		Self:           f.self.ID,
 		Publishers:     publishers,
 		Seeds:          otherThan(settings.Seeds, settings.Peer),
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"time"
 
 	"github.com/banksail/banksail/discovery"
 	"github.com/banksail/banksail/internal/httpcall"
@@ -28,6 +29,9 @@
 	// publisherField and generationField name what the asker has already.
 	publisherField  = "publisher"
 	generationField = "generation"
+	// revisionField and ageField, in milliseconds, name what is of no use to the asker.
+	revisionField = "revision"
+	ageField      = "most_age_ms"
 	// stateHeader holds the publication without its content, as JSON.
 	stateHeader = "Banksail-Publication"
 	// connections bounds those to one node.
@@ -48,10 +52,12 @@
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
 // Ask implements discovery.Publishers.
-func (c *Client) Ask(ctx context.Context, address string, known discovery.Mark) (discovery.Publication, error) {
+func (c *Client) Ask(ctx context.Context, address string, inquiry discovery.Inquiry) (discovery.Publication, error) {
 	query := url.Values{
-		publisherField:  {known.Publisher},
-		generationField: {strconv.FormatUint(known.Generation, 10)},
+		publisherField:  {inquiry.Known.Publisher},
+		generationField: {strconv.FormatUint(inquiry.Known.Generation, 10)},
+		revisionField:   {strconv.FormatUint(uint64(inquiry.Revision), 10)},
+		ageField:        {strconv.FormatInt(inquiry.MostAge.Milliseconds(), 10)},
 	}
 	call := httpcall.Call{
 		Address: address,
@@ -94,7 +100,7 @@
 
 // Publisher tells what a node believes.
 type Publisher interface {
-	Publish(known discovery.Mark) (discovery.Publication, bool)
+	Publish(inquiry discovery.Inquiry) (discovery.Publication, bool)
 }
 
 // Handler answers other nodes.
@@ -102,15 +108,14 @@
 	mux := http.NewServeMux()
 	encoded := new(cache)
 	mux.HandleFunc("GET "+path, func(writer http.ResponseWriter, request *http.Request) {
-		query := request.URL.Query()
-		generation, err := strconv.ParseUint(query.Get(generationField), 10, 64)
+		inquiry, err := inquiryOf(request.URL.Query())
 		if err != nil {
-			http.Error(writer, generationField+" must be a number", http.StatusBadRequest)
+			http.Error(writer, err.Error(), http.StatusBadRequest)
 			return
 		}
-		publication, ok := publisher.Publish(discovery.Mark{Publisher: query.Get(publisherField), Generation: generation})
+		publication, ok := publisher.Publish(inquiry)
 		if !ok {
-			http.Error(writer, "nothing is known yet", http.StatusServiceUnavailable)
+			http.Error(writer, "nothing of use is known", http.StatusServiceUnavailable)
 			return
 		}
 		if err := answer(writer, publication, encoded); err != nil {
@@ -120,6 +125,23 @@
 	return mux
 }
 
+// inquiryOf reads an inquiry; its error names the field that is not a number.
+func inquiryOf(query url.Values) (discovery.Inquiry, error) {
+	numbers := make(map[string]uint64)
+	for _, field := range []string{generationField, revisionField, ageField} {
+		number, err := strconv.ParseUint(query.Get(field), 10, 63)
+		if err != nil {
+			return discovery.Inquiry{}, fmt.Errorf("%s must be a number", field)
+		}
+		numbers[field] = number
+	}
+	return discovery.Inquiry{
+		Known:    discovery.Mark{Publisher: query.Get(publisherField), Generation: numbers[generationField]},
+		Revision: discovery.Revision(numbers[revisionField]),
+		MostAge:  time.Duration(numbers[ageField]) * time.Millisecond,
+	}, nil
+}
+
 func answer(writer http.ResponseWriter, publication discovery.Publication, encoded *cache) error {
 	state, err := json.Marshal(publication.PublicationState)
 	if err != nil {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -15,15 +15,15 @@
 	"github.com/banksail/banksail/route"
 )
 
-// publisher publishes what it holds; asked is the mark that it was asked with last.
+// publisher publishes what it holds; asked is what it was asked with last.
 type publisher struct {
 	publication discovery.Publication
 	silent      bool
-	asked       discovery.Mark
+	asked       discovery.Inquiry
 }
 
-func (p *publisher) Publish(known discovery.Mark) (discovery.Publication, bool) {
-	p.asked = known
+func (p *publisher) Publish(inquiry discovery.Inquiry) (discovery.Publication, bool) {
+	p.asked = inquiry
 	return p.publication, !p.silent
 }
 
@@ -84,7 +84,9 @@
 			address, bytes := serve(t, p)
 			client := relay.NewClient(nil)
 			defer client.Close()
-			known := discovery.Mark{Publisher: "node-1", Generation: 3}
+			known := discovery.Inquiry{
+				Known: discovery.Mark{Publisher: "node-1", Generation: 3}, Revision: 70, MostAge: 1600 * time.Millisecond,
+			}
 			got, err := client.Ask(t.Context(), address, known)
 			if err != nil {
 				t.Fatal(err)
@@ -111,7 +113,7 @@
 	client := relay.NewClient(nil)
 	defer client.Close()
 	ask := func() discovery.Publication {
-		got, err := client.Ask(t.Context(), address, discovery.Mark{})
+		got, err := client.Ask(t.Context(), address, discovery.Inquiry{})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -140,7 +142,7 @@
 	client := relay.NewClient(nil)
 	defer client.Close()
 	silent, _ := serve(t, &publisher{silent: true})
-	if _, err := client.Ask(t.Context(), silent, discovery.Mark{}); err == nil {
+	if _, err := client.Ask(t.Context(), silent, discovery.Inquiry{}); err == nil {
 		t.Error("a node that knows nothing gave an answer")
 	}
 	for name, answer := range map[string]http.HandlerFunc{
@@ -153,7 +155,7 @@
 		},
 	} {
 		server := httptest.NewServer(answer)
-		if _, err := client.Ask(t.Context(), strings.TrimPrefix(server.URL, "http://"), discovery.Mark{}); err == nil {
+		if _, err := client.Ask(t.Context(), strings.TrimPrefix(server.URL, "http://"), discovery.Inquiry{}); err == nil {
 			t.Errorf("%s: no error", name)
 		}
 		server.Close()
