A stopping node takes nothing after 2.9 s and answers all that it took

Change: it stops to listen after 2.9 s whatever is pending, refuses what still comes on open connections, and gives what is at hand its final answer 0.8 s before the grace ends.

--- a/front/stop.go
+++ b/front/stop.go
@@ -7,18 +7,20 @@
 )
 
 const (
-	// leaveTime is how long a leaving node goes on taking new connections, while
-	// callers that ask anew are sent elsewhere.
-	leaveTime = 3300 * time.Millisecond
-	// stopMargin is kept at the end of the grace for the process's own end.
-	stopMargin = 600 * time.Millisecond
-	// stopPoll is the time between two looks at what is pending.
-	stopPoll = 50 * time.Millisecond
+	// leaveTime is how long a leaving node goes on taking requests, while callers
+	// that ask anew are sent elsewhere. What it takes later it might have to cut.
+	leaveTime = 2900 * time.Millisecond
+	// stopMargin is kept at the end of the grace: for the final answers of what is
+	// at hand then, and for the process's own end.
+	stopMargin = 800 * time.Millisecond
+	// flushTime is how long those answers have.
+	flushTime = 250 * time.Millisecond
 )
 
 // stop ends the node as planned: it is no longer ready, the directory leaves it
-// out, kept connections end with their next answer, and the process goes when
-// nothing is pending.
+// out, and kept connections end with their next answer. After a while it takes no
+// more requests; what is at hand then has until near the end of the grace, when
+// it gets its final answer. The process goes as soon as nothing is pending.
 func (f *Front) stop(callers *http.Server) {
 	began := time.Now()
 	grace := time.Duration(f.grace.Load())
@@ -27,10 +29,19 @@
 	f.announcer.Leave()
 	f.gateway.Drain()
 	time.Sleep(min(leaveTime, grace/2))
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-stopMargin))
-	defer cancel()
-	for f.gateway.Pending() > 0 && ctx.Err() == nil {
-		time.Sleep(stopPoll)
+	f.gateway.Refuse()
+	if shutdown(callers, time.Until(began.Add(grace-stopMargin))) {
+		return
 	}
-	_ = callers.Shutdown(ctx) // what is still open then is past its grace
+	f.options.Logger.Warn().Int("pending", f.gateway.Pending()).Msg("grace is over, what is at hand is given up")
+	f.gateway.GiveUp()
+	shutdown(callers, flushTime)
+}
+
+// shutdown stops to listen, closes the connections that rest, and waits for the
+// others; it reports whether all have ended in time.
+func shutdown(server *http.Server, within time.Duration) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	return server.Shutdown(ctx) == nil
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,8 +68,10 @@
 	table   atomic.Pointer[route.Table]
 	// draining says that connections are to end with their next answer.
 	draining atomic.Bool
-	held     atomic.Int64
-	serves   atomic.Bool
+	// closed says that requests are taken no more.
+	closed atomic.Bool
+	held   atomic.Int64
+	serves atomic.Bool
 	// sends counts the attempts that were sent since the start.
 	sends    atomic.Uint64
 	counters *counters
@@ -174,6 +176,12 @@
 // Drain makes every connection end with its next answer.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
+// Refuse refuses every request that comes from now on: another node is there for it.
+func (g *Gateway) Refuse() { g.closed.Store(true) }
+
+// GiveUp gives every request at hand its final answer.
+func (g *Gateway) GiveUp() { g.step(routing.Stopping{}) }
+
 // Sends is the number of attempts that were sent to servers since the start.
 func (g *Gateway) Sends() uint64 { return g.sends.Load() }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -20,6 +20,9 @@
 // noTableRetryAfter is told to callers while no table is known.
 const noTableRetryAfter = 1500 * time.Millisecond
 
+// elsewhereRetryAfter is told to callers that another node can serve at once.
+const elsewhereRetryAfter = 10 * time.Millisecond
+
 // ServeHTTP answers one caller's request.
 func (g *Gateway) ServeHTTP(writer http.ResponseWriter, incoming *http.Request) {
 	arrived := time.Now()
@@ -32,6 +35,10 @@
 	if g.draining.Load() {
 		writer.Header().Set("Connection", "close")
 	}
+	if g.closed.Load() {
+		g.refuse(writer, incoming, gather.ReasonStopping, elsewhereRetryAfter)
+		return
+	}
 	table := g.table.Load()
 	if table == nil {
 		g.refuse(writer, incoming, gather.ReasonNoConfiguration, noTableRetryAfter)
--- a/gather/query.go
+++ b/gather/query.go
@@ -206,12 +206,15 @@
 }
 
 // Abandon ends the query because its caller has gone.
-func (q *Query) Abandon(now time.Duration) {
+func (q *Query) Abandon(now time.Duration) { q.GiveUpAll(now, ReasonCallerGone) }
+
+// GiveUpAll ends the query with what is there, for the reason given.
+func (q *Query) GiveUpAll(now time.Duration, reason Reason) {
 	if q.finished {
 		return
 	}
 	q.now = now
-	q.finish(ReasonCallerGone)
+	q.finish(reason)
 }
 
 // conclude finishes the query when nothing is left to wait for, or when waiting
--- a/routing/admit.go
+++ b/routing/admit.go
@@ -18,6 +18,8 @@
 func (r *Router) refusal(q *request) gather.Reason {
 	bound := float64(r.options.MaximumRunning) * max(1-urgencyStep*float64(q.asked.Route.Priority), urgencyStep)
 	switch {
+	case r.stopping:
+		return gather.ReasonStopping
 	case q.asked.Remaining <= 0:
 		return gather.ReasonDeadline
 	case float64(len(r.running)) >= bound:
--- a/routing/event.go
+++ b/routing/event.go
@@ -86,7 +86,12 @@
 	Regions map[string]string
 }
 
+// Stopping tells that the node ends: every request that runs gets its final answer
+// now, and those that come later are refused.
+type Stopping struct{}
+
 func (Arrived) event()         {}
+func (Stopping) event()        {}
 func (SettingsChanged) event() {}
 func (CallerGone) event()      {}
 func (Replied) event()         {}
--- a/routing/router.go
+++ b/routing/router.go
@@ -1,8 +1,10 @@
 package routing
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/banksail/banksail/discovery"
@@ -35,6 +37,8 @@
 
 	timers *priority.Queue[timer]
 	wakeAt time.Duration
+	// stopping says that the node ends.
+	stopping bool
 }
 
 // timer is when a request must be looked at.
@@ -92,6 +96,8 @@
 		r.settingsChanged(event)
 	case NodesChanged:
 		r.shares.take(r.now, event)
+	case Stopping:
+		r.stop()
 	}
 	r.expire()
 	r.wake()
@@ -135,6 +141,14 @@
 	}
 }
 
+// stop gives every request that runs its final answer.
+func (r *Router) stop() {
+	r.stopping = true
+	for _, id := range slices.Sorted(maps.Keys(r.running)) {
+		r.running[id].query.GiveUpAll(r.now, gather.ReasonStopping)
+	}
+}
+
 // settle takes an attempt whose end was reported; nil when it is not known.
 func (r *Router) settle(id gather.AttemptID) *attempt {
 	a := r.attempts[id]
