The latest incarnation at an address takes the earlier one's place; half of the connections at first

Change: an entry at the address of another takes its place; a fresh incarnation counts on half of its connections for 3 s.

--- a/discovery/view.go
+++ b/discovery/view.go
@@ -127,8 +127,21 @@
 	put(v.servers, server.ID, server, revision)
 }
 
-// PutNode takes a node's entry; an older revision changes nothing.
-func (v *View) PutNode(node Node, revision Revision) { put(v.nodes, node.ID, node, revision) }
+// PutNode takes a node's entry; an older revision changes nothing. A node that was
+// registered later at the same address took the earlier one's place: two live
+// processes can't listen at one address, and an entry outlasts its process.
+func (v *View) PutNode(node Node, revision Revision) {
+	for id, known := range v.nodes {
+		if id == node.ID || node.Address == "" || known.value.Address != node.Address {
+			continue
+		}
+		if known.revision > revision {
+			return
+		}
+		delete(v.nodes, id)
+	}
+	put(v.nodes, node.ID, node, revision)
+}
 
 func put[T any](entries map[string]*entry[T], id string, value T, revision Revision) {
 	if known := entries[id]; known != nil && known.revision > revision {
--- /dev/null
+++ b/discovery/view_test.go
@@ -0,0 +1,27 @@
+package discovery_test
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/banksail/banksail/discovery"
+)
+
+// Of several incarnations at one address only the latest counts, in whatever order
+// they are heard of.
+func TestLatestIncarnationAtAnAddress(t *testing.T) {
+	old := discovery.Node{ID: "a.1", Address: "10.0.0.1:80"}
+	restarted := discovery.Node{ID: "a.2", Address: "10.0.0.1:80"}
+	other := discovery.Node{ID: "b.1", Address: "10.0.0.2:80"}
+	want := []discovery.Node{restarted, other}
+	for name, put := range map[string]func(v *discovery.View){
+		"in order":  func(v *discovery.View) { v.PutNode(old, 3); v.PutNode(other, 4); v.PutNode(restarted, 5) },
+		"backwards": func(v *discovery.View) { v.PutNode(restarted, 5); v.PutNode(other, 4); v.PutNode(old, 3) },
+	} {
+		view := discovery.NewView(discovery.Options{})
+		put(view)
+		if got := view.Nodes(); !slices.Equal(got, want) {
+			t.Errorf("%s: %v, want %v", name, got, want)
+		}
+	}
+}
--- a/routing/shares.go
+++ b/routing/shares.go
@@ -14,6 +14,9 @@
 	// otherNodesShare is the part of a budget's fixed number that the nodes share
 	// to which callers are not sent.
 	otherNodesShare = 0.15
+	// connectionsOutlive is how long servers may still count the connections of an
+	// earlier incarnation whose machine lost power: beside those a node has half.
+	connectionsOutlive = 3 * time.Second
 )
 
 // shares is this node's part of what all nodes share.
@@ -77,7 +80,11 @@
 	if s.connections == 0 {
 		return 1
 	}
-	return max(limit.ConnectionShare(s.connections, r.shares.serving.value, r.options.SpareConnections), 1)
+	share := limit.ConnectionShare(s.connections, r.shares.serving.value, r.options.SpareConnections)
+	if r.options.Fresh && r.now < r.startedAt+connectionsOutlive {
+		share /= 2
+	}
+	return max(share, 1)
 }
 
 // fixedShare is the node's part of each budget's fixed number. A fresh
