Requests wait for a starting node's first table

Change: for 500 ms from its start a node keeps requests until the table is there; the wait counts against the aim and the time that servers are told. Test: TestFirstRequestsWaitForTheTable.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -39,6 +39,9 @@
 	// StragglerTime is how long an attempt that its request gave up may go on:
 	// its connection is worth keeping; default 300 ms.
 	StragglerTime time.Duration
+	// StartTime is how long after the start requests wait for the first table, which
+	// is on its way; later ones are refused at once; default 500 ms.
+	StartTime time.Duration
 	// MaximumBytes bounds the bodies of the requests that are held; default 64 MiB.
 	MaximumBytes int64
 }
@@ -56,6 +59,7 @@
 	DefaultCallerMargin    = 10 * time.Millisecond
 	DefaultCallerRoundTrip = 6 * time.Millisecond
 	DefaultStragglerTime   = 300 * time.Millisecond
+	DefaultStartTime       = 500 * time.Millisecond
 	DefaultMaximumBytes    = 64 << 20
 )
 
@@ -68,6 +72,8 @@
 	table   atomic.Pointer[route.Table]
 	// draining says that connections are to end with their next answer.
 	draining atomic.Bool
+	// known is closed once there is a table.
+	known chan struct{}
 	// closed says that requests are taken no more.
 	closed atomic.Bool
 	held   atomic.Int64
@@ -111,6 +117,7 @@
 	options.CallerMargin = cmp.Or(options.CallerMargin, DefaultCallerMargin)
 	options.CallerRoundTrip = cmp.Or(options.CallerRoundTrip, DefaultCallerRoundTrip)
 	options.StragglerTime = cmp.Or(options.StragglerTime, DefaultStragglerTime)
+	options.StartTime = cmp.Or(options.StartTime, DefaultStartTime)
 	options.MaximumBytes = cmp.Or(options.MaximumBytes, DefaultMaximumBytes)
 	options.Exchange.Headers = options.Headers
 	background, end := context.WithCancel(context.Background())
@@ -123,6 +130,7 @@
 		epoch:    time.Now(),
 		client:   exchange.NewClient(options.Exchange),
 		router:   routing.New(0, options.Routing),
+		known:    make(chan struct{}),
 		pending:  make(map[routing.RequestID]*pendingRequest),
 		attempts: make(map[gather.AttemptID]*runningAttempt),
 
@@ -144,7 +152,9 @@
 		return false
 	}
 	g.stepLocked(routing.TableChanged{Table: table})
-	g.table.Store(table)
+	if g.table.Swap(table) == nil {
+		close(g.known)
+	}
 	return true
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -39,7 +39,7 @@
 		g.refuse(writer, incoming, gather.ReasonStopping, elsewhereRetryAfter)
 		return
 	}
-	table := g.table.Load()
+	table := g.awaitTable(incoming.Context())
 	if table == nil {
 		g.refuse(writer, incoming, gather.ReasonNoConfiguration, noTableRetryAfter)
 		return
@@ -67,6 +67,25 @@
 	g.logRequest(asked, table, outcome)
 }
 
+// awaitTable returns the table in force. A node that has just started is about to
+// hear of it, and its callers may have no try left: they wait for a moment.
+func (g *Gateway) awaitTable(ctx context.Context) *route.Table {
+	if table := g.table.Load(); table != nil {
+		return table
+	}
+	left := g.options.StartTime - g.now()
+	if left <= 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	select {
+	case <-g.known:
+	case <-ctx.Done():
+	}
+	return g.table.Load()
+}
+
 // faultOf is the status for a header that can't be taken; zero when it can.
 func faultOf(seen header, limits route.Limits) int {
 	switch {
@@ -121,6 +140,7 @@
 	if told, err := strconv.ParseInt(header.Get(g.options.Headers.Remaining), 10, 64); err == nil {
 		remaining = min(remaining, time.Duration(min(told, int64(time.Hour/time.Millisecond)))*time.Millisecond)
 	}
+	waited := time.Since(asked.arrived)
 	header.Del(g.options.Headers.Remaining)
 	header.Del(g.options.Headers.ExpectedServer)
 	g.mutex.Lock()
@@ -130,8 +150,8 @@
 	g.stepLocked(routing.Arrived{Request: routing.Request{
 		ID:        asked.id,
 		Route:     asked.route,
-		Remaining: remaining - g.options.CallerMargin,
-		Spent:     g.spent(asked.header),
+		Remaining: remaining - waited - g.options.CallerMargin,
+		Spent:     g.spent(asked.header) + waited,
 	}})
 	g.mutex.Unlock()
 	select {
