Callers that have tried before are not refused for crowded servers

Change: a node learns for how long a route's callers wait when they first ask (frequent times, Misra and Gries, so that a few that tell nonsense don't sway it). One that tells less has tried before, and is queued where others are refused.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -135,10 +135,11 @@
 
 // carryOut hands the request to the router and waits for its outcome.
 func (g *Gateway) carryOut(incoming *http.Request, asked *pendingRequest) routing.Outcome {
-	remaining := asked.route.Timeout
 	header := asked.outgoing.Header
-	if told, err := strconv.ParseInt(header.Get(g.options.Headers.Remaining), 10, 64); err == nil {
-		remaining = min(remaining, time.Duration(min(told, int64(time.Hour/time.Millisecond)))*time.Millisecond)
+	remaining := asked.route.Timeout
+	told, known := toldTime(header.Get(g.options.Headers.Remaining))
+	if known {
+		remaining = min(remaining, told)
 	}
 	waited := time.Since(asked.arrived)
 	header.Del(g.options.Headers.Remaining)
@@ -151,6 +152,7 @@
 		ID:        asked.id,
 		Route:     asked.route,
 		Remaining: remaining - waited - g.options.CallerMargin,
+		Told:      told,
 		Spent:     g.spent(asked.header) + waited,
 	}})
 	g.mutex.Unlock()
@@ -163,6 +165,19 @@
 	}
 }
 
+// longestTold bounds the time that a caller may say it waits.
+const longestTold = time.Hour
+
+// toldTime reads the time that a caller says it waits, in milliseconds; known is
+// false when it says none.
+func toldTime(text string) (told time.Duration, known bool) {
+	milliseconds, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return 0, false
+	}
+	return time.Duration(min(milliseconds, longestTold.Milliseconds())) * time.Millisecond, true
+}
+
 // spent is the time that a request is thought to have taken on its way: a new
 // connection takes a round trip more.
 func (g *Gateway) spent(seen header) time.Duration {
--- a/routing/admit.go
+++ b/routing/admit.go
@@ -14,7 +14,8 @@
 // request takes once it is sent, while servers are crowded.
 const crowdedTail = 3
 
-// refusal tells why a request can't be taken now; empty when it can.
+// refusal tells why a request can't be taken now; empty when it can. One that was
+// tried before is not refused for crowded servers: late is better than never.
 func (r *Router) refusal(q *request) gather.Reason {
 	bound := float64(r.options.MaximumRunning) * max(1-urgencyStep*float64(q.asked.Route.Priority), urgencyStep)
 	switch {
@@ -24,7 +25,7 @@
 		return gather.ReasonDeadline
 	case float64(len(r.running)) >= bound:
 		return gather.ReasonOverload
-	case r.pressed(q):
+	case !q.returned && r.pressed(q):
 		return gather.ReasonQueueWait
 	default:
 		return ""
--- a/routing/event.go
+++ b/routing/event.go
@@ -18,6 +18,9 @@
 	Route *route.Route
 	// Remaining is the time until the caller's deadline.
 	Remaining time.Duration
+	// Told is the time that the caller itself says it waits, from when it sent the
+	// request; zero is unknown.
+	Told time.Duration
 	// Spent is the time that the request is thought to have used before it
 	// arrived, which counts against the route's aim.
 	Spent time.Duration
--- a/routing/request.go
+++ b/routing/request.go
@@ -20,6 +20,8 @@
 	latency  *latencies
 	began    time.Duration
 	finished bool
+	// returned says that the caller has probably tried before, and may have no try left.
+	returned bool
 	failure  any // last failure that a server itself answered with
 	timerAt  time.Duration
 
@@ -61,6 +63,8 @@
 	} else {
 		q.names = []string{asked.Route.Target.Pick(q.latency.turn(r.random))}
 	}
+	q.returned = q.latency.patience.returned(asked.Told)
+	q.latency.patience.take(asked.Told)
 	q.parts = make([]part, len(q.names))
 	q.records = make([]AttemptRecord, 0, len(q.names)+spareRecords)
 	return q
--- a/routing/router.go
+++ b/routing/router.go
@@ -319,7 +319,8 @@
 type latencies struct {
 	sketch retry.Sketch
 	// point is where the last request fell among the route's weighted services.
-	point float64
+	point    float64
+	patience patience
 }
 
 // goldenStep spreads consecutive points evenly over an interval of one.
