--- a/routing/admit.go
+++ b/routing/admit.go
@@ -14,8 +14,7 @@
 // request takes once it is sent, while servers are crowded.
 const crowdedTail = 3
 
-// refusal tells why a request can't be taken now; empty when it can. One that was
-// tried before is not refused for crowded servers: late is better than never.
+// refusal tells why a request can't be taken now; empty when it can.
 func (r *Router) refusal(q *request) gather.Reason {
 	bound := float64(r.options.MaximumRunning) * max(1-urgencyStep*float64(q.asked.Route.Priority), urgencyStep)
 	switch {
@@ -25,7 +24,7 @@
 		return gather.ReasonDeadline
 	case float64(len(r.running)) >= bound:
 		return gather.ReasonOverload
-	case !q.returned && r.pressed(q):
+	case r.pressed(q):
 		return gather.ReasonQueueWait
 	default:
 		return ""
@@ -35,14 +34,15 @@
 // pressed reports whether the request is to be refused because its servers are
 // crowded. Less urgent requests to the same servers are refused at the rate of
 // the more urgent ones at least: their own parts may be short enough to pass
-// where those of urgent requests are not.
+// where those of urgent requests are not. One whose caller has tried before is taken
+// as long as the crowding is brief: it may be its last try, and late is better than never.
 func (r *Router) pressed(q *request) bool {
 	// Routes over the same shards name the same first one.
 	p := &r.serviceNamed(q.names[0]).pressure
 	priority := q.asked.Route.Priority
 	refused := r.crowded(q) || r.random.Float64() < p.aboveRefused(r.now, priority)
 	p.count(r.now, priority, refused)
-	return refused
+	return refused && !(q.returned && p.brief(r.now))
 }
 
 // crowded reports whether so many parts would wait for room beyond the route's
