--- a/cmd/banksail-front/main.go
+++ b/cmd/banksail-front/main.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"runtime/debug"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -17,6 +18,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/banksail/banksail/front"
+	"github.com/banksail/banksail/mechanism"
 	"github.com/banksail/banksail/platform"
 	"github.com/banksail/banksail/telemetry"
 )
@@ -55,6 +57,7 @@
 type serveCommand struct {
 	level        string
 	lines, bytes int
+	without      string
 }
 
 func (*serveCommand) Name() string     { return "serve" }
@@ -63,6 +66,7 @@
 
 func (c *serveCommand) SetFlags(flags *flag.FlagSet) {
 	flags.StringVar(&c.level, "log-level", "info", "least level of the lines that are written")
+	flags.StringVar(&c.without, "without", "", "for diagnosis: mechanisms to switch off, separated by commas: "+strings.Join(mechanism.Names(), ", "))
 	flags.IntVar(&c.lines, "log-lines", telemetry.DefaultLinesPerSecond, "most lines a second; others are dropped and counted")
 	flags.IntVar(&c.bytes, "log-bytes", telemetry.DefaultBytesPerSecond, "most bytes a second; others are dropped and counted")
 }
@@ -73,6 +77,10 @@
 
 func (c *serveCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	debug.SetGCPercent(garbageTarget)
+	off, err := mechanism.Parse(c.without)
+	if err != nil {
+		return fail(fmt.Errorf("-without: %w", err))
+	}
 	settings, err := platform.ReadSettings()
 	if err != nil {
 		return fail(err)
@@ -102,6 +110,7 @@
 		Logger:        logger,
 		Registry:      registry,
 		Seed:          uint64(started),
+		Off:           off,
 	})
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
--- a/directory/serving.go
+++ b/directory/serving.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/banksail/banksail/discovery"
+	"github.com/banksail/banksail/mechanism"
 )
 
 const (
@@ -25,15 +26,16 @@
 // They are never more than can hold connections to every server, and are spread
 // over the zones. Connections is the least number that a server takes from all
 // nodes together. All nodes that see the same members choose the same, and one
-// that comes or goes changes few others' part.
-func Serving(nodes []discovery.Node, connections int) []discovery.Node {
+// that comes or goes changes few others' part. Off names the mechanisms that are
+// switched off.
+func Serving(nodes []discovery.Node, connections int, off mechanism.Off) []discovery.Node {
 	staying := filter(nodes, func(n discovery.Node) bool { return !n.Leaving })
 	if len(staying) == 0 {
 		return nodes
 	}
 	most := max(connections-stillConnected(nodes, connections), leastServing)
 	serving := spread(staying, most, capableOf(staying))
-	if slices.ContainsFunc(serving, func(n discovery.Node) bool { return n.Busy }) {
+	if !off.On(mechanism.Capable) || slices.ContainsFunc(serving, func(n discovery.Node) bool { return n.Busy }) {
 		serving = spread(staying, most, func(discovery.Node) bool { return true })
 	}
 	return serving
--- a/discovery/view.go
+++ b/discovery/view.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/banksail/banksail/mechanism"
 )
 
 // State is what a server says of itself.
@@ -72,6 +74,8 @@
 	// NodesMissingFor is how long such entries of nodes, which must be registered
 	// anew first, are still used after they went; no bound rests on them. Default 6 s.
 	NodesMissingFor time.Duration
+	// Off names the mechanisms that are switched off, for diagnosis.
+	Off mechanism.Off
 }
 
 // Defaults of Options.
@@ -110,7 +114,7 @@
 
 // Heard notes that the registry answered at now with all that changed.
 func (v *View) Heard(now time.Duration) {
-	if v.heard && now-v.heardAt > v.options.OutageAfter {
+	if v.heard && now-v.heardAt > v.options.OutageAfter && v.options.Off.On(mechanism.Doubt) {
 		v.doubtUntil = now + v.options.MissingFor
 	}
 	v.heard = true
--- a/front/addresses.go
+++ b/front/addresses.go
@@ -13,7 +13,7 @@
 
 // nodesOf tells how many nodes there are, and which of them serve callers.
 func (f *Front) nodesOf(news discovery.News) routing.NodesChanged {
-	serving := directory.Serving(news.Nodes, leastConnections(news.Table))
+	serving := directory.Serving(news.Nodes, leastConnections(news.Table), f.options.Off)
 	serves := slices.ContainsFunc(serving, func(n discovery.Node) bool { return n.ID == f.self.ID })
 	f.serving.Store(&serving)
 	return routing.NodesChanged{
--- a/front/node.go
+++ b/front/node.go
@@ -16,6 +16,7 @@
 	"github.com/banksail/banksail/discovery"
 	"github.com/banksail/banksail/exchange"
 	"github.com/banksail/banksail/gateway"
+	"github.com/banksail/banksail/mechanism"
 	"github.com/banksail/banksail/relay"
 	"github.com/banksail/banksail/routing"
 )
@@ -44,6 +45,8 @@
 	// nil is none.
 	Registry *prometheus.Registry
 	Seed     uint64
+	// Off names the mechanisms that are switched off, for diagnosis.
+	Off mechanism.Off
 	// Listen opens a listener and Dial a connection to a server; the default is
 	// the operating system's TCP.
 	Listen func(network, address string) (net.Listener, error)
@@ -139,11 +142,14 @@
 				Window: settings.BudgetWindow,
 			},
 			Fresh: !settings.FirstStart,
+			Off:   options.Off,
 		},
 	})
 	var publishers discovery.Publishers
 	if settings.Peer != "" {
 		f.relay = relay.NewClient(options.Dial)
+	}
+	if f.relay != nil && options.Off.On(mechanism.Readers) {
 		publishers = f.relay
 	}
 	f.follower = discovery.NewFollower(discovery.FollowerOptions{
@@ -153,6 +159,7 @@
 		Seeds:          otherThan(settings.Seeds, settings.Peer),
 		Source:         options.Source,
 		Logger:         options.Logger,
+		View:           discovery.Options{Off: options.Off},
 		Changed:        f.changed,
 		Pace:           time.Duration(float64(min(settings.DrainBound, settings.ApplyBound)) * readPace),
 		ReadsPerSecond: settings.ReadsPerSecond * readShare,
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -12,6 +12,7 @@
 
 	"github.com/banksail/banksail/exchange"
 	"github.com/banksail/banksail/gather"
+	"github.com/banksail/banksail/mechanism"
 	"github.com/banksail/banksail/record"
 	"github.com/banksail/banksail/route"
 	"github.com/banksail/banksail/routing"
@@ -74,7 +75,7 @@
 		return table
 	}
 	left := g.options.StartTime - g.now()
-	if left <= 0 {
+	if left <= 0 || !g.options.Routing.Off.On(mechanism.TableWait) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, left)
--- /dev/null
+++ b/mechanism/mechanism.go
@@ -0,0 +1,96 @@
+// Package mechanism names the mechanisms that a node decides with, so that each can
+// be switched off to measure what it is worth. It is for diagnosis: a node without
+// some of them is worse, and keeps all promises all the same.
+package mechanism
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Mechanism is one of them.
+type Mechanism int
+
+// The mechanisms, by the package that has them.
+const (
+	// Hedges: a second server is asked when the first takes long (routing).
+	Hedges Mechanism = iota
+	// HedgesInTime: no hedge that can't answer by the aim (routing).
+	HedgesInTime
+	// Slowness: servers are chosen by how slow their answers were (routing).
+	Slowness
+	// Overdue: attempts that have not ended are evidence, too (routing).
+	Overdue
+	// Probes: slow servers are tried again by single requests (routing).
+	Probes
+	// Unreachable: servers to which no connection opens are set aside (routing).
+	Unreachable
+	// Load: what servers tell of their load counts (routing).
+	Load
+	// Nearness: servers that are near are preferred (routing).
+	Nearness
+	// EarlyRefusal: what would wait too long is refused at once (routing).
+	EarlyRefusal
+	// FairRefusal: less urgent requests are refused as often as urgent ones (routing).
+	FairRefusal
+	// LastTries: callers that tried before are taken while crowding is brief (routing).
+	LastTries
+	// FreshConnections: a fresh incarnation uses half of its connections (routing).
+	FreshConnections
+	// TableWait: a starting node's first requests wait for the table (gateway).
+	TableWait
+	// Capable: callers are sent to the most capable nodes (directory).
+	Capable
+	// Readers: few nodes read the registry and tell the others (discovery).
+	Readers
+	// Doubt: entries that went during an outage are kept for a while (discovery).
+	Doubt
+	count
+)
+
+var names = [count]string{
+	"hedges", "hedges-in-time", "slowness", "overdue", "probes", "unreachable", "load", "nearness",
+	"early-refusal", "fair-refusal", "last-tries", "fresh-connections", "table-wait", "capable", "readers", "doubt",
+}
+
+// String is the mechanism's name.
+func (m Mechanism) String() string { return names[m] }
+
+// Names lists all mechanisms' names.
+func Names() []string { return slices.Clone(names[:]) }
+
+// ErrUnknown is wrapped for a name that is no mechanism's.
+var ErrUnknown = errors.New("no such mechanism")
+
+// Off is the set of mechanisms that are switched off; the zero value is none.
+type Off uint32
+
+// Without returns the set of the mechanisms given.
+func Without(mechanisms ...Mechanism) Off {
+	var off Off
+	for _, m := range mechanisms {
+		off |= 1 << m
+	}
+	return off
+}
+
+// Parse reads names separated by commas; its error names the one that is unknown.
+func Parse(text string) (Off, error) {
+	var off Off
+	if text == "" {
+		return off, nil
+	}
+	for name := range strings.SplitSeq(text, ",") {
+		place := slices.Index(names[:], name)
+		if place < 0 {
+			return 0, fmt.Errorf("%w: %q; there are %s", ErrUnknown, name, strings.Join(names[:], ", "))
+		}
+		off |= 1 << place
+	}
+	return off, nil
+}
+
+// On reports whether a mechanism is not switched off.
+func (o Off) On(m Mechanism) bool { return o&(1<<m) == 0 }
--- a/routing/admit.go
+++ b/routing/admit.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/banksail/banksail/gather"
+	"github.com/banksail/banksail/mechanism"
 )
 
 // urgencyStep is the part of the bound on running requests that each rank of
@@ -40,9 +41,11 @@
 	// Routes over the same shards name the same first one.
 	p := &r.serviceNamed(q.names[0]).pressure
 	priority := q.asked.Route.Priority
-	refused := r.crowded(q) || r.random.Float64() < p.aboveRefused(r.now, priority)
+	refused := r.on(mechanism.EarlyRefusal) && r.crowded(q) ||
+		r.on(mechanism.FairRefusal) && r.random.Float64() < p.aboveRefused(r.now, priority)
 	p.count(r.now, priority, refused)
-	return refused && !(q.returned && p.brief(r.now))
+	lastTry := r.on(mechanism.LastTries) && q.returned && p.brief(r.now)
+	return refused && !lastTry
 }
 
 // crowded reports whether so many parts would wait for room beyond the route's
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/banksail/banksail/gather"
+	"github.com/banksail/banksail/mechanism"
 )
 
 const (
@@ -44,7 +45,7 @@
 		if len(candidate.inFlight) >= room || candidate.shedUntil > r.now {
 			continue
 		}
-		if kind == gather.FirstSend && candidate.mayProbe(r.now) && r.affordsProbe(s, q) {
+		if kind == gather.FirstSend && r.on(mechanism.Probes) && candidate.mayProbe(r.now) && r.affordsProbe(s, q) {
 			candidate.probeAt = r.now + leastProbePause
 			return candidate, gather.Placed
 		}
@@ -79,7 +80,7 @@
 // hedge that does not is wasted.
 func (q *request) inTime(expected time.Duration) bool {
 	by := q.began + q.answerBy()
-	if q.asked.Route.Aim == 0 || q.router.now > by {
+	if q.asked.Route.Aim == 0 || q.router.now > by || !q.router.on(mechanism.HedgesInTime) {
 		return true
 	}
 	return q.router.now+expected/2 <= by
@@ -102,15 +103,27 @@
 	if usual == 0 {
 		usual = fallbackUsual
 	}
-	expected := float64(usual) * s.belief(r.now) * (1 + s.work(r.now))
+	expected := float64(usual) * r.slownessOf(s) * (1 + s.work(r.now))
 	expected += float64(r.distance(s.Zone, q.asked.Route.Aim))
 	return expected * (1 + equalShare*r.random.Float64())
 }
 
+// slownessOf is the slowness that is expected of a server now.
+func (r *Router) slownessOf(s *server) float64 {
+	slowness := usualSlowness
+	if r.on(mechanism.Slowness) {
+		slowness = s.learned(r.now)
+	}
+	if r.on(mechanism.Overdue) {
+		slowness = max(slowness, s.overdue(r.now))
+	}
+	return slowness
+}
+
 // distance is what is added for the way to a zone.
 func (r *Router) distance(zone string, aim time.Duration) time.Duration {
 	switch {
-	case zone == r.options.Zone:
+	case zone == r.options.Zone, !r.on(mechanism.Nearness):
 		return 0
 	case r.options.Regions[zone] == r.options.Regions[r.options.Zone]:
 		return otherZone + time.Duration(otherZoneShare*float64(aim))
--- a/routing/options.go
+++ b/routing/options.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"time"
+
+	"github.com/banksail/banksail/mechanism"
 )
 
 // Options sets up a Router. Zero fields get defaults.
@@ -33,6 +35,8 @@
 	// AnswerMargin is the time before a route's aim at which an answer leaves at
 	// the latest; default 8 ms.
 	AnswerMargin time.Duration
+	// Off names the mechanisms that are switched off, for diagnosis.
+	Off mechanism.Off
 	// SpareConnections is the part of each server's connections that no node
 	// counts on; default 0.1.
 	SpareConnections float64
--- a/routing/request.go
+++ b/routing/request.go
@@ -6,6 +6,7 @@
 
 	"github.com/banksail/banksail/coverage"
 	"github.com/banksail/banksail/gather"
+	"github.com/banksail/banksail/mechanism"
 	"github.com/banksail/banksail/snapshot"
 )
 
@@ -128,7 +129,7 @@
 // HedgeDelay implements gather.Environment.
 func (q *request) HedgeDelay(segment *gather.Segment) (time.Duration, bool) {
 	s := segment.Group.(*service)
-	if len(s.servers) < 2 || q.asked.Route.Attempts < 2 {
+	if len(s.servers) < 2 || q.asked.Route.Attempts < 2 || !q.router.on(mechanism.Hedges) {
 		return 0, false
 	}
 	return q.router.hedgeDelay(q), true
@@ -169,7 +170,7 @@
 	r := q.router
 	s := a.Server.(*server)
 	number := int(a.Range.Start)
-	believed := Belief{Slowness: s.belief(r.now), InFlight: len(s.inFlight)}
+	believed := Belief{Slowness: r.slownessOf(s), InFlight: len(s.inFlight)}
 	sent := &attempt{Attempt: a, server: s, usual: q.latency.usual(), record: len(q.records)}
 	q.records = append(q.records, AttemptRecord{
 		Service: s.Service, Server: s.ID, Kind: a.Kind, SentAt: r.now - q.began, Believed: believed,
--- a/routing/router.go
+++ b/routing/router.go
@@ -10,6 +10,7 @@
 	"github.com/banksail/banksail/discovery"
 	"github.com/banksail/banksail/gather"
 	"github.com/banksail/banksail/internal/priority"
+	"github.com/banksail/banksail/mechanism"
 	"github.com/banksail/banksail/retry"
 	"github.com/banksail/banksail/route"
 )
@@ -104,6 +105,9 @@
 	return r.actions
 }
 
+// on reports whether a mechanism is not switched off.
+func (r *Router) on(m mechanism.Mechanism) bool { return r.options.Off.On(m) }
+
 func (r *Router) emit(action Action) { r.actions = append(r.actions, action) }
 
 // Running is the number of requests without a final answer.
@@ -168,7 +172,7 @@
 	}
 	q := r.requestOf(a)
 	q.ended(a, StatusName(event.Status))
-	if event.LoadKnown {
+	if event.LoadKnown && r.on(mechanism.Load) {
 		a.server.takeLoad(r.now, event.Load)
 	}
 	switch event.Status {
@@ -242,7 +246,7 @@
 // unreached sets a server aside until a connection to it is open again: requests
 // that try it would wait for connections that do not open.
 func (r *Router) unreached(s *server) {
-	if s == nil || s.unreachable || s.gone {
+	if s == nil || s.unreachable || s.gone || !r.on(mechanism.Unreachable) {
 		return
 	}
 	s.unreachable = true
--- a/routing/server.go
+++ b/routing/server.go
@@ -80,9 +80,8 @@
 	return !s.gone && !s.unreachable && s.State == discovery.Ready
 }
 
-// belief is the slowness that is expected now: that of its answers, and that of
-// the attempts which it has not answered yet.
-func (s *server) belief(now time.Duration) float64 {
+// learned is the slowness that its answers make to be expected now.
+func (s *server) learned(now time.Duration) float64 {
 	slowness := usualSlowness + (s.slowness-usualSlowness)*math.Exp2(-float64(now-s.learnedAt)/float64(slownessFade))
 	if s.slowness == 0 {
 		slowness = usualSlowness
@@ -90,7 +89,7 @@
 			slowness = coldSlowness
 		}
 	}
-	return max(slowness, s.overdue(now))
+	return slowness
 }
 
 // overdue is the greatest slowness that an attempt in flight already proves;
--- a/routing/shares.go
+++ b/routing/shares.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/banksail/banksail/limit"
+	"github.com/banksail/banksail/mechanism"
 )
 
 const (
@@ -81,7 +82,7 @@
 		return 1
 	}
 	share := limit.ConnectionShare(s.connections, r.shares.serving.value, r.options.SpareConnections)
-	if r.options.Fresh && r.now < r.startedAt+connectionsOutlive {
+	if r.options.Fresh && r.on(mechanism.FreshConnections) && r.now < r.startedAt+connectionsOutlive {
 		share /= 2
 	}
 	return max(share, 1)
