--- a/cmd/banksail-lab/main.go
+++ b/cmd/banksail-lab/main.go
@@ -37,9 +37,7 @@
 	commander.Register(&observeCommand{}, "judging runs")
 	commander.Register(&collectCommand{}, "judging runs")
 	commander.Register(&judgeCommand{}, "judging runs")
-	commander.Register(&spreadCommand{}, "measurements")
 	commander.Register(&experimentCommand{}, "experiments")
 	commander.Register(&recordCommand{}, "experiments")
 	commander.Register(&replayCommand{}, "experiments")
-	commander.Register(&scaleCommand{}, "experiments")
 }
--- a/membership/connections_test.go
+++ b/membership/connections_test.go
@@ -8,14 +8,14 @@
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
 
-	"github.com/banksail/banksail/lab/gossip"
 	"github.com/banksail/banksail/membership"
+	"github.com/banksail/banksail/membership/gossiptest"
 )
 
 func nodesNamed(count int) []membership.Member {
 	nodes := make([]membership.Member, 0, count)
 	for i := range count {
-		nodes = append(nodes, membership.Member{ID: gossip.NodeID(i), Zone: gossip.ZoneOf(i), State: membership.Live})
+		nodes = append(nodes, membership.Member{ID: gossiptest.NodeID(i), Zone: gossiptest.ZoneOf(i), State: membership.Live})
 	}
 	return nodes
 }
@@ -37,7 +37,7 @@
 }
 
 func place(server, limit int) membership.ServerPlace {
-	return membership.ServerPlace{ID: fmt.Sprintf("server-%d", server), Zone: gossip.ZoneOf(server), Limit: limit}
+	return membership.ServerPlace{ID: fmt.Sprintf("server-%d", server), Zone: gossiptest.ZoneOf(server), Limit: limit}
 }
 
 func TestOwnerShareProperties(t *testing.T) {
@@ -134,7 +134,7 @@
 		zones[node.ID] = node.Zone
 	}
 	for _, owner := range owners {
-		if zones[owner.ID] != gossip.ZoneOf(1) {
+		if zones[owner.ID] != gossiptest.ZoneOf(1) {
 			t.Fatalf("%s owns connections from %s", owner.ID, zones[owner.ID])
 		}
 		if owner.Share.Warm < 1 || owner.Share.Warm > owner.Share.Maximum {
--- a/membership/findings_test.go
+++ b/membership/findings_test.go
@@ -5,8 +5,8 @@
 	"testing"
 	"time"
 
-	"github.com/banksail/banksail/lab/gossip"
 	"github.com/banksail/banksail/membership"
+	"github.com/banksail/banksail/membership/gossiptest"
 )
 
 func leavingFinding(incarnation string) membership.ServerFinding {
@@ -154,7 +154,7 @@
 func TestReadersChangeOnlyForTheNodeThatFails(t *testing.T) {
 	nodes := nodesNamed(24)
 	for number := range 70 {
-		place := membership.ServerPlace{ID: gossip.NodeID(1000 + number), Zone: "z1", Limit: 70}
+		place := membership.ServerPlace{ID: gossiptest.NodeID(1000 + number), Zone: "z1", Limit: 70}
 		owners := membership.Owners(place, nodes)
 		all := membership.Readers(owners, func(string) bool { return true })
 		if len(all) != membership.ReadersPerServer {
@@ -172,8 +172,8 @@
 	budget := membership.ReadingBudget{Rate: 12, Interval: 1500 * time.Millisecond, LoadInterval: 30 * time.Second}
 	firm, spare := make(map[string]int), make(map[string]int)
 	for number := range 30 {
-		firm[gossip.NodeID(number)] = number % 2
-		spare[gossip.NodeID(number)] = membership.ReadersPerServer - 1
+		firm[gossiptest.NodeID(number)] = number % 2
+		spare[gossiptest.NodeID(number)] = membership.ReadersPerServer - 1
 	}
 	if got := len(budget.Duties(firm)); got != len(firm) {
 		t.Errorf("%d of %d servers are read for which the node is needed", got, len(firm))
--- a/lab/gossip/gossip.go
+++ b/membership/gossiptest/gossiptest.go
@@ -1,7 +1,7 @@
-// Package gossip runs many membership state machines on an event queue with
+// Package gossiptest runs many membership state machines on an event queue with
 // virtual time, with delays, cuts, freezes and kills, and counts the bytes of
 // their messages. It drives the real cores, with the real message encodings.
-package gossip
+package gossiptest
 
 import (
 	"fmt"
--- a/membership/nodes_test.go
+++ b/membership/nodes_test.go
@@ -4,39 +4,39 @@
 	"testing"
 	"time"
 
-	"github.com/banksail/banksail/lab/gossip"
 	"github.com/banksail/banksail/membership"
+	"github.com/banksail/banksail/membership/gossiptest"
 	"github.com/banksail/banksail/policy"
 )
 
 const testSize = 24
 
 // joined returns a simulation whose nodes all know each other.
-func joined(t testing.TB, size int, seed uint64) *gossip.Simulation {
+func joined(t testing.TB, size int, seed uint64) *gossiptest.Simulation {
 	t.Helper()
-	s := gossip.New(size, seed)
+	s := gossiptest.New(size, seed)
 	s.ListAll()
-	if _, ok := s.RunUntilTrue(2*time.Minute, func() bool { return gossip.AllSee(s.Nodes, s.Nodes, membership.Live) }); !ok {
+	if _, ok := s.RunUntilTrue(2*time.Minute, func() bool { return gossiptest.AllSee(s.Nodes, s.Nodes, membership.Live) }); !ok {
 		t.Fatal("the nodes did not join")
 	}
 	return s
 }
 
 // neverGone runs on and fails when an observer ever sees a subject as gone.
-func neverGone(t *testing.T, s *gossip.Simulation, during time.Duration, observers, subjects []*gossip.Node) {
+func neverGone(t *testing.T, s *gossiptest.Simulation, during time.Duration, observers, subjects []*gossiptest.Node) {
 	t.Helper()
 	for end := s.Now + during; s.Now < end; s.RunUntil(s.Now + 100*time.Millisecond) {
 		for _, observer := range observers {
 			for _, subject := range subjects {
-				if gossip.Sees(observer, subject) == membership.Gone {
-					t.Fatalf("%s is taken for gone", gossip.NodeID(subject.Index))
+				if gossiptest.Sees(observer, subject) == membership.Gone {
+					t.Fatalf("%s is taken for gone", gossiptest.NodeID(subject.Index))
 				}
 			}
 		}
 	}
 }
 
-func eventually(t *testing.T, s *gossip.Simulation, limit time.Duration, what string, condition func() bool) {
+func eventually(t *testing.T, s *gossiptest.Simulation, limit time.Duration, what string, condition func() bool) {
 	t.Helper()
 	if _, ok := s.RunUntilTrue(limit, condition); !ok {
 		t.Fatalf("not within %v: %s", limit, what)
@@ -48,9 +48,9 @@
 	s.Nodes[3].Alive = false
 	survivors := append(s.Nodes[:3:3], s.Nodes[4:]...)
 	eventually(t, s, 30*time.Second, "every survivor sees the node as gone", func() bool {
-		return gossip.AllSee(survivors, s.Nodes[3:4], membership.Gone)
+		return gossiptest.AllSee(survivors, s.Nodes[3:4], membership.Gone)
 	})
-	if !gossip.AllSee(survivors, survivors, membership.Live) {
+	if !gossiptest.AllSee(survivors, survivors, membership.Live) {
 		t.Fatal("a survivor is not seen as live")
 	}
 }
@@ -60,10 +60,10 @@
 	frozen := s.Nodes[5]
 	frozen.FrozenUntil = s.Now + 5*time.Second
 	eventually(t, s, 5*time.Second, "somebody suspects the node", func() bool {
-		return gossip.Sees(s.Nodes[0], frozen) == membership.Suspect
+		return gossiptest.Sees(s.Nodes[0], frozen) == membership.Suspect
 	})
-	neverGone(t, s, 30*time.Second, s.Nodes, []*gossip.Node{frozen})
-	if !gossip.AllSee(s.Nodes, s.Nodes, membership.Live) {
+	neverGone(t, s, 30*time.Second, s.Nodes, []*gossiptest.Node{frozen})
+	if !gossiptest.AllSee(s.Nodes, s.Nodes, membership.Live) {
 		t.Fatal("the nodes do not see each other as live again")
 	}
 }
@@ -73,30 +73,30 @@
 	frozen := s.Nodes[5]
 	frozen.FrozenUntil = s.Now + 2*time.Minute
 	s.RunUntil(frozen.FrozenUntil)
-	if gossip.Sees(s.Nodes[0], frozen) != membership.Gone {
+	if gossiptest.Sees(s.Nodes[0], frozen) != membership.Gone {
 		t.Fatal("the frozen node is not gone")
 	}
-	neverGone(t, s, 30*time.Second, []*gossip.Node{frozen}, append(s.Nodes[:5:5], s.Nodes[6:]...))
+	neverGone(t, s, 30*time.Second, []*gossiptest.Node{frozen}, append(s.Nodes[:5:5], s.Nodes[6:]...))
 	eventually(t, s, 30*time.Second, "all see each other as live", func() bool {
-		return gossip.AllSee(s.Nodes, s.Nodes, membership.Live)
+		return gossiptest.AllSee(s.Nodes, s.Nodes, membership.Live)
 	})
 }
 
 func TestOneWayCutKeepsTheNodeAlive(t *testing.T) {
 	s := joined(t, testSize, 4)
-	s.Blocked = func(from, to *gossip.Node) bool { return from.Index == 1 && to.Index == 2 }
+	s.Blocked = func(from, to *gossiptest.Node) bool { return from.Index == 1 && to.Index == 2 }
 	neverGone(t, s, 2*time.Minute, s.Nodes, s.Nodes)
 }
 
 func TestDeafNodeBuriesNobodyElse(t *testing.T) {
 	s := joined(t, testSize, 14)
-	s.Blocked = func(_, to *gossip.Node) bool { return to.Index == 1 }
+	s.Blocked = func(_, to *gossiptest.Node) bool { return to.Index == 1 }
 	others := append(s.Nodes[:1:1], s.Nodes[2:]...)
 	neverGone(t, s, 3*time.Minute, others, others)
-	if !gossip.AllSee(others, s.Nodes[1:2], membership.Gone) {
+	if !gossiptest.AllSee(others, s.Nodes[1:2], membership.Gone) {
 		t.Fatal("the deaf node is not gone")
 	}
-	if !gossip.AllSee(others, others, membership.Live) {
+	if !gossiptest.AllSee(others, others, membership.Live) {
 		t.Fatal("the others do not see each other as live")
 	}
 }
@@ -104,30 +104,30 @@
 func TestRegionsPartedForAnHourComeTogether(t *testing.T) {
 	s := joined(t, testSize, 5)
 	half := testSize / 2
-	s.Blocked = func(from, to *gossip.Node) bool { return (from.Index < half) != (to.Index < half) }
+	s.Blocked = func(from, to *gossiptest.Node) bool { return (from.Index < half) != (to.Index < half) }
 	s.RunUntil(s.Now + time.Hour)
-	if !gossip.AllSee(s.Nodes[:half], s.Nodes[half:], membership.Gone) || !gossip.AllSee(s.Nodes[:half], s.Nodes[:half], membership.Live) {
+	if !gossiptest.AllSee(s.Nodes[:half], s.Nodes[half:], membership.Gone) || !gossiptest.AllSee(s.Nodes[:half], s.Nodes[:half], membership.Live) {
 		t.Fatal("a side does not see the other one as gone and itself as live")
 	}
-	s.Blocked = func(_, _ *gossip.Node) bool { return false }
+	s.Blocked = func(_, _ *gossiptest.Node) bool { return false }
 	neverGone(t, s, time.Minute, s.Nodes[:half], s.Nodes[:half])
 	eventually(t, s, 2*time.Minute, "all see each other as live", func() bool {
-		return gossip.AllSee(s.Nodes, s.Nodes, membership.Live)
+		return gossiptest.AllSee(s.Nodes, s.Nodes, membership.Live)
 	})
 }
 
 func TestMachineListLies(t *testing.T) {
-	s := gossip.New(8, 6)
+	s := gossiptest.New(8, 6)
 	dead := membership.ListedNode{ID: "dead", Address: "10.0.3.1:7300", Zone: "zone-0"}
-	s.List(dead, gossip.Listed(0), gossip.Listed(1))
+	s.List(dead, gossiptest.Listed(0), gossiptest.Listed(1))
 	eventually(t, s, time.Minute, "nodes that the list lacks are known", func() bool {
-		return gossip.AllSee(s.Nodes, s.Nodes, membership.Live)
+		return gossiptest.AllSee(s.Nodes, s.Nodes, membership.Live)
 	})
 	s.List(dead)
 	s.RunUntil(s.Now + time.Minute)
 	s.List()
 	s.RunUntil(s.Now + time.Minute)
-	if !gossip.AllSee(s.Nodes, s.Nodes, membership.Live) {
+	if !gossiptest.AllSee(s.Nodes, s.Nodes, membership.Live) {
 		t.Fatal("the list removed a member")
 	}
 	if _, known := s.Nodes[0].Core.Lookup("dead"); known {
@@ -141,20 +141,20 @@
 			s := joined(t, testSize, 7)
 			for life := range uint64(2) {
 				s.Start(s.Nodes[4], 70+life, incarnation)
-				s.Nodes[4].Core.ObserveList([]membership.ListedNode{gossip.Listed(0), gossip.Listed(1)})
+				s.Nodes[4].Core.ObserveList([]membership.ListedNode{gossiptest.Listed(0), gossiptest.Listed(1)})
 				s.RunUntil(s.Now + 2*time.Second)
 			}
 			eventually(t, s, time.Minute, "all see the new life as live", func() bool {
-				return gossip.AllSee(s.Nodes, s.Nodes, membership.Live) && sameIncarnation(s, 4)
+				return gossiptest.AllSee(s.Nodes, s.Nodes, membership.Live) && sameIncarnation(s, 4)
 			})
 		})
 	}
 }
 
 // sameIncarnation tells whether all see the incarnation that a node has now.
-func sameIncarnation(s *gossip.Simulation, index int) bool {
+func sameIncarnation(s *gossiptest.Simulation, index int) bool {
 	for _, observer := range s.Nodes {
-		known, _ := observer.Core.Lookup(gossip.NodeID(index))
+		known, _ := observer.Core.Lookup(gossiptest.NodeID(index))
 		if known.Incarnation != s.Nodes[index].Core.Self().Incarnation {
 			return false
 		}
@@ -169,7 +169,7 @@
 		s.RunUntil(s.Now + 4*time.Second)
 	}
 	eventually(t, s, time.Minute, "all see each other as live", func() bool {
-		return gossip.AllSee(s.Nodes, s.Nodes, membership.Live)
+		return gossiptest.AllSee(s.Nodes, s.Nodes, membership.Live)
 	})
 }
 
@@ -180,9 +180,9 @@
 		node.Alive = false
 	}
 	eventually(t, s, time.Minute, "the rest see the dead as gone", func() bool {
-		return gossip.AllSee(s.Nodes[:half], s.Nodes[half:], membership.Gone)
+		return gossiptest.AllSee(s.Nodes[:half], s.Nodes[half:], membership.Gone)
 	})
-	if !gossip.AllSee(s.Nodes[:half], s.Nodes[:half], membership.Live) {
+	if !gossiptest.AllSee(s.Nodes[:half], s.Nodes[:half], membership.Live) {
 		t.Fatal("a survivor is not seen as live")
 	}
 }
@@ -208,22 +208,22 @@
 
 func TestTombstonesAreForgottenUnlessListed(t *testing.T) {
 	const tombstoneTime = 5 * time.Minute
-	s := gossip.NewWithTombstones(6, 11, tombstoneTime)
+	s := gossiptest.NewWithTombstones(6, 11, tombstoneTime)
 	s.ListAll()
 	s.RunUntil(time.Minute)
 	s.Nodes[5].Alive = false
 	s.RunUntil(s.Now + 2*tombstoneTime)
-	if gossip.Sees(s.Nodes[0], s.Nodes[5]) != membership.Gone {
+	if gossiptest.Sees(s.Nodes[0], s.Nodes[5]) != membership.Gone {
 		t.Fatal("a gone member that the list names is forgotten")
 	}
 	s.List()
 	s.RunUntil(s.Now + 2*tombstoneTime)
-	if gossip.Sees(s.Nodes[0], s.Nodes[5]) != membership.Gone {
+	if gossiptest.Sees(s.Nodes[0], s.Nodes[5]) != membership.Gone {
 		t.Fatal("an empty list made a node forget a gone member")
 	}
-	s.List(gossip.Listed(0), gossip.Listed(1))
+	s.List(gossiptest.Listed(0), gossiptest.Listed(1))
 	s.RunUntil(s.Now + 2*tombstoneTime)
-	if _, known := s.Nodes[0].Core.Lookup(gossip.NodeID(5)); known {
+	if _, known := s.Nodes[0].Core.Lookup(gossiptest.NodeID(5)); known {
 		t.Fatal("a tombstone stays for ever")
 	}
 }
@@ -232,23 +232,23 @@
 	s := joined(t, 2, 12)
 	s.Nodes[1].Alive = false
 	eventually(t, s, 30*time.Second, "the survivor sees the node as gone", func() bool {
-		return gossip.Sees(s.Nodes[0], s.Nodes[1]) == membership.Gone
+		return gossiptest.Sees(s.Nodes[0], s.Nodes[1]) == membership.Gone
 	})
 }
 
 func TestLossyNetworkBuriesNobody(t *testing.T) {
 	const lossPercent = 10
 	s := joined(t, testSize, 15)
-	s.Blocked = func(_, _ *gossip.Node) bool { return s.Random.IntN(100) < lossPercent }
+	s.Blocked = func(_, _ *gossiptest.Node) bool { return s.Random.IntN(100) < lossPercent }
 	neverGone(t, s, 5*time.Minute, s.Nodes, s.Nodes)
 }
 
 // Two processes that claim one ID never agree, but do not harm the others.
 func TestTwoNodesWithOneID(t *testing.T) {
 	s := joined(t, testSize, 16)
-	twin := &gossip.Node{Index: len(s.Nodes), ID: gossip.NodeID(3)}
+	twin := &gossiptest.Node{Index: len(s.Nodes), ID: gossiptest.NodeID(3)}
 	s.Nodes = append(s.Nodes, twin)
-	s.StartAs(twin, gossip.NodeID(3), 17, 2)
+	s.StartAs(twin, gossiptest.NodeID(3), 17, 2)
 	s.ListAll()
 	others := append(s.Nodes[4:testSize:testSize], s.Nodes[:3]...)
 	before := meanBytes(s)
--- a/membership/scale_bench_test.go
+++ b/membership/scale_bench_test.go
@@ -5,8 +5,8 @@
 	"testing"
 	"time"
 
-	"github.com/banksail/banksail/lab/gossip"
 	"github.com/banksail/banksail/membership"
+	"github.com/banksail/banksail/membership/gossiptest"
 	"github.com/banksail/banksail/policy"
 )
 
@@ -24,9 +24,9 @@
 }
 
 func measureNodes(b *testing.B, size int) {
-	s := gossip.New(size, 1)
+	s := gossiptest.New(size, 1)
 	s.ListAll()
-	join, ok := s.RunUntilTrue(5*time.Minute, func() bool { return gossip.AllSee(s.Nodes, s.Nodes, membership.Live) })
+	join, ok := s.RunUntilTrue(5*time.Minute, func() bool { return gossiptest.AllSee(s.Nodes, s.Nodes, membership.Live) })
 	if !ok {
 		b.Fatal("the nodes did not join")
 	}
@@ -57,13 +57,13 @@
 	victim.Alive = false
 	survivors := append(s.Nodes[:size/2:size/2], s.Nodes[size/2+1:]...)
 	first, ok := s.RunUntilTrue(5*time.Minute, func() bool {
-		return !gossip.AllSee(survivors, []*gossip.Node{victim}, membership.Live)
+		return !gossiptest.AllSee(survivors, []*gossiptest.Node{victim}, membership.Live)
 	})
 	if !ok {
 		b.Fatal("nobody suspects the killed node")
 	}
 	all, ok := s.RunUntilTrue(5*time.Minute, func() bool {
-		return gossip.AllSee(survivors, []*gossip.Node{victim}, membership.Gone)
+		return gossiptest.AllSee(survivors, []*gossiptest.Node{victim}, membership.Gone)
 	})
 	if !ok {
 		b.Fatal("the killed node is not seen as gone")
@@ -82,7 +82,7 @@
 const changeInterval = 61 * time.Second
 
 // allHaveRevision tells whether the observers know that all subjects have a revision.
-func allHaveRevision(observers, subjects []*gossip.Node, revision policy.Revision) bool {
+func allHaveRevision(observers, subjects []*gossiptest.Node, revision policy.Revision) bool {
 	for _, observer := range observers {
 		for _, subject := range subjects {
 			known, ok := observer.Core.Lookup(subject.ID)
@@ -95,7 +95,7 @@
 }
 
 // meanBytes is the mean of what a node has sent and received.
-func meanBytes(s *gossip.Simulation) float64 {
+func meanBytes(s *gossiptest.Simulation) float64 {
 	total := 0
 	for _, node := range s.Nodes {
 		total += node.Bytes
--- a/membership/updates_test.go
+++ b/membership/updates_test.go
@@ -7,8 +7,8 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/banksail/banksail/lab/gossip"
 	"github.com/banksail/banksail/membership"
+	"github.com/banksail/banksail/membership/gossiptest"
 )
 
 // pair returns a node that knows one other node, and is about to probe it.
@@ -125,7 +125,7 @@
 func TestMessagesAndTableStayWithinTheirBounds(t *testing.T) {
 	core, other := pair(t)
 	for i := range 2 * membership.MaximumMembers {
-		update := membership.Member{ID: gossip.NodeID(i), Address: gossip.AddressOf(i), Incarnation: 1, State: membership.Live}
+		update := membership.Member{ID: gossiptest.NodeID(i), Address: gossiptest.AddressOf(i), Incarnation: 1, State: membership.Live}
 		core.Receive(0, other, []membership.Member{update})
 	}
 	if size := len(core.Table()); size > membership.MaximumMembers+1 {
@@ -133,7 +133,7 @@
 	}
 	_, updates := core.Receive(0, other, nil)
 	size := 0
-	for _, update := range gossip.Wire(updates) {
+	for _, update := range gossiptest.Wire(updates) {
 		size += proto.Size(update)
 	}
 	if len(updates) > membership.MaximumUpdates || size > membership.MaximumUpdateBytes {
@@ -149,7 +149,7 @@
 	const others = 10
 	core, _ := pair(t)
 	for i := range others - 1 {
-		sender := membership.Member{ID: gossip.NodeID(i), Address: gossip.AddressOf(i), Incarnation: 1, State: membership.Live}
+		sender := membership.Member{ID: gossiptest.NodeID(i), Address: gossiptest.AddressOf(i), Incarnation: 1, State: membership.Live}
 		core.Receive(0, sender, nil)
 	}
 	var rounds [2][]string
@@ -174,7 +174,7 @@
 	const size = 1000
 	s := joined(t, 2, 13)
 	for i := 2; i < size; i++ {
-		update := membership.Member{ID: gossip.NodeID(i), Address: "10.9.9.9:1", Incarnation: 1, State: membership.Leaving}
+		update := membership.Member{ID: gossiptest.NodeID(i), Address: "10.9.9.9:1", Incarnation: 1, State: membership.Leaving}
 		s.Nodes[0].Core.Receive(s.Now, s.Nodes[1].Core.Self(), []membership.Member{update})
 	}
 	passes, bucket := 1, 0
--- a/lab/spread/calls.go
+++ b/rollout/spread_calls_test.go
@@ -1,4 +1,4 @@
-package spread
+package rollout_test
 
 import (
 	"container/heap"
--- a/lab/spread/spread_test.go
+++ b/rollout/spread_test.go
@@ -1,4 +1,4 @@
-package spread
+package rollout_test
 
 import (
 	"testing"
@@ -12,7 +12,7 @@
 const target = 14 * time.Second
 
 func TestRevisionReachesEveryNodeWithinTheTarget(t *testing.T) {
-	cases := map[string]Options{
+	cases := map[string]spreadOptions{
 		"100 nodes":                              {Nodes: 100, Zones: 4},
 		"1400 nodes":                             {Nodes: 1400, Zones: 8},
 		"store reachable by one zone":            {Nodes: 400, Zones: 8, StoreZones: 1},
@@ -25,7 +25,7 @@
 			options.Settle = settle
 			for seed := range uint64(2) {
 				options.Seed = seed
-				result := Run(options)
+				result := runSpread(options)
 				if result.Reached != options.Nodes || result.All > target {
 					t.Fatalf("seed %d: %d of %d nodes after %v", seed, result.Reached, options.Nodes, result.All)
 				}
@@ -35,15 +35,15 @@
 }
 
 func TestEqualOptionsGiveEqualResults(t *testing.T) {
-	options := Options{Nodes: 50, Zones: 3, Seed: 7, PeerLoss: 0.2}
-	first, second := Run(options), Run(options)
+	options := spreadOptions{Nodes: 50, Zones: 3, Seed: 7, PeerLoss: 0.2}
+	first, second := runSpread(options), runSpread(options)
 	if first != second {
 		t.Fatalf("got %+v, then %+v", first, second)
 	}
 }
 
 func TestFewNodesAskTheStore(t *testing.T) {
-	result := Run(Options{Nodes: 400, Zones: 8, Seed: 1})
+	result := runSpread(spreadOptions{Nodes: 400, Zones: 8, Seed: 1})
 	if result.Watchers != 8 {
 		t.Fatalf("%d watchers", result.Watchers)
 	}
--- a/lab/spread/spread.go
+++ b/rollout/spread_world_test.go
@@ -1,9 +1,8 @@
-// Package spread runs the rollout cores of many nodes on an event queue, to
-// count the messages that a new revision costs and the time until it is in
-// force everywhere.
-//
-// It has no goroutine and no clock of its own: equal options give equal results.
-package spread
+package rollout_test
+
+// This file runs the cores of many nodes on an event queue, to count the messages that
+// a new revision costs and the time until it is in force everywhere. It has no
+// goroutine and no clock of its own: equal options give equal results.
 
 import (
 	"fmt"
@@ -14,8 +13,8 @@
 	"github.com/banksail/banksail/rollout"
 )
 
-// Options describes the nodes, the network and the store.
-type Options struct {
+// spreadOptions describes the nodes, the network and the store.
+type spreadOptions struct {
 	// Nodes is the number of nodes.
 	Nodes int
 	// Zones is the number of zones that the nodes are spread over evenly.
@@ -44,7 +43,7 @@
 	Core rollout.CoreOptions
 }
 
-// Defaults of Options.
+// Defaults of spreadOptions.
 const (
 	DefaultPeerDelay  = 5 * time.Millisecond
 	DefaultStoreDelay = 5 * time.Millisecond
@@ -52,7 +51,7 @@
 	DefaultLimit      = 2 * time.Minute
 )
 
-func (o Options) withDefaults() Options {
+func (o spreadOptions) withDefaults() spreadOptions {
 	setDefault(&o.Nodes, 1)
 	setDefault(&o.Zones, 1)
 	setDefault(&o.PeerDelay, DefaultPeerDelay)
@@ -96,9 +95,9 @@
 	}
 }
 
-// Result tells how one revision spread.
-type Result struct {
-	Options Options
+// spreadResult tells how one revision spread.
+type spreadResult struct {
+	spreadOptions spreadOptions
 	// Reached counts the nodes with the revision in force at the end.
 	Reached int
 	// Half, Most and All are the times from the store's change until half, 99
@@ -113,8 +112,8 @@
 	Watchers int
 }
 
-// Run spreads one revision.
-func Run(options Options) Result {
+// runSpread spreads one revision.
+func runSpread(options spreadOptions) spreadResult {
 	run := newRun(options.withDefaults())
 	half := run.options.Settle / 2
 	run.until(half)
@@ -125,7 +124,7 @@
 	run.change()
 	run.until(run.options.Settle + run.options.Limit)
 	result := run.result
-	result.Options = run.options
+	result.spreadOptions = run.options
 	result.Reached = run.reached
 	result.Quiet = quiet
 	result.QuietTime = run.options.Settle - half
@@ -140,7 +139,7 @@
 
 // run is the state of one simulation.
 type run struct {
-	options Options
+	options spreadOptions
 	random  *rand.Rand
 	queue   eventQueue
 	now     time.Duration
@@ -153,7 +152,7 @@
 	counts    Counts
 	changedAt time.Duration
 	reached   int
-	result    Result
+	result    spreadResult
 }
 
 // node is one hollow node.
@@ -174,7 +173,7 @@
 
 const firstRevision policy.Revision = 1
 
-func newRun(options Options) *run {
+func newRun(options spreadOptions) *run {
 	r := &run{
 		options: options,
 		random:  rand.New(rand.NewPCG(options.Seed, uint64(options.Nodes))),
