--- a/discovery/announcer.go
+++ b/discovery/announcer.go
@@ -15,16 +15,22 @@
 	Registrar Registrar
 	Node      Node
 	Logger    zerolog.Logger
-	// TimeToLive is how long the entry stays without renewal; default 2.5 s.
-	TimeToLive time.Duration
-	// RenewEvery is the time between renewals; default 800 ms.
-	RenewEvery time.Duration
+	// TimeToLive is how long the entry of a node that serves callers stays without
+	// renewal; default 2.5 s. RestingTimeToLive is the same for one that does not, of
+	// which nobody needs to know so soon that it is gone; default 10 s.
+	TimeToLive, RestingTimeToLive time.Duration
 }
 
 // Defaults of AnnouncerOptions.
 const (
-	DefaultTimeToLive = 2500 * time.Millisecond
-	DefaultRenewEvery = 800 * time.Millisecond
+	DefaultTimeToLive        = 2500 * time.Millisecond
+	DefaultRestingTimeToLive = 10 * time.Second
+
+	// renewShare is the part of the time to live after which an entry is renewed.
+	renewShare = 0.32
+	// restAfter is how long a node has served nobody before its entry may rest: each
+	// change costs two calls.
+	restAfter = 8 * time.Second
 )
 
 // Announcer keeps the node's own entry in a registry.
@@ -37,13 +43,18 @@
 	lease Lease
 	// written says that the entry holds node as it is now.
 	written bool
-	wake    chan struct{}
+	// granted is the time to live of the lease.
+	granted time.Duration
+	// servesNobody says that callers are sent elsewhere, since restingSince.
+	servesNobody bool
+	restingSince time.Time
+	wake         chan struct{}
 }
 
 // NewAnnouncer returns an announcer that has written nothing.
 func NewAnnouncer(options AnnouncerOptions) *Announcer {
 	options.TimeToLive = cmp.Or(options.TimeToLive, DefaultTimeToLive)
-	options.RenewEvery = cmp.Or(options.RenewEvery, DefaultRenewEvery)
+	options.RestingTimeToLive = cmp.Or(options.RestingTimeToLive, DefaultRestingTimeToLive)
 	return &Announcer{options: options, node: options.Node, wake: make(chan struct{}, 1)}
 }
 
@@ -57,6 +68,28 @@
 	a.change(func(n *Node) { n.Busy = busy })
 }
 
+// SetServing tells whether callers are sent to the node.
+func (a *Announcer) SetServing(serves bool) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if serves || !a.servesNobody {
+		a.restingSince = time.Now()
+	}
+	a.servesNobody = !serves
+}
+
+// timeToLive is that which the node's entry should have now: one that has no entry
+// yet begins as what it is. The mutex is held.
+func (a *Announcer) timeToLive() time.Duration {
+	if a.servesNobody && (a.lease == nil || time.Since(a.restingSince) >= restAfter) {
+		return a.options.RestingTimeToLive
+	}
+	if a.servesNobody && a.granted > 0 {
+		return a.granted
+	}
+	return a.options.TimeToLive
+}
+
 // change announces the node as it is now, soon, if that is news.
 func (a *Announcer) change(apply func(*Node)) {
 	a.mutex.Lock()
@@ -84,7 +117,7 @@
 		if err != nil && ctx.Err() == nil {
 			a.options.Logger.Debug().Err(err).Msg("own entry could not be kept")
 		}
-		waiting, stop := context.WithTimeout(ctx, a.options.RenewEvery)
+		waiting, stop := context.WithTimeout(ctx, a.renewEvery())
 		select {
 		case <-waiting.Done():
 		case <-a.wake:
@@ -94,17 +127,29 @@
 	a.end()
 }
 
+func (a *Announcer) renewEvery() time.Duration {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	every := time.Duration(renewShare * float64(a.options.TimeToLive))
+	if a.granted > 0 {
+		every = time.Duration(renewShare * float64(a.granted))
+	}
+	return every
+}
+
 // keep registers the node, brings its entry up to date, or renews the lease.
 func (a *Announcer) keep(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, a.options.TimeToLive/2)
 	defer cancel()
 	a.mutex.Lock()
-	node, lease, written := a.node, a.lease, a.written
+	node, lease, written, granted, wanted := a.node, a.lease, a.written, a.granted, a.timeToLive()
 	a.mutex.Unlock()
 	var err error
 	switch {
-	case lease == nil:
-		lease, err = a.options.Registrar.Register(ctx, node, a.options.TimeToLive)
+	case lease == nil || granted != wanted:
+		// The entry goes under the new lease; an earlier one runs out without it.
+		lease, err = a.options.Registrar.Register(ctx, node, wanted)
+		granted = wanted
 	case !written:
 		err = lease.Update(ctx, node)
 	default:
@@ -114,7 +159,7 @@
 	defer a.mutex.Unlock()
 	switch {
 	case err == nil:
-		a.lease = lease
+		a.lease, a.granted = lease, granted
 		a.written = a.node == node
 	case errors.Is(err, ErrLeaseOver):
 		a.lease, a.written = nil, false
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -55,6 +55,10 @@
 	// Seeds are addresses of nodes that are asked while the registry gives no answer
 	// and nothing is known yet; they may be stale or down.
 	Seeds []string
+	// SeedTime is for how long a node that knows nothing asks its seeds before it reads
+	// everything by itself; zero is not at all. It spares the registry a reading for
+	// each node where many start at once and none is in a hurry.
+	SeedTime time.Duration
 	// PublisherTimeout bounds one asking; default 250 ms.
 	PublisherTimeout time.Duration
 	// StaleAfter is the age from which a publication is not believed; default
@@ -155,6 +159,7 @@
 
 // Run follows the source until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	f.learnFromSeeds(ctx)
 	for ctx.Err() == nil {
 		_ = clock.Sleep(ctx, f.follow(ctx)) // the loop looks at ctx
 	}
--- a/discovery/publication.go
+++ b/discovery/publication.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/banksail/banksail/internal/clock"
 	"github.com/banksail/banksail/route"
 )
 
@@ -242,6 +243,30 @@
 	return f.revision
 }
 
+// seedPause is the time between two rounds of asking the seeds at the start.
+const seedPause = 150 * time.Millisecond
+
+// learnFromSeeds begins with what a seed believes, if one hears the registry soon.
+func (f *Follower) learnFromSeeds(ctx context.Context) {
+	if f.options.Publishers == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.options.SeedTime)
+	defer cancel()
+	for ctx.Err() == nil {
+		for _, seed := range f.options.Seeds {
+			asking, cancel := context.WithTimeout(ctx, f.options.PublisherTimeout)
+			publication, err := f.options.Publishers.Ask(asking, seed, Inquiry{MostAge: f.options.StaleAfter})
+			cancel()
+			if err == nil && publication.Age <= f.options.StaleAfter && f.believe(publication) == nil {
+				f.listed = true
+				return
+			}
+		}
+		_ = clock.Sleep(ctx, seedPause) // the loop looks at ctx
+	}
+}
+
 // askSeeds takes over what another node believes, however old that is, as long as
 // the registry was never read: a node that starts during an outage would
 // otherwise refuse everything. Its first reading of the registry replaces it all.
--- a/discovery/relay_test.go
+++ b/discovery/relay_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"reflect"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -23,6 +24,8 @@
 	revision discovery.Revision
 	events   discovery.Changes
 	readings int
+	// listings counts the readings of everything.
+	listings int
 	down     bool
 }
 
@@ -30,6 +33,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.readings++
+	r.listings++
 	if r.down {
 		return discovery.Listing{}, discovery.ErrUnavailable
 	}
@@ -163,9 +167,20 @@
 	stop    context.CancelFunc
 	loops   sync.WaitGroup
 	mutex   sync.Mutex
+	// seeds and seedTime are what the followers learn from at the start, but for the
+	// seeds themselves.
+	seeds    []string
+	seedTime time.Duration
 }
 
 func startRelay(t *testing.T, count int) *relayWorld {
+	w := newRelay(t, count)
+	w.start(t)
+	time.Sleep(3 * time.Second)
+	return w
+}
+
+func newRelay(t *testing.T, count int) *relayWorld {
 	w := &relayWorld{
 		registry: &registry{t: t},
 		network:  &network{followers: make(map[string]*discovery.Follower), silent: make(map[string]bool)},
@@ -176,24 +191,34 @@
 		id := fmt.Sprintf("node-%02d", number)
 		w.registry.putNode(discovery.Node{ID: id, Address: id, Peer: id})
 	}
+	return w
+}
+
+// start runs a follower for each node.
+func (w *relayWorld) start(t *testing.T) {
 	ctx, stop := context.WithCancel(t.Context())
 	w.stop = stop
-	for number := range count {
+	for number := range w.news {
 		id := fmt.Sprintf("node-%02d", number)
+		seedTime := w.seedTime
+		if slices.Contains(w.seeds, id) {
+			seedTime = 0
+		}
 		w.gates = append(w.gates, &gate{registry: w.registry})
 		follower := discovery.NewFollower(discovery.FollowerOptions{
 			Source: w.gates[number], Self: id, Publishers: w.network, Logger: zerolog.Nop(), Pace: 1800 * time.Millisecond,
+			Seeds: w.seeds, SeedTime: seedTime,
 			Changed: func(news discovery.News) {
 				w.mutex.Lock()
 				defer w.mutex.Unlock()
 				w.news[number] = news
 			},
 		})
+		w.network.mutex.Lock()
 		w.network.followers[id] = follower
+		w.network.mutex.Unlock()
 		w.loops.Go(func() { follower.Run(ctx) })
 	}
-	time.Sleep(3 * time.Second)
-	return w
 }
 
 // wantAlike wants all followers to believe the same servers and version, but for some.
@@ -219,6 +244,37 @@
 	}
 }
 
+// Where many nodes start at once and none is in a hurry, one of them reads everything
+// and the others learn from it.
+func TestNodesLearnFromASeed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const nodes = 30
+		w := newRelay(t, nodes)
+		w.seeds, w.seedTime = []string{"node-00", "node-gone"}, 2*time.Second
+		w.start(t)
+		time.Sleep(4 * time.Second)
+		w.wantAlike(t, "after the start")
+		if w.registry.listings > 3 {
+			t.Errorf("everything was read %d times by %d nodes", w.registry.listings, nodes)
+		}
+		w.stop()
+		w.loops.Wait()
+	})
+}
+
+// A node whose seeds are gone reads for itself.
+func TestNodesStartWithoutSeeds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newRelay(t, 4)
+		w.seeds, w.seedTime = []string{"node-gone"}, 2*time.Second
+		w.start(t)
+		time.Sleep(4 * time.Second)
+		w.wantAlike(t, "after the start")
+		w.stop()
+		w.loops.Wait()
+	})
+}
+
 // Whatever changes, all nodes believe it within the bound, from one reader.
 func TestNodesBelieveWhatTheReaderDoes(t *testing.T) {
 	for seed := range uint64(8) {
--- a/front/node.go
+++ b/front/node.go
@@ -157,6 +157,7 @@
 		Self:           f.self.ID,
 		Publishers:     publishers,
 		Seeds:          otherThan(settings.Seeds, settings.Peer),
+		SeedTime:       seedTime(settings),
 		Source:         options.Source,
 		Logger:         options.Logger,
 		View:           discovery.Options{Off: options.Off},
@@ -173,6 +174,18 @@
 	return f
 }
 
+// firstSeedTime is for how long the nodes of a first start ask the seeds.
+const firstSeedTime = 2 * time.Second
+
+// seedTime is for how long the node asks its seeds before it reads the registry. Those
+// that start again have callers that wait.
+func seedTime(settings Settings) time.Duration {
+	if !settings.FirstStart || slices.Contains(settings.Seeds, settings.Peer) {
+		return 0
+	}
+	return firstSeedTime
+}
+
 func otherThan(addresses []string, self string) []string {
 	return slices.DeleteFunc(slices.Clone(addresses), func(address string) bool { return address == self })
 }
@@ -195,6 +208,7 @@
 	nodes := f.nodesOf(news)
 	f.logRole(nodes)
 	f.gateway.SetNodes(nodes)
+	f.announcer.SetServing(nodes.Serves)
 	f.gateway.SetServers(news.Servers)
 	f.presence.Store(presenceOf(news))
 	if news.Table == nil {
