--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,159 @@
+package gateway_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/banksail/banksail/discovery"
+	"github.com/banksail/banksail/exchange"
+	"github.com/banksail/banksail/gateway"
+	"github.com/banksail/banksail/route"
+	"github.com/banksail/banksail/routing"
+)
+
+// Names of the headers in these tests.
+const (
+	attemptHeader   = "Test-Attempt"
+	remainingHeader = "Test-Remaining"
+	serverHeader    = "Test-Server"
+	stampHeader     = "Test-Stamp"
+	missingHeader   = "Test-Missing"
+
+	testHost = "search.example"
+	longest  = 5 * time.Second
+)
+
+// newGateway returns a gateway before one server that runs the handler; route /once/
+// leads to it, with bodies of 100 bytes at most.
+func newGateway(t *testing.T, serve http.HandlerFunc) *gateway.Gateway {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set(attemptHeader, request.Header.Get(attemptHeader))
+		writer.Header().Set(stampHeader, "stamp")
+		serve(writer, request)
+	}))
+	g := gateway.New(gateway.Options{
+		Headers: exchange.Headers{
+			AttemptID: attemptHeader, Remaining: remainingHeader, ExpectedServer: serverHeader, Stamp: stampHeader,
+			NotExecuted: "Test-Not-Executed", Load: "Test-Load",
+		},
+		AnswerHeaders: gateway.AnswerHeaders{PartStamps: "Test-Parts", MissingParts: missingHeader},
+		Logger:        zerolog.Nop(),
+	})
+	t.Cleanup(func() {
+		g.Close()
+		server.Close()
+	})
+	table, err := route.New(route.Definition{
+		Version:  1,
+		Limits:   route.Limits{HeaderBytes: 4096, BodyBytes: 100, HeaderTimeout: longest, IdleTimeout: longest},
+		Services: []route.Service{{Name: "ledger", Connections: 10}},
+		Routes: []route.Route{{
+			Name: "once", Host: testHost, PathPrefix: "/once/", Timeout: longest, Attempts: 1,
+			Target: route.Target{Shares: []route.Share{{Service: "ledger", Weight: 1}}},
+		}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.SetNodes(routing.NodesChanged{Live: 1, Serving: 1, Serves: true})
+	g.SetServers([]discovery.Server{{
+		ID: "ledger-1", Service: "ledger", Address: strings.TrimPrefix(server.URL, "http://"), Slots: 2,
+	}})
+	g.SetTable(table)
+	return g
+}
+
+func newRequest(target, body string) *http.Request {
+	request := httptest.NewRequest(http.MethodPost, target, strings.NewReader(body))
+	request.Host = testHost
+	request.Header.Set(attemptHeader, "attempt-1")
+	request.Header.Set(remainingHeader, "4000")
+	return request
+}
+
+// A request reaches the server as the caller wrote it, but for what concerns one
+// connection and for what the gateway itself tells.
+func TestRequestReachesTheServerUnchanged(t *testing.T) {
+	var seen *http.Request
+	var body []byte
+	g := newGateway(t, func(_ http.ResponseWriter, request *http.Request) {
+		seen = request.Clone(request.Context())
+		body, _ = io.ReadAll(request.Body)
+	})
+	request := newRequest("/once/a%2Fb?q=1%202", "entry")
+	request.Header.Set("Connection", "X-Hop")
+	request.Header.Set("X-Hop", "1")
+	request.Header.Set("X-Kept", "2")
+	request.Header.Set(serverHeader, "another")
+	answer := httptest.NewRecorder()
+	g.ServeHTTP(answer, request)
+	if answer.Code != http.StatusOK {
+		t.Fatalf("status %d", answer.Code)
+	}
+	if seen.RequestURI != "/once/a%2Fb?q=1%202" || seen.Host != testHost || string(body) != "entry" {
+		t.Errorf("the server saw %s %s with %q", seen.Host, seen.RequestURI, body)
+	}
+	for header, want := range map[string]string{
+		"X-Hop": "", "X-Kept": "2", attemptHeader: "attempt-1", serverHeader: "ledger-1",
+	} {
+		if got := seen.Header.Get(header); got != want {
+			t.Errorf("%s is %q at the server, want %q", header, got, want)
+		}
+	}
+}
+
+// What is at fault gets its own answer and reaches no server.
+func TestFaultyRequestsReachNoServer(t *testing.T) {
+	g := newGateway(t, func(http.ResponseWriter, *http.Request) { t.Error("the server was asked") })
+	for name, test := range map[string]struct {
+		request *http.Request
+		status  int
+	}{
+		"no route":        {newRequest("/other/x", ""), http.StatusNotFound},
+		"a body too long": {newRequest("/once/x", strings.Repeat("x", 101)), http.StatusRequestEntityTooLarge},
+	} {
+		answer := httptest.NewRecorder()
+		g.ServeHTTP(answer, test.request)
+		if answer.Code != test.status {
+			t.Errorf("%s: status %d, want %d", name, answer.Code, test.status)
+		}
+	}
+}
+
+// A node that ends refuses what comes, with when to come back, and gives what is at
+// hand its final answer at once.
+func TestEndOfANode(t *testing.T) {
+	running, end := make(chan struct{}), make(chan struct{})
+	g := newGateway(t, func(http.ResponseWriter, *http.Request) {
+		close(running)
+		<-end
+	})
+	defer close(end)
+	atHand := make(chan *httptest.ResponseRecorder, 1)
+	go func() {
+		answer := httptest.NewRecorder()
+		g.ServeHTTP(answer, newRequest("/once/x", ""))
+		atHand <- answer
+	}()
+	<-running
+	g.Refuse()
+	refused := httptest.NewRecorder()
+	g.ServeHTTP(refused, newRequest("/once/y", ""))
+	if refused.Code != http.StatusServiceUnavailable || refused.Header().Get("Retry-After") == "" {
+		t.Errorf("a late request: %d, come back after %q", refused.Code, refused.Header().Get("Retry-After"))
+	}
+	if pending := g.Pending(); pending != 1 {
+		t.Errorf("%d requests are at hand, want 1", pending)
+	}
+	g.GiveUp()
+	if answer := <-atHand; answer.Code != http.StatusBadGateway {
+		t.Errorf("at hand, and the server may have run it: status %d", answer.Code)
+	}
+}
