--- a/routing/choose.go
+++ b/routing/choose.go
@@ -55,6 +55,8 @@
 		}
 	}
 	switch {
+	case !usable && kind != gather.HedgeSend && q.awaitsEntries(s):
+		return nil, gather.Busy
 	case !usable:
 		return nil, gather.Unservable
 	case !untried:
@@ -75,6 +77,14 @@
 	}
 }
 
+// awaitsEntries reports whether a part waits for a service of which no server is known
+// at all: entries that lapsed while the registry was away come back soon after it, and
+// a node that has just started knows no others. A request to one service is refused
+// instead, before it costs anything.
+func (q *request) awaitsEntries(s *service) bool {
+	return len(s.servers) == 0 && q.asked.Route.Repeatable && q.asked.Route.Target.FanOut()
+}
+
 // inTime reports whether an attempt that takes the given time may still answer
 // before the request stops waiting: half of the answers come in half of it. A
 // hedge that does not is wasted.
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -332,3 +332,43 @@
 		}
 	}
 }
+
+// A node that has just started, or whose registry was away, may know no server of some
+// shards yet: parts wait for them, and the request is answered when they come.
+func TestPartsWaitForServersThatAreNotKnownYet(t *testing.T) {
+	shards := []string{"s1", "s2", "s3"}
+	w := newWorld(t, routing.Options{})
+	w.setServers(servers(2, "s1"))
+	w.setTable(20, shards...)
+	answered, expired := w.ask(fanOut(0.9, shards...)), w.ask(fanOut(0.9, shards...))
+	for _, id := range []routing.RequestID{answered, expired} {
+		for _, send := range w.open(id) {
+			w.end(send.Attempt, gather.ReplyDone)
+		}
+	}
+	w.pass(300 * time.Millisecond)
+	if len(w.finished) > 0 {
+		t.Fatalf("answered without servers: %+v", w.finished)
+	}
+	w.setServers(servers(2, shards...))
+	for _, send := range w.open(answered) {
+		w.end(send.Attempt, gather.ReplyDone)
+	}
+	if got := w.finished[answered]; got.Execution != gather.ExecutionDone || got.Missing != 0 {
+		t.Errorf("once the servers are known: %+v", got)
+	}
+	w.pass(2 * time.Second)
+	if got, finished := w.finished[expired]; !finished || got.Reason != gather.ReasonDeadline {
+		t.Errorf("at its deadline: %+v", got)
+	}
+}
+
+// A request to one service of which no server is known is refused at once.
+func TestNoServerOfAServiceIsRefusedAtOnce(t *testing.T) {
+	w := newWorld(t, routing.Options{})
+	w.setTable(20, "s1")
+	id := w.ask(single("s1", true))
+	if got, finished := w.finished[id]; !finished || got.Execution != gather.ExecutionNotRun || got.RetryAfter == 0 {
+		t.Errorf("%t, %+v", finished, got)
+	}
+}
