A segmentation violation in the race detector's own code is told from a failed test

By the symbols of that program the counter lies in __tsan::SlotLock (go tool nm; the symbol before it at 41c6e0); the stack above is runtime.(*timer).maybeRunChan in a synctest bubble. It is the known crash of the detector in long virtual runs in another form, which scripts/unit.sh did not know. Ruled out: a fault of product code, whose counter would lie after the detector's text. Change: such a violation counts as the detector's crash only if the symbol at its program counter is the detector's; the package must then pass on the next run, as before. Checked with that run's output (told as a crash of peer), with the counter moved into runtime.selectgo, and with a failed test (both told as failures).

--- a/scripts/unit.sh
+++ b/scripts/unit.sh
@@ -4,8 +4,9 @@
 #
 # The race detector's own runtime now and then ends a test process with
 # "ThreadSanitizer: CHECK failed" in packages that run many goroutines for long
-# virtual times. That is no verdict on the tests, so such a package, and only
-# such a one, is run again, at most RERUNS times, and the script says so.
+# virtual times, or with a segmentation violation whose program counter lies in
+# that runtime's own code. That is no verdict on the tests, so such a package, and
+# only such a one, is run again, at most RERUNS times, and the script says so.
 set -euo pipefail
 readonly RERUNS=3
 readonly DETECTOR_CRASH='ThreadSanitizer: CHECK failed'
@@ -25,21 +26,50 @@
 
 run_tests() { go test -race -timeout 20m "${skip[@]}" "$@" 2>&1 | tee "$output"; }
 
-# crashed prints the packages of the last run that the detector's crash ended;
-# it fails when any package failed for another reason.
-crashed() {
+# in_detector tells whether a program counter of a package's test program lies in the
+# race detector's runtime, by the symbol at or before it.
+in_detector() {
+  local package=$1 counter=$2 program symbol
+  program=$(mktemp)
+  go test -race -c -o "$program" "$package"
+  symbol=$(go tool nm -n "$program" | awk -v at="$counter" '
+    function padded(hex) { while (length(hex) < 16) hex = "0" hex; return hex }
+    $1 ~ /^[0-9a-f]+$/ && padded($1) <= padded(at) { found = $3 }
+    END { print found }')
+  rm -f "$program"
+  [[ $symbol == *__tsan* || $symbol == *__sanitizer* ]]
+}
+
+# suspects prints the packages of the last run that the detector's crash seems to
+# have ended, with the program counter if it was a segmentation violation; it fails
+# when any package failed for another reason.
+suspects() {
   awk -v crash="$DETECTOR_CRASH" '
     /^(ok|\?|---)?[ \t]*FAIL[ \t]+[^ \t]+[ \t]/ {
-      if (detector && !failed) { print $2 } else { other = 1 }
-      detector = failed = 0; next
+      if (detector && !failed) { print $2, counter } else { other = 1 }
+      detector = failed = 0; counter = ""; next
     }
-    /^(ok|\?)[ \t]/ { detector = failed = 0; next }
+    /^(ok|\?)[ \t]/ { detector = failed = 0; counter = ""; next }
     index($0, crash) { detector = 1 }
+    violation && /^PC=0x/ { detector = 1; counter = substr($1, 6) }
+    { violation = /^SIGSEGV: segmentation violation$/ }
     /^[ \t]*--- FAIL/ || /^panic:/ || /WARNING: DATA RACE/ { failed = 1 }
     END { exit other }
   ' "$output"
 }
 
+# crashed prints the packages that the detector's crash ended; it fails when any
+# package failed for another reason.
+crashed() {
+  local found package counter
+  found=$(suspects) || return 1
+  while read -r package counter; do
+    [ -z "$package" ] && continue
+    [ -z "$counter" ] || in_detector "$package" "$counter" || return 1
+    echo "$package"
+  done <<<"$found"
+}
+
 packages=(./...)
 for attempt in $(seq 0 "$RERUNS"); do
   if run_tests "${packages[@]}"; then
