--- /dev/null
+++ b/discovery/atomic_test.go
@@ -0,0 +1,94 @@
+package discovery_test
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/banksail/banksail/discovery"
+	"github.com/banksail/banksail/route"
+)
+
+// lapseSource is a registry with an outage, in which one server's entry lapses. While
+// that is told, another server leaves and the history is gone.
+type lapseSource struct {
+	table *route.Table
+	calls int
+	// told is closed once the lapse is being told, and left once the listing without
+	// the other server is on its way.
+	told chan struct{}
+	left chan time.Time
+}
+
+var errOutage = errors.New("outage")
+
+func (s *lapseSource) List(context.Context) (discovery.Listing, error) {
+	listing := discovery.Listing{Revision: 1, Table: s.table}
+	names := []string{"stays", "lapses", "leaves"}
+	if s.calls > 0 {
+		listing.Revision, names = 3, names[:1]
+		s.left <- time.Now()
+	}
+	for _, id := range names {
+		listing.Servers = append(listing.Servers, discovery.Entry[discovery.Server]{ID: id, Revision: 1, Value: discovery.Server{ID: id}})
+	}
+	return listing, nil
+}
+
+func (s *lapseSource) Changes(context.Context, discovery.Revision, time.Duration) (discovery.Changes, error) {
+	s.calls++
+	switch s.calls {
+	case 1:
+		return discovery.Changes{}, errOutage
+	case 2:
+		gone := discovery.Entry[discovery.Server]{ID: "lapses", Revision: 2, Gone: true}
+		return discovery.Changes{Revision: 2, Servers: []discovery.Entry[discovery.Server]{gone}}, nil
+	default:
+		<-s.told
+		return discovery.Changes{}, discovery.ErrHistoryGone
+	}
+}
+
+// What a node tells is as old as its age says, also while it takes a listing in and
+// its consumer is slow: contents and their age change at once.
+func TestContentsAreNoOlderThanTheirAge(t *testing.T) {
+	table, err := route.New(route.Definition{Version: 1, Limits: route.Limits{HeaderBytes: 1, HeaderTimeout: 1, IdleTimeout: 1}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	source := &lapseSource{table: table, told: make(chan struct{}), left: make(chan time.Time, 1)}
+	release := make(chan struct{})
+	had := false
+	follower := discovery.NewFollower(discovery.FollowerOptions{
+		Source: source, Self: "node", Logger: zerolog.Nop(), Pace: time.Millisecond,
+		View: discovery.Options{OutageAfter: time.Nanosecond, MissingFor: 20 * time.Millisecond},
+		Changed: func(news discovery.News) {
+			has := slices.ContainsFunc(news.Servers, func(s discovery.Server) bool { return s.ID == "lapses" })
+			if had && !has {
+				close(source.told)
+				<-release
+			}
+			had = has
+		},
+	})
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { follower.Run(ctx); close(ended) }()
+	left := <-source.left
+	for range 100 { // the listing is taken in as far as that goes
+		publication, ok := follower.Publish(discovery.Inquiry{})
+		believed := slices.ContainsFunc(publication.Servers, func(s discovery.Server) bool { return s.ID == "leaves" })
+		if since := time.Since(left); !ok || believed && publication.Age < since {
+			t.Errorf("%s after a server left it is told with an age of %s (%t)", since, publication.Age, ok)
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	stop()
+	close(release)
+	<-ended
+}
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -303,27 +303,19 @@
 	if err != nil {
 		return err
 	}
-	f.mutex.Lock()
-	f.view.Heard(began)
-	kept := make(map[string]struct{}, len(listing.Invalid))
-	for _, invalid := range listing.Invalid {
-		kept[invalid.Name] = struct{}{}
-	}
-	f.view.RetainServers(began, listedIDs(listing.Servers, kept), listing.Revision)
-	f.view.RetainNodes(began, listedIDs(listing.Nodes, kept), listing.Revision)
-	f.mutex.Unlock()
-	f.take(began, Changes(listing))
+	f.takeWhole(began, Changes(listing))
 	f.listed = true
 	return nil
 }
 
-func listedIDs[T any](entries []Entry[T], kept map[string]struct{}) map[string]struct{} {
-	ids := make(map[string]struct{}, len(entries)+len(kept))
+// listedIDs names the entries and those that could not be read.
+func listedIDs[T any](entries []Entry[T], invalid []InvalidEntry) map[string]struct{} {
+	ids := make(map[string]struct{}, len(entries)+len(invalid))
 	for _, e := range entries {
 		ids[e.ID] = struct{}{}
 	}
-	for id := range kept {
-		ids[id] = struct{}{}
+	for _, one := range invalid {
+		ids[one.Name] = struct{}{}
 	}
 	return ids
 }
@@ -331,31 +323,51 @@
 // take brings the view up to date with what was heard at now, and tells what is
 // believed.
 func (f *Follower) take(now time.Duration, changes Changes) {
-	f.invalid.Add(uint64(len(changes.Invalid)))
-	for _, invalid := range changes.Invalid {
-		f.options.Logger.Error().Str("entry", invalid.Name).Err(invalid.Err).Msg("entry can't be read, the last good one stays")
-	}
+	f.noteInvalid(changes.Invalid)
+	f.tell(func() { f.merge(now, changes) })
+}
+
+// takeWhole does the same with all that there is: what is not named has gone. All of
+// it changes at once, or others would be told the old contents with the new age.
+func (f *Follower) takeWhole(now time.Duration, all Changes) {
+	f.noteInvalid(all.Invalid)
 	f.tell(func() {
 		f.view.Heard(now)
-		for _, e := range changes.Servers {
-			if e.Gone {
-				f.view.RemoveServer(now, e.ID, e.Revision)
-			} else {
-				f.view.PutServer(e.Value, e.Revision)
-			}
-		}
-		for _, e := range changes.Nodes {
-			if e.Gone {
-				f.view.RemoveNode(now, e.ID, e.Revision)
-			} else {
-				f.view.PutNode(e.Value, e.Revision)
-			}
+		f.view.RetainServers(now, listedIDs(all.Servers, all.Invalid), all.Revision)
+		f.view.RetainNodes(now, listedIDs(all.Nodes, all.Invalid), all.Revision)
+		f.merge(now, all)
+	})
+}
+
+// noteInvalid counts and logs the entries that could not be read.
+func (f *Follower) noteInvalid(entries []InvalidEntry) {
+	f.invalid.Add(uint64(len(entries)))
+	for _, invalid := range entries {
+		f.options.Logger.Error().Str("entry", invalid.Name).Err(invalid.Err).Msg("entry can't be read, the last good one stays")
+	}
+}
+
+// merge brings the view up to date. The lock is held.
+func (f *Follower) merge(now time.Duration, changes Changes) {
+	f.view.Heard(now)
+	for _, e := range changes.Servers {
+		if e.Gone {
+			f.view.RemoveServer(now, e.ID, e.Revision)
+		} else {
+			f.view.PutServer(e.Value, e.Revision)
 		}
-		f.revision = max(f.revision, changes.Revision)
-		if changes.Table != nil && (f.table == nil || changes.Table.Version > f.table.Version) {
-			f.table = changes.Table
+	}
+	for _, e := range changes.Nodes {
+		if e.Gone {
+			f.view.RemoveNode(now, e.ID, e.Revision)
+		} else {
+			f.view.PutNode(e.Value, e.Revision)
 		}
-	})
+	}
+	f.revision = max(f.revision, changes.Revision)
+	if changes.Table != nil && (f.table == nil || changes.Table.Version > f.table.Version) {
+		f.table = changes.Table
+	}
 }
 
 // tell changes what is believed, and tells it.
--- a/discovery/publication.go
+++ b/discovery/publication.go
@@ -334,13 +334,10 @@
 		return err
 	}
 	if publication.Since == 0 {
-		f.mutex.Lock()
-		f.view.Heard(heardAt)
-		f.view.RetainServers(heardAt, listedIDs(changes.Servers, nil), publication.Revision)
-		f.view.RetainNodes(heardAt, listedIDs(changes.Nodes, nil), publication.Revision)
-		f.mutex.Unlock()
+		f.takeWhole(heardAt, changes)
+	} else {
+		f.take(heardAt, changes)
 	}
-	f.take(heardAt, changes)
 	return nil
 }
 
