--- a/cmd/banksail-front/main.go
+++ b/cmd/banksail-front/main.go
@@ -97,7 +97,7 @@
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	started := time.Now().UnixNano()
-	store := platform.NewStore(settings.StoreAddress, nil)
+	store := platform.NewStore(platform.StoreOptions{Address: settings.StoreAddress, Registry: registry, Logger: logger})
 	node := front.New(front.Options{
 		Settings:      settings.Front,
 		Incarnation:   strconv.FormatInt(started, 36),
