A member's entry is one message, with one conversion, for all who send it

membership/wire holds the message that peer.proto held, and the two conversions that peer and the gossip tests each had; a member may carry details of its own beside it. The bytes on the wire are as before.

--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,6 @@
 fault-run-short: build
 	./scripts/fault-run.sh short $(SEED)
 
-# generate needs protoc, protoc-gen-go, protoc-gen-twirp and wire; the output is committed.
+# generate needs protoc 3.21 or later, protoc-gen-go, protoc-gen-twirp and wire; the output is committed.
 generate:
 	$(GO) generate ./...
--- a/membership/apply.go
+++ b/membership/apply.go
@@ -42,7 +42,7 @@
 		return
 	}
 	if update.ID == n.self.ID {
-		n.refute(update)
+		n.refute(now, update)
 		return
 	}
 	known, ok := n.entries[update.ID]
@@ -106,6 +106,7 @@
 	}
 	if from != fromSync {
 		n.updates.add(member.ID, kind)
+		n.planNews(now, before, member)
 	}
 }
 
@@ -129,7 +130,7 @@
 
 // refute answers an update about the node itself. Anything that would win over
 // the own entry and differs from it is beaten by a higher incarnation.
-func (n *Nodes) refute(update Member) {
+func (n *Nodes) refute(now time.Duration, update Member) {
 	if update.Incarnation < n.self.Incarnation {
 		return
 	}
@@ -142,6 +143,7 @@
 	}
 	n.self.Incarnation = min(update.Incarnation+1, MaximumIncarnation)
 	n.updates.add(n.self.ID, stateUpdate)
+	n.planNews(now, update, n.self)
 	n.version++
 }
 
--- a/membership/gossiptest/gossiptest.go
+++ b/membership/gossiptest/gossiptest.go
@@ -12,6 +12,7 @@
 
 	"github.com/banksail/banksail/internal/priority"
 	"github.com/banksail/banksail/membership"
+	"github.com/banksail/banksail/membership/wire"
 	"github.com/banksail/banksail/peer"
 )
 
@@ -264,10 +265,10 @@
 	if to == nil {
 		return
 	}
-	request := &peer.GossipRequest{Sender: wire(sender), Updates: Wire(updates)}
+	request := &peer.GossipRequest{Sender: wire.FromMember(sender), Updates: wire.FromMembers(updates)}
 	s.deliver(from, to, request, exchangeOverheadBytes/2, func() {
 		self, reply := to.Core.Receive(s.Now, sender, updates)
-		response := &peer.GossipResponse{Responder: wire(self), Updates: Wire(reply)}
+		response := &peer.GossipResponse{Responder: wire.FromMember(self), Updates: wire.FromMembers(reply)}
 		s.deliver(to, from, response, exchangeOverheadBytes/2, func() {
 			finish(membership.Result{Responder: self, Updates: reply})
 		})
@@ -276,7 +277,7 @@
 
 func (s *Simulation) indirect(from *Node, request membership.Request, finish func(membership.Result)) {
 	helper := s.nodeAt(request.To.Address)
-	message := &peer.ProbeIndirectRequest{Target: wire(request.Target), TimeoutMs: 500}
+	message := &peer.ProbeIndirectRequest{Target: wire.FromMember(request.Target), TimeoutMs: 500}
 	s.deliver(from, helper, message, exchangeOverheadBytes/2, func() {
 		answered := false
 		answer := func(result membership.Result) {
@@ -284,7 +285,7 @@
 				return
 			}
 			answered = true
-			response := &peer.ProbeIndirectResponse{Reached: result.Reached, Target: wire(result.Responder)}
+			response := &peer.ProbeIndirectResponse{Reached: result.Reached, Target: wire.FromMember(result.Responder)}
 			s.deliver(helper, from, response, exchangeOverheadBytes/2, func() { finish(result) })
 		}
 		s.after(request.Timeout/2, func() { answer(membership.Result{}) })
@@ -298,10 +299,10 @@
 
 func (s *Simulation) sync(from *Node, request membership.Request, finish func(membership.Result)) {
 	to := s.nodeAt(request.To.Address)
-	message := &peer.ListMembersRequest{Sender: wire(request.Sender), Digests: request.Digests}
+	message := &peer.ListMembersRequest{Sender: wire.FromMember(request.Sender), Digests: request.Digests}
 	s.deliver(from, to, message, exchangeOverheadBytes/2, func() {
 		reply := to.Core.ReceiveSync(s.Now, request.Sender, request.Digests, request.FirstBucket)
-		response := &peer.ListMembersResponse{Members: Wire(reply.Members), Responder: wire(reply.Responder)}
+		response := &peer.ListMembersResponse{Members: wire.FromMembers(reply.Members), Responder: wire.FromMember(reply.Responder)}
 		s.deliver(to, from, response, exchangeOverheadBytes/2, func() {
 			finish(membership.Result{
 				Responder: reply.Responder, Updates: reply.Members, More: reply.More, NextBucket: reply.NextBucket,
@@ -310,22 +311,6 @@
 	})
 }
 
-func wire(m membership.Member) *peer.Member {
-	return &peer.Member{
-		Id: m.ID, Address: m.Address, Zone: m.Zone, Incarnation: m.Incarnation,
-		State: peer.Member_State(m.State), Revision: uint64(m.Revision),
-	}
-}
-
-// Wire converts members to messages.
-func Wire(members []membership.Member) []*peer.Member {
-	messages := make([]*peer.Member, 0, len(members))
-	for _, m := range members {
-		messages = append(messages, wire(m))
-	}
-	return messages
-}
-
 // AllSee tells whether each of the observers sees each of the subjects in a state.
 func AllSee(observers, subjects []*Node, state membership.State) bool {
 	for _, observer := range observers {
--- a/membership/member.go
+++ b/membership/member.go
@@ -43,6 +43,7 @@
 	MaximumIDBytes      = 128
 	MaximumAddressBytes = 64
 	MaximumZoneBytes    = 64
+	MaximumDetailsBytes = 128
 	// MaximumIncarnation leaves room for refutations above any clock.
 	MaximumIncarnation = 1 << 60
 )
@@ -61,6 +62,9 @@
 	State State
 	// Revision is the configuration in force at the member, as last heard.
 	Revision policy.Revision
+	// Details is what the member tells of itself beyond that, in its owner's own
+	// encoding; it changes only together with the incarnation.
+	Details string
 }
 
 // Valid reports whether the member's fields are within their bounds.
@@ -70,7 +74,7 @@
 		return false
 	case m.Address == "" || len(m.Address) > MaximumAddressBytes:
 		return false
-	case len(m.Zone) > MaximumZoneBytes:
+	case len(m.Zone) > MaximumZoneBytes || len(m.Details) > MaximumDetailsBytes:
 		return false
 	case m.Incarnation > MaximumIncarnation:
 		return false
@@ -111,5 +115,5 @@
 
 // encodedBytes bounds the member's size in a message.
 func (m Member) encodedBytes() int {
-	return len(m.ID) + len(m.Address) + len(m.Zone) + memberOverheadBytes
+	return len(m.ID) + len(m.Address) + len(m.Zone) + len(m.Details) + memberOverheadBytes
 }
--- a/membership/nodes.go
+++ b/membership/nodes.go
@@ -51,6 +51,7 @@
 	nextReconnect time.Duration
 	nextSync      time.Duration
 	nextExpiry    time.Duration
+	nextNews      time.Duration
 	syncBucket    int
 	joined        bool
 	started       bool
@@ -63,6 +64,11 @@
 	inserted     uint64
 	passInserted uint64
 	changes      []Member
+
+	// lastReply is when another node last answered a request, and findings are what
+	// this node itself found of others since then.
+	lastReply time.Duration
+	findings  []finding
 }
 
 // NewNodes returns a table that holds the node itself only.
@@ -79,6 +85,7 @@
 		pending:    make(map[RequestID]pendingRequest),
 		indirect:   make(map[string]int),
 		nextExpiry: never,
+		nextNews:   never,
 		version:    1,
 	}
 	nodes.updates.add(self.ID, stateUpdate)
@@ -153,6 +160,17 @@
 	n.updates.add(n.self.ID, revisionUpdate)
 }
 
+// SetDetails changes what the node tells of itself.
+func (n *Nodes) SetDetails(details string) {
+	if details == n.self.Details || len(details) > MaximumDetailsBytes {
+		return
+	}
+	n.self.Details = details
+	n.self.Incarnation = min(n.self.Incarnation+1, MaximumIncarnation)
+	n.updates.add(n.self.ID, stateUpdate)
+	n.version++
+}
+
 // Leave marks the node as leaving and returns announcements to a few members.
 func (n *Nodes) Leave() []Request {
 	if n.self.State == Leaving {
@@ -194,8 +212,11 @@
 	return requests
 }
 
-func (n *Nodes) announce() []Request {
-	targets := n.pick(announcementTargets, func(m Member) bool { return m.State == Live })
+func (n *Nodes) announce() []Request { return n.announceTo(announcementTargets) }
+
+// announceTo sends the newest updates to so many live members.
+func (n *Nodes) announceTo(count int) []Request {
+	targets := n.pick(count, func(m Member) bool { return m.State == Live })
 	requests := make([]Request, 0, len(targets))
 	for _, target := range targets {
 		request := n.newRequest(Announcement, target)
--- a/membership/options.go
+++ b/membership/options.go
@@ -60,6 +60,22 @@
 	TombstoneTime time.Duration
 	// LeavingTime is how long a leaving member may take to go.
 	LeavingTime time.Duration
+	// NewsFanout is the number of members that are told at once of a suspicion, its
+	// refutation or a leaving that the node has just learned. Zero is none: then such
+	// news spreads with the probes alone, which takes several probe intervals.
+	NewsFanout int
+	// NewsDelay is how long news is gathered before it is told.
+	NewsDelay time.Duration
+	// IsolationTime is the time without any reply after which a node takes itself for
+	// cut off: what it found of others since the last reply is void once a reply comes.
+	// Zero is never.
+	IsolationTime time.Duration
+	// ProbeGone makes gone members be probed again although no list names them, so
+	// that parted regions come together without a list.
+	ProbeGone bool
+	// SyncBytes bounds the entries of a reply to a comparison, but for the first
+	// bucket; zero leaves it to MaximumSyncMembers.
+	SyncBytes int
 }
 
 func (o NodesOptions) withDefaults() NodesOptions {
--- a/membership/sync.go
+++ b/membership/sync.go
@@ -62,9 +62,11 @@
 	n.apply(now, sender, fromSender)
 	reply := SyncReply{Responder: n.self}
 	buckets := n.differing(digests)
+	size := 0
 	for bucket := max(0, firstBucket); bucket < DigestBuckets; bucket++ {
 		members := buckets[bucket]
-		if len(reply.Members) > 0 && len(reply.Members)+len(members) > MaximumSyncMembers {
+		size += sizeOf(members)
+		if len(reply.Members) > 0 && !n.fitsReply(len(reply.Members)+len(members), size) {
 			reply.More = true
 			reply.NextBucket = bucket
 			break
@@ -74,6 +76,19 @@
 	return reply
 }
 
+// fitsReply reports whether so many entries of that size may go into one reply.
+func (n *Nodes) fitsReply(count, size int) bool {
+	return count <= MaximumSyncMembers && (n.options.SyncBytes == 0 || size <= n.options.SyncBytes)
+}
+
+func sizeOf(members []Member) int {
+	size := 0
+	for _, member := range members {
+		size += member.encodedBytes()
+	}
+	return size
+}
+
 // A comparison that brought a member that gossip had not, or manyNews changes of state,
 // is followed by another one after hurriedSyncIntervals probe intervals: many
 // nodes have just started, or parted regions have come together.
@@ -248,8 +263,13 @@
 
 func (n *Nodes) reconnectTargets() []Member {
 	var targets []Member
+	reached := make(map[string]struct{}, len(n.ids)) // addresses of members that are there
 	for _, id := range n.ids {
-		if known := n.entries[id]; known.member.State == Gone && known.listed {
+		known := n.entries[id]
+		switch {
+		case known.member.State != Gone:
+			reached[known.member.Address] = struct{}{}
+		case known.listed || n.options.ProbeGone:
 			targets = append(targets, known.member)
 		}
 	}
@@ -259,7 +279,9 @@
 	}
 	slices.Sort(candidates)
 	for _, id := range candidates {
-		targets = append(targets, n.candidates[id])
+		if _, known := reached[n.candidates[id].Address]; !known {
+			targets = append(targets, n.candidates[id])
+		}
 	}
 	return targets
 }
--- a/membership/tick.go
+++ b/membership/tick.go
@@ -21,7 +21,7 @@
 
 // Next tells when Tick must be called at the latest.
 func (n *Nodes) Next() time.Duration {
-	return min(n.nextProbe, n.nextReconnect, n.nextSync, n.nextExpiry)
+	return min(n.nextProbe, n.nextReconnect, n.nextSync, n.nextExpiry, n.nextNews)
 }
 
 // Tick advances to the given time and returns the requests that are due.
@@ -43,6 +43,10 @@
 		n.nextSync = now + n.jittered(n.options.SyncInterval)
 		requests = append(requests, n.compare()...)
 	}
+	if now >= n.nextNews {
+		n.nextNews = never
+		requests = append(requests, n.tellNews()...)
+	}
 	return requests
 }
 
@@ -187,6 +191,9 @@
 		return nil
 	}
 	delete(n.pending, result.ID)
+	if !result.Failed {
+		n.replied(now)
+	}
 	switch pending.kind {
 	case DirectProbe, ReconnectProbe:
 		return n.completeProbe(now, pending, result)
@@ -208,7 +215,7 @@
 	if !result.Failed {
 		n.takeIn(now, result.Responder, result.Updates, fromGossip)
 	}
-	if !result.Failed && result.Responder.ID == pending.to {
+	if !result.Failed && (result.Responder.ID == pending.to || pending.kind == ReconnectProbe) {
 		return n.afterContact()
 	}
 	if pending.kind == ReconnectProbe {
@@ -268,6 +275,7 @@
 func (n *Nodes) suspect(now time.Duration, known *entry) {
 	switch known.member.State {
 	case Live:
+		n.findings = append(n.findings, finding{before: known.member})
 		n.setState(now, known, Suspect)
 	case Leaving:
 		n.setState(now, known, Gone)
--- a/membership/updates_test.go
+++ b/membership/updates_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/banksail/banksail/membership"
 	"github.com/banksail/banksail/membership/gossiptest"
+	"github.com/banksail/banksail/membership/wire"
 )
 
 // pair returns a node that knows one other node, and is about to probe it.
@@ -133,7 +134,7 @@
 	}
 	_, updates := core.Receive(0, other, nil)
 	size := 0
-	for _, update := range gossiptest.Wire(updates) {
+	for _, update := range wire.FromMembers(updates) {
 		size += proto.Size(update)
 	}
 	if len(updates) > membership.MaximumUpdates || size > membership.MaximumUpdateBytes {
--- a/peer/client.go
+++ b/peer/client.go
@@ -8,6 +8,7 @@
 	"net/http"
 
 	"github.com/banksail/banksail/membership"
+	"github.com/banksail/banksail/membership/wire"
 	"github.com/banksail/banksail/policy"
 )
 
@@ -62,25 +63,25 @@
 
 func (a *Agent) gossip(ctx context.Context, request membership.Request) (membership.Result, error) {
 	reply, err := a.stub(request.To.Address).Gossip(ctx, &GossipRequest{
-		Sender:         toWire(request.Sender),
-		Updates:        allToWire(request.Updates),
+		Sender:         wire.FromMember(request.Sender),
+		Updates:        wire.FromMembers(request.Updates),
 		LeavingServers: a.takeLeavings(),
 	})
 	if err != nil {
 		return membership.Result{}, unreachable(err)
 	}
 	a.receiveLeavings(reply.GetLeavingServers())
-	responder, ok := fromWire(reply.GetResponder())
+	responder, ok := wire.ToMember(reply.GetResponder())
 	if !ok {
 		return membership.Result{}, fmt.Errorf("%w: responder", ErrMalformed)
 	}
-	updates := allFromWire(reply.GetUpdates(), membership.MaximumUpdates)
+	updates := wire.ToMembers(reply.GetUpdates(), membership.MaximumUpdates)
 	return membership.Result{Responder: responder, Updates: updates}, nil
 }
 
 func (a *Agent) probeThrough(ctx context.Context, request membership.Request) (membership.Result, error) {
 	reply, err := a.stub(request.To.Address).ProbeIndirect(ctx, &ProbeIndirectRequest{
-		Target:    toWire(request.Target),
+		Target:    wire.FromMember(request.Target),
 		TimeoutMs: uint32(request.Timeout.Milliseconds() / 2),
 	})
 	if err != nil {
@@ -89,7 +90,7 @@
 	if !reply.GetReached() {
 		return membership.Result{}, nil
 	}
-	target, ok := fromWire(reply.GetTarget())
+	target, ok := wire.ToMember(reply.GetTarget())
 	if !ok {
 		return membership.Result{}, fmt.Errorf("%w: target", ErrMalformed)
 	}
@@ -98,20 +99,20 @@
 
 func (a *Agent) sync(ctx context.Context, request membership.Request) (membership.Result, error) {
 	reply, err := a.stub(request.To.Address).ListMembers(ctx, &ListMembersRequest{
-		Sender:      toWire(request.Sender),
+		Sender:      wire.FromMember(request.Sender),
 		Digests:     request.Digests,
 		FirstBucket: uint32(request.FirstBucket),
 	})
 	if err != nil {
 		return membership.Result{}, unreachable(err)
 	}
-	responder, ok := fromWire(reply.GetResponder())
+	responder, ok := wire.ToMember(reply.GetResponder())
 	if !ok {
 		return membership.Result{}, fmt.Errorf("%w: responder", ErrMalformed)
 	}
 	return membership.Result{
 		Responder:  responder,
-		Updates:    allFromWire(reply.GetMembers(), membership.MaximumSyncMembers),
+		Updates:    wire.ToMembers(reply.GetMembers(), membership.MaximumSyncMembers),
 		More:       reply.GetMore(),
 		NextBucket: int(reply.GetNextBucket() % membership.DigestBuckets),
 	}, nil
--- a/peer/fuzz_test.go
+++ b/peer/fuzz_test.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/banksail/banksail/membership"
+	"github.com/banksail/banksail/membership/wire"
 )
 
 // post sends bytes to one of the agent's methods.
@@ -31,25 +32,25 @@
 }
 
 // manyMembers is a message with far more entries than are taken.
-func manyMembers() []*Member {
-	return make([]*Member, 5000)
+func manyMembers() []*wire.Member {
+	return make([]*wire.Member, 5000)
 }
 
-func wireMember(id string) *Member {
+func memberMessage(id string) *wire.Member {
 	self := member(id)
 	self.State = membership.Live
-	return toWire(self)
+	return wire.FromMember(self)
 }
 
 func FuzzHandler(f *testing.F) {
 	methods := []string{"Gossip", "ListMembers", "FetchConfiguration", "PushConfiguration", "ForwardQuery", "ReadServerHealth"}
-	strange := wireMember("n2")
+	strange := memberMessage("n2")
 	strange.Incarnation = math.MaxUint64
 	strange.State = 99
-	f.Add(0, encoded(f, &GossipRequest{Sender: wireMember("n2"), Updates: []*Member{strange, wireMember("n1")}}))
-	f.Add(0, encoded(f, &GossipRequest{Sender: wireMember("n2"), Updates: manyMembers()}))
-	f.Add(0, encoded(f, &GossipRequest{Sender: wireMember("n2"), LeavingServers: make([]*ServerLeaving, 5000)}))
-	f.Add(1, encoded(f, &ListMembersRequest{Sender: wireMember("n2"), Digests: make([]uint64, 5000), FirstBucket: math.MaxUint32}))
+	f.Add(0, encoded(f, &GossipRequest{Sender: memberMessage("n2"), Updates: []*Member{strange, memberMessage("n1")}}))
+	f.Add(0, encoded(f, &GossipRequest{Sender: memberMessage("n2"), Updates: manyMembers()}))
+	f.Add(0, encoded(f, &GossipRequest{Sender: memberMessage("n2"), LeavingServers: make([]*ServerLeaving, 5000)}))
+	f.Add(1, encoded(f, &ListMembersRequest{Sender: memberMessage("n2"), Digests: make([]uint64, 5000), FirstBucket: math.MaxUint32}))
 	f.Add(2, encoded(f, &FetchConfigurationRequest{Above: math.MaxUint64}))
 	f.Add(3, encoded(f, &Configuration{Revision: math.MaxUint64, Record: []byte("{")}))
 	f.Add(4, encoded(f, &ForwardQueryRequest{Server: "s", RemainingMs: math.Inf(1), Range: &KeyRange{Start: 2, End: 1}}))
@@ -85,8 +86,8 @@
 }
 
 func FuzzReplies(f *testing.F) {
-	f.Add(encoded(f, &GossipResponse{Responder: wireMember("n2"), Updates: manyMembers()}))
-	f.Add(encoded(f, &ListMembersResponse{Responder: wireMember("n2"), Members: manyMembers(), More: true, NextBucket: math.MaxUint32}))
+	f.Add(encoded(f, &GossipResponse{Responder: memberMessage("n2"), Updates: manyMembers()}))
+	f.Add(encoded(f, &ListMembersResponse{Responder: memberMessage("n2"), Members: manyMembers(), More: true, NextBucket: math.MaxUint32}))
 	f.Add(encoded(f, &ProbeIndirectResponse{Reached: true}))
 	f.Add(encoded(f, &Configuration{Revision: 1}))
 	f.Add([]byte{0x12, 0xff})
--- a/peer/handler.go
+++ b/peer/handler.go
@@ -9,6 +9,7 @@
 	"github.com/twitchtv/twirp"
 
 	"github.com/banksail/banksail/membership"
+	"github.com/banksail/banksail/membership/wire"
 	"github.com/banksail/banksail/policy"
 )
 
@@ -37,26 +38,26 @@
 
 // Gossip implements Peer.
 func (s service) Gossip(_ context.Context, request *GossipRequest) (*GossipResponse, error) {
-	sender, ok := fromWire(request.GetSender())
+	sender, ok := wire.ToMember(request.GetSender())
 	if !ok {
 		return nil, twirp.InvalidArgumentError("sender", "is missing or out of bounds")
 	}
-	updates := allFromWire(request.GetUpdates(), membership.MaximumUpdates)
+	updates := wire.ToMembers(request.GetUpdates(), membership.MaximumUpdates)
 	table := &s.agent.nodes
 	table.mutex.Lock()
 	self, reply := table.core.Receive(s.agent.now(), sender, updates)
 	table.mutex.Unlock()
 	s.agent.receiveLeavings(request.GetLeavingServers())
 	return &GossipResponse{
-		Responder:      toWire(self),
-		Updates:        allToWire(reply),
+		Responder:      wire.FromMember(self),
+		Updates:        wire.FromMembers(reply),
 		LeavingServers: s.agent.takeLeavings(),
 	}, nil
 }
 
 // ProbeIndirect implements Peer.
 func (s service) ProbeIndirect(ctx context.Context, request *ProbeIndirectRequest) (*ProbeIndirectResponse, error) {
-	target, ok := fromWire(request.GetTarget())
+	target, ok := wire.ToMember(request.GetTarget())
 	if !ok {
 		return nil, twirp.InvalidArgumentError("target", "is missing or out of bounds")
 	}
@@ -64,17 +65,17 @@
 	ctx, cancel := context.WithTimeout(ctx, min(timeout, MaximumProbeTimeout))
 	defer cancel()
 	reply, err := s.agent.stub(target.Address).Gossip(ctx, &GossipRequest{
-		Sender:  toWire(s.agent.Self()),
-		Updates: []*Member{request.GetTarget()},
+		Sender:  wire.FromMember(s.agent.Self()),
+		Updates: []*wire.Member{request.GetTarget()},
 	})
 	if err != nil {
 		return &ProbeIndirectResponse{}, nil
 	}
-	responder, ok := fromWire(reply.GetResponder())
+	responder, ok := wire.ToMember(reply.GetResponder())
 	if !ok || responder.ID != target.ID {
 		return &ProbeIndirectResponse{}, nil
 	}
-	return &ProbeIndirectResponse{Reached: true, Target: toWire(responder)}, nil
+	return &ProbeIndirectResponse{Reached: true, Target: wire.FromMember(responder)}, nil
 }
 
 // FetchConfiguration implements Peer.
@@ -100,7 +101,7 @@
 
 // ListMembers implements Peer.
 func (s service) ListMembers(_ context.Context, request *ListMembersRequest) (*ListMembersResponse, error) {
-	sender, ok := fromWire(request.GetSender())
+	sender, ok := wire.ToMember(request.GetSender())
 	if !ok {
 		return nil, twirp.InvalidArgumentError("sender", "is missing or out of bounds")
 	}
@@ -110,8 +111,8 @@
 	reply := table.core.ReceiveSync(s.agent.now(), sender, request.GetDigests(), firstBucket)
 	table.mutex.Unlock()
 	return &ListMembersResponse{
-		Members:    allToWire(reply.Members),
-		Responder:  toWire(reply.Responder),
+		Members:    wire.FromMembers(reply.Members),
+		Responder:  wire.FromMember(reply.Responder),
 		More:       reply.More,
 		NextBucket: uint32(reply.NextBucket),
 	}, nil
--- a/peer/overhead_test.go
+++ b/peer/overhead_test.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/banksail/banksail/membership"
+	"github.com/banksail/banksail/membership/wire"
 )
 
 // assumedOverheadBytes is what the simulation of package membership adds to the
@@ -50,7 +51,7 @@
 		stub := NewPeerProtobufClient("http://"+addressOf("n1"), &http.Client{Transport: transport})
 		sender := member("n2")
 		sender.State = membership.Live
-		request := &GossipRequest{Sender: toWire(sender)}
+		request := &GossipRequest{Sender: wire.FromMember(sender)}
 		response, err := stub.Gossip(t.Context(), request)
 		if err != nil {
 			t.Fatal(err)
