--- a/peer/fuzz_test.go
+++ b/peer/fuzz_test.go
@@ -47,7 +47,7 @@
 	strange := memberMessage("n2")
 	strange.Incarnation = math.MaxUint64
 	strange.State = 99
-	f.Add(0, encoded(f, &GossipRequest{Sender: memberMessage("n2"), Updates: []*Member{strange, memberMessage("n1")}}))
+	f.Add(0, encoded(f, &GossipRequest{Sender: memberMessage("n2"), Updates: []*wire.Member{strange, memberMessage("n1")}}))
 	f.Add(0, encoded(f, &GossipRequest{Sender: memberMessage("n2"), Updates: manyMembers()}))
 	f.Add(0, encoded(f, &GossipRequest{Sender: memberMessage("n2"), LeavingServers: make([]*ServerLeaving, 5000)}))
 	f.Add(1, encoded(f, &ListMembersRequest{Sender: memberMessage("n2"), Digests: make([]uint64, 5000), FirstBucket: math.MaxUint32}))
