--- a/discovery/view.go
+++ b/discovery/view.go
@@ -36,9 +36,11 @@
 // Node is one live node.
 type Node struct {
 	ID string
-	// Address is where callers reach it, and Peer where other nodes do.
+	// Address is where callers reach it, Peer where other nodes do, and Gossip where
+	// it takes datagrams of other nodes.
 	Address string
 	Peer    string
+	Gossip  string
 	Zone    string
 	Region  string
 	// Capacity is the node's processor capacity, in cores; zero is unknown.
@@ -47,6 +49,8 @@
 	Busy bool
 	// Leaving nodes finish what they have and are given to no caller.
 	Leaving bool
+	// Suspect nodes do not answer other nodes, which may be wrong for a moment.
+	Suspect bool
 }
 
 // Revision orders the changes of a registry.
--- /dev/null
+++ b/gossip/node.go
@@ -0,0 +1,88 @@
+package gossip
+
+import (
+	"fmt"
+	"net"
+	"strconv"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/banksail/banksail/discovery"
+	"github.com/banksail/banksail/membership"
+)
+
+// memberOf is a node's own entry.
+func memberOf(node discovery.Node, incarnation uint64) (membership.Member, error) {
+	member := membership.Member{
+		ID: node.ID, Address: node.Gossip, Zone: node.Zone, Incarnation: incarnation, State: membership.Live,
+	}
+	details, err := detailsOf(node)
+	if err != nil {
+		return membership.Member{}, err
+	}
+	member.Details = details
+	if !member.Valid() {
+		return membership.Member{}, fmt.Errorf("gossip: the entry of node %q is out of its bounds", node.ID)
+	}
+	return member, nil
+}
+
+// detailsOf encodes what a node tells of itself beyond its entry.
+func detailsOf(node discovery.Node) (string, error) {
+	encoded, err := proto.Marshal(&NodeDetails{
+		Callers:  portOf(node.Address),
+		Peer:     portOf(node.Peer),
+		Region:   node.Region,
+		Capacity: node.Capacity,
+		Busy:     node.Busy,
+	})
+	if err != nil {
+		return "", fmt.Errorf("gossip: encoding the details of node %q: %w", node.ID, err)
+	}
+	return string(encoded), nil
+}
+
+// nodeOf is the node that a member's entry tells of; ok is false when its details
+// can't be read.
+func nodeOf(member membership.Member) (node discovery.Node, ok bool) {
+	var details NodeDetails
+	if err := proto.Unmarshal([]byte(member.Details), &details); err != nil {
+		return discovery.Node{}, false
+	}
+	host, _, err := net.SplitHostPort(member.Address)
+	if err != nil {
+		return discovery.Node{}, false
+	}
+	return discovery.Node{
+		ID:       member.ID,
+		Gossip:   member.Address,
+		Address:  addressOf(host, details.GetCallers()),
+		Peer:     addressOf(host, details.GetPeer()),
+		Zone:     member.Zone,
+		Region:   details.GetRegion(),
+		Capacity: details.GetCapacity(),
+		Busy:     details.GetBusy(),
+		Leaving:  member.State == membership.Leaving,
+		Suspect:  member.State == membership.Suspect,
+	}, true
+}
+
+// portOf is an address's port; 0 when there is none.
+func portOf(address string) uint32 {
+	_, text, err := net.SplitHostPort(address)
+	if err != nil {
+		return 0
+	}
+	port, err := strconv.ParseUint(text, 10, 16)
+	if err != nil {
+		return 0
+	}
+	return uint32(port)
+}
+
+func addressOf(host string, port uint32) string {
+	if port == 0 {
+		return ""
+	}
+	return net.JoinHostPort(host, strconv.FormatUint(uint64(port), 10))
+}
--- /dev/null
+++ b/gossip/options.go
@@ -0,0 +1,80 @@
+package gossip
+
+import (
+	"net"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"github.com/banksail/banksail/discovery"
+	"github.com/banksail/banksail/membership"
+)
+
+// Options sets up an Agent. Zero fields get defaults.
+type Options struct {
+	// Self is the node, with the address of its datagrams; its ID must outlast restarts.
+	Self discovery.Node
+	// Seeds are the addresses for datagrams of other nodes; they may be stale or down.
+	Seeds []string
+	// Seed makes choices repeatable.
+	Seed   uint64
+	Logger zerolog.Logger
+	// Registry takes the agent's metrics; nil is none.
+	Registry prometheus.Registerer
+	// ListenPacket opens the socket; the default is the operating system's UDP.
+	ListenPacket func(network, address string) (net.PacketConn, error)
+	// Changed is called when what is known of the nodes may have changed, from several
+	// goroutines; it must not block.
+	Changed func()
+}
+
+// The detector's times. A dead node is to be passed over about a second after its
+// death: it is probed by some other node each probeInterval on average, and is suspect
+// after probeTimeout and relayTimeout more; news of it take some newsDelay.
+const (
+	probeInterval = 300 * time.Millisecond
+	// probeTimeout is over three times the longest round trip between regions on the
+	// users' sites (24 to 40 ms), with room for a small processor that is at work. A
+	// suspicion that is wrong costs little: the next probe refutes it.
+	probeTimeout = 150 * time.Millisecond
+	// relayTimeout is how long a node that probes for another one waits.
+	relayTimeout = 150 * time.Millisecond
+	// suspicionTime is how long a suspect may refute: six probes of the node that found
+	// it, and the pauses of a processor that is shared.
+	suspicionTime = 6 * probeInterval
+	// newsDelay gathers the losses of many nodes into few datagrams, and newsFanout
+	// reaches 98 of 100 nodes; the probes reach the rest.
+	newsDelay  = 40 * time.Millisecond
+	newsFanout = 4
+	// isolationTime is five failed probes in a row.
+	isolationTime = 5 * probeInterval
+	// reconnectInterval is the time between two probes of a node that is gone.
+	reconnectInterval = time.Second
+	// tombstoneTime is how long a gone node is probed and counts as known.
+	tombstoneTime = 10 * time.Minute
+	// comparisonInterval is the time between two comparisons of tables.
+	comparisonInterval = 20 * time.Second
+	// comparisonBytes bounds the entries of a datagram, which then fits into one
+	// packet of a usual link.
+	comparisonBytes = 1100
+)
+
+// membershipOptions are those of the table.
+func membershipOptions(self membership.Member, seed uint64) membership.NodesOptions {
+	return membership.NodesOptions{
+		Self:              self,
+		Seed:              seed,
+		ProbeInterval:     probeInterval,
+		ProbeTimeout:      probeTimeout,
+		SuspicionTime:     suspicionTime,
+		ReconnectInterval: reconnectInterval,
+		SyncInterval:      comparisonInterval,
+		TombstoneTime:     tombstoneTime,
+		NewsFanout:        newsFanout,
+		NewsDelay:         newsDelay,
+		IsolationTime:     isolationTime,
+		ProbeGone:         true,
+		SyncBytes:         comparisonBytes,
+	}
+}
--- a/membership/nodes.go
+++ b/membership/nodes.go
@@ -52,9 +52,11 @@
 	nextSync      time.Duration
 	nextExpiry    time.Duration
 	nextNews      time.Duration
-	syncBucket    int
-	joined        bool
-	started       bool
+	// syncPause is the time between two comparisons, which grows while they bring nothing.
+	syncPause  time.Duration
+	syncBucket int
+	joined     bool
+	started    bool
 
 	version uint64
 	// stateNews counts all changes of entries but those of a revision,
@@ -242,6 +244,9 @@
 }
 
 func (n *Nodes) suspicionTime() time.Duration {
+	if n.options.SuspicionTime > 0 {
+		return n.options.SuspicionTime
+	}
 	return n.options.ProbeInterval * time.Duration(n.options.SuspicionFactor*logarithm(n.size()))
 }
 
--- a/membership/options.go
+++ b/membership/options.go
@@ -48,6 +48,8 @@
 	// SuspicionFactor times the decimal logarithm of the number of members is
 	// the number of probe intervals for which a suspect may refute.
 	SuspicionFactor int
+	// SuspicionTime is that time itself; zero leaves it to SuspicionFactor.
+	SuspicionTime time.Duration
 	// TransmissionFactor times the decimal logarithm of the number of members
 	// is the number of messages that carry an update.
 	TransmissionFactor int
--- a/membership/sync.go
+++ b/membership/sync.go
@@ -90,13 +90,19 @@
 }
 
 // A comparison that brought a member that gossip had not, or manyNews changes of state,
-// is followed by another one after hurriedSyncIntervals probe intervals: many
-// nodes have just started, or parted regions have come together.
+// is followed by another one after hurriedSyncIntervals probe intervals: many nodes have
+// just started, or parted regions have come together. From then on, and from a node's
+// start, the time between two comparisons doubles up to the SyncInterval.
 const (
 	manyNews             = 16
 	hurriedSyncIntervals = 3
 )
 
+// hurriedSync is the shortest time between two comparisons.
+func (n *Nodes) hurriedSync() time.Duration {
+	return min(hurriedSyncIntervals*n.options.ProbeInterval, n.options.SyncInterval)
+}
+
 // differing returns the entries of each bucket that differs from the digests.
 func (n *Nodes) differing(digests []uint64) [DigestBuckets][]Member {
 	var buckets [DigestBuckets][]Member
@@ -127,7 +133,8 @@
 	news := n.stateNews
 	n.takeIn(now, result.Responder, result.Updates, fromSync)
 	if n.stateNews-news >= manyNews || n.inserted > n.passInserted {
-		n.nextSync = min(n.nextSync, now+n.jittered(hurriedSyncIntervals*n.options.ProbeInterval))
+		n.syncPause = n.hurriedSync()
+		n.nextSync = min(n.nextSync, now+n.jittered(n.syncPause))
 	}
 	n.syncBucket = result.NextBucket
 	if !result.More {
--- a/membership/tick.go
+++ b/membership/tick.go
@@ -40,7 +40,8 @@
 		requests = append(requests, n.reconnect()...)
 	}
 	if now >= n.nextSync {
-		n.nextSync = now + n.jittered(n.options.SyncInterval)
+		n.nextSync = now + n.jittered(n.syncPause)
+		n.syncPause = min(2*n.syncPause, n.options.SyncInterval)
 		requests = append(requests, n.compare()...)
 	}
 	if now >= n.nextNews {
@@ -59,7 +60,8 @@
 	n.lastTick = now
 	n.nextProbe = now + time.Duration(n.random.Int64N(int64(n.options.ProbeInterval)))
 	n.nextReconnect = now
-	n.nextSync = now + time.Duration(n.random.Int64N(int64(n.options.SyncInterval)))
+	n.syncPause = n.hurriedSync()
+	n.nextSync = now + time.Duration(n.random.Int64N(int64(n.syncPause)))
 }
 
 // jitterShare is the share by which an interval varies to either side.
