--- /dev/null
+++ b/gossip/exchange_bench_test.go
@@ -0,0 +1,106 @@
+package gossip
+
+import (
+	"fmt"
+	"net"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/banksail/banksail/discovery"
+	"github.com/banksail/banksail/membership"
+)
+
+// BenchmarkExchange measures one probe and its reply over loopback, both sides
+// together, with a full message each way and a table of 1,400 members. It is the
+// counterpart of package peer's benchmark of the same name, which goes over twirp.
+func BenchmarkExchange(b *testing.B) {
+	target := newBenchExchanger(b, 1)
+	updates := benchMembers(b, membership.MaximumUpdates)
+	for _, known := range benchMembers(b, 1400) {
+		target.nodes.Receive(0, known, nil)
+	}
+	asker := newBenchExchanger(b, 2)
+	request := asker.newDatagram(1, updates)
+	request.Body = &Datagram_Probe{Probe: &Probe{}}
+	near, far := listenBench(b), listenBench(b)
+	go serveBench(far, target)
+	buffer := make([]byte, mostDatagram)
+	bytes := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		encoded, err := proto.Marshal(request)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := near.WriteTo(encoded, far.LocalAddr()); err != nil {
+			b.Fatal(err)
+		}
+		length, _, err := near.ReadFrom(buffer)
+		if err != nil {
+			b.Fatal(err)
+		}
+		var reply Datagram
+		if err := proto.Unmarshal(buffer[:length], &reply); err != nil {
+			b.Fatal(err)
+		}
+		asker.receive(0, "10.0.0.1:1", &reply)
+		bytes += len(encoded) + length
+	}
+	b.ReportMetric(float64(bytes)/float64(b.N), "B/exchange")
+}
+
+// serveBench answers datagrams until the socket is closed.
+func serveBench(conn net.PacketConn, core *exchanger) {
+	buffer := make([]byte, mostDatagram)
+	for {
+		length, from, err := conn.ReadFrom(buffer)
+		if err != nil {
+			return
+		}
+		var datagram Datagram
+		if proto.Unmarshal(buffer[:length], &datagram) != nil {
+			continue
+		}
+		for _, one := range core.receive(0, from.String(), &datagram) {
+			encoded, err := proto.Marshal(one.datagram)
+			if err != nil {
+				return
+			}
+			_, _ = conn.WriteTo(encoded, from)
+		}
+	}
+}
+
+func listenBench(b *testing.B) net.PacketConn {
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+func newBenchExchanger(b *testing.B, number int) *exchanger {
+	return newExchanger(membership.NewNodes(membershipOptions(benchMember(b, number), 1)), 1<<63)
+}
+
+func benchMember(b *testing.B, number int) membership.Member {
+	host := fmt.Sprintf("10.1.%d.%d", number/250, number%250)
+	member, err := memberOf(discovery.Node{
+		ID: fmt.Sprintf("node-%04d", number), Zone: "zone-1",
+		Gossip: host + ":7380", Address: host + ":8104", Peer: host + ":8106", Capacity: 0.192,
+	}, 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return member
+}
+
+func benchMembers(b *testing.B, count int) []membership.Member {
+	members := make([]membership.Member, 0, count)
+	for number := range count {
+		members = append(members, benchMember(b, number+10))
+	}
+	return members
+}
