--- a/exchange/connection.go
+++ b/exchange/connection.go
@@ -48,15 +48,15 @@
 }
 
 func newConnection(conn net.Conn) *connection {
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		setUserTimeout(tcp)
+	if described, ok := conn.(syscall.Conn); ok {
+		setUserTimeout(described)
 	}
 	return &connection{conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), keepFor: forever}
 }
 
 // setUserTimeout ends connections to machines that have fallen silent. A
 // failure only leaves it to deadlines.
-func setUserTimeout(conn *net.TCPConn) {
+func setUserTimeout(conn syscall.Conn) {
 	raw, err := conn.SyscallConn()
 	if err != nil {
 		return
@@ -80,7 +80,7 @@
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return false
+		return true // none of the operating system's
 	}
 	quiet := false
 	err = raw.Read(func(descriptor uintptr) bool {
--- a/front/listeners.go
+++ b/front/listeners.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/banksail/banksail/internal/traffic"
 	"github.com/banksail/banksail/relay"
 )
 
@@ -17,7 +18,7 @@
 	if f.options.Settings.Peer == "" {
 		return nil, nil
 	}
-	return f.serve(f.options.Settings.Peer, relay.Handler(f.follower), nil)
+	return f.serve(traffic.Nodes, f.options.Settings.Peer, relay.Handler(f.follower), nil)
 }
 
 // metricsPath is where the node's figures are.
@@ -63,7 +64,7 @@
 	}, func() float64 { return float64(f.gateway.Connections()) }))
 	mux := http.NewServeMux()
 	mux.Handle("GET "+metricsPath, promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
-	server, err := f.serve(f.options.Settings.Metrics, mux, nil)
+	server, err := f.serve(traffic.Checks, f.options.Settings.Metrics, mux, nil)
 	if err != nil {
 		f.options.Logger.Warn().Err(err).Msg("metrics are not served")
 		return nil
@@ -72,7 +73,7 @@
 }
 
 // serve answers on an address in the background.
-func (f *Front) serve(address string, handler http.Handler, connContext func(context.Context, net.Conn) context.Context) (*http.Server, error) {
+func (f *Front) serve(what traffic.Purpose, address string, handler http.Handler, connContext func(context.Context, net.Conn) context.Context) (*http.Server, error) {
 	listener, err := f.options.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("front: listening on %s: %w", address, err)
@@ -83,6 +84,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    headerBytes,
 	}
+	listener = f.meter.Listener(what, listener)
 	if connContext != nil {
 		listener = f.gateway.Watch(listener)
 		server.ConnContext = connContext
--- a/front/node.go
+++ b/front/node.go
@@ -19,6 +19,7 @@
 	"github.com/banksail/banksail/exchange"
 	"github.com/banksail/banksail/gateway"
 	"github.com/banksail/banksail/gossip"
+	"github.com/banksail/banksail/internal/traffic"
 	"github.com/banksail/banksail/mechanism"
 	"github.com/banksail/banksail/relay"
 	"github.com/banksail/banksail/routing"
@@ -64,6 +65,7 @@
 	follower  *discovery.Follower
 	announcer *discovery.Announcer
 	agent     *gossip.Agent
+	meter     *traffic.Meter
 	self      discovery.Node
 	began     time.Time
 	leaving   atomic.Bool
@@ -145,6 +147,7 @@
 	if options.Registry != nil {
 		registry = options.Registry
 	}
+	f.meter = traffic.NewMeter(registry)
 	f.grace.Store(int64(settings.Grace))
 	f.gateway = gateway.New(gateway.Options{
 		Registry:      registry,
@@ -152,7 +155,7 @@
 		Headers:       options.Headers,
 		AnswerHeaders: options.AnswerHeaders,
 		Logger:        options.Logger,
-		Exchange:      exchange.Options{Dial: options.Dial},
+		Exchange:      exchange.Options{Dial: f.meter.Dial(traffic.Servers, options.Dial)},
 		Routing: routing.Options{
 			Seed:    options.Seed,
 			Zone:    settings.Zone,
@@ -183,7 +186,7 @@
 	}
 	var publishers discovery.Publishers
 	if settings.Peer != "" {
-		f.relay = relay.NewClient(options.Dial)
+		f.relay = relay.NewClient(f.meter.Dial(traffic.Nodes, options.Dial))
 	}
 	if f.relay != nil && options.Off.On(mechanism.Readers) {
 		publishers = f.relay
@@ -289,15 +292,15 @@
 // Run serves until ctx ends, then stops as planned, and returns.
 func (f *Front) Run(ctx context.Context) error {
 	settings := f.options.Settings
-	callers, err := f.serve(settings.Callers, f.gateway, f.gateway.ConnContext)
+	callers, err := f.serve(traffic.Callers, settings.Callers, f.gateway, f.gateway.ConnContext)
 	if err != nil {
 		return err
 	}
-	ready, err := f.serve(settings.Readiness, f.options.Readiness(f), nil)
+	ready, err := f.serve(traffic.Checks, settings.Readiness, f.options.Readiness(f), nil)
 	if err != nil {
 		return err
 	}
-	resolve, err := f.serve(settings.Directory, f.options.Directory(f), nil)
+	resolve, err := f.serve(traffic.Checks, settings.Directory, f.options.Directory(f), nil)
 	if err != nil {
 		return err
 	}
