How slow servers are at their start is learned, not a constant

Cause: routing expected servers that had just started to be 1.6 times as slow, which is what one deployment's are. Change: the router learns it from the answers of servers that said so, and takes the first ones for servers as any other.

--- a/routing/choose.go
+++ b/routing/choose.go
@@ -122,7 +122,7 @@
 func (r *Router) slownessOf(s *server) float64 {
 	slowness := usualSlowness
 	if r.on(mechanism.Slowness) {
-		slowness = s.learned(r.now)
+		slowness = s.learned(r.now, &r.starts)
 	}
 	if r.on(mechanism.Overdue) {
 		slowness = max(slowness, s.overdue(r.now))
--- a/routing/router.go
+++ b/routing/router.go
@@ -28,6 +28,8 @@
 	services  map[string]*service
 	servers   map[string]*server
 	latencies map[string]*latencies
+	// starts is what is to be expected of servers that have just started.
+	starts startSlowness
 
 	running     map[RequestID]*request
 	attempts    map[gather.AttemptID]*attempt
@@ -219,9 +221,15 @@
 func (r *Router) learnAnswer(q *request, a *attempt) {
 	latency := r.sinceSent(a)
 	q.latency.add(latency)
-	if usual := q.latency.usual(); usual > 0 {
-		a.server.learn(r.now, float64(latency)/float64(usual))
+	usual := q.latency.usual()
+	if usual == 0 {
+		return
+	}
+	slowness := float64(latency) / float64(usual)
+	if r.now < a.server.coldUntil {
+		r.starts.take(slowness)
 	}
+	a.server.learn(r.now, slowness)
 }
 
 // failed takes the end of an attempt without a reply.
--- a/routing/server.go
+++ b/routing/server.go
@@ -23,8 +23,6 @@
 	// half of its distance from what is usual: a server that is avoided would
 	// otherwise never be seen to be well again.
 	slownessFade = time.Second
-	// coldSlowness is expected of servers that have just started.
-	coldSlowness = 1.6
 	// failedSlowness stands for a failure.
 	failedSlowness = mostSlowness
 	// suspectSlowness is the slowness above which a server is only probed.
@@ -80,18 +78,34 @@
 	return !s.gone && !s.unreachable && s.State == discovery.Ready
 }
 
-// learned is the slowness that its answers make to be expected now.
-func (s *server) learned(now time.Duration) float64 {
-	slowness := usualSlowness + (s.slowness-usualSlowness)*math.Exp2(-float64(now-s.learnedAt)/float64(slownessFade))
-	if s.slowness == 0 {
-		slowness = usualSlowness
-		if now < s.coldUntil {
-			slowness = coldSlowness
-		}
+// learned is the slowness that its answers make to be expected now, or that of other
+// servers at their start while it has not answered yet.
+func (s *server) learned(now time.Duration, starts *startSlowness) float64 {
+	switch {
+	case s.slowness > 0:
+		return usualSlowness + (s.slowness-usualSlowness)*math.Exp2(-float64(now-s.learnedAt)/float64(slownessFade))
+	case now < s.coldUntil:
+		return starts.expected()
+	default:
+		return usualSlowness
 	}
-	return slowness
 }
 
+// startWeight is the weight of a new answer in a startSlowness: some ten servers that
+// start tell what to expect of the next one.
+const startWeight = 0.1
+
+// startSlowness is how slow servers were that said that they had just started; the
+// zero value is usual.
+type startSlowness struct{ beyondUsual float64 }
+
+func (s *startSlowness) take(slowness float64) {
+	slowness = min(max(slowness, usualSlowness), mostSlowness)
+	s.beyondUsual += startWeight * (slowness - usualSlowness - s.beyondUsual)
+}
+
+func (s *startSlowness) expected() float64 { return usualSlowness + s.beyondUsual }
+
 // overdue is the greatest slowness that an attempt in flight already proves;
 // zero when none is late.
 func (s *server) overdue(now time.Duration) float64 {
