A load header with a fourth figure is read, not dropped

Cause: parseLoad took exactly three figures; servers that share their machines with others add how long work takes there at this moment, and nodes then knew nothing of their load. Figures beyond the third are passed over. TestLoadsWithMoreFields fails before.

--- a/gateway/reply.go
+++ b/gateway/reply.go
@@ -33,17 +33,18 @@
 	}
 }
 
-// loadFields is the number of fields of a load.
+// loadFields is the number of fields of a load that are read.
 const loadFields = 3
 
-// parseLoad reads a server's account of its work: running, waiting and slots.
+// parseLoad reads a server's account of its work: running, waiting and slots. Fields
+// beyond those are passed over.
 func parseLoad(value string) (routing.Load, bool) {
 	fields := strings.Split(value, ",")
-	if len(fields) != loadFields {
+	if len(fields) < loadFields {
 		return routing.Load{}, false
 	}
 	var numbers [loadFields]int
-	for i, field := range fields {
+	for i, field := range fields[:loadFields] {
 		number, err := strconv.Atoi(strings.TrimSpace(field))
 		if err != nil || number < 0 {
 			return routing.Load{}, false
