Zones are emptied on request; cold servers are spared; requests stay in their homes

Cause: nothing read the operator's evacuations, the rate that cold servers bear, or the regions in which a route may be served.

Three matters of zones in one commit, as they meet in the same lines of routing:

- An evacuation is followed as a table is: by the watch, a full listing, the readers, with an age; it holds over outages and restarts until it is taken back.
A node that knows nothing sends nothing.
No first send, hedge, retry, probe or new connection goes there; what waits goes elsewhere and is a first send, so it takes no budget.
Ruled out: that a node that starts without the store assumes every zone to be open (it takes over what a seed knows, or refuses).
- What a cold server gets in a second is bounded over all nodes by shares of extrabudget.
- A fan-out of which too few shards have a server is refused before any of it runs.
- Parts that wait for a server that shed, or is cold, are looked at again in time; before, only another event of the same service did that.

--- /dev/null
+++ b/discovery/evacuation_test.go
@@ -0,0 +1,131 @@
+package discovery_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/banksail/banksail/discovery"
+)
+
+// evacuationBound is the time from the registry's acknowledgement until all nodes that can
+// hear of it know of an evacuation, and of its end.
+const evacuationBound = 2600 * time.Millisecond
+
+// evacuatedAt lists the zones that a node believes to be evacuated.
+func (w *relayWorld) evacuatedAt(number int) []string {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	var zones []string
+	for _, evacuation := range w.news[number].Evacuations {
+		zones = append(zones, evacuation.Zone)
+	}
+	return zones
+}
+
+// wantEvacuated wants all nodes to believe in the same evacuations.
+func (w *relayWorld) wantEvacuated(t *testing.T, when string, zones ...string) {
+	t.Helper()
+	for number := range w.news {
+		if got := w.evacuatedAt(number); !slices.Equal(got, zones) {
+			t.Errorf("%s: node %d believes that %v are evacuated, want %v", when, number, got, zones)
+		}
+	}
+}
+
+// Drawn histories of evacuations, taken back and asked for again, amid other changes,
+// outages and lost history: every node knows of them within the bound, an outage ends
+// none, and none comes back.
+func TestEvacuationsAreKnownWithinTheBound(t *testing.T) {
+	zones := []string{"a", "b", "c"}
+	for seed := range uint64(12) {
+		synctest.Test(t, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 5))
+			w := startRelay(t, 7)
+			var evacuated []string
+			for round := range 12 {
+				when := fmt.Sprintf("seed %d round %d", seed, round)
+				zone := zones[random.IntN(len(zones))]
+				if place := slices.Index(evacuated, zone); place >= 0 {
+					evacuated = slices.Delete(evacuated, place, place+1)
+					w.registry.evacuate(zone, true)
+				} else {
+					evacuated = append(evacuated, zone)
+					slices.Sort(evacuated)
+					w.registry.evacuate(zone, false)
+				}
+				for range random.IntN(5) {
+					w.registry.putServer(discovery.Server{ID: fmt.Sprintf("s%d", random.IntN(9)), Service: "x", Address: "y"}, random.IntN(3) == 0)
+				}
+				time.Sleep(evacuationBound)
+				w.wantEvacuated(t, when, evacuated...)
+				if random.IntN(3) == 0 {
+					w.registry.setDown(true)
+					time.Sleep(time.Duration(1+random.IntN(9)) * time.Second)
+					w.wantEvacuated(t, when+", in an outage", evacuated...)
+					w.registry.setDown(false)
+					time.Sleep(evacuationBound)
+					w.wantEvacuated(t, when+", after an outage", evacuated...)
+				}
+			}
+			w.stop()
+			w.loops.Wait()
+		})
+	}
+}
+
+// A node that starts while the registry gives no answer takes over the evacuations that a
+// seed knows of, with its servers.
+func TestNodesThatStartInAnOutageKnowOfEvacuations(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newRelay(t, 3)
+		w.seeds = []string{"node-00"}
+		w.registry.evacuate("a", false)
+		w.start(t)
+		time.Sleep(3 * time.Second)
+		w.wantEvacuated(t, "before the outage", "a")
+		w.registry.setDown(true)
+		time.Sleep(2 * time.Second)
+		w.addNode(t, "node-late")
+		time.Sleep(2 * time.Second)
+		w.wantEvacuated(t, "in the outage", "a")
+		w.stop()
+		w.loops.Wait()
+	})
+}
+
+// A full listing tells which evacuations were taken back unnoticed.
+func TestEvacuationsEndWithAListing(t *testing.T) {
+	view := discovery.NewView(discovery.Options{})
+	view.PutEvacuation(discovery.Evacuation{Zone: "a"}, 3)
+	view.PutEvacuation(discovery.Evacuation{Zone: "b"}, 9)
+	view.RetainEvacuations(map[string]struct{}{}, 5)
+	if got := view.Evacuations(); len(got) != 1 || got[0].Zone != "b" {
+		t.Errorf("after a listing as of revision 5: %v", got)
+	}
+	view.RemoveEvacuation("b", 4)
+	if got := view.Evacuations(); len(got) != 1 {
+		t.Error("an older revision took an evacuation back")
+	}
+	view.RemoveEvacuation("b", 10)
+	if got := view.Evacuations(); len(got) != 0 {
+		t.Errorf("after it was taken back: %v", got)
+	}
+}
+
+// A server whose warm-up begins anew or ends early is news to nodes that ask others.
+func TestWarmupsAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := startRelay(t, 4)
+		for _, left := range []time.Duration{0, 3 * time.Second, 0, 2 * time.Second} {
+			w.registry.putServer(discovery.Server{ID: "s", Service: "x", Address: "y", ColdFor: left}, false)
+			time.Sleep(evacuationBound)
+			w.wantAlike(t, fmt.Sprintf("cold for %s", left))
+		}
+		w.stop()
+		w.loops.Wait()
+	})
+}
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -80,11 +80,14 @@
 	Nodes   []Node
 	// Table is the newest that came; nil when none did yet.
 	Table *route.Table
+	// Evacuations are those in force.
+	Evacuations []Evacuation
 }
 
 // equal reports whether others need not be told of the difference.
 func (n News) equal(other News) bool {
-	return n.Table == other.Table && slices.Equal(n.Nodes, other.Nodes) && slices.EqualFunc(n.Servers, other.Servers, alike)
+	return n.Table == other.Table && slices.Equal(n.Nodes, other.Nodes) && slices.Equal(n.Evacuations, other.Evacuations) &&
+		slices.EqualFunc(n.Servers, other.Servers, alike)
 }
 
 // Defaults of FollowerOptions.
@@ -359,6 +362,7 @@
 		f.view.Heard(now)
 		f.view.RetainServers(now, listedIDs(all.Servers, all.Invalid), all.Revision)
 		f.view.RetainNodes(now, listedIDs(all.Nodes, all.Invalid), all.Revision)
+		f.view.RetainEvacuations(listedIDs(all.Evacuations, all.Invalid), all.Revision)
 		f.merge(now, all)
 	})
 }
@@ -388,6 +392,13 @@
 			f.view.PutNode(e.Value, e.Revision)
 		}
 	}
+	for _, e := range changes.Evacuations {
+		if e.Gone {
+			f.view.RemoveEvacuation(e.ID, e.Revision)
+		} else {
+			f.view.PutEvacuation(e.Value, e.Revision)
+		}
+	}
 	f.revision = max(f.revision, changes.Revision)
 	if changes.Table != nil && (f.table == nil || changes.Table.Version > f.table.Version) {
 		f.table = changes.Table
@@ -402,12 +413,13 @@
 	change()
 	f.view.Expire(f.now())
 	f.planExpiry()
-	published := News{Servers: f.view.ListedServers(), Nodes: f.view.ListedNodes(), Table: f.table}
+	evacuations := f.view.Evacuations()
+	published := News{Servers: f.view.ListedServers(), Nodes: f.view.ListedNodes(), Table: f.table, Evacuations: evacuations}
 	if !published.equal(f.published) {
 		f.history.add(f.published, published)
 		f.published = published
 	}
-	news := News{Servers: f.view.Servers(), Nodes: f.view.Nodes(), Table: f.table}
+	news := News{Servers: f.view.Servers(), Nodes: f.view.Nodes(), Table: f.table, Evacuations: evacuations}
 	f.mutex.Unlock()
 	f.options.Changed(news)
 }
--- a/discovery/publication.go
+++ b/discovery/publication.go
@@ -51,6 +51,9 @@
 	Nodes       []Node   `json:"nodes,omitempty"`
 	GoneServers []string `json:"gone_servers,omitempty"`
 	GoneNodes   []string `json:"gone_nodes,omitempty"`
+	// Evacuations and GoneEvacuations tell of evacuations in the same way.
+	Evacuations     []Evacuation `json:"evacuations,omitempty"`
+	GoneEvacuations []string     `json:"gone_evacuations,omitempty"`
 	// Table is missing in a publication of changes when it is the same.
 	Table *route.Definition `json:"table,omitempty"`
 }
@@ -141,6 +144,7 @@
 	} else {
 		definition := f.table.Definition()
 		publication.Servers, publication.Nodes, publication.Table = f.published.Servers, f.published.Nodes, &definition
+		publication.Evacuations = f.published.Evacuations
 	}
 	publication.Mark = Mark{Publisher: f.options.Self, Generation: f.history.latest}
 	publication.Revision = f.revision
@@ -155,6 +159,7 @@
 	publication.Since = generation
 	publication.Servers, publication.GoneServers = f.published.pickServers(changed)
 	publication.Nodes, publication.GoneNodes = f.published.pickNodes(changed)
+	publication.Evacuations, publication.GoneEvacuations = f.published.pickEvacuations(changed)
 	if changed.table {
 		definition := f.table.Definition()
 		publication.Table = &definition
@@ -171,6 +176,10 @@
 	return pick(n.Nodes, Node.key, changed.nodes, changed.goneNodes)
 }
 
+func (n News) pickEvacuations(changed generationChanges) (evacuations []Evacuation, gone []string) {
+	return pick(n.Evacuations, Evacuation.key, changed.evacuations, changed.goneEvacuations)
+}
+
 func pick[T any](all []T, key func(T) string, changed, went []string) (found []T, gone []string) {
 	wanted := slices.Concat(changed, went)
 	slices.Sort(wanted)
@@ -327,5 +336,11 @@
 	for _, id := range p.GoneNodes {
 		changes.Nodes = append(changes.Nodes, Entry[Node]{ID: id, Revision: p.Revision, Gone: true})
 	}
+	for _, evacuation := range p.Evacuations {
+		changes.Evacuations = append(changes.Evacuations, Entry[Evacuation]{ID: evacuation.Zone, Revision: p.Revision, Value: evacuation})
+	}
+	for _, zone := range p.GoneEvacuations {
+		changes.Evacuations = append(changes.Evacuations, Entry[Evacuation]{ID: zone, Revision: p.Revision, Gone: true})
+	}
 	return changes, nil
 }
--- a/discovery/relay_test.go
+++ b/discovery/relay_test.go
@@ -46,6 +46,9 @@
 	for _, e := range latest(all.Nodes) {
 		listing.Nodes = append(listing.Nodes, e)
 	}
+	for _, e := range latest(all.Evacuations) {
+		listing.Evacuations = append(listing.Evacuations, e)
+	}
 	return listing, nil
 }
 
@@ -101,6 +104,11 @@
 			told.Nodes = append(told.Nodes, e)
 		}
 	}
+	for _, e := range r.events.Evacuations {
+		if e.Revision > revision {
+			told.Evacuations = append(told.Evacuations, e)
+		}
+	}
 	return told
 }
 
@@ -124,6 +132,16 @@
 	r.events.Nodes = append(r.events.Nodes, discovery.Entry[discovery.Node]{ID: node.ID, Revision: r.revision, Value: node})
 }
 
+// evacuate asks for the evacuation of a zone, or takes it back.
+func (r *registry) evacuate(zone string, back bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.revision++
+	r.events.Evacuations = append(r.events.Evacuations, discovery.Entry[discovery.Evacuation]{
+		ID: zone, Revision: r.revision, Gone: back, Value: discovery.Evacuation{Zone: zone},
+	})
+}
+
 func (r *registry) putTable(version uint64) {
 	table, err := route.New(route.Definition{Version: version, Limits: route.Limits{HeaderBytes: 1, HeaderTimeout: 1, IdleTimeout: 1}})
 	if err != nil {
@@ -164,6 +182,7 @@
 	gates   []*gate
 	network *network
 	news    []discovery.News
+	context context.Context
 	stop    context.CancelFunc
 	loops   sync.WaitGroup
 	mutex   sync.Mutex
@@ -199,26 +218,39 @@
 	ctx, stop := context.WithCancel(t.Context())
 	w.stop = stop
 	for number := range w.news {
-		id := fmt.Sprintf("node-%02d", number)
-		seedTime := w.seedTime
-		if slices.Contains(w.seeds, id) {
-			seedTime = 0
-		}
-		w.gates = append(w.gates, &gate{registry: w.registry})
-		follower := discovery.NewFollower(discovery.FollowerOptions{
-			Source: w.gates[number], Self: id, Publishers: w.network, Logger: zerolog.Nop(), Pace: 1800 * time.Millisecond,
-			Seeds: w.seeds, SeedTime: seedTime,
-			Changed: func(news discovery.News) {
-				w.mutex.Lock()
-				defer w.mutex.Unlock()
-				w.news[number] = news
-			},
-		})
-		w.network.mutex.Lock()
-		w.network.followers[id] = follower
-		w.network.mutex.Unlock()
-		w.loops.Go(func() { follower.Run(ctx) })
+		w.run(ctx, number, fmt.Sprintf("node-%02d", number))
+	}
+	w.context = ctx
+}
+
+// addNode runs one more follower.
+func (w *relayWorld) addNode(t *testing.T, id string) {
+	t.Helper()
+	w.mutex.Lock()
+	w.news = append(w.news, discovery.News{})
+	w.mutex.Unlock()
+	w.run(w.context, len(w.news)-1, id)
+}
+
+func (w *relayWorld) run(ctx context.Context, number int, id string) {
+	seedTime := w.seedTime
+	if slices.Contains(w.seeds, id) {
+		seedTime = 0
 	}
+	w.gates = append(w.gates, &gate{registry: w.registry})
+	follower := discovery.NewFollower(discovery.FollowerOptions{
+		Source: w.gates[number], Self: id, Publishers: w.network, Logger: zerolog.Nop(), Pace: 1800 * time.Millisecond,
+		Seeds: w.seeds, SeedTime: seedTime,
+		Changed: func(news discovery.News) {
+			w.mutex.Lock()
+			defer w.mutex.Unlock()
+			w.news[number] = news
+		},
+	})
+	w.network.mutex.Lock()
+	w.network.followers[id] = follower
+	w.network.mutex.Unlock()
+	w.loops.Go(func() { follower.Run(ctx) })
 }
 
 // wantAlike wants all followers to believe the same servers and version, but for some.
--- a/discovery/source.go
+++ b/discovery/source.go
@@ -32,6 +32,8 @@
 	Nodes    []Entry[Node]
 	// Table is nil when there is none, or none that is valid.
 	Table *route.Table
+	// Evacuations are the operator's requests in force.
+	Evacuations []Entry[Evacuation]
 	// Invalid lists the entries that could not be read; they count as kept.
 	Invalid []InvalidEntry
 }
@@ -42,7 +44,9 @@
 	Servers  []Entry[Server]
 	Nodes    []Entry[Node]
 	Table    *route.Table
-	Invalid  []InvalidEntry
+	// Evacuations are those that were asked for, or taken back.
+	Evacuations []Entry[Evacuation]
+	Invalid     []InvalidEntry
 }
 
 // Entry is a value with the revision that wrote it. Gone entries have only an ID.
--- a/discovery/view.go
+++ b/discovery/view.go
@@ -53,6 +53,10 @@
 	Suspect bool
 }
 
+// Evacuation is an operator's request that nothing more be sent to the servers of a
+// zone. It holds until it is taken back; it has no lease that could run out.
+type Evacuation struct{ Zone string }
+
 // Revision orders the changes of a registry.
 type Revision uint64
 
@@ -95,6 +99,9 @@
 	options Options
 	servers map[string]*entry[Server]
 	nodes   map[string]*entry[Node]
+	// evacuations are by zone.
+	evacuations map[string]*entry[Evacuation]
+
 	heard   bool
 	heardAt time.Duration
 	// doubtUntil is until when entries that go are kept. It counts from the
@@ -113,6 +120,8 @@
 		options: options,
 		servers: make(map[string]*entry[Server]),
 		nodes:   make(map[string]*entry[Node]),
+
+		evacuations: make(map[string]*entry[Evacuation]),
 	}
 }
 
@@ -168,6 +177,19 @@
 	remove(v, v.nodes, now, now+v.options.NodesMissingFor, id, revision)
 }
 
+// PutEvacuation takes an evacuation; an older revision changes nothing.
+func (v *View) PutEvacuation(evacuation Evacuation, revision Revision) {
+	put(v.evacuations, evacuation.Zone, evacuation, revision)
+}
+
+// RemoveEvacuation notes that an evacuation was taken back. There is no doubt about
+// that: only the operator removes it, also after an outage.
+func (v *View) RemoveEvacuation(zone string, revision Revision) {
+	if known := v.evacuations[zone]; known != nil && known.revision <= revision {
+		delete(v.evacuations, zone)
+	}
+}
+
 // remove drops an entry, or keeps it for a while as missing.
 func remove[T any](v *View, entries map[string]*entry[T], now, keptUntil time.Duration, id string, revision Revision) {
 	known := entries[id]
@@ -192,6 +214,11 @@
 	retain(v.nodes, listed, func(id string) { v.RemoveNode(now, id, revision) })
 }
 
+// RetainEvacuations does the same for evacuations.
+func (v *View) RetainEvacuations(listed map[string]struct{}, revision Revision) {
+	retain(v.evacuations, listed, func(zone string) { v.RemoveEvacuation(zone, revision) })
+}
+
 func retain[T any](entries map[string]*entry[T], listed map[string]struct{}, remove func(id string)) {
 	for id := range entries {
 		if _, kept := listed[id]; !kept {
@@ -245,6 +272,9 @@
 // ListedNodes lists the nodes in the same way.
 func (v *View) ListedNodes() []Node { return list(v.nodes, false, Node.key) }
 
+// Evacuations lists the evacuations in force, by zone.
+func (v *View) Evacuations() []Evacuation { return list(v.evacuations, false, Evacuation.key) }
+
 func list[T any](entries map[string]*entry[T], missing bool, key func(T) string) []T {
 	compare := func(a, b T) int { return cmp.Compare(key(a), key(b)) }
 	values := make([]T, 0, len(entries))
--- a/front/addresses.go
+++ b/front/addresses.go
@@ -34,12 +34,17 @@
 	for _, name := range news.Table.UsedServices() {
 		used[name] = struct{}{}
 	}
+	evacuated := make(map[string]struct{}, len(news.Evacuations))
+	for _, evacuation := range news.Evacuations {
+		evacuated[evacuation.Zone] = struct{}{}
+	}
 	type place struct{ zone, service string }
 	seen := make(map[place]struct{})
 	for _, server := range news.Servers {
 		at := place{server.Zone, server.Service}
 		_, twice := seen[at]
-		if _, inUse := used[server.Service]; !inUse || twice || server.State != discovery.Ready {
+		_, closed := evacuated[server.Zone]
+		if _, inUse := used[server.Service]; !inUse || twice || closed || server.State != discovery.Ready {
 			continue
 		}
 		seen[at] = struct{}{}
--- a/front/node.go
+++ b/front/node.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math"
@@ -166,6 +167,7 @@
 				Fixed:  settings.BudgetFixed,
 				Window: settings.BudgetWindow,
 			},
+			Cold:  coldOptions(settings),
 			Fresh: !settings.FirstStart,
 			Off:   options.Off,
 		},
@@ -204,7 +206,7 @@
 		Logger:         options.Logger,
 		View:           discovery.Options{Off: options.Off},
 		Changed:        f.changed,
-		Pace:           time.Duration(float64(min(settings.DrainBound, settings.ApplyBound)) * readPace),
+		Pace:           time.Duration(float64(leastBound(settings)) * readPace),
 		ReadsPerSecond: settings.ReadsPerSecond * readShare,
 	})
 	entry := f.self
@@ -218,6 +220,15 @@
 	return f, nil
 }
 
+// leastBound is the shortest time in which what the registry tells is in force.
+func leastBound(settings Settings) time.Duration {
+	return min(settings.DrainBound, settings.ApplyBound, cmp.Or(settings.EvacuateBound, settings.DrainBound))
+}
+
+func coldOptions(settings Settings) routing.ColdOptions {
+	return routing.ColdOptions{Overshoot: settings.ColdOvershoot, Slack: settings.ColdSlack}
+}
+
 const (
 	// firstSeedTime is for how long the nodes of a first start ask the seeds.
 	firstSeedTime = 2 * time.Second
@@ -250,6 +261,7 @@
 	f.grace.Store(int64(settings.Grace))
 	f.gateway.SetBounds(routing.SettingsChanged{
 		Budget:  extrabudget.Options{Ratio: settings.BudgetRatio, Fixed: settings.BudgetFixed},
+		Cold:    coldOptions(settings),
 		Regions: settings.Regions,
 	})
 	f.options.Logger.Info().Dur("grace_ms", settings.Grace).Float64("budget_ratio", settings.BudgetRatio).
@@ -261,7 +273,9 @@
 	f.agent.SetContacts(news.Nodes)
 	f.connections.Store(int64(leastConnections(news.Table)))
 	f.nodesChanged()
+	// Servers come first: those of a zone that is given back may be cold.
 	f.gateway.SetServers(news.Servers)
+	f.setEvacuated(news.Evacuations)
 	f.presence.Store(presenceOf(news))
 	if news.Table == nil {
 		return
@@ -273,6 +287,18 @@
 	f.knows.Store(true)
 }
 
+// setEvacuated takes the zones to whose servers nothing more may be sent.
+func (f *Front) setEvacuated(evacuations []discovery.Evacuation) {
+	zones := make([]string, 0, len(evacuations))
+	for _, evacuation := range evacuations {
+		zones = append(zones, evacuation.Zone)
+	}
+	if f.gateway.SetEvacuated(zones) {
+		f.options.Logger.Info().Strs("zones", zones).Msg("evacuated zones changed")
+		f.tendNow()
+	}
+}
+
 func (f *Front) tendNow() {
 	select {
 	case f.tend <- struct{}{}:
--- a/front/nodes.go
+++ b/front/nodes.go
@@ -71,6 +71,7 @@
 		Serving: max(len(serving), 1),
 		Serves:  slices.ContainsFunc(serving, f.isSelf) || len(serving) == len(nodes),
 	}
+	role.Place = f.placeAmong(nodes, serving, role.Serves)
 	if role == f.role {
 		return
 	}
@@ -79,6 +80,18 @@
 	f.gateway.SetNodes(role)
 }
 
+// placeAmong is this node's place among the nodes of its role, by ID.
+func (f *Front) placeAmong(nodes, serving []discovery.Node, serves bool) int {
+	place := 0
+	for _, n := range nodes {
+		isServing := len(serving) == len(nodes) || slices.ContainsFunc(serving, func(s discovery.Node) bool { return s.ID == n.ID })
+		if isServing == serves && n.ID < f.self.ID {
+			place++
+		}
+	}
+	return place
+}
+
 func (f *Front) isSelf(n discovery.Node) bool { return n.ID == f.self.ID }
 
 // unsuspected is the list without suspicions.
--- a/front/settings.go
+++ b/front/settings.go
@@ -25,6 +25,12 @@
 	// DrainBound is the time after which a leaving server gets no new request,
 	// and ApplyBound that after which a table is in force.
 	DrainBound, ApplyBound time.Duration
+	// EvacuateBound is the time after which nothing more is sent to the servers of a zone
+	// that the operator wants to be empty; zero is DrainBound.
+	EvacuateBound time.Duration
+	// ColdOvershoot and ColdSlack bound what a cold server gets in a second: so many times
+	// the rate that it bears, and so many requests more.
+	ColdOvershoot, ColdSlack float64
 	// BudgetRatio, BudgetFixed and BudgetWindow bound the extra sends to a
 	// service by all nodes together.
 	BudgetRatio, BudgetFixed float64
--- a/gateway/connections.go
+++ b/gateway/connections.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/banksail/banksail/discovery"
@@ -32,7 +33,7 @@
 func (g *Gateway) Connections() int { return g.client.Connections() }
 
 // Tend closes connections that are of no use any more and opens one to each
-// server of a service in force that has none.
+// server of a service in force that has none, unless its zone is evacuated.
 func (g *Gateway) Tend() {
 	g.mutex.Lock()
 	servers := g.servers
@@ -56,7 +57,8 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	for id := range listed {
-		if _, inUse := used[servers[id].Service]; inUse && g.wantedUntil[id] > g.now() {
+		_, inUse := used[servers[id].Service]
+		if inUse && g.wantedUntil[id] > g.now() && !slices.Contains(g.evacuated, servers[id].Zone) {
 			g.run(func() { g.warm(servers[id]) })
 		}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -92,6 +93,7 @@
 	lastRequest routing.RequestID
 	wake        *time.Timer
 	servers     map[string]discovery.Server
+	evacuated   []string
 	// wantedUntil is until when a connection to a server is kept ready.
 	wantedUntil map[string]time.Duration
 
@@ -173,6 +175,23 @@
 	g.mutex.Unlock()
 }
 
+// SetEvacuated tells the zones to whose servers nothing more may be sent, sorted. It
+// reports whether they are other ones than before. Connections to the servers that take
+// over are opened with the next Tend.
+func (g *Gateway) SetEvacuated(zones []string) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if slices.Equal(zones, g.evacuated) {
+		return false
+	}
+	g.evacuated = zones
+	for id := range g.servers {
+		g.wantedUntil[id] = g.now() + wantedFor
+	}
+	g.stepLocked(routing.ZonesChanged{Evacuated: zones})
+	return true
+}
+
 // SetNodes tells of the nodes that are live. One to which no callers are sent
 // keeps no connections that rest.
 func (g *Gateway) SetNodes(nodes routing.NodesChanged) {
--- a/route/encoding.go
+++ b/route/encoding.go
@@ -27,6 +27,8 @@
 	Name        string `json:"name"`
 	HealthPath  string `json:"health_path,omitempty"`
 	Connections int    `json:"connections"`
+
+	ColdRate float64 `json:"cold_rate,omitempty"`
 }
 
 type encodedRoute struct {
@@ -38,6 +40,7 @@
 	Aim        time.Duration  `json:"aim_ns,omitempty"`
 	Attempts   int            `json:"attempts"`
 	Priority   int            `json:"priority,omitempty"`
+	Homes      []string       `json:"homes,omitempty"`
 	Shares     []encodedShare `json:"shares,omitempty"`
 	// Set is one more than the number of the set of shards; zero is none.
 	Set     int     `json:"set,omitempty"`
@@ -79,6 +82,7 @@
 		Aim:        r.Aim,
 		Attempts:   r.Attempts,
 		Priority:   r.Priority,
+		Homes:      r.Homes,
 		Top:        r.Target.Top,
 		Minimum:    r.Target.MinimumCoverage,
 	}
@@ -129,6 +133,7 @@
 		Aim:        e.Aim,
 		Attempts:   e.Attempts,
 		Priority:   e.Priority,
+		Homes:      e.Homes,
 		Target:     Target{Top: e.Top, MinimumCoverage: e.Minimum},
 	}
 	for _, share := range e.Shares {
--- a/route/table.go
+++ b/route/table.go
@@ -30,6 +30,9 @@
 	HealthPath string
 	// Connections is the number that each server accepts from all nodes together.
 	Connections int
+	// ColdRate is the number of requests a second that a server bears while it is cold;
+	// zero is no bound.
+	ColdRate float64
 }
 
 // Limits bound a caller's requests.
@@ -59,7 +62,9 @@
 	Attempts int
 	// Priority ranks the route; zero is the most urgent.
 	Priority int
-	Target   Target
+	// Homes are the regions in which requests may be served; none is everywhere.
+	Homes  []string
+	Target Target
 }
 
 // Target is what answers a route: one of several services by weight, or a
--- a/route/validate.go
+++ b/route/validate.go
@@ -62,6 +62,9 @@
 	if s.Connections < 1 {
 		return invalid("connections", "must be at least 1")
 	}
+	if s.ColdRate < 0 {
+		return invalid("cold_rate", "must not be negative")
+	}
 	return nil
 }
 
--- a/routing/admit.go
+++ b/routing/admit.go
@@ -25,6 +25,8 @@
 		return gather.ReasonDeadline
 	case float64(len(r.running)) >= bound:
 		return gather.ReasonOverload
+	case r.unservable(q):
+		return gather.ReasonNoServer
 	case r.pressed(q):
 		return gather.ReasonQueueWait
 	default:
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -34,7 +34,7 @@
 	var best *server
 	bestScore := 0.0
 	for _, candidate := range s.servers {
-		if !candidate.usable() {
+		if !candidate.usable() || !q.allows(candidate.Zone) {
 			continue
 		}
 		usable = true
@@ -42,7 +42,15 @@
 			continue
 		}
 		untried = true
-		if len(candidate.inFlight) >= room || candidate.shedUntil > r.now {
+		if !r.bearsMore(s, candidate) {
+			r.pumpLater(s, r.now+coldRetry())
+			continue
+		}
+		if candidate.shedUntil > r.now {
+			r.pumpLater(s, candidate.shedUntil)
+			continue
+		}
+		if len(candidate.inFlight) >= room {
 			continue
 		}
 		if kind == gather.FirstSend && r.on(mechanism.Probes) && candidate.mayProbe(r.now) && r.affordsProbe(s, q) {
--- a/routing/event.go
+++ b/routing/event.go
@@ -72,6 +72,9 @@
 // ServersChanged gives all servers that may be there now.
 type ServersChanged struct{ Servers []discovery.Server }
 
+// ZonesChanged gives all zones to whose servers nothing more may be sent.
+type ZonesChanged struct{ Evacuated []string }
+
 // TableChanged gives the table that is in force, for the bounds of its services.
 type TableChanged struct{ Table *route.Table }
 
@@ -83,6 +86,7 @@
 // SettingsChanged gives the bounds that were set anew.
 type SettingsChanged struct {
 	Budget  extrabudget.Options
+	Cold    ColdOptions
 	Regions map[string]string
 }
 
@@ -100,6 +104,7 @@
 func (Unreached) event()       {}
 func (Reached) event()         {}
 func (ServersChanged) event()  {}
+func (ZonesChanged) event()    {}
 func (TableChanged) event()    {}
 func (NodesChanged) event()    {}
 
--- a/routing/options.go
+++ b/routing/options.go
@@ -18,6 +18,8 @@
 	Regions map[string]string
 	// Budget bounds extra sends.
 	Budget extrabudget.Options
+	// Cold bounds what servers get that have just started.
+	Cold ColdOptions
 	// Fresh says that an earlier incarnation of the node may have spent its
 	// fixed share of the budget within the last window: it is kept back that long.
 	Fresh bool
--- a/routing/request.go
+++ b/routing/request.go
@@ -188,6 +188,7 @@
 		Kind:      a.Kind,
 		Believed:  believed,
 	}
+	r.countCold(s)
 	s.inFlight = append(s.inFlight, sent)
 	r.attempts[a.ID] = sent
 	r.emit(action)
--- a/routing/router.go
+++ b/routing/router.go
@@ -29,6 +29,8 @@
 	services  map[string]*service
 	servers   map[string]*server
 	latencies map[string]*latencies
+	// evacuated are the zones to which nothing may be sent.
+	evacuated map[string]struct{}
 	// starts is what is to be expected of servers that have just started.
 	starts startSlowness
 
@@ -45,10 +47,19 @@
 	stopping bool
 }
 
-// timer is when a request must be looked at.
+// timer is when a request must be looked at, or what waits in a service.
 type timer struct {
 	at      time.Duration
 	request *request
+	service *service
+}
+
+// counts reports whether the timer was not replaced by another one.
+func (t timer) counts() bool {
+	if t.service != nil {
+		return t.at == t.service.pumpAt
+	}
+	return !t.request.finished && t.at == t.request.timerAt
 }
 
 // never is later than any time.
@@ -94,6 +105,8 @@
 		r.reached(r.servers[event.Server])
 	case ServersChanged:
 		r.serversChanged(event.Servers)
+	case ZonesChanged:
+		r.zonesChanged(event)
 	case TableChanged:
 		r.tableChanged(event.Table)
 	case SettingsChanged:
@@ -286,9 +299,11 @@
 	for _, l := range listed {
 		known := before[l.ID]
 		if known == nil {
-			known = &server{coldUntil: r.now + l.ColdFor}
+			known = new(server)
 		}
+		known.takeWarmup(r.now, l, before[l.ID] != nil)
 		known.Server = l
+		known.evacuated = r.isEvacuated(l.Zone)
 		r.servers[l.ID] = known
 		s := r.serviceNamed(l.Service)
 		s.servers = append(s.servers, known)
@@ -304,7 +319,8 @@
 // tableChanged takes the bounds of the services.
 func (r *Router) tableChanged(table *route.Table) {
 	for name, settings := range table.Services {
-		r.serviceNamed(name).connections = settings.Connections
+		s := r.serviceNamed(name)
+		s.connections, s.coldRate = settings.Connections, settings.ColdRate
 	}
 }
 
@@ -313,6 +329,7 @@
 func (r *Router) settingsChanged(event SettingsChanged) {
 	event.Budget.Window = r.options.Budget.Window
 	r.options.Budget = event.Budget
+	r.options.Cold = event.Cold
 	r.options.Regions = event.Regions
 }
 
@@ -381,7 +398,12 @@
 func (r *Router) expire() {
 	for r.timers.Len() > 0 && r.timers.First().at <= r.now {
 		due := r.timers.Pop()
-		if due.request.finished || due.at != due.request.timerAt {
+		if !due.counts() {
+			continue
+		}
+		if due.service != nil {
+			due.service.pumpAt = 0
+			r.pump(due.service)
 			continue
 		}
 		due.request.timerAt = 0
@@ -393,8 +415,7 @@
 // wake asks to be woken for the first timer that still counts.
 func (r *Router) wake() {
 	for r.timers.Len() > 0 {
-		first := r.timers.First()
-		if !first.request.finished && first.at == first.request.timerAt {
+		if r.timers.First().counts() {
 			break
 		}
 		r.timers.Pop()
--- a/routing/server.go
+++ b/routing/server.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/banksail/banksail/discovery"
+	"github.com/banksail/banksail/extrabudget"
 	"github.com/banksail/banksail/gather"
 )
 
@@ -42,7 +43,11 @@
 	gone bool // is in no listing any more
 	// unreachable says that no connection to it could be opened of late.
 	unreachable bool
-	coldUntil   time.Duration
+	// evacuated says that nothing may be sent to its zone.
+	evacuated bool
+	// coldUntil is until when it bears little, and coldSends counts what it got until then.
+	coldUntil time.Duration
+	coldSends extrabudget.Counter
 
 	// slowness is the average of its latencies against what is usual, as of
 	// learnedAt.
@@ -75,7 +80,7 @@
 
 // usable reports whether the server takes new work.
 func (s *server) usable() bool {
-	return !s.gone && !s.unreachable && s.State == discovery.Ready
+	return !s.gone && !s.unreachable && !s.evacuated && s.State == discovery.Ready
 }
 
 // learned is the slowness that its answers make to be expected now, or that of other
--- a/routing/service.go
+++ b/routing/service.go
@@ -15,9 +15,13 @@
 	servers []*server
 	// connections is what each server accepts from all nodes; zero is unknown.
 	connections int
-	budget      extrabudget.Budget
-	waiting     *priority.Queue[waiter]
-	pressure    pressure
+	// coldRate is the number of requests a second that a cold server bears; zero is no bound.
+	coldRate float64
+	// pumpAt is when what waits is looked at again; zero is when something happens.
+	pumpAt   time.Duration
+	budget   extrabudget.Budget
+	waiting  *priority.Queue[waiter]
+	pressure pressure
 }
 
 // waiter is a segment that waits until a server of the service has room.
@@ -50,6 +54,15 @@
 	s.waiting.Push(w)
 }
 
+// pumpLater arranges that what waits is looked at again when a server may have room that
+// nothing else tells of.
+func (r *Router) pumpLater(s *service, at time.Duration) {
+	if s.pumpAt == 0 || at < s.pumpAt {
+		s.pumpAt = at
+		r.timers.Push(timer{at: at, service: s})
+	}
+}
+
 // pump sends what waits in a service in which a server may have room now.
 func (r *Router) pump(s *service) {
 	if s.waiting.Len() == 0 {
