Connections that go silent without a reset are given up after 0.6 s, not 4

Cause: servers' connections may go silent for good while new ones work. Ruled out: a time-out of the answer, which slow servers would hit; the kernel of a slow one acknowledges.

internal/usertimeout sets TCP_USER_TIMEOUT through wrapped connections; the simulated network has it, too, and can silence what is open while new connections work.

--- a/exchange/connection.go
+++ b/exchange/connection.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/banksail/banksail/internal/usertimeout"
 )
 
 const (
@@ -27,8 +29,10 @@
 	maximumSurplus = 2
 	// maximumInterim bounds the interim answers before a final one.
 	maximumInterim = 4
-	// silence is how long a peer may leave sent bytes unacknowledged.
-	silence = 4 * time.Second
+	// silence is how long a server may leave sent bytes unacknowledged: many round trips
+	// and some lost packets. A connection that has gone silent without a reset, while new
+	// ones work, is shown by nothing else.
+	silence = 600 * time.Millisecond
 	// forever stands for a server that names no time.
 	forever = time.Duration(math.MaxInt64)
 	// keepAliveMargin is how much before the server a connection is closed.
@@ -48,24 +52,10 @@
 }
 
 func newConnection(conn net.Conn) *connection {
-	if described, ok := conn.(syscall.Conn); ok {
-		setUserTimeout(described)
-	}
+	_ = usertimeout.Set(conn, silence) // without it, silence is left to the attempts' deadlines
 	return &connection{conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), keepFor: forever}
 }
 
-// setUserTimeout ends connections to machines that have fallen silent. A
-// failure only leaves it to deadlines.
-func setUserTimeout(conn syscall.Conn) {
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return
-	}
-	_ = raw.Control(func(descriptor uintptr) {
-		_ = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence.Milliseconds()))
-	})
-}
-
 func (c *connection) close() { c.closeOnce.Do(func() { _ = c.conn.Close() }) }
 
 // quiet reports whether nothing has come on an idle connection: neither an end
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -99,6 +99,9 @@
 	return length, err
 }
 
+// NetConn is the connection that is counted.
+func (c *countedConn) NetConn() net.Conn { return c.Conn }
+
 // errNoDescriptor: the connection is none of the operating system's.
 var errNoDescriptor = errors.New("traffic: the connection has no descriptor")
 
--- a/lab/network/conn.go
+++ b/lab/network/conn.go
@@ -28,6 +28,8 @@
 	// abandoned is set when the receiver closed or died: bytes are dropped.
 	abandoned bool
 	broken    bool
+	// silent says that nothing more gets through.
+	silent bool
 	// reverse is the connection's other direction.
 	reverse *stream
 	// unheard says that data was sent to a machine that has vanished; refused,
@@ -158,7 +160,7 @@
 
 // passable reports whether the link lets the segment through. The lock is held.
 func (s *stream) passable(next segment) bool {
-	if next.held && s.from.host.frozen {
+	if s.silent || next.held && s.from.host.frozen {
 		return false
 	}
 	return !s.network.link(s.from.host.ip, s.to.host.ip).cut
@@ -184,7 +186,9 @@
 	in, out       *stream
 	readDeadline  time.Time
 	writeDeadline time.Time
-	closed        bool
+	// userTimeout is how long sent data may be held up; zero is for ever.
+	userTimeout time.Duration
+	closed      bool
 }
 
 // Read waits for data, the end of the stream or the read deadline.
@@ -257,10 +261,42 @@
 			c.out.push(append([]byte(nil), data[written:written+count]...), nil)
 		}
 		written += count
+		c.boundSilence()
 	}
 	return written, nil
 }
 
+// SetUserTimeout breaks the connection when sent data is held up for so long.
+func (c *conn) SetUserTimeout(limit time.Duration) error {
+	n := c.process.network
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	c.userTimeout = limit
+	return nil
+}
+
+// boundSilence looks later whether data that does not get through still does not. The
+// lock is held.
+func (c *conn) boundSilence() {
+	if c.userTimeout == 0 || c.out.delivers() {
+		return
+	}
+	time.AfterFunc(c.userTimeout, func() {
+		n := c.process.network
+		n.mutex.Lock()
+		defer n.mutex.Unlock()
+		if !c.closed && !c.out.delivers() {
+			c.out.reset()
+			c.in.reset()
+		}
+	})
+}
+
+// delivers reports whether what is sent gets through. The lock is held.
+func (s *stream) delivers() bool {
+	return !s.silent && !s.to.host.vanished && !s.network.link(s.from.host.ip, s.to.host.ip).cut
+}
+
 // limitWhileFrozen is no limit while the process is frozen: its deadlines pass
 // unnoticed until it continues. The lock is held.
 func (c *conn) limitWhileFrozen(deadline time.Time) time.Time {
--- a/lab/network/network.go
+++ b/lab/network/network.go
@@ -218,6 +218,18 @@
 	}
 }
 
+// Silence lets nothing more through on the connections between two hosts that are open
+// now, in either direction; new ones work.
+func (n *Network) Silence(one, other string) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	for s := range n.streams {
+		if s.joins(one, other) {
+			s.silent = true
+		}
+	}
+}
+
 // host returns the state of an IP number. The lock is held.
 func (n *Network) host(ip string) *host {
 	h, ok := n.hosts[ip]
