A zone that is lost or cut off: set aside whole, told to callers, answers that outlast it

Callers of the zone held addresses of that zone alone; their look-ups asked the three nearest nodes, all of them dark; the nodes of a cut zone took requests that they could not gather, and answered 502 or 504 after servers had worked.

Change: - routing sets a zone aside when four of its servers leave requests without an answer for 0.3 s while other zones answer, sends what it was sent elsewhere, and tries three of its servers. - A node that can't reach enough shards of a route refuses before anything runs, says to come back at once and ends the connection; it is not ready, and says so to the other nodes; the directory passes over such nodes, and names the nodes of other zones although they look dead from there. Where no node can serve, all stay. - An answer of the directory names the serving nodes of the whole region. - One directory a zone, a process of its own that asks the node beside it, so that the three nearest that a caller tries stand in three zones. The role of the nodes serves it no more.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -12,6 +12,9 @@
 type Caller struct {
 	Zone   string
 	Region string
+	// Homes are the regions in which what the caller asks for may be served; none is
+	// everywhere.
+	Homes []string
 }
 
 // Presence tells, for each zone, which part of the services in use has a server there.
@@ -26,25 +29,23 @@
 	enoughPresence = 0.5
 )
 
-// Addresses lists where the caller may connect, at most the given number: the
-// nodes of its zone if there are enough, else those of its region, else all. An
-// answer is smaller than the parts that make it, so nodes in zones without
-// servers are passed over for those of the region that stand near servers.
-// Nodes that are leaving are left out, unless there are no others, and so are those that
-// don't answer other nodes.
+// Addresses lists where the caller may connect, at most the given number: the nodes of
+// its region if there are enough, else all. Those of its own zone alone would leave it
+// without any when the zone is lost, until the answer is over. An answer is smaller than
+// the parts that make it, so nodes in zones without servers are passed over for those of
+// the region that stand near servers. Nodes that are leaving are left out, unless there
+// are no others, and so are those that can't reach the servers and, of the rest, those
+// that don't answer other nodes. Where the caller's request has homes, only nodes there
+// and in the caller's own region are named.
 func Addresses(nodes []discovery.Node, presence Presence, caller Caller, most int) []string {
-	staying := filter(nodes, func(n discovery.Node) bool { return !n.Leaving })
-	if len(staying) == 0 {
-		staying = nodes
-	}
-	if sound := filter(staying, func(n discovery.Node) bool { return !n.Suspect }); len(sound) > 0 {
-		staying = sound
+	if len(caller.Homes) > 0 {
+		nodes = filter(nodes, caller.mayReach)
 	}
+	staying := prefer(nodes, func(n discovery.Node) bool { return !n.Leaving })
+	staying = prefer(staying, ableZones(staying))
+	staying = prefer(staying, func(n discovery.Node) bool { return !n.Suspect })
 	staying = nearServers(staying, presence)
-	near := filter(staying, func(n discovery.Node) bool { return n.Zone == caller.Zone })
-	if len(near) < enoughNear {
-		near = filter(staying, func(n discovery.Node) bool { return n.Region == caller.Region })
-	}
+	near := filter(staying, func(n discovery.Node) bool { return n.Region == caller.Region })
 	if len(near) < enoughNear {
 		near = staying
 	}
@@ -73,6 +74,37 @@
 	})
 }
 
+// mayReach reports whether a request with homes may go to a node.
+func (c Caller) mayReach(n discovery.Node) bool {
+	return n.Region == c.Region || slices.Contains(c.Homes, n.Region)
+}
+
+// cutShare is the part of a zone's nodes from which on none of them is able to reach the
+// servers: those to which no callers come don't notice it.
+const cutShare = 0.5
+
+// ableZones tells the nodes that can reach the servers, as far as that is known.
+func ableZones(nodes []discovery.Node) func(discovery.Node) bool {
+	all, unable := make(map[string]int), make(map[string]int)
+	for _, n := range nodes {
+		all[n.Zone]++
+		if n.Unable {
+			unable[n.Zone]++
+		}
+	}
+	return func(n discovery.Node) bool {
+		return !n.Unable && (unable[n.Zone] == 0 || float64(unable[n.Zone]) < cutShare*float64(all[n.Zone]))
+	}
+}
+
+// prefer leaves out the nodes that are not wanted, unless there are no others.
+func prefer(nodes []discovery.Node, wanted func(discovery.Node) bool) []discovery.Node {
+	if preferred := filter(nodes, wanted); len(preferred) > 0 {
+		return preferred
+	}
+	return nodes
+}
+
 func filter(nodes []discovery.Node, keep func(discovery.Node) bool) []discovery.Node {
 	var kept []discovery.Node
 	for _, n := range nodes {
--- a/discovery/view.go
+++ b/discovery/view.go
@@ -47,6 +47,8 @@
 	Capacity float64
 	// Busy nodes have so much to do that others should help.
 	Busy bool
+	// Unable nodes can't reach enough servers to serve callers; others can.
+	Unable bool
 	// Leaving nodes finish what they have and are given to no caller.
 	Leaving bool
 	// Suspect nodes do not answer other nodes, which may be wrong for a moment.
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -188,7 +188,15 @@
 		c.mutex.Unlock()
 		return nil
 	}
-	p.open++
+	c.mutex.Unlock()
+	return c.Open(ctx, server)
+}
+
+// Open opens one more connection to the server: those that are there may have gone silent.
+// Its error wraps ErrNotDelivered.
+func (c *Client) Open(ctx context.Context, server discovery.Server) error {
+	c.mutex.Lock()
+	c.poolOf(server.ID).open++
 	c.mutex.Unlock()
 	conn, err := c.open(ctx, server)
 	if err != nil {
--- a/front/addresses.go
+++ b/front/addresses.go
@@ -1,8 +1,9 @@
 package front
 
 import (
+	"context"
 	"math"
-	"time"
+	"slices"
 
 	"github.com/banksail/banksail/directory"
 	"github.com/banksail/banksail/discovery"
@@ -54,10 +55,26 @@
 }
 
 // Ready implements Node.
-func (f *Front) Ready() bool { return f.knows.Load() && !f.leaving.Load() }
+func (f *Front) Ready() bool {
+	return f.knows.Load() && !f.leaving.Load() && !f.othersServe()
+}
+
+// othersServe reports whether this node can't reach enough servers while another one, as
+// far as it knows, can. Where no node can, all stay ready: what is missing may be back at
+// any moment, and callers have nowhere else to go.
+func (f *Front) othersServe() bool {
+	if !f.unable.Load() {
+		return false
+	}
+	serving := f.serving.Load()
+	return serving != nil && slices.ContainsFunc(*serving, func(n discovery.Node) bool {
+		return !n.Unable && !n.Leaving && !f.isSelf(n)
+	})
+}
 
-// Addresses implements Node. The node itself counts as live as long as it answers.
-func (f *Front) Addresses(caller directory.Caller, most int) ([]string, time.Duration) {
+// Resolve implements directory.Resolver. The node itself counts as live as long as it
+// answers.
+func (f *Front) Resolve(_ context.Context, host string, caller directory.Caller, most int) (directory.Answer, error) {
 	var nodes []discovery.Node
 	if serving := f.serving.Load(); serving != nil {
 		nodes = *serving
@@ -72,7 +89,7 @@
 		kept = append(kept, node)
 	}
 	self := f.self
-	self.Leaving = f.leaving.Load()
+	self.Leaving, self.Unable = f.leaving.Load(), f.unable.Load()
 	if serves && f.knows.Load() || len(kept) == 0 {
 		kept = append(kept, self)
 	}
@@ -80,5 +97,9 @@
 	if known := f.presence.Load(); known != nil {
 		presence = *known
 	}
-	return directory.Addresses(kept, presence, caller, most), min(directoryTTL, f.options.Settings.LongestTTL)
+	caller.Homes = f.gateway.Homes(host)
+	return directory.Answer{
+		Addresses:  directory.Addresses(kept, presence, caller, most),
+		TimeToLive: min(directoryTTL, f.options.Settings.LongestTTL),
+	}, nil
 }
--- a/front/node.go
+++ b/front/node.go
@@ -27,12 +27,10 @@
 	"github.com/banksail/banksail/routing"
 )
 
-// Node is what the handlers of checks and of the directory ask.
+// Node is what the handler of checks asks.
 type Node interface {
 	// Ready reports whether callers should come.
 	Ready() bool
-	// Addresses lists where a caller may connect, and for how long that counts.
-	Addresses(caller directory.Caller, most int) (addresses []string, timeToLive time.Duration)
 }
 
 // Options sets up a Front.
@@ -45,8 +43,9 @@
 	Source        discovery.Source
 	Registrar     discovery.Registrar
 	// Readiness and Directory answer the node's other listeners.
-	Readiness, Directory func(Node) http.Handler
-	Logger               zerolog.Logger
+	Readiness func(Node) http.Handler
+	Directory func(directory.Resolver) http.Handler
+	Logger    zerolog.Logger
 	// Registry holds the node's metrics, which are served on their own address;
 	// nil is none.
 	Registry *prometheus.Registry
@@ -92,6 +91,11 @@
 	anchorSince time.Time
 	// loneAnchorWait is how much longer the node waits for that when it knows nobody.
 	loneAnchorWait time.Duration
+	// unable says that the node can't reach enough servers, and remembered are the nodes
+	// as they were before that or the like happened to a node of its zone; only nodesLoop
+	// uses remembered.
+	unable     atomic.Bool
+	remembered []discovery.Node
 	// busy says that others should help the node.
 	busy atomic.Bool
 	// relay asks the nodes that read the registry; nil when this node has no
@@ -152,8 +156,12 @@
 	f.meter = traffic.NewMeter(registry)
 	f.grace.Store(int64(settings.Grace))
 	f.gateway = gateway.New(gateway.Options{
-		Registry:      registry,
-		BeliefAge:     f.beliefAge,
+		Registry:  registry,
+		BeliefAge: f.beliefAge,
+		AbilityChanged: func(able bool) {
+			f.unable.Store(!able)
+			f.nodesChanged()
+		},
 		Headers:       options.Headers,
 		AnswerHeaders: options.AnswerHeaders,
 		Logger:        options.Logger,
@@ -327,7 +335,7 @@
 	if err != nil {
 		return err
 	}
-	resolve, err := f.serve(traffic.Checks, settings.Directory, f.options.Directory(f), nil)
+	resolvers, err := f.serveResolvers()
 	if err != nil {
 		return err
 	}
@@ -356,7 +364,9 @@
 		_ = peers.Close()
 		f.relay.Close()
 	}
-	_ = resolve.Close()
+	for _, resolver := range resolvers {
+		_ = resolver.Close()
+	}
 	_ = ready.Close()
 	f.options.Logger.Info().Msg("stopped")
 	return nil
--- a/front/nodes.go
+++ b/front/nodes.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -54,7 +55,8 @@
 // takeNodes decides who serves callers, and what of that is this node's part. One that
 // is cut off from all others stays with what it knew: they may well be there.
 func (f *Front) takeNodes() {
-	nodes := f.agent.Nodes()
+	f.agent.SetUnable(f.unable.Load())
+	nodes := f.withRemembered(f.agent.Nodes())
 	isolated := f.agent.Isolated()
 	f.lookAtAnchors(nodes)
 	if isolated {
@@ -80,6 +82,30 @@
 	f.gateway.SetNodes(role)
 }
 
+// withRemembered adds nodes of other zones that are not seen any more while this zone's
+// nodes can't reach enough servers: then the way there is cut, and they may well serve
+// callers, who may reach them.
+func (f *Front) withRemembered(nodes []discovery.Node) []discovery.Node {
+	cutOff := slices.ContainsFunc(nodes, func(n discovery.Node) bool { return n.Zone == f.self.Zone && n.Unable })
+	if !cutOff {
+		f.remembered = nodes
+		return nodes
+	}
+	there := make(map[string]struct{}, len(nodes))
+	for _, n := range nodes {
+		there[n.ID] = struct{}{}
+	}
+	all := slices.Clone(nodes)
+	for _, n := range f.remembered {
+		if _, seen := there[n.ID]; !seen && n.Zone != f.self.Zone {
+			n.Suspect = true
+			all = append(all, n)
+		}
+	}
+	slices.SortFunc(all, func(a, b discovery.Node) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
 // placeAmong is this node's place among the nodes of its role, by ID.
 func (f *Front) placeAmong(nodes, serving []discovery.Node, serves bool) int {
 	place := 0
--- a/front/settings.go
+++ b/front/settings.go
@@ -12,9 +12,10 @@
 	Capacity float64
 	// FirstStart says that no earlier incarnation of any node has run.
 	FirstStart bool
-	// Callers, Readiness and Directory are the addresses that are listened on;
-	// Metrics may be empty. Peer is that for other nodes; empty is none.
-	Callers, Readiness, Directory, Metrics, Peer string
+	// Callers and Readiness are the addresses that are listened on. Directory is that for
+	// callers that ask where to connect, and Resolver that for a directory beside the
+	// node; those and Metrics may be empty. Peer is that for other nodes; empty is none.
+	Callers, Readiness, Directory, Resolver, Metrics, Peer string
 	// Gossip is the address for the datagrams by which nodes watch each other.
 	Gossip string
 	// Seeds are addresses of other nodes as Peer is, and GossipSeeds as Gossip is; they
--- a/gateway/connections.go
+++ b/gateway/connections.go
@@ -78,7 +78,7 @@
 // reach opens a connection to a server that could not be reached.
 func (g *Gateway) reach(server discovery.Server) {
 	for g.lists(server.ID) && clock.Sleep(g.background, reachPause) == nil {
-		if g.client.Warm(g.background, server) == nil {
+		if g.client.Open(g.background, server) == nil {
 			g.step(routing.Reached{Server: server.ID})
 			return
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,9 @@
 	Logger        zerolog.Logger
 	// Registry takes the gateway's metrics; nil is none.
 	Registry prometheus.Registerer
+	// AbilityChanged is told when the node becomes unable to reach enough servers for its
+	// routes, and when it is able again; it must not call the gateway. Nil is nobody.
+	AbilityChanged func(able bool)
 	// BeliefAge tells how old what is believed of the servers is; nil is unknown.
 	BeliefAge func() time.Duration
 	// CallerMargin is the part of a caller's deadline that is kept for the way
@@ -145,6 +148,16 @@
 // Table is the table in force; nil until there is one.
 func (g *Gateway) Table() *route.Table { return g.table.Load() }
 
+// Homes lists the regions in which all requests for a host may be served; none is
+// everywhere.
+func (g *Gateway) Homes(host string) []string {
+	table := g.table.Load()
+	if table == nil {
+		return nil
+	}
+	return table.Homes(host)
+}
+
 // SetTable puts a table in force. One that is older than the table in force
 // changes nothing; it reports whether the table is now in force.
 func (g *Gateway) SetTable(table *route.Table) bool {
@@ -258,12 +271,21 @@
 			g.run(func() { g.reach(action.Server) })
 		case routing.Finish:
 			g.finish(action)
+		case routing.AbilityChanged:
+			g.tellAbility(action.Able)
 		case routing.Wake:
 			g.setWake(action.At - now)
 		}
 	}
 }
 
+func (g *Gateway) tellAbility(able bool) {
+	g.options.Logger.Warn().Bool("able", able).Msg("ability to reach enough servers changed")
+	if g.options.AbilityChanged != nil {
+		g.options.AbilityChanged(able)
+	}
+}
+
 func (g *Gateway) setWake(after time.Duration) {
 	after = max(after, 0)
 	if g.wake == nil {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -64,6 +64,9 @@
 	defer g.held.Add(-int64(len(outgoing.Body)))
 	asked := &pendingRequest{outgoing: outgoing, route: matched, header: seen, arrived: arrived, done: make(chan routing.Outcome, 1)}
 	outcome := g.carryOut(incoming, asked)
+	if outcome.Elsewhere {
+		writer.Header().Set("Connection", "close")
+	}
 	g.answer(writer, asked, outcome)
 	g.logRequest(asked, table, outcome)
 }
--- a/gossip/agent.go
+++ b/gossip/agent.go
@@ -131,9 +131,16 @@
 }
 
 // SetBusy tells the others whether they should help the node.
-func (a *Agent) SetBusy(busy bool) {
+func (a *Agent) SetBusy(busy bool) { a.setDetails(func(self *discovery.Node) { self.Busy = busy }) }
+
+// SetUnable tells the others whether the node can't reach enough servers to serve callers.
+func (a *Agent) SetUnable(unable bool) {
+	a.setDetails(func(self *discovery.Node) { self.Unable = unable })
+}
+
+func (a *Agent) setDetails(set func(self *discovery.Node)) {
 	a.change(func() []packet {
-		a.self.Busy = busy
+		set(&a.self)
 		details, err := detailsOf(a.self)
 		if err != nil {
 			a.options.Logger.Error().Err(err).Msg("own entry stays as it is")
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -35,6 +35,7 @@
 		Peer:     portOf(node.Peer),
 		Capacity: uint32(math.Round(max(node.Capacity, 0) * millicores)),
 		Busy:     node.Busy,
+		Unable:   node.Unable,
 	})
 	if err != nil {
 		return "", fmt.Errorf("gossip: encoding the details of node %q: %w", node.ID, err)
@@ -64,6 +65,7 @@
 		Zone:     member.Zone,
 		Capacity: float64(details.GetCapacity()) / millicores,
 		Busy:     details.GetBusy(),
+		Unable:   details.GetUnable(),
 		Leaving:  member.State == membership.Leaving,
 		Suspect:  member.State == membership.Suspect,
 	}, true
--- a/mechanism/mechanism.go
+++ b/mechanism/mechanism.go
@@ -27,6 +27,8 @@
 	Probes
 	// Unreachable: servers to which no connection opens are set aside (routing).
 	Unreachable
+	// DarkZones: a zone from which nothing comes is set aside whole (routing).
+	DarkZones
 	// Load: what servers tell of their load counts (routing).
 	Load
 	// Nearness: servers that are near are preferred (routing).
@@ -51,7 +53,7 @@
 )
 
 var names = [count]string{
-	"hedges", "hedges-in-time", "slowness", "overdue", "probes", "unreachable", "load", "nearness",
+	"hedges", "hedges-in-time", "slowness", "overdue", "probes", "unreachable", "dark-zones", "load", "nearness",
 	"early-refusal", "fair-refusal", "last-tries", "fresh-connections", "table-wait", "capable", "readers", "doubt",
 }
 
--- a/route/table.go
+++ b/route/table.go
@@ -174,6 +174,22 @@
 	return nil
 }
 
+// Homes lists the regions in which every route of a host that has homes may be served;
+// none where no route has any, or no region suits all.
+func (t *Table) Homes(host string) []string {
+	var common []string
+	for _, r := range t.byHost[hostName(host)] {
+		switch {
+		case len(r.Homes) == 0:
+		case common == nil:
+			common = r.Homes
+		default:
+			common = slices.DeleteFunc(slices.Clone(common), func(home string) bool { return !slices.Contains(r.Homes, home) })
+		}
+	}
+	return common
+}
+
 // hostName is the host without its port, in lower case.
 func hostName(host string) string {
 	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
--- a/routing/admit.go
+++ b/routing/admit.go
@@ -78,12 +78,17 @@
 	if !q.asked.Route.Target.FanOut() {
 		return 1
 	}
-	for parts := 1; parts < len(q.names); parts++ {
-		if float64(parts)/float64(len(q.names)) >= q.asked.Route.Target.MinimumCoverage {
+	return leastParts(len(q.names), q.asked.Route.Target.MinimumCoverage)
+}
+
+// leastParts is the number of parts that make an answer of so many shards.
+func leastParts(shards int, minimum float64) int {
+	for parts := 1; parts < shards; parts++ {
+		if float64(parts)/float64(shards) >= minimum {
 			return parts
 		}
 	}
-	return len(q.names)
+	return shards
 }
 
 // expectedWait is how long a part of the given priority would wait for room.
--- a/routing/event.go
+++ b/routing/event.go
@@ -139,6 +139,10 @@
 // to report Reached once there is one. It ends when the server is gone.
 type Reach struct{ Server discovery.Server }
 
+// AbilityChanged tells whether this node can reach enough servers for every route that
+// fans out; it can until it says otherwise. While it can't, other nodes should serve.
+type AbilityChanged struct{ Able bool }
+
 // Finish gives the request's one final answer.
 type Finish struct {
 	Request RequestID
@@ -151,8 +155,10 @@
 func (Send) action()   {}
 func (Cancel) action() {}
 func (Reach) action()  {}
-func (Finish) action() {}
-func (Wake) action()   {}
+
+func (AbilityChanged) action() {}
+func (Finish) action()         {}
+func (Wake) action()           {}
 
 // Outcome is the final answer to a request.
 type Outcome struct {
@@ -167,6 +173,9 @@
 	Failure any
 	// RetryAfter is when to come back; it is set on every refusal.
 	RetryAfter time.Duration
+	// Elsewhere says that other nodes can serve what this one can't: the caller should
+	// connect to another one.
+	Elsewhere bool
 	// Sends, Hedges and Retries count what was sent.
 	Sends, Hedges, Retries int
 	// Unaffordable counts the hedges for which there was no budget, Roomless the
--- a/routing/options.go
+++ b/routing/options.go
@@ -28,6 +28,9 @@
 	// CrowdedRetryAfter is told to callers that are refused because servers are
 	// crowded, which lasts; default 1.5 s.
 	CrowdedRetryAfter time.Duration
+	// ElsewhereRetryAfter is told to callers that another node can serve at once; default
+	// 10 ms.
+	ElsewhereRetryAfter time.Duration
 	// MaximumRunning bounds the requests that run at once; default 512.
 	MaximumRunning int
 	// HedgeQuantile is the quantile of a route's latencies after which a second
@@ -49,6 +52,7 @@
 const (
 	DefaultRetryAfter       = 250 * time.Millisecond
 	DefaultCrowdedRetry     = 1500 * time.Millisecond
+	DefaultElsewhereRetry   = 10 * time.Millisecond
 	DefaultMaximumRunning   = 512
 	DefaultHedgeQuantile    = 0.9
 	DefaultHedgeShareOfAim  = 0.3
@@ -61,6 +65,7 @@
 	o.Budget.Window = cmp.Or(o.Budget.Window, DefaultBudgetWindow)
 	o.RetryAfter = cmp.Or(o.RetryAfter, DefaultRetryAfter)
 	o.CrowdedRetryAfter = cmp.Or(o.CrowdedRetryAfter, DefaultCrowdedRetry)
+	o.ElsewhereRetryAfter = cmp.Or(o.ElsewhereRetryAfter, DefaultElsewhereRetry)
 	o.MaximumRunning = cmp.Or(o.MaximumRunning, DefaultMaximumRunning)
 	o.HedgeQuantile = cmp.Or(o.HedgeQuantile, DefaultHedgeQuantile)
 	o.HedgeShareOfAim = cmp.Or(o.HedgeShareOfAim, DefaultHedgeShareOfAim)
--- a/routing/request.go
+++ b/routing/request.go
@@ -189,6 +189,7 @@
 		Believed:  believed,
 	}
 	r.countCold(s)
+	r.askedIn(s.way, s)
 	s.inFlight = append(s.inFlight, sent)
 	r.attempts[a.ID] = sent
 	r.emit(action)
--- a/routing/router.go
+++ b/routing/router.go
@@ -31,6 +31,13 @@
 	latencies map[string]*latencies
 	// evacuated are the zones to which nothing may be sent.
 	evacuated map[string]struct{}
+	zones     map[string]*zone
+	// heardAt is when a server answered last.
+	heardAt time.Duration
+	// fanOuts are routes that stand for all that fan out, and unable says that one of them
+	// can't be served from here.
+	fanOuts []*route.Route
+	unable  bool
 	// starts is what is to be expected of servers that have just started.
 	starts startSlowness
 
@@ -47,17 +54,22 @@
 	stopping bool
 }
 
-// timer is when a request must be looked at, or what waits in a service.
+// timer is when a request must be looked at, what waits in a service, or a zone from
+// which nothing has come.
 type timer struct {
 	at      time.Duration
 	request *request
 	service *service
+	zone    *zone
 }
 
 // counts reports whether the timer was not replaced by another one.
 func (t timer) counts() bool {
-	if t.service != nil {
+	switch {
+	case t.service != nil:
 		return t.at == t.service.pumpAt
+	case t.zone != nil:
+		return t.at == t.zone.since+darkAfter && len(t.zone.unanswered) > 0
 	}
 	return !t.request.finished && t.at == t.request.timerAt
 }
@@ -76,6 +88,7 @@
 		services:  make(map[string]*service),
 		servers:   make(map[string]*server),
 		latencies: make(map[string]*latencies),
+		zones:     make(map[string]*zone),
 		running:   make(map[RequestID]*request),
 		attempts:  make(map[gather.AttemptID]*attempt),
 		timers:    priority.NewQueue(func(a, b timer) bool { return a.at < b.at }, nil),
@@ -137,7 +150,7 @@
 func (r *Router) arrive(asked Request) {
 	q := r.newRequest(asked)
 	if reason := r.refusal(q); reason != "" {
-		r.refuse(asked.ID, reason, r.options.CrowdedRetryAfter)
+		r.refuse(asked.ID, reason)
 		return
 	}
 	r.running[asked.ID] = q
@@ -145,11 +158,17 @@
 }
 
 // refuse gives the final answer to a request of which nothing was sent.
-func (r *Router) refuse(id RequestID, reason gather.Reason, retryAfter time.Duration) {
+func (r *Router) refuse(id RequestID, reason gather.Reason) {
+	elsewhere := reason == gather.ReasonNoServer && r.unable
+	retryAfter := r.options.CrowdedRetryAfter
+	if elsewhere {
+		retryAfter = r.options.ElsewhereRetryAfter
+	}
 	r.emit(Finish{Request: id, Outcome: Outcome{
 		Execution:  gather.ExecutionNotRun,
 		Reason:     reason,
 		RetryAfter: retryAfter,
+		Elsewhere:  elsewhere,
 	}})
 }
 
@@ -187,6 +206,7 @@
 		return
 	}
 	q := r.requestOf(a)
+	r.heard(a.server.way)
 	q.ended(a, StatusName(event.Status))
 	if event.LoadKnown && r.on(mechanism.Load) {
 		a.server.takeLoad(r.now, event.Load)
@@ -273,6 +293,7 @@
 	}
 	s.unreachable = true
 	r.emit(Reach{Server: s.Server})
+	r.lookAtAbility()
 }
 
 // reached takes a server back, as one that is tried with care.
@@ -281,7 +302,9 @@
 		return
 	}
 	s.unreachable = false
+	r.heard(s.way)
 	r.pump(r.serviceNamed(s.Service))
+	r.lookAtAbility()
 }
 
 func (r *Router) requestOf(a *attempt) *request {
@@ -304,6 +327,7 @@
 		known.takeWarmup(r.now, l, before[l.ID] != nil)
 		known.Server = l
 		known.evacuated = r.isEvacuated(l.Zone)
+		known.way = r.zoneNamed(l.Zone)
 		r.servers[l.ID] = known
 		s := r.serviceNamed(l.Service)
 		s.servers = append(s.servers, known)
@@ -311,9 +335,9 @@
 	for id, known := range before {
 		known.gone = r.servers[id] == nil
 	}
-	for _, s := range r.services {
-		r.pump(s)
-	}
+	r.followDarkZones()
+	r.pumpAll()
+	r.lookAtAbility()
 }
 
 // tableChanged takes the bounds of the services.
@@ -322,6 +346,8 @@
 		s := r.serviceNamed(name)
 		s.connections, s.coldRate = settings.Connections, settings.ColdRate
 	}
+	r.fanOuts = fanOutsOf(table)
+	r.lookAtAbility()
 }
 
 // settingsChanged takes bounds that were set anew. The window of budgets stays:
@@ -401,14 +427,17 @@
 		if !due.counts() {
 			continue
 		}
-		if due.service != nil {
+		switch {
+		case due.service != nil:
 			due.service.pumpAt = 0
 			r.pump(due.service)
-			continue
+		case due.zone != nil:
+			r.lookAtZone(due.zone, due.at)
+		default:
+			due.request.timerAt = 0
+			due.request.query.Tick(r.now)
+			r.schedule(due.request)
 		}
-		due.request.timerAt = 0
-		due.request.query.Tick(r.now)
-		r.schedule(due.request)
 	}
 }
 
--- a/routing/server.go
+++ b/routing/server.go
@@ -45,6 +45,8 @@
 	unreachable bool
 	// evacuated says that nothing may be sent to its zone.
 	evacuated bool
+	// way is its zone, as far as this node can reach that.
+	way *zone
 	// coldUntil is until when it bears little, and coldSends counts what it got until then.
 	coldUntil time.Duration
 	coldSends extrabudget.Counter
@@ -79,9 +81,10 @@
 func (s *server) ServerID() string { return s.ID }
 
 // usable reports whether the server takes new work.
-func (s *server) usable() bool {
-	return !s.gone && !s.unreachable && !s.evacuated && s.State == discovery.Ready
-}
+func (s *server) usable() bool { return s.offered() && !s.unreachable && !s.way.dark }
+
+// offered reports whether it takes new work of nodes that can reach it.
+func (s *server) offered() bool { return !s.gone && !s.evacuated && s.State == discovery.Ready }
 
 // learned is the slowness that its answers make to be expected now, or that of other
 // servers at their start while it has not answered yet.
--- a/routing/world_test.go
+++ b/routing/world_test.go
@@ -21,6 +21,7 @@
 	order    []routing.Send
 	finished map[routing.RequestID]routing.Outcome
 	reached  []discovery.Server
+	unable   bool
 	wakeAt   time.Duration
 	last     routing.RequestID
 }
@@ -55,6 +56,11 @@
 			w.finished[action.Request] = action.Outcome
 		case routing.Reach:
 			w.reached = append(w.reached, action.Server)
+		case routing.AbilityChanged:
+			if action.Able != w.unable {
+				w.t.Errorf("told twice that able is %v", action.Able)
+			}
+			w.unable = !action.Able
 		case routing.Wake:
 			w.wakeAt = action.At
 		}
@@ -87,12 +93,24 @@
 
 func (w *world) setServers(all []discovery.Server) { w.step(routing.ServersChanged{Servers: all}) }
 
-// table puts a bound of connections in force for all services.
+// setTable puts a bound of connections in force for all services.
 func (w *world) setTable(connections int, services ...string) {
+	w.putTable(connections, services)
+}
+
+// setRoutes puts a table in force that holds a route over shards.
+func (w *world) setRoutes(r *route.Route) {
+	named := *r
+	named.Host, named.PathPrefix = "host", "/"
+	w.putTable(60, r.Target.Shards, named)
+}
+
+func (w *world) putTable(connections int, services []string, routes ...route.Route) {
 	definition := route.Definition{Version: 1, Limits: route.Limits{HeaderBytes: 1, HeaderTimeout: 1, IdleTimeout: 1}}
 	for _, name := range services {
 		definition.Services = append(definition.Services, route.Service{Name: name, Connections: connections})
 	}
+	definition.Routes = routes
 	table, err := route.New(definition)
 	if err != nil {
 		w.t.Fatal(err)
--- a/routing/zones.go
+++ b/routing/zones.go
@@ -1,9 +1,6 @@
 package routing
 
-import (
-	"maps"
-	"slices"
-)
+import "slices"
 
 // zonesChanged takes the zones to whose servers nothing more may be sent. What runs there
 // ends; what waits is looked at again.
@@ -15,9 +12,8 @@
 	for _, s := range r.servers {
 		s.evacuated = r.isEvacuated(s.Zone)
 	}
-	for _, name := range slices.Sorted(maps.Keys(r.services)) {
-		r.pump(r.services[name])
-	}
+	r.pumpAll()
+	r.lookAtAbility()
 }
 
 func (r *Router) isEvacuated(zone string) bool {
