--- a/routing/choose.go
+++ b/routing/choose.go
@@ -6,6 +6,7 @@
 
 	"github.com/banksail/banksail/gather"
 	"github.com/banksail/banksail/mechanism"
+	"github.com/banksail/banksail/serverstate"
 )
 
 const (
@@ -46,15 +47,15 @@
 			r.pumpLater(s, r.now+coldRetry())
 			continue
 		}
-		if candidate.shedUntil > r.now {
-			r.pumpLater(s, candidate.shedUntil)
+		if shedUntil := candidate.ShedUntil(); shedUntil > r.now {
+			r.pumpLater(s, shedUntil)
 			continue
 		}
-		if len(candidate.inFlight) >= room {
+		if candidate.InFlight() >= room {
 			continue
 		}
-		if kind == gather.FirstSend && r.on(mechanism.Probes) && candidate.mayProbe(r.now) && r.affordsProbe(s, q) {
-			candidate.probeAt = r.now + leastProbePause
+		if kind == gather.FirstSend && r.on(mechanism.Probes) && candidate.MayProbe(r.now) && r.affordsProbe(s, q) {
+			candidate.Probed(r.now)
 			return candidate, gather.Placed
 		}
 		score := r.score(candidate, q)
@@ -121,19 +122,19 @@
 	if usual == 0 {
 		usual = fallbackUsual
 	}
-	expected := float64(usual) * r.slownessOf(s) * (1 + s.work(r.now))
+	expected := float64(usual) * r.slownessOf(s) * (1 + s.Work(r.now, s.Slots))
 	expected += float64(r.distance(s.Zone, q.asked.Route.Aim))
 	return expected * (1 + equalShare*r.random.Float64())
 }
 
 // slownessOf is the slowness that is expected of a server now.
 func (r *Router) slownessOf(s *server) float64 {
-	slowness := usualSlowness
+	slowness := serverstate.Usual
 	if r.on(mechanism.Slowness) {
-		slowness = s.learned(r.now, &r.starts)
+		slowness = s.Slowness(r.now, &r.starts)
 	}
 	if r.on(mechanism.Overdue) {
-		slowness = max(slowness, s.overdue(r.now))
+		slowness = max(slowness, s.Overdue(r.now))
 	}
 	return slowness
 }
--- a/routing/cold.go
+++ b/routing/cold.go
@@ -25,7 +25,7 @@
 // and the same entry is listed again and again: only one that says something else counts.
 func (s *server) takeWarmup(now time.Duration, listed discovery.Server, known bool) {
 	if !known || listed.ColdFor != s.ColdFor {
-		s.coldUntil = now + listed.ColdFor
+		s.SetCold(now + listed.ColdFor)
 	}
 }
 
@@ -33,7 +33,7 @@
 // it is cold, all nodes together must stay within what it bears, or it falls over, and
 // they don't know each other's spending.
 func (r *Router) bearsMore(s *service, one *server) bool {
-	if s.coldRate == 0 || r.now >= one.coldUntil {
+	if s.coldRate == 0 || !one.Cold(r.now) {
 		return true
 	}
 	if r.options.Fresh && r.now < r.startedAt+coldWindow {
@@ -46,7 +46,7 @@
 
 // countCold counts a send to a cold server.
 func (r *Router) countCold(one *server) {
-	if r.now < one.coldUntil {
+	if one.Cold(r.now) {
 		one.coldSends.Add(r.now, coldWindow, 1)
 	}
 }
--- a/routing/request.go
+++ b/routing/request.go
@@ -170,8 +170,9 @@
 	r := q.router
 	s := a.Server.(*server)
 	number := int(a.Range.Start)
-	believed := Belief{Slowness: r.slownessOf(s), InFlight: len(s.inFlight)}
-	sent := &attempt{Attempt: a, server: s, usual: q.latency.usual(), record: len(q.records)}
+	believed := Belief{Slowness: r.slownessOf(s), InFlight: s.InFlight()}
+	sent := &attempt{Attempt: a, server: s, record: len(q.records)}
+	s.Begin(&sent.flight, r.now, q.latency.usual())
 	q.records = append(q.records, AttemptRecord{
 		Service: s.Service, Server: s.ID, Kind: a.Kind, SentAt: r.now - q.began, Believed: believed,
 	})
@@ -190,7 +191,6 @@
 	}
 	r.countCold(s)
 	r.askedIn(s.way, s)
-	s.inFlight = append(s.inFlight, sent)
 	r.attempts[a.ID] = sent
 	r.emit(action)
 }
--- a/routing/router.go
+++ b/routing/router.go
@@ -14,6 +14,7 @@
 	"github.com/banksail/banksail/mechanism"
 	"github.com/banksail/banksail/retry"
 	"github.com/banksail/banksail/route"
+	"github.com/banksail/banksail/serverstate"
 )
 
 // Router carries the requests of one node. It is not safe for concurrent use:
@@ -39,7 +40,7 @@
 	fanOuts []*route.Route
 	unable  bool
 	// starts is what is to be expected of servers that have just started.
-	starts startSlowness
+	starts serverstate.Starts
 
 	running     map[RequestID]*request
 	attempts    map[gather.AttemptID]*attempt
@@ -195,7 +196,7 @@
 		return nil
 	}
 	delete(r.attempts, id)
-	a.server.remove(a)
+	a.server.End(&a.flight)
 	return a
 }
 
@@ -209,18 +210,18 @@
 	r.heard(a.server.way)
 	q.ended(a, StatusName(event.Status))
 	if event.LoadKnown && r.on(mechanism.Load) {
-		a.server.takeLoad(r.now, event.Load)
+		a.server.TakeLoad(r.now, event.Load.Running, event.Load.Waiting)
 	}
 	switch event.Status {
 	case gather.ReplyDone:
 		r.learnAnswer(q, a)
 	case gather.ReplyShed:
-		a.server.shedUntil = r.now + max(event.RetryAfter, leastShedPause)
+		a.server.Shed(r.now + max(event.RetryAfter, leastShedPause))
 	case gather.ReplyNotOwner, gather.ReplyDraining:
 		a.server.State = discovery.Draining
 	default:
 		q.failure = event.Body
-		a.server.learn(r.now, failedSlowness/2)
+		a.server.Learn(r.now, refusedSlowness)
 	}
 	q.query.Replied(r.now, a.Attempt, gather.Reply{
 		Status:   event.Status,
@@ -260,10 +261,10 @@
 		return
 	}
 	slowness := float64(latency) / float64(usual)
-	if r.now < a.server.coldUntil {
-		r.starts.take(slowness)
+	if a.server.Cold(r.now) {
+		r.starts.Take(slowness)
 	}
-	a.server.learn(r.now, slowness)
+	a.server.Learn(r.now, slowness)
 }
 
 // failed takes the end of an attempt without a reply.
@@ -277,8 +278,8 @@
 	if event.Delivery == gather.NotDelivered {
 		r.uncount(a, q)
 		r.unreached(a.server)
-	} else if a.Live() || a.server.overdue(r.now) > 0 || a.usual > 0 && float64(r.sinceSent(a)) > suspectSlowness*float64(a.usual) {
-		a.server.learn(r.now, failedSlowness)
+	} else if a.Live() || a.server.Overdue(r.now) > 0 || a.flight.Late(r.now) {
+		a.server.Learn(r.now, failedSlowness)
 	}
 	q.query.Failed(r.now, a.Attempt, event.Delivery, event.Reason)
 	r.schedule(q)
--- /dev/null
+++ b/serverstate/belief.go
@@ -0,0 +1,169 @@
+package serverstate
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// Usual is the slowness of a server that answers as quickly as is usual.
+	Usual = 1.0
+	// Most bounds what one answer says, so that a pause is soon forgotten; it stands for a
+	// failure, too.
+	Most = 12.0
+	// Suspect is the slowness above which a server is only probed.
+	Suspect = 2.5
+
+	// slownessWeight is the weight of a new answer beside a fresh average.
+	slownessWeight = 0.35
+	// slownessHalfLife is the time in which an average loses half its weight
+	// against the next answer.
+	slownessHalfLife = 400 * time.Millisecond
+	// slownessFade is the time in which a slowness that no answer confirms loses
+	// half of its distance from what is usual: a server that is avoided would
+	// otherwise never be seen to be well again.
+	slownessFade = time.Second
+	// leastProbePause and mostProbePause bound the time between two probes.
+	leastProbePause = 250 * time.Millisecond
+	mostProbePause  = 2 * time.Second
+	// loadHalfLife is the time in which a reported load loses half its weight.
+	loadHalfLife = 40 * time.Millisecond
+	// loadWeight is the weight of a reported load beside the node's own attempts.
+	loadWeight = 0.5
+)
+
+// Belief is what a node believes of one server; of the zero value nothing is known.
+type Belief struct {
+	// flights are the attempts that have not ended, also those that are not awaited.
+	flights []*Flight
+
+	// slowness is the average of its latencies against what is usual, as of learnedAt;
+	// zero is unknown.
+	slowness  float64
+	learnedAt time.Duration
+	// probeAt is when a server that is slow may be tried again; probePause
+	// doubles each time it is still slow.
+	probeAt    time.Duration
+	probePause time.Duration
+	shedUntil  time.Duration
+	coldUntil  time.Duration
+
+	load   float64
+	loadAt time.Duration
+}
+
+// Flight is an attempt in flight with what it is measured against.
+type Flight struct {
+	sentAt time.Duration
+	usual  time.Duration // latency that is usual for its kind; zero is unknown
+}
+
+// Late reports whether the attempt takes long enough to make its server suspect.
+func (f *Flight) Late(now time.Duration) bool {
+	return f.usual > 0 && float64(now-f.sentAt) > Suspect*float64(f.usual)
+}
+
+// Begin notes an attempt that was sent at now, in a flight that the caller keeps until End;
+// usual is the latency that is usual for its kind, zero when that is not known.
+func (b *Belief) Begin(flight *Flight, now, usual time.Duration) {
+	flight.sentAt, flight.usual = now, usual
+	b.flights = append(b.flights, flight)
+}
+
+// End notes that an attempt ended.
+func (b *Belief) End(flight *Flight) {
+	if i := slices.Index(b.flights, flight); i >= 0 {
+		b.flights = slices.Delete(b.flights, i, i+1)
+	}
+}
+
+// InFlight is the number of attempts that have not ended.
+func (b *Belief) InFlight() int { return len(b.flights) }
+
+// Slowness is what its answers make to be expected now, or those of other servers at their
+// start while it has not answered yet.
+func (b *Belief) Slowness(now time.Duration, starts *Starts) float64 {
+	switch {
+	case b.slowness > 0:
+		return Usual + (b.slowness-Usual)*math.Exp2(-float64(now-b.learnedAt)/float64(slownessFade))
+	case b.Cold(now):
+		return starts.Expected()
+	default:
+		return Usual
+	}
+}
+
+// Overdue is the greatest slowness that an attempt in flight already proves;
+// zero when none is late.
+func (b *Belief) Overdue(now time.Duration) float64 {
+	worst := 0.0
+	for _, flight := range b.flights {
+		if flight.usual > 0 {
+			worst = max(worst, float64(now-flight.sentAt)/float64(flight.usual))
+		}
+	}
+	if worst < Suspect {
+		return 0
+	}
+	return min(worst, Most)
+}
+
+// Learn takes the latency of an answer, as a multiple of what is usual.
+func (b *Belief) Learn(now time.Duration, slowness float64) {
+	slowness = min(max(slowness, 0), Most)
+	if b.slowness == 0 {
+		b.slowness = slowness
+	} else {
+		kept := (1 - slownessWeight) * math.Exp2(-float64(now-b.learnedAt)/float64(slownessHalfLife))
+		b.slowness = kept*b.slowness + (1-kept)*slowness
+	}
+	b.learnedAt = now
+	b.planProbe(now)
+}
+
+// planProbe sets when a slow server is tried again.
+func (b *Belief) planProbe(now time.Duration) {
+	if b.slowness < Suspect {
+		b.probePause = 0
+		return
+	}
+	b.probePause = min(max(2*b.probePause, leastProbePause), mostProbePause)
+	b.probeAt = now + b.probePause
+}
+
+// MayProbe reports whether a slow server should be tried again now.
+func (b *Belief) MayProbe(now time.Duration) bool {
+	return b.slowness >= Suspect && now >= b.probeAt && b.shedUntil <= now && len(b.flights) == 0
+}
+
+// Probed notes that a slow server is tried again: the next probe waits for its answer.
+func (b *Belief) Probed(now time.Duration) { b.probeAt = now + leastProbePause }
+
+// Shed notes that the server turned work away, and until when it is left alone.
+func (b *Belief) Shed(until time.Duration) { b.shedUntil = until }
+
+// ShedUntil is until when the server is left alone.
+func (b *Belief) ShedUntil() time.Duration { return b.shedUntil }
+
+// SetCold notes until when the server is slow from its start.
+func (b *Belief) SetCold(until time.Duration) { b.coldUntil = until }
+
+// Cold reports whether the server is slow from its start.
+func (b *Belief) Cold(now time.Duration) bool { return now < b.coldUntil }
+
+// TakeLoad takes the server's own account of its work: requests running and waiting, those
+// of this node among them.
+func (b *Belief) TakeLoad(now time.Duration, running, waiting int) {
+	b.load = float64(max(running+waiting-len(b.flights), 0))
+	b.loadAt = now
+}
+
+// Work is the part of its slots that is taken, as far as it is known.
+func (b *Belief) Work(now time.Duration, slots int) float64 {
+	work := float64(len(b.flights))
+	if b.load > 0 {
+		work += b.load * loadWeight * math.Exp2(-float64(now-b.loadAt)/float64(loadHalfLife))
+	}
+	return work / float64(max(slots, 1))
+}
