Zones: metrics of evacuations and cuts; where one other zone looks dead, both are named

Cause, found by reading: a node that can't reach the shards of the only other zone can't tell whether that zone is without power or its own way is cut, and named the dead nodes alone; nodes out of sight were remembered although others were seen. directory.Able decides for addresses and readiness: from a cut zone, the nodes of two other zones or more are named although they look dead; of a single one, both are. Nodes are remembered only while no other zone is seen at all.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -42,7 +42,7 @@
 		nodes = filter(nodes, caller.mayReach)
 	}
 	staying := prefer(nodes, func(n discovery.Node) bool { return !n.Leaving })
-	staying = prefer(staying, ableZones(staying))
+	staying = Able(staying)
 	staying = prefer(staying, func(n discovery.Node) bool { return !n.Suspect })
 	staying = nearServers(staying, presence)
 	near := filter(staying, func(n discovery.Node) bool { return n.Region == caller.Region })
@@ -79,6 +79,25 @@
 	return n.Region == c.Region || slices.Contains(c.Homes, n.Region)
 }
 
+// Able lists the nodes that can reach the servers, as far as that is known; all where none
+// can. From a zone that is cut off, the nodes of the others look dead, and they are the
+// able ones; but where only one other zone is left and looks dead, that may as well be
+// without power, and both are listed.
+func Able(nodes []discovery.Node) []discovery.Node {
+	able := filter(nodes, ableZones(nodes))
+	doubtful := make(map[string]struct{})
+	for _, n := range able {
+		if !n.Suspect {
+			return able
+		}
+		doubtful[n.Zone] = struct{}{}
+	}
+	if len(doubtful) < 2 {
+		return nodes
+	}
+	return able
+}
+
 // cutShare is the part of a zone's nodes from which on none of them is able to reach the
 // servers: those to which no callers come don't notice it.
 const cutShare = 0.5
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -41,6 +41,7 @@
 		"one unable node of many":           {[]discovery.Node{unable(a1), a2, a3, b1}, everywhere, directory.Caller{Zone: "a", Region: "r"}, []string{"a2", "a3", "b1"}},
 		"suspects rather than unable nodes": {[]discovery.Node{unable(a1), unable(a2), suspect(b1), suspect(c1)}, everywhere, directory.Caller{Zone: "a", Region: "r"}, []string{"b1", "c1"}},
 		"suspects are left out":             {[]discovery.Node{a1, suspect(a2), b1}, everywhere, directory.Caller{Zone: "a", Region: "r"}, []string{"a1", "b1"}},
+		"one other zone looks dead":         {[]discovery.Node{unable(a1), unable(a2), suspect(b1), suspect(b2)}, everywhere, directory.Caller{Zone: "a", Region: "r"}, []string{"a1", "a2"}},
 		"only unable nodes":                 {[]discovery.Node{unable(a1), unable(b1)}, everywhere, directory.Caller{Zone: "a", Region: "r"}, []string{"a1", "b1"}},
 		"homes elsewhere":                   {all, everywhere, directory.Caller{Zone: "z", Region: "other", Homes: []string{"r"}}, []string{"a1", "a2", "b1", "b2", "c1", "far"}},
 		"homes in the own region":           {all, everywhere, directory.Caller{Zone: "a", Region: "r", Homes: []string{"r"}}, []string{"a1", "a2", "b1", "b2", "c1"}},
--- a/front/addresses.go
+++ b/front/addresses.go
@@ -67,9 +67,13 @@
 		return false
 	}
 	serving := f.serving.Load()
-	return serving != nil && slices.ContainsFunc(*serving, func(n discovery.Node) bool {
-		return !n.Unable && !n.Leaving && !f.isSelf(n)
-	})
+	if serving == nil {
+		return false
+	}
+	self := f.self
+	self.Unable = true
+	others := slices.DeleteFunc(slices.Clone(*serving), func(n discovery.Node) bool { return n.Leaving || f.isSelf(n) })
+	return !slices.ContainsFunc(directory.Able(append(others, self)), f.isSelf)
 }
 
 // Resolve implements directory.Resolver. The node itself counts as live as long as it
--- a/front/listeners.go
+++ b/front/listeners.go
@@ -75,6 +75,17 @@
 	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "banksail_serving_nodes", Help: "Nodes to which callers are sent.",
 	}, func() float64 { return float64(f.servingCount()) }))
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "banksail_evacuated_zones", Help: "Zones to whose servers nothing more is sent, as the operator asked.",
+	}, func() float64 { return float64(f.gateway.EvacuatedZones()) }))
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "banksail_cut_off", Help: "1 while the node can't reach enough servers for some route.",
+	}, func() float64 {
+		if f.unable.Load() {
+			return 1
+		}
+		return 0
+	}))
 	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "banksail_busy", Help: "1 while the node asks others for help.",
 	}, func() float64 {
--- a/front/nodes.go
+++ b/front/nodes.go
@@ -82,12 +82,13 @@
 	f.gateway.SetNodes(role)
 }
 
-// withRemembered adds nodes of other zones that are not seen any more while this zone's
-// nodes can't reach enough servers: then the way there is cut, and they may well serve
-// callers, who may reach them.
+// withRemembered adds the nodes of other zones while none of them is seen any more and
+// this zone's nodes can't reach enough servers: then the way there is cut, and they may
+// well serve callers, who may reach them.
 func (f *Front) withRemembered(nodes []discovery.Node) []discovery.Node {
-	cutOff := slices.ContainsFunc(nodes, func(n discovery.Node) bool { return n.Zone == f.self.Zone && n.Unable })
-	if !cutOff {
+	unable := slices.ContainsFunc(nodes, func(n discovery.Node) bool { return n.Zone == f.self.Zone && n.Unable })
+	seen := slices.ContainsFunc(nodes, func(n discovery.Node) bool { return n.Zone != f.self.Zone && !n.Suspect })
+	if !unable || seen {
 		f.remembered = nodes
 		return nodes
 	}
@@ -97,7 +98,7 @@
 	}
 	all := slices.Clone(nodes)
 	for _, n := range f.remembered {
-		if _, seen := there[n.ID]; !seen && n.Zone != f.self.Zone {
+		if _, listed := there[n.ID]; !listed && n.Zone != f.self.Zone {
 			n.Suspect = true
 			all = append(all, n)
 		}
--- a/gateway/attempts.go
+++ b/gateway/attempts.go
@@ -24,6 +24,7 @@
 	g.wantedUntil[action.Server.ID] = g.now() + wantedFor
 	g.sends.Add(1)
 	g.counters.sent(action.Kind)
+	g.counters.inFlight.WithLabelValues(action.Server.Zone).Inc()
 	go g.carry(ctx, cancel, asked, action)
 }
 
@@ -42,6 +43,7 @@
 		running.straggler.Stop()
 	}
 	delete(g.attempts, action.Attempt)
+	g.counters.inFlight.WithLabelValues(action.Server.Zone).Dec()
 	g.stepLocked(event)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -205,6 +205,13 @@
 	return true
 }
 
+// EvacuatedZones is the number of zones to whose servers nothing more may be sent.
+func (g *Gateway) EvacuatedZones() int {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return len(g.evacuated)
+}
+
 // SetNodes tells of the nodes that are live. One to which no callers are sent
 // keeps no connections that rest.
 func (g *Gateway) SetNodes(nodes routing.NodesChanged) {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -24,6 +24,7 @@
 	ends     *prometheus.CounterVec
 	requests *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
+	inFlight *prometheus.GaugeVec
 }
 
 func newCounters(registry prometheus.Registerer) *counters {
@@ -40,9 +41,12 @@
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "banksail_gateway_request_seconds", Help: "Time to the final answer, by priority.", Buckets: latencyBuckets,
 		}, []string{"priority"}),
+		inFlight: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "banksail_gateway_attempts_in_flight", Help: "Attempts that have not ended, by their server's zone.",
+		}, []string{"zone"}),
 	}
 	if registry != nil {
-		registry.MustRegister(c.attempts, c.ends, c.requests, c.latency)
+		registry.MustRegister(c.attempts, c.ends, c.requests, c.latency, c.inFlight)
 		registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "banksail_gateway_rejected_total", Help: "Requests that were at fault or had no route.",
 		}, func() float64 { return float64(c.rejected.Load()) }))
--- a/routing/zones_test.go
+++ b/routing/zones_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/banksail/banksail/gather"
+	"github.com/banksail/banksail/route"
 	"github.com/banksail/banksail/routing"
 )
 
@@ -134,3 +135,27 @@
 		t.Errorf("without a server in its homes: %+v", got)
 	}
 }
+
+// What does not fit on one of several weighted services is not moved to another: shares
+// stay as the operator set them, also where one service has no server at all.
+func TestWeightedPartsAreNotMoved(t *testing.T) {
+	w := newWorld(t, routing.Options{})
+	w.setServers(servers(2, "large"))
+	w.setTable(40, "large", "small")
+	split := single("large", true)
+	split.Target.Shares = []route.Share{{Service: "large", Weight: 3}, {Service: "small", Weight: 1}}
+	refused := 0
+	for range 400 {
+		id := w.ask(split)
+		for _, send := range w.open(id) {
+			w.end(send.Attempt, gather.ReplyDone)
+		}
+		if got := w.finished[id]; got.Execution == gather.ExecutionNotRun {
+			refused++
+		}
+		w.pass(10 * time.Millisecond)
+	}
+	if refused < 95 || refused > 105 {
+		t.Errorf("%d of 400 requests are refused, want the quarter of the service without servers", refused)
+	}
+}
