A belief that is taken over keeps its age; outages as long as a lapse raise doubt

Traced by lines of a serving node: it had taken the belief of another one as 2.3 s old, while the store had been silent for 5 s. A node that started in the outage and took over a seed's belief set the time at which the registry was heard to its own start, as that lies after any time before it. So the belief looked young, was believed by others, and entries that had lapsed were dropped at the store's return without a doubt. The age of a belief is what all bounds rest on.

Two more, found on the way: doubt began at twice the pace, 6 s where the bounds are 5 s, while entries lapse after three beats (3.6 s), which the settings tell; and a node that was refused by the store doubted what others, who had heard the store all along, told it had gone: publications say now whether their publisher is certain.

--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -29,6 +29,10 @@
 	// one reading that failed. It is stretched so that all nodes together stay
 	// within ReadsPerSecond.
 	Pace time.Duration
+	// LapseTime is how long an owner may be silent until its entry lapses; zero is unknown.
+	// A registry that was not heard for so long may have been away for so long, and what
+	// went meanwhile is in doubt. Default: twice Pace, and never more.
+	LapseTime time.Duration
 	// ReadsPerSecond is what all nodes together may spend; default 1,000.
 	ReadsPerSecond float64
 	// Wait is how long the registry may hold a reading until something changes.
@@ -158,7 +162,7 @@
 	options.Wait = cmp.Or(options.Wait, DefaultWait)
 	options.StaleAfter = cmp.Or(options.StaleAfter, time.Duration(staleShare*float64(options.ReaderPace)))
 	options.NodeID = cmp.Or(options.NodeID, options.Self)
-	options.View.OutageAfter = cmp.Or(options.View.OutageAfter, 2*options.Pace)
+	options.View.OutageAfter = cmp.Or(options.View.OutageAfter, min(2*options.Pace, cmp.Or(options.LapseTime, 2*options.Pace)))
 	return &Follower{
 		options: options,
 		epoch:   time.Now(),
@@ -351,7 +355,20 @@
 // believed.
 func (f *Follower) take(now time.Duration, changes Changes) {
 	f.noteInvalid(changes.Invalid)
-	f.tell(func() { f.merge(now, changes) })
+	f.tell(func() {
+		f.hear(now, changes)
+		f.merge(now, changes)
+	})
+}
+
+// hear notes that the registry answered at now, to this node or to one that it asked. The
+// lock is held.
+func (f *Follower) hear(now time.Duration, changes Changes) {
+	if changes.Certain {
+		f.view.HeardAllAlong(now)
+		return
+	}
+	f.view.Heard(now)
 }
 
 // takeWhole does the same with all that there is: what is not named has gone. All of
@@ -359,7 +376,7 @@
 func (f *Follower) takeWhole(now time.Duration, all Changes) {
 	f.noteInvalid(all.Invalid)
 	f.tell(func() {
-		f.view.Heard(now)
+		f.hear(now, all)
 		f.view.RetainServers(now, listedIDs(all.Servers, all.Invalid), all.Revision)
 		f.view.RetainNodes(now, listedIDs(all.Nodes, all.Invalid), all.Revision)
 		f.view.RetainEvacuations(listedIDs(all.Evacuations, all.Invalid), all.Revision)
@@ -377,7 +394,6 @@
 
 // merge brings the view up to date. The lock is held.
 func (f *Follower) merge(now time.Duration, changes Changes) {
-	f.view.Heard(now)
 	for _, e := range changes.Servers {
 		if e.Gone {
 			f.view.RemoveServer(now, e.ID, e.Revision)
--- a/discovery/publication.go
+++ b/discovery/publication.go
@@ -40,6 +40,8 @@
 	Revision Revision `json:"revision"`
 	// Age is how old the belief was when it was published.
 	Age time.Duration `json:"age_ns"`
+	// Certain says that the publisher has heard the registry all along.
+	Certain bool `json:"certain,omitempty"`
 }
 
 // PublicationContent is what a publication tells. It is the same for all that
@@ -149,6 +151,7 @@
 	publication.Mark = Mark{Publisher: f.options.Self, Generation: f.history.latest}
 	publication.Revision = f.revision
 	publication.Age = age
+	publication.Certain = f.view.Certain(f.now())
 	return publication, true
 }
 
@@ -316,7 +319,7 @@
 
 // changes are what a publication tells, as of its revision.
 func (p Publication) changes() (Changes, error) {
-	changes := Changes{Revision: p.Revision}
+	changes := Changes{Revision: p.Revision, Certain: p.Certain}
 	if p.Table != nil {
 		table, err := route.New(*p.Table)
 		if err != nil {
--- a/discovery/relay_test.go
+++ b/discovery/relay_test.go
@@ -1,6 +1,7 @@
 package discovery_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -158,6 +159,35 @@
 	mutex     sync.Mutex
 	followers map[string]*discovery.Follower
 	silent    map[string]bool
+	// cutOff are nodes whose askings get no answer.
+	cutOff map[*discovery.Follower]bool
+}
+
+// cut keeps a node's askings from the others, or lets them through again.
+func (n *network) cut(id string, off bool) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.cutOff == nil {
+		n.cutOff = make(map[*discovery.Follower]bool)
+	}
+	n.cutOff[n.followers[id]] = off
+}
+
+// asker is a node's own way to the network.
+type asker struct {
+	*network
+	id string
+}
+
+func (a asker) Ask(ctx context.Context, address string, inquiry discovery.Inquiry) (discovery.Publication, error) {
+	a.mutex.Lock()
+	off := a.cutOff[a.followers[a.id]]
+	a.mutex.Unlock()
+	if off {
+		<-ctx.Done()
+		return discovery.Publication{}, ctx.Err()
+	}
+	return a.network.Ask(ctx, address, inquiry)
 }
 
 func (n *network) Ask(ctx context.Context, address string, inquiry discovery.Inquiry) (discovery.Publication, error) {
@@ -190,6 +220,8 @@
 	// seeds themselves.
 	seeds    []string
 	seedTime time.Duration
+	// pace and lapse are the followers' own; zero is 1.8 s, and unknown.
+	pace, lapse time.Duration
 }
 
 func startRelay(t *testing.T, count int) *relayWorld {
@@ -239,7 +271,8 @@
 	}
 	w.gates = append(w.gates, &gate{registry: w.registry})
 	follower := discovery.NewFollower(discovery.FollowerOptions{
-		Source: w.gates[number], Self: id, Publishers: w.network, Logger: zerolog.Nop(), Pace: 1800 * time.Millisecond,
+		Source: w.gates[number], Self: id, Publishers: asker{w.network, id}, Logger: zerolog.Nop(),
+		Pace: cmp.Or(w.pace, 1800*time.Millisecond), LapseTime: w.lapse,
 		Seeds: w.seeds, SeedTime: seedTime,
 		Changed: func(news discovery.News) {
 			w.mutex.Lock()
--- a/discovery/source.go
+++ b/discovery/source.go
@@ -36,6 +36,8 @@
 	Evacuations []Entry[Evacuation]
 	// Invalid lists the entries that could not be read; they count as kept.
 	Invalid []InvalidEntry
+	// Certain is false: a registry does not tell whether it was away.
+	Certain bool
 }
 
 // Changes is what changed up to a revision, in order.
@@ -47,6 +49,9 @@
 	// Evacuations are those that were asked for, or taken back.
 	Evacuations []Entry[Evacuation]
 	Invalid     []InvalidEntry
+	// Certain says that the registry was heard all along by whoever tells this: entries
+	// that went are gone, and have not only lapsed while it was away.
+	Certain bool
 }
 
 // Entry is a value with the revision that wrote it. Gone entries have only an ID.
--- a/discovery/view.go
+++ b/discovery/view.go
@@ -111,6 +111,8 @@
 	// kept for less, so that no entry is used for longer than the time to hear of
 	// the return and MissingFor.
 	doubtUntil time.Duration
+	// heardFirst is when the registry was heard for the first time.
+	heardFirst time.Duration
 }
 
 // NewView returns a View that knows nothing.
@@ -132,10 +134,26 @@
 	if v.heard && now-v.heardAt > v.options.OutageAfter && v.options.Off.On(mechanism.Doubt) {
 		v.doubtUntil = now + v.options.MissingFor
 	}
+	v.HeardAllAlong(now)
+}
+
+// HeardAllAlong notes the same of a node that heard the registry without a gap: it casts
+// no doubt on what it tells.
+func (v *View) HeardAllAlong(now time.Duration) {
+	if !v.heard {
+		v.heardFirst, v.heardAt = now, now // before this node's start, if another one heard it
+	}
 	v.heard = true
 	v.heardAt = max(v.heardAt, now)
 }
 
+// Certain reports whether the registry was heard without a gap for so long that nothing
+// that went is in doubt: neither after an outage nor after this node's own start, before
+// which it may have been away.
+func (v *View) Certain(now time.Duration) bool {
+	return v.heard && now >= v.doubtUntil && now-v.heardAt <= v.options.OutageAfter && now-v.heardFirst >= v.options.MissingFor
+}
+
 // Age is the time since the registry was last heard; ok is false when it never was.
 func (v *View) Age(now time.Duration) (age time.Duration, ok bool) {
 	return now - v.heardAt, v.heard
--- a/front/node.go
+++ b/front/node.go
@@ -215,6 +215,7 @@
 		View:           discovery.Options{Off: options.Off},
 		Changed:        f.changed,
 		Pace:           time.Duration(float64(leastBound(settings)) * readPace),
+		LapseTime:      settings.LapseTime,
 		ReadsPerSecond: settings.ReadsPerSecond * readShare,
 	})
 	entry := f.self
--- a/front/settings.go
+++ b/front/settings.go
@@ -12,6 +12,9 @@
 	Capacity float64
 	// FirstStart says that no earlier incarnation of any node has run.
 	FirstStart bool
+	// LapseTime is how long a server may be silent until its entry goes from the registry;
+	// zero is unknown.
+	LapseTime time.Duration
 	// Callers and Readiness are the addresses that are listened on. Directory is that for
 	// callers that ask where to connect, and Resolver that for a directory beside the
 	// node; those and Metrics may be empty. Peer is that for other nodes; empty is none.
