A send costs a fifth less: no contexts, one encoded head a request

Cause: the processor of a node is what a fan-out waits for on small machines (90 parts take some 80 ms of 0.12 core).

Ruled out: a parser of answers of our own (a well-kept library goes first).

Change: an attempt is cancelled through itself, its connection has the deadline, contexts are left to the opening of connections; the head is encoded once a request; a connection keeps its descriptor and the parser's request. What is promised stays as it was: exchange's tests and those of the adapter.

Before and after, one processor, mean of five: 30.7 and 24.6 µs a part, 7,042 and 4,075 allocations a query.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -82,35 +82,55 @@
 	return &Client{options: options, pools: make(map[string]*pool)}
 }
 
-// Do sends the attempt and reads its whole answer. The end of ctx closes the
-// connection, which tells the server to stop.
-func (c *Client) Do(ctx context.Context, attempt *Attempt) (*Reply, error) {
+// Do sends the attempt and reads its whole answer, until its time is over or it is
+// cancelled: then the connection is closed, which tells the server to stop. Neither takes
+// a context: with one for each, and the head of a request encoded for each, a fan-out over
+// 129 servers on loopback takes 7,042 allocations and 30.7 µs a part, and 4,075 and 24.6 µs
+// without (BenchmarkFanOut, one processor, mean of five).
+func (c *Client) Do(attempt *Attempt) (*Reply, error) {
 	deadline := time.Now().Add(attempt.Remaining)
-	ctx, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
-	conn, err := c.acquire(ctx, attempt.Server)
+	conn, err := c.acquire(attempt, deadline)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotDelivered, err)
 	}
-	stop := context.AfterFunc(ctx, conn.close)
+	if !attempt.carriedBy(conn) {
+		c.release(attempt.Server.ID, conn, true)
+		return nil, fmt.Errorf("%w: %w", ErrNotDelivered, errCancelled)
+	}
+	conn.bound(deadline)
 	reply, err := conn.exchange(attempt, c.encode(attempt, time.Until(deadline)), c.options)
-	sound := stop() && err == nil && conn.reusable
+	sound := attempt.carriedBy(nil) && err == nil && conn.reusable
+	if sound {
+		conn.bound(time.Time{})
+	}
 	c.release(attempt.Server.ID, conn, sound)
 	return reply, err
 }
 
 // acquire returns an idle connection that is sound, or a new one.
-func (c *Client) acquire(ctx context.Context, server discovery.Server) (*connection, error) {
+func (c *Client) acquire(attempt *Attempt, deadline time.Time) (*connection, error) {
 	for {
-		conn := c.takeIdle(server.ID)
+		conn := c.takeIdle(attempt.Server.ID)
 		if conn == nil {
-			return c.open(ctx, server)
+			return c.openFor(attempt, deadline)
 		}
 		if conn.quiet() {
 			return conn, nil
 		}
-		c.release(server.ID, conn, false)
+		c.release(attempt.Server.ID, conn, false)
+	}
+}
+
+// openFor opens a connection for an attempt, which takeIdle has counted.
+func (c *Client) openFor(attempt *Attempt, deadline time.Time) (*connection, error) {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	if !attempt.dialing(cancel) {
+		c.uncount(attempt.Server.ID)
+		return nil, errCancelled
 	}
+	defer attempt.dialing(nil)
+	return c.open(ctx, attempt.Server)
 }
 
 func (c *Client) poolOf(id string) *pool {
--- a/exchange/client_test.go
+++ b/exchange/client_test.go
@@ -67,7 +67,7 @@
 			told = request.Header.Get("Remaining")
 			write(conn, answerTo("one"))
 		}, &opened)})
-		if _, err := client.Do(t.Context(), attempt("one", time.Second)); err != nil {
+		if _, err := client.Do(attempt("one", time.Second)); err != nil {
 			t.Fatal(err)
 		}
 		if milliseconds, err := strconv.Atoi(told); err != nil || milliseconds != 800 {
@@ -86,7 +86,7 @@
 			write(conn, answerTo(request.Header.Get("Attempt")))
 		}, &opened)})
 		for number := range 5 {
-			reply, err := client.Do(t.Context(), attempt("try-"+strconv.Itoa(number), time.Second))
+			reply, err := client.Do(attempt("try-"+strconv.Itoa(number), time.Second))
 			if err != nil || string(reply.Body) != "body" {
 				t.Fatal(reply, err)
 			}
@@ -117,7 +117,7 @@
 					write(conn, test.answer)
 					_ = conn.Close()
 				}, &opened)})
-				if _, err := client.Do(t.Context(), attempt("one", time.Second)); !errors.Is(err, test.want) {
+				if _, err := client.Do(attempt("one", time.Second)); !errors.Is(err, test.want) {
 					t.Errorf("got %v, want %v", err, test.want)
 				}
 				if requests != 1 {
@@ -137,7 +137,7 @@
 			write(conn, answerTo("earlier")+answerTo(request.Header.Get("Attempt")))
 		}, &opened)})
 		for _, id := range []string{"one", "two"} {
-			reply, err := client.Do(t.Context(), attempt(id, time.Second))
+			reply, err := client.Do(attempt(id, time.Second))
 			if err != nil || reply.Header.Get("Attempt") != id {
 				t.Fatal(reply, err)
 			}
@@ -154,7 +154,7 @@
 		opened := 0
 		client := exchange.NewClient(exchange.Options{Headers: testHeaders, Dial: dialScript(0, func(*http.Request, net.Conn) {}, &opened)})
 		began := time.Now()
-		if _, err := client.Do(t.Context(), attempt("one", 300*time.Millisecond)); !errors.Is(err, exchange.ErrOutcomeUnknown) {
+		if _, err := client.Do(attempt("one", 300*time.Millisecond)); !errors.Is(err, exchange.ErrOutcomeUnknown) {
 			t.Errorf("got %v", err)
 		}
 		if took := time.Since(began); took != 300*time.Millisecond {
--- a/exchange/connection.go
+++ b/exchange/connection.go
@@ -49,13 +49,29 @@
 	// reusable says that the last answer left the connection clean.
 	reusable  bool
 	closeOnce sync.Once
+	// raw is the operating system's side of the connection; nil is none. peeked is what
+	// peek found there last.
+	raw    syscall.RawConn
+	peeked bool
+	peek   func(descriptor uintptr) bool
+	first  [1]byte // of what peek found
+	// asked tells the parser of answers the method that was asked with.
+	asked http.Request
 }
 
 func newConnection(conn net.Conn) *connection {
 	_ = usertimeout.Set(conn, silence) // without it, silence is left to the attempts' deadlines
-	return &connection{conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), keepFor: forever}
+	c := &connection{conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), keepFor: forever}
+	if described, ok := conn.(syscall.Conn); ok {
+		c.raw, _ = described.SyscallConn() // without it, what comes between answers is seen with the next one
+	}
+	c.peek = c.peekAt
+	return c
 }
 
+// bound ends reading and writing at a time; the zero time is none.
+func (c *connection) bound(deadline time.Time) { _ = c.conn.SetDeadline(deadline) } // a closed connection fails anyway
+
 func (c *connection) close() { c.closeOnce.Do(func() { _ = c.conn.Close() }) }
 
 // quiet reports whether nothing has come on an idle connection: neither an end
@@ -64,30 +80,26 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	tcp, ok := c.conn.(syscall.Conn)
-	if !ok {
+	if c.raw == nil {
 		return true
 	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return true // none of the operating system's
-	}
-	quiet := false
-	err = raw.Read(func(descriptor uintptr) bool {
-		var one [1]byte
-		_, _, peekErr := unix.Recvfrom(int(descriptor), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		quiet = peekErr == unix.EAGAIN
-		return true
-	})
-	return err == nil && quiet
+	c.peeked = false
+	return c.raw.Read(c.peek) == nil && c.peeked
+}
+
+// peekAt looks whether nothing has come, neither bytes nor an end.
+func (c *connection) peekAt(descriptor uintptr) bool {
+	_, _, err := unix.Recvfrom(int(descriptor), c.first[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	c.peeked = err == unix.EAGAIN
+	return true
 }
 
 // exchange writes the request and reads its answer.
 func (c *connection) exchange(a *Attempt, encoded []byte, options Options) (*Reply, error) {
 	c.reusable = false
-	written, wrote, err := c.write(encoded)
+	length, wrote, err := c.write(encoded)
 	if err != nil {
-		if written == 0 {
+		if length == 0 {
 			return nil, fmt.Errorf("%w: %w", ErrNotDelivered, err)
 		}
 		return nil, fmt.Errorf("%w: writing: %w", ErrOutcomeUnknown, err)
@@ -96,24 +108,32 @@
 	if err != nil {
 		return nil, err
 	}
+	c.reusable = keep && written(wrote) && c.reader.Buffered() == 0
+	return reply, nil
+}
+
+// written reports whether the whole request was written. Where the answer came before
+// that, the rest of the request would be taken for another one.
+func written(wrote <-chan error) bool {
+	if wrote == nil {
+		return true
+	}
 	select {
-	case writeErr := <-wrote:
-		c.reusable = keep && writeErr == nil && c.reader.Buffered() == 0
+	case err := <-wrote:
+		return err == nil
 	default:
-		// The answer came before the request was written: the rest of it would
-		// be taken for another request.
+		return false
 	}
-	return reply, nil
 }
 
-// write writes the request, a long one in the background. Its end is told on wrote.
-func (c *connection) write(encoded []byte) (written int, wrote <-chan error, err error) {
-	end := make(chan error, 1)
+// write writes the request, a long one in the background: its end is told on wrote, which
+// is nil for a short one.
+func (c *connection) write(encoded []byte) (length int, wrote <-chan error, err error) {
 	if len(encoded) <= inlineWrite {
-		written, err = c.conn.Write(encoded)
-		end <- err
-		return written, end, err
+		length, err = c.conn.Write(encoded)
+		return length, nil, err
 	}
+	end := make(chan error, 1)
 	go func() {
 		_, err := c.conn.Write(encoded)
 		end <- err
@@ -159,7 +179,8 @@
 // readHeader reads the header of the next final answer.
 func (c *connection) readHeader(method string) (*http.Response, error) {
 	for range maximumInterim {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		c.asked.Method = method
+		response, err := http.ReadResponse(c.reader, &c.asked)
 		switch {
 		case err != nil && isTransport(err):
 			return nil, fmt.Errorf("%w: reading the answer: %w", ErrOutcomeUnknown, err)
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -6,9 +6,8 @@
 	"net/textproto"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
-
-	"github.com/banksail/banksail/discovery"
 )
 
 // Headers names the headers that carry what a node and a server tell each other.
@@ -38,14 +37,29 @@
 	Body   []byte
 	// AttemptID is the caller's; empty when it gave none.
 	AttemptID string
+
+	// head is what all attempts have in common, encoded for the first of them.
+	head     []byte
+	headOnce sync.Once
 }
 
-// Attempt is one sending of a request to one server.
-type Attempt struct {
-	Request *Request
-	Server  discovery.Server
-	// Remaining is the time that is left for it when Do is called.
-	Remaining time.Duration
+// encodedHead is the request up to the headers that differ from attempt to attempt.
+func (r *Request) encodedHead() []byte {
+	r.headOnce.Do(func() {
+		buffer := bytes.NewBuffer(make([]byte, 0, encodedHeader))
+		buffer.WriteString(r.Method)
+		buffer.WriteByte(' ')
+		buffer.WriteString(r.Target)
+		buffer.WriteString(" HTTP/1.1\r\nHost: ")
+		buffer.WriteString(r.Host)
+		buffer.WriteString("\r\n")
+		_ = r.Header.Write(buffer) // a buffer takes everything
+		if len(r.Body) > 0 || hasBody(r.Method) {
+			writeHeader(buffer, "Content-Length", strconv.Itoa(len(r.Body)))
+		}
+		r.head = buffer.Bytes()
+	})
+	return r.head
 }
 
 // Reply is a server's whole answer.
@@ -79,27 +93,26 @@
 // encode writes the request for one server, which is told how much time remains
 // now: a connection may have taken some of it.
 func (c *Client) encode(a *Attempt, remaining time.Duration) []byte {
-	request := a.Request
-	buffer := bytes.NewBuffer(make([]byte, 0, encodedHeader+len(request.Body)))
-	buffer.WriteString(request.Method)
-	buffer.WriteByte(' ')
-	buffer.WriteString(request.Target)
-	buffer.WriteString(" HTTP/1.1\r\nHost: ")
-	buffer.WriteString(request.Host)
-	buffer.WriteString("\r\n")
-	_ = request.Header.Write(buffer) // a buffer takes everything
-	writeHeader(buffer, c.options.Headers.Remaining, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
-	writeHeader(buffer, c.options.Headers.ExpectedServer, a.Server.ID)
-	if len(request.Body) > 0 || hasBody(request.Method) {
-		writeHeader(buffer, "Content-Length", strconv.Itoa(len(request.Body)))
-	}
-	buffer.WriteString("\r\n")
-	buffer.Write(request.Body)
-	return buffer.Bytes()
+	head := a.Request.encodedHead()
+	encoded := make([]byte, 0, len(head)+len(a.Request.Body)+ownHeaders)
+	encoded = append(encoded, head...)
+	encoded = append(encoded, c.options.Headers.Remaining...)
+	encoded = append(encoded, ": "...)
+	encoded = strconv.AppendInt(encoded, max(remaining.Milliseconds(), 1), 10)
+	encoded = append(encoded, "\r\n"...)
+	encoded = append(encoded, c.options.Headers.ExpectedServer...)
+	encoded = append(encoded, ": "...)
+	encoded = append(encoded, a.Server.ID...)
+	encoded = append(encoded, "\r\n\r\n"...)
+	return append(encoded, a.Request.Body...)
 }
 
-// encodedHeader is the room for the header of most requests.
-const encodedHeader = 512
+const (
+	// encodedHeader is the room for the header of most requests.
+	encodedHeader = 512
+	// ownHeaders is the room for the headers that differ from attempt to attempt.
+	ownHeaders = 128
+)
 
 func hasBody(method string) bool {
 	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
--- a/gateway/attempts.go
+++ b/gateway/attempts.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"time"
 
@@ -13,29 +12,24 @@
 
 // runningAttempt is one that was not reported back.
 type runningAttempt struct {
-	cancel    context.CancelFunc
+	*exchange.Attempt
 	straggler *time.Timer // set once its request gave it up
 }
 
 func (g *Gateway) send(action routing.Send) {
 	asked := g.pending[action.Request]
-	ctx, cancel := context.WithCancel(context.Background())
-	g.attempts[action.Attempt] = &runningAttempt{cancel: cancel}
+	running := &runningAttempt{Attempt: &exchange.Attempt{Request: asked.outgoing, Server: action.Server, Remaining: action.Remaining}}
+	g.attempts[action.Attempt] = running
 	g.wantedUntil[action.Server.ID] = g.now() + wantedFor
 	g.sends.Add(1)
 	g.counters.sent(action.Kind)
 	g.counters.inFlight.WithLabelValues(action.Server.Zone).Inc()
-	go g.carry(ctx, cancel, asked, action)
+	go g.carry(running.Attempt, asked, action)
 }
 
 // carry sends one attempt and reports its end.
-func (g *Gateway) carry(ctx context.Context, cancel context.CancelFunc, asked *pendingRequest, action routing.Send) {
-	defer cancel()
-	reply, err := g.client.Do(ctx, &exchange.Attempt{
-		Request:   asked.outgoing,
-		Server:    action.Server,
-		Remaining: action.Remaining,
-	})
+func (g *Gateway) carry(attempt *exchange.Attempt, asked *pendingRequest, action routing.Send) {
+	reply, err := g.client.Do(attempt)
 	event := g.report(asked.route, action, reply, err)
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
@@ -54,7 +48,7 @@
 	if running == nil || running.straggler != nil {
 		return
 	}
-	running.straggler = time.AfterFunc(g.options.StragglerTime, running.cancel)
+	running.straggler = time.AfterFunc(g.options.StragglerTime, running.Cancel)
 }
 
 // report tells how an attempt ended.
--- a/gateway/reply.go
+++ b/gateway/reply.go
@@ -39,17 +39,14 @@
 // parseLoad reads a server's account of its work: running, waiting and slots. Fields
 // beyond those are passed over.
 func parseLoad(value string) (routing.Load, bool) {
-	fields := strings.Split(value, ",")
-	if len(fields) < loadFields {
-		return routing.Load{}, false
-	}
 	var numbers [loadFields]int
-	for i, field := range fields[:loadFields] {
+	for i := range numbers {
+		field, rest, more := strings.Cut(value, ",")
 		number, err := strconv.Atoi(strings.TrimSpace(field))
-		if err != nil || number < 0 {
+		if err != nil || number < 0 || !more && i < loadFields-1 {
 			return routing.Load{}, false
 		}
-		numbers[i] = number
+		numbers[i], value = number, rest
 	}
 	return routing.Load{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2]}, true
 }
