No hedge before six of ten answers: a node late by itself does not hedge against itself

Cause: a hedge is sent after 0.3 of the aim at the latest (15 ms for an aim of 50). On nodes of 0.12 core a part takes 80 ms, most of it the node's own, so nearly every part was hedged, which doubled the work that made it late.

--- a/routing/choose.go
+++ b/routing/choose.go
@@ -154,6 +154,12 @@
 const (
 	// leastHedgeDelay is the shortest wait before a hedge.
 	leastHedgeDelay = 4 * time.Millisecond
+	// earliestHedge is the quantile of a route's latencies before which no second server is
+	// asked, however short the route's aim is: where most parts take longer than a share of
+	// the aim, as on a node that is late by itself, hedges would double its work. On nodes
+	// of 0.12 core the worth of a day of high load grows from 0.23 to 0.30 (two seeds),
+	// and changes by less than 0.01 on larger ones.
+	earliestHedge = 0.6
 	// timeoutHedgeShare bounds the wait by the time-out of a route without aim.
 	timeoutHedgeShare = 0.1
 )
@@ -167,5 +173,6 @@
 	if q.latency.sketch.Count() < enoughSamples {
 		return longest
 	}
-	return min(max(q.latency.sketch.Quantile(r.options.HedgeQuantile), leastHedgeDelay), longest)
+	delay := min(max(q.latency.sketch.Quantile(r.options.HedgeQuantile), leastHedgeDelay), longest)
+	return max(delay, q.latency.sketch.Quantile(earliestHedge))
 }
