--- a/front/load.go
+++ b/front/load.go
@@ -3,9 +3,9 @@
 import "time"
 
 const (
-	// sendsPerCore is the number of attempts a second that take a whole core: on the
-	// users' bench, processor time over arrivals at servers is 80 to 125 µs, with all
-	// else that a node does.
+	// sendsPerCore is the number of attempts a second that take a whole core: processor
+	// time over arrivals at servers is 80 to 125 µs on simulated machines, with all else
+	// that a node does.
 	sendsPerCore = 10_000
 	// busyShare is the part of the capacity from which on a node is busy: what comes
 	// in bursts then waits for the processor. calmShare is where that ends.
