--- /dev/null
+++ b/discovery/intake.go
@@ -0,0 +1,85 @@
+package discovery
+
+import "time"
+
+// listedIDs names the entries and those that could not be read.
+func listedIDs[T any](entries []Entry[T], invalid []InvalidEntry) map[string]struct{} {
+	ids := make(map[string]struct{}, len(entries)+len(invalid))
+	for _, e := range entries {
+		ids[e.ID] = struct{}{}
+	}
+	for _, one := range invalid {
+		ids[one.Name] = struct{}{}
+	}
+	return ids
+}
+
+// take brings the view up to date with what was heard at now, and tells what is
+// believed.
+func (f *Follower) take(now time.Duration, changes Changes) {
+	f.noteInvalid(changes.Invalid)
+	f.tell(func() {
+		f.hear(now, changes)
+		f.merge(now, changes)
+	})
+}
+
+// hear notes that the registry answered at now, to this node or to one that it asked. The
+// lock is held.
+func (f *Follower) hear(now time.Duration, changes Changes) {
+	if changes.Certain {
+		f.view.HeardAllAlong(now)
+		return
+	}
+	f.view.Heard(now)
+}
+
+// takeWhole does the same with all that there is: what is not named has gone. All of
+// it changes at once, or others would be told the old contents with the new age.
+func (f *Follower) takeWhole(now time.Duration, all Changes) {
+	f.noteInvalid(all.Invalid)
+	f.tell(func() {
+		f.hear(now, all)
+		f.view.RetainServers(now, listedIDs(all.Servers, all.Invalid), all.Revision)
+		f.view.RetainNodes(now, listedIDs(all.Nodes, all.Invalid), all.Revision)
+		f.view.RetainEvacuations(listedIDs(all.Evacuations, all.Invalid), all.Revision)
+		f.merge(now, all)
+	})
+}
+
+// noteInvalid counts and logs the entries that could not be read.
+func (f *Follower) noteInvalid(entries []InvalidEntry) {
+	f.invalid.Add(uint64(len(entries)))
+	for _, invalid := range entries {
+		f.options.Logger.Error().Str("entry", invalid.Name).Err(invalid.Err).Msg("entry can't be read, the last good one stays")
+	}
+}
+
+// merge brings the view up to date. The lock is held.
+func (f *Follower) merge(now time.Duration, changes Changes) {
+	for _, e := range changes.Servers {
+		if e.Gone {
+			f.view.RemoveServer(now, e.ID, e.Revision)
+		} else {
+			f.view.PutServer(e.Value, e.Revision)
+		}
+	}
+	for _, e := range changes.Nodes {
+		if e.Gone {
+			f.view.RemoveNode(now, e.ID, e.Revision)
+		} else {
+			f.view.PutNode(e.Value, e.Revision)
+		}
+	}
+	for _, e := range changes.Evacuations {
+		if e.Gone {
+			f.view.RemoveEvacuation(e.ID, e.Revision)
+		} else {
+			f.view.PutEvacuation(e.Value, e.Revision)
+		}
+	}
+	f.revision = max(f.revision, changes.Revision)
+	if changes.Table != nil && (f.table == nil || changes.Table.Version > f.table.Version) {
+		f.table = changes.Table
+	}
+}
--- /dev/null
+++ b/routing/timers.go
@@ -0,0 +1,68 @@
+package routing
+
+import "time"
+
+// timer is when a request must be looked at, what waits in a service, or a zone from
+// which nothing has come.
+type timer struct {
+	at      time.Duration
+	request *request
+	service *service
+	zone    *zone
+}
+
+// counts reports whether the timer was not replaced by another one.
+func (t timer) counts() bool {
+	switch {
+	case t.service != nil:
+		return t.at == t.service.pumpAt
+	case t.zone != nil:
+		return t.at == t.zone.since+darkAfter && len(t.zone.unanswered) > 0
+	}
+	return !t.request.finished && t.at == t.request.timerAt
+}
+
+// schedule sets a request's timer.
+func (r *Router) schedule(q *request) {
+	if q.finished || q.query.NextAt() == q.timerAt {
+		return
+	}
+	q.timerAt = q.query.NextAt()
+	r.timers.Push(timer{at: q.timerAt, request: q})
+}
+
+// expire looks at the requests whose time has come.
+func (r *Router) expire() {
+	for r.timers.Len() > 0 && r.timers.First().at <= r.now {
+		due := r.timers.Pop()
+		if !due.counts() {
+			continue
+		}
+		switch {
+		case due.service != nil:
+			due.service.pumpAt = 0
+			r.pump(due.service)
+		case due.zone != nil:
+			r.lookAtZone(due.zone, due.at)
+		default:
+			due.request.timerAt = 0
+			due.request.query.Tick(r.now)
+			r.schedule(due.request)
+		}
+	}
+}
+
+// wake asks to be woken for the first timer that still counts.
+func (r *Router) wake() {
+	for r.timers.Len() > 0 {
+		if r.timers.First().counts() {
+			break
+		}
+		r.timers.Pop()
+	}
+	if r.timers.Len() == 0 || r.timers.First().at >= r.wakeAt {
+		return
+	}
+	r.wakeAt = r.timers.First().at
+	r.emit(Wake{At: r.wakeAt})
+}
