--- a/bench/variants.sh
+++ b/bench/variants.sh
@@ -1,9 +1,11 @@
 #!/usr/bin/env bash
 # Makes deployments of our own out of a site, and hunts on each: servers that take
 # few connections, shards of one server, a route whose requests must not be repeated,
-# machines in one zone, and machines of which few are large.
+# machines in one zone, machines of which few are large, a rate that cold servers bear,
+# and zones that are regions of their own.
 # Usage: FLEETBENCH=path bench/variants.sh SITE [DAYS]
-# The site stays as it is; JOBS sets how many days are played at a time.
+# The site stays as it is; JOBS sets how many days are played at a time, VARIANTS which
+# deployments are made.
 set -euo pipefail
 : "${FLEETBENCH:?must name the bench}"
 site=$1
@@ -25,7 +27,13 @@
 # The machines of the first line are large, all others small.
 variant few-large 's/(class = "front", cpu_share = )[0-9.]+/\10.15/; 0,/class = "front"/s/(cpu_share = )0\.15/\10.8/'
 
-for name in few-connections one-server unsafe one-zone few-large; do
+# Cold servers bear 3 requests a second, from all nodes together.
+variant cold-rate 's/cold_s = ([0-9.]+),/cold_s = \1, cold_per_s = 3.0,/'
+# The last two zones stand in regions of their own; routes then have homes.
+last_zones=$(sed -nE 's/.*\{ name = "([^"]+)", region.*/\1/p' "$site" | tail -2 | paste -sd' ')
+variant regions "s/(name = \"${last_zones% *}\", region = )\"[^\"]+\"/\1\"region-2\"/; s/(name = \"${last_zones#* }\", region = )\"[^\"]+\"/\1\"region-3\"/"
+
+for name in ${VARIANTS:-few-connections one-server unsafe one-zone few-large cold-rate regions}; do
   "$FLEETBENCH" hunt "$folder/$name.toml" --days "$days" --jobs "$jobs" --why "own deployment $name" >"$folder/$name.txt" 2>&1 || true
   printf '%-16s ' "$name"
   grep -E 'with a rule broken' "$folder/$name.txt" || tail -1 "$folder/$name.txt"
--- /dev/null
+++ b/front/node_test.go
@@ -0,0 +1,246 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/banksail/banksail/directory"
+	"github.com/banksail/banksail/discovery"
+	"github.com/banksail/banksail/lab/network"
+	"github.com/banksail/banksail/route"
+)
+
+// registry is a source and a registrar in memory, which knows one table once it is open.
+type registry struct {
+	mutex sync.Mutex
+	open  bool
+}
+
+func (r *registry) setOpen() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.open = true
+}
+
+func (r *registry) List(context.Context) (discovery.Listing, error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if !r.open {
+		return discovery.Listing{}, discovery.ErrUnavailable
+	}
+	table, err := route.New(route.Definition{Version: 1, Limits: route.Limits{HeaderBytes: 4096, HeaderTimeout: time.Second, IdleTimeout: 10 * time.Second}})
+	return discovery.Listing{Revision: 1, Table: table}, err
+}
+
+func (r *registry) Changes(ctx context.Context, after discovery.Revision, wait time.Duration) (discovery.Changes, error) {
+	select {
+	case <-ctx.Done():
+		return discovery.Changes{}, ctx.Err()
+	case <-time.After(wait):
+		return discovery.Changes{Revision: after}, nil
+	}
+}
+
+func (r *registry) Register(context.Context, discovery.Node, time.Duration) (discovery.Lease, error) {
+	return nil, errors.New("no leases here")
+}
+
+// testSettings are those of a node at an address in zone a.
+func testSettings(ip string) Settings {
+	return Settings{
+		Node: "node-" + ip, Zone: "a", Region: "r", Regions: map[string]string{"a": "r", "b": "r", "c": "r"}, FirstStart: true,
+		Callers: ip + ":1", Readiness: ip + ":2", Resolver: ip + ":3", Gossip: ip + ":4",
+		Grace: 6 * time.Second, DrainBound: 3 * time.Second, ApplyBound: 3 * time.Second,
+		BudgetRatio: 0.2, BudgetFixed: 50, BudgetWindow: 10 * time.Second, ReadsPerSecond: 1000, LongestTTL: 4 * time.Second,
+	}
+}
+
+// newFront is a node on a network of its own that has not started.
+func newFront(t *testing.T, source *registry, process *network.Process, settings Settings) *Front {
+	t.Helper()
+	options := Options{
+		Settings: settings, Incarnation: "1", Source: source, Registrar: source, Logger: zerolog.Nop(),
+		Readiness: func(node Node) http.Handler {
+			return http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+				if !node.Ready() {
+					writer.WriteHeader(http.StatusServiceUnavailable)
+				}
+			})
+		},
+		Directory: directory.Handler,
+	}
+	if process != nil {
+		options.Dial, options.ListenPacket = process.DialContext, process.ListenPacket
+		options.Listen = func(_, address string) (net.Listener, error) { return process.Listen(address) }
+	}
+	f, err := New(options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+// A node is ready from its first table on until it stops; it tells of itself as long as it
+// serves, and of the time for which that counts no more than it may.
+func TestReadinessOfANode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lab := network.New(network.Options{Seed: 1})
+		process, err := lab.Start("10.0.0.1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		source := new(registry)
+		f := newFront(t, source, process, testSettings("10.0.0.1"))
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- f.Run(ctx) }()
+		time.Sleep(2 * time.Second)
+		if f.Ready() {
+			t.Error("ready without a table")
+		}
+		source.setOpen()
+		time.Sleep(3 * time.Second)
+		if !f.Ready() {
+			t.Error("not ready with a table")
+		}
+		answer, err := f.Resolve(ctx, "h", directory.Caller{Zone: "a", Region: "r"}, 8)
+		if err != nil || !slices.Equal(answer.Addresses, []string{"10.0.0.1:1"}) || answer.TimeToLive != 4*time.Second {
+			t.Errorf("%v %v", answer, err)
+		}
+		client := &http.Client{Transport: &http.Transport{DialContext: process.DialContext, DisableKeepAlives: true}}
+		reply, err := client.Get("http://10.0.0.1:3/addresses?most=8&zone=a&region=r")
+		if err != nil || reply.StatusCode != http.StatusOK {
+			t.Errorf("the directory beside the node: %v %v", reply, err)
+		} else {
+			_ = reply.Body.Close()
+		}
+		stop()
+		synctest.Wait()
+		if f.Ready() {
+			t.Error("ready while it stops")
+		}
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+		lab.Close()
+	})
+}
+
+// An address that can't be listened on ends the start with an error that names it.
+func TestStartNamesTheAddress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lab := network.New(network.Options{Seed: 1})
+		process, err := lab.Start("10.0.0.1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		taken, err := process.Listen("10.0.0.1:2")
+		if err != nil {
+			t.Fatal(err)
+		}
+		f := newFront(t, new(registry), process, testSettings("10.0.0.1"))
+		if err := f.Run(t.Context()); err == nil || !strings.Contains(err.Error(), "10.0.0.1:2") {
+			t.Errorf("%v", err)
+		}
+		_ = taken.Close()
+		lab.Close()
+	})
+}
+
+func inZone(id, zone string) discovery.Node {
+	return discovery.Node{ID: id, Address: id, Zone: zone, Region: "r"}
+}
+
+// Nodes of other zones that are out of sight are remembered only while none of them is
+// seen and a node of this zone can't reach the servers.
+func TestNodesOutOfSight(t *testing.T) {
+	unable := func(n discovery.Node) discovery.Node { n.Unable = true; return n }
+	suspect := func(n discovery.Node) discovery.Node { n.Suspect = true; return n }
+	a1, a2, b, c := inZone("a1", "a"), inZone("a2", "a"), inZone("b", "b"), inZone("c", "c")
+	f := newFront(t, new(registry), nil, testSettings("10.0.0.1"))
+	names := func(nodes []discovery.Node) string {
+		var all []string
+		for _, n := range nodes {
+			name := n.ID
+			if n.Suspect {
+				name += "?"
+			}
+			all = append(all, name)
+		}
+		return strings.Join(all, " ")
+	}
+	for _, step := range []struct {
+		name string
+		seen []discovery.Node
+		want string
+	}{
+		{"all are seen", []discovery.Node{a1, a2, b, c}, "a1 a2 b c"},
+		{"others look dead", []discovery.Node{unable(a1), a2, suspect(b), suspect(c)}, "a1 a2 b? c?"},
+		{"others are gone", []discovery.Node{unable(a1), a2}, "a1 a2 b? c?"},
+		{"one is seen again", []discovery.Node{unable(a1), a2, b}, "a1 a2 b"},
+		{"the cut is over", []discovery.Node{a1, a2, b, c}, "a1 a2 b c"},
+		{"others are gone, the servers are reached", []discovery.Node{a1, a2}, "a1 a2"},
+	} {
+		if got := names(f.withRemembered(step.seen)); got != step.want {
+			t.Errorf("%s: %q, want %q", step.name, got, step.want)
+		}
+	}
+}
+
+// A node that can't reach the servers is ready all the same unless others can serve.
+func TestReadinessWithoutServers(t *testing.T) {
+	unable := func(n discovery.Node) discovery.Node { n.Unable = true; return n }
+	suspect := func(n discovery.Node) discovery.Node { n.Suspect = true; return n }
+	b, c := inZone("b", "b"), inZone("c", "c")
+	for name, test := range map[string]struct {
+		others []discovery.Node
+		ready  bool
+	}{
+		"alone":                           {nil, true},
+		"another one can":                 {[]discovery.Node{b}, false},
+		"nobody can":                      {[]discovery.Node{unable(b), unable(c)}, true},
+		"one other zone looks dead":       {[]discovery.Node{suspect(b)}, true},
+		"two other zones look dead":       {[]discovery.Node{suspect(b), suspect(c)}, false},
+		"the other one leaves":            {[]discovery.Node{{ID: "b", Zone: "b", Leaving: true}}, true},
+		"one can, though another one not": {[]discovery.Node{unable(b), c}, false},
+	} {
+		f := newFront(t, new(registry), nil, testSettings("10.0.0.1"))
+		serving := append(slices.Clone(test.others), f.self)
+		f.serving.Store(&serving)
+		f.knows.Store(true)
+		if !f.Ready() {
+			t.Errorf("%s: not ready while the servers can be reached", name)
+		}
+		f.unable.Store(true)
+		if f.Ready() != test.ready {
+			t.Errorf("%s: ready is %v", name, f.Ready())
+		}
+	}
+}
+
+// All nodes of a role have different places, so that what they share divides.
+func TestPlacesAmongNodesDiffer(t *testing.T) {
+	nodes := []discovery.Node{inZone("n1", "a"), inZone("n2", "a"), inZone("n3", "b"), inZone("n4", "b")}
+	serving := []discovery.Node{nodes[1], nodes[3]}
+	places := make(map[bool][]int)
+	for _, n := range nodes {
+		settings := testSettings("10.0.0.1")
+		settings.Node = n.ID
+		f := newFront(t, new(registry), nil, settings)
+		serves := slices.ContainsFunc(serving, f.isSelf)
+		places[serves] = append(places[serves], f.placeAmong(nodes, serving, serves))
+	}
+	if !slices.Equal(places[true], []int{0, 1}) || !slices.Equal(places[false], []int{0, 1}) {
+		t.Errorf("places of those that serve %v, of the others %v", places[true], places[false])
+	}
+}
