Sight: a lost connection is told from silence, a server that ended from one that is there, and two requests of one content are known as such

The logs of the incident could not tell its hypotheses apart: a connection that broke was logged as no_answer, like an answer that never came; whether its server was there afterwards was not known; nothing told that two requests are the same. An attempt whose connection went before a byte of an answer now ends as connection_lost, or as server_ended where nobody listens at the server's address any more (one look after the loss, whose connection is kept); lines of such requests name their content and their caller. No decision has changed but that the report of a lost connection waits for that look, a round trip.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/banksail/banksail/discovery"
@@ -19,6 +20,9 @@
 	ErrNotDelivered = errors.New("exchange: not delivered")
 	// ErrOutcomeUnknown: the server may have run the request; no whole answer came.
 	ErrOutcomeUnknown = errors.New("exchange: outcome unknown")
+	// ErrConnectionLost: the server's end of the connection went before a byte of an answer
+	// came. It is wrapped beside ErrOutcomeUnknown.
+	ErrConnectionLost = errors.New("exchange: connection lost")
 	// ErrMalformed: bytes came that are no answer to the request. The server may
 	// have run it.
 	ErrMalformed = errors.New("exchange: malformed answer")
@@ -226,6 +230,19 @@
 	return nil
 }
 
+// endedTimeout bounds the look at a server after a lost connection. An address at which
+// nobody listens answers within a round trip, at most 40 ms between regions.
+const endedTimeout = 100 * time.Millisecond
+
+// HasEnded reports whether nobody listens at a server's address any more. A connection that
+// it opens is kept for the next attempt. A server that says nothing is not known to have ended.
+func (c *Client) HasEnded(server discovery.Server) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), endedTimeout)
+	defer cancel()
+	err := c.Open(ctx, server)
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+}
+
 // Retain closes the idle connections to servers that are not listed, and those
 // of the others that rested too long or were closed by the server. Of those that
 // rest beyond the surplus time it keeps so many to a server.
--- a/exchange/client_test.go
+++ b/exchange/client_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -165,3 +166,55 @@
 		}
 	})
 }
+
+// A connection that the server ends before a byte of an answer is told from one that is
+// silent, cut off in an answer, or closed by the node itself.
+func TestLostConnections(t *testing.T) {
+	cases := map[string]struct {
+		answer script
+		cancel bool
+		lost   bool
+	}{
+		"ended": {answer: func(_ *http.Request, conn net.Conn) { _ = conn.Close() }, lost: true},
+		"cut off in the answer": {answer: func(_ *http.Request, conn net.Conn) {
+			write(conn, "HTTP/1.1 200")
+			_ = conn.Close()
+		}},
+		"silent":    {answer: func(*http.Request, net.Conn) { time.Sleep(2 * time.Second) }},
+		"cancelled": {answer: func(*http.Request, net.Conn) { time.Sleep(2 * time.Second) }, cancel: true},
+	}
+	for name, one := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				opened := 0
+				client := exchange.NewClient(exchange.Options{Headers: testHeaders, Dial: dialScript(0, one.answer, &opened)})
+				sent := attempt("one", time.Second)
+				if one.cancel {
+					time.AfterFunc(100*time.Millisecond, sent.Cancel)
+				}
+				_, err := client.Do(sent)
+				if !errors.Is(err, exchange.ErrOutcomeUnknown) || errors.Is(err, exchange.ErrConnectionLost) != one.lost {
+					t.Errorf("%v, want a lost connection: %v", err, one.lost)
+				}
+				time.Sleep(3 * time.Second)
+			})
+		})
+	}
+}
+
+func TestHasEnded(t *testing.T) {
+	for refusal, ended := range map[error]bool{syscall.ECONNREFUSED: true, syscall.ECONNRESET: true, syscall.EHOSTUNREACH: false, nil: false} {
+		near, far := net.Pipe()
+		client := exchange.NewClient(exchange.Options{Headers: testHeaders, Dial: func(context.Context, string, string) (net.Conn, error) {
+			if refusal != nil {
+				return nil, &net.OpError{Op: "dial", Err: refusal}
+			}
+			return near, nil
+		}})
+		if got := client.HasEnded(discovery.Server{ID: "server-1"}); got != ended {
+			t.Errorf("%v: ended %v, want %v", refusal, got, ended)
+		}
+		client.Retain(nil, 0)
+		_, _ = near.Close(), far.Close()
+	}
+}
--- a/exchange/connection.go
+++ b/exchange/connection.go
@@ -178,6 +178,9 @@
 
 // readHeader reads the header of the next final answer.
 func (c *connection) readHeader(method string) (*http.Response, error) {
+	if _, err := c.reader.Peek(1); wentAway(err) {
+		return nil, fmt.Errorf("%w: %w: %w", ErrOutcomeUnknown, ErrConnectionLost, err)
+	}
 	for range maximumInterim {
 		c.asked.Method = method
 		response, err := http.ReadResponse(c.reader, &c.asked)
@@ -195,6 +198,11 @@
 	return nil, fmt.Errorf("%w: too many interim answers", ErrMalformed)
 }
 
+// wentAway reports whether the other side ended the connection, by itself or by a reset.
+func wentAway(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 func isTransport(err error) bool {
 	var network net.Error
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
--- a/gateway/attempts.go
+++ b/gateway/attempts.go
@@ -30,7 +30,8 @@
 // carry sends one attempt and reports its end.
 func (g *Gateway) carry(attempt *exchange.Attempt, asked *pendingRequest, action routing.Send) {
 	reply, err := g.client.Do(attempt)
-	event := g.report(asked.route, action, reply, err)
+	ended := errors.Is(err, exchange.ErrConnectionLost) && g.client.HasEnded(action.Server)
+	event := g.report(asked.route, action, reply, err, ended)
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if running := g.attempts[action.Attempt]; running.straggler != nil {
@@ -51,9 +52,9 @@
 	running.straggler = time.AfterFunc(g.options.StragglerTime, running.Cancel)
 }
 
-// report tells how an attempt ended.
-func (g *Gateway) report(r *route.Route, action routing.Send, reply *exchange.Reply, err error) routing.Event {
-	event := g.eventOf(r, action, reply, err)
+// report tells how an attempt ended; ended says that its server did, too.
+func (g *Gateway) report(r *route.Route, action routing.Send, reply *exchange.Reply, err error, ended bool) routing.Event {
+	event := g.eventOf(r, action, reply, err, ended)
 	switch event := event.(type) {
 	case routing.Failed:
 		g.counters.ended(event.Reason)
@@ -63,13 +64,13 @@
 	return event
 }
 
-func (g *Gateway) eventOf(r *route.Route, action routing.Send, reply *exchange.Reply, err error) routing.Event {
+func (g *Gateway) eventOf(r *route.Route, action routing.Send, reply *exchange.Reply, err error, ended bool) routing.Event {
 	if err != nil {
 		delivery := gather.DeliveryUnknown
 		if errors.Is(err, exchange.ErrNotDelivered) {
 			delivery = gather.NotDelivered
 		}
-		return routing.Failed{Attempt: action.Attempt, Delivery: delivery, Reason: failureName(err)}
+		return routing.Failed{Attempt: action.Attempt, Delivery: delivery, Reason: failureName(err, ended)}
 	}
 	status, why := g.classify(r, reply)
 	if why != "" {
@@ -83,8 +84,16 @@
 	return event
 }
 
-func failureName(err error) string {
+// serverEnded is the end of an attempt whose server was not there any more when its
+// connection was lost.
+const serverEnded = "server_ended"
+
+func failureName(err error, ended bool) string {
 	switch {
+	case ended:
+		return serverEnded
+	case errors.Is(err, exchange.ErrConnectionLost):
+		return "connection_lost"
 	case errors.Is(err, exchange.ErrNotDelivered):
 		return "not_delivered"
 	case errors.Is(err, exchange.ErrMalformed):
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -111,6 +111,7 @@
 type pendingRequest struct {
 	id       routing.RequestID
 	outgoing *exchange.Request
+	caller   string // its address
 	route    *route.Route
 	header   header
 	way      way
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -8,7 +8,9 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
+	"github.com/banksail/banksail/exchange"
 	"github.com/banksail/banksail/gather"
+	"github.com/banksail/banksail/quarantine"
 	"github.com/banksail/banksail/route"
 	"github.com/banksail/banksail/routing"
 	"github.com/banksail/banksail/telemetry"
@@ -34,6 +36,9 @@
 	if line == nil {
 		return
 	}
+	if endedServers(outcome.Attempts) > 0 {
+		line.Stringer("content", contentOf(asked.outgoing)).Str("caller", asked.caller)
+	}
 	line.Str(telemetry.FieldRequestID, asked.outgoing.AttemptID).Str("route", asked.route.Name).
 		Str("result", string(result)).Str("reason", string(outcome.Reason)).
 		Uint64("version", table.Version).Dur("belief_age_ms", g.beliefAge()).
@@ -45,6 +50,20 @@
 		Msg("request answered")
 }
 
+func contentOf(request *exchange.Request) quarantine.Content {
+	return quarantine.ContentOf(request.Method, request.Host, request.Target, request.Body)
+}
+
+// endedServers counts the attempts with which their servers ended.
+func endedServers(attempts []routing.AttemptRecord) (count int) {
+	for _, one := range attempts {
+		if one.End == serverEnded {
+			count++
+		}
+	}
+	return count
+}
+
 // result is how a request ended, as it is logged and counted.
 type result string
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -61,7 +61,7 @@
 	}
 	g.held.Add(int64(len(outgoing.Body)))
 	defer g.held.Add(-int64(len(outgoing.Body)))
-	asked := &pendingRequest{outgoing: outgoing, route: matched, header: seen, way: way, arrived: arrived, done: make(chan routing.Outcome, 1)}
+	asked := &pendingRequest{outgoing: outgoing, caller: incoming.RemoteAddr, route: matched, header: seen, way: way, arrived: arrived, done: make(chan routing.Outcome, 1)}
 	outcome := g.carryOut(incoming, asked)
 	if outcome.Elsewhere {
 		writer.Header().Set("Connection", "close")
--- /dev/null
+++ b/quarantine/content_test.go
@@ -0,0 +1,41 @@
+package quarantine_test
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/banksail/banksail/quarantine"
+)
+
+func TestContentNamesTheWholeRequest(t *testing.T) {
+	base := quarantine.ContentOf("GET", "h.example", "/a/b?c=1", []byte("body"))
+	if again := quarantine.ContentOf("GET", "h.example", "/a/b?c=1", []byte("body")); again != base {
+		t.Error("the same request has another content")
+	}
+	others := map[string]quarantine.Content{
+		"method":            quarantine.ContentOf("POST", "h.example", "/a/b?c=1", []byte("body")),
+		"host":              quarantine.ContentOf("GET", "g.example", "/a/b?c=1", []byte("body")),
+		"path":              quarantine.ContentOf("GET", "h.example", "/a/d?c=1", []byte("body")),
+		"query":             quarantine.ContentOf("GET", "h.example", "/a/b?c=2", []byte("body")),
+		"body":              quarantine.ContentOf("GET", "h.example", "/a/b?c=1", []byte("bodies")),
+		"no body":           quarantine.ContentOf("GET", "h.example", "/a/b?c=1", nil),
+		"borders of fields": quarantine.ContentOf("GET", "h.example/", "a/b?c=1", []byte("body")),
+	}
+	for what, other := range others {
+		if other == base {
+			t.Errorf("%s is not a part of the content", what)
+		}
+	}
+}
+
+func TestContentIsReadAsWritten(t *testing.T) {
+	content := quarantine.ContentOf("GET", "h.example", "/", nil)
+	if read, err := quarantine.ParseContent(content.String()); err != nil || read != content {
+		t.Errorf("read %v, %v; want %v", read, err, content)
+	}
+	for _, text := range []string{"", "zz", content.String()[2:], content.String() + "00"} {
+		if _, err := quarantine.ParseContent(text); !errors.Is(err, quarantine.ErrContent) {
+			t.Errorf("%q: %v, want ErrContent", text, err)
+		}
+	}
+}
