The soak sends requests under which servers end; two ends alone at different moments prove enough

The soak's new fault, deadly_request, and its invariant, repeats. Two ends alone, a review apart, now speak against a content whatever else ended then; the property test found that a finding that is told again must not count as the second.

--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -85,6 +85,9 @@
 	case Evacuate:
 		f.evacuate(fault.Target, wait)
 		return nil
+	case DeadlyRequest:
+		f.sendDeadly(ctx, fault)
+		return nil
 	default:
 		return fmt.Errorf("%w: %s of %q", ErrFault, fault.Kind, fault.Target)
 	}
@@ -326,6 +329,7 @@
 		return nil
 	}
 	f.crash(s)
+	s.link.close() // a dead port refuses
 	wait()
 	successor, err := f.startServer(s.Service, f.nextNumber(), s.set, s.shard, s.Version, nil)
 	if err == nil && cold > 0 {
--- a/lab/soak/fleet.go
+++ b/lab/soak/fleet.go
@@ -42,6 +42,10 @@
 	// servers are counted.
 	set, sets, replaced, returned int
 	longestPause                  time.Duration
+	// deadly are the targets of requests under which servers end.
+	deadly []string
+	// deadlyEnds are when servers ended under such requests, by their target.
+	deadlyEnds map[string][]time.Duration
 	// watch starts to probe a node that has come later.
 	watch func(n *node)
 }
@@ -113,7 +117,9 @@
 		addressed{listener, way.listener.Addr()})
 	f.mutex.Lock()
 	f.servers[s.ID] = s
+	deadly := slices.Clone(f.deadly)
 	f.mutex.Unlock()
+	f.arm(s, deadly)
 	return s, nil
 }
 
@@ -270,6 +276,9 @@
 	enterPath  = "/enter/"
 )
 
+// paths are those of the routes that all configurations hold.
+var paths = []string{searchPath, pagePath, enterPath}
+
 // markerPrefix begins the paths of routes that one version of the configuration adds.
 const markerPrefix = "/marker-"
 
--- a/lab/soak/judge.go
+++ b/lab/soak/judge.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -26,13 +27,15 @@
 	RolloutEnd history.Invariant = "rollout_end"
 	// Evacuation: an evacuated zone gets nothing after the bound.
 	Evacuation history.Invariant = "evacuation"
+	// Repeats: a request that ends the servers that run it is not sent on and on.
+	Repeats history.Invariant = "repeats"
 	// Resources: processes give back descriptors and memory once the load has ended.
 	Resources history.Invariant = "resources"
 )
 
 // Invariants lists all that a soak judges, in the order of reports.
 func Invariants() []history.Invariant {
-	return append(history.Invariants(), OwnEnd, Denied, Budget, Exposure, RolloutEnd, Evacuation, Resources)
+	return append(history.Invariants(), OwnEnd, Denied, Budget, Exposure, RolloutEnd, Evacuation, Repeats, Resources)
 }
 
 // Violation is one breach with its evidence.
@@ -69,13 +72,15 @@
 	arrivals []arrival
 	// bad are when the target of the orders gave bad answers.
 	bad []time.Duration
+	// deadlyEnds are when servers ended under requests, by their target.
+	deadlyEnds map[string][]time.Duration
 }
 
 // arrival is a request that came to a server.
 type arrival struct {
 	at                             time.Duration
 	request, server, service, zone string
-	version, caller                string
+	version, caller, target        string
 	executed                       bool
 }
 
@@ -83,6 +88,7 @@
 func (f *fleet) record(epoch time.Time) *record {
 	r := &record{history: f.recorder.Finish()}
 	f.mutex.Lock()
+	r.deadlyEnds = maps.Clone(f.deadlyEnds)
 	r.evacuations = slices.Clone(f.evacuations)
 	for _, o := range f.orders {
 		r.orders = append(r.orders, *o)
@@ -119,7 +125,7 @@
 			ran[one.ID]--
 			at := one.At.Sub(epoch)
 			r.arrivals = append(r.arrivals, arrival{
-				at: at, request: one.ID, server: s.ID, service: s.Service, zone: s.Zone, version: s.Version, caller: nodes[one.ID], executed: executed,
+				at: at, request: one.ID, server: s.ID, service: s.Service, zone: s.Zone, version: s.Version, caller: nodes[one.ID], executed: executed, target: one.Target,
 			})
 			r.history.Attempts = append(r.history.Attempts, history.Attempt{
 				Server: s.ID, AttemptID: fmt.Sprintf("%s/%d", s.ID, place), RequestID: one.ID, Service: s.Service,
@@ -158,6 +164,7 @@
 	j.budget()
 	j.exposure()
 	j.evacuation()
+	j.repeats()
 	return j.judged, j.violations
 }
 
--- a/lab/soak/schedule.go
+++ b/lab/soak/schedule.go
@@ -53,6 +53,9 @@
 	Reshard schedule.Kind = "reshard"
 	// Evacuate empties a zone until Until.
 	Evacuate schedule.Kind = "evacuate"
+	// DeadlyRequest sends a request again and again, to one node after the other, under which
+	// the servers end that run it.
+	DeadlyRequest schedule.Kind = "deadly_request"
 )
 
 // Kinds lists the faults that a soak draws from.
@@ -63,6 +66,7 @@
 		StoreRefuse, StoreForget, StoreDeaf, schedule.KillServer, schedule.Straggle, schedule.Shed, schedule.ColdStart,
 		schedule.Drain, SilentLink, ResetLink, SlowServerLink, OneWayLink, Drip, LoseAnswers, FailAnswers, CutAnswers, DoubleAnswers,
 		EndlessAnswers, ResetAnswers, ReuseAddress, Configure, ConfigureOften, Reshard, Evacuate,
+		DeadlyRequest,
 	}
 }
 
@@ -192,6 +196,9 @@
 		SlowServerLink, OneWayLink, Drip, LoseAnswers, FailAnswers, CutAnswers, DoubleAnswers, EndlessAnswers, ResetAnswers,
 		ReuseAddress:
 		fault.Target = d.layout.Servers[d.random.IntN(len(d.layout.Servers))]
+	case DeadlyRequest:
+		fault.Target = paths[d.random.IntN(len(paths))]
+		fault.Until = max(d.until, fault.At+shortestFault) // what is judged begins after contactTime
 	case DarkZone, Evacuate:
 		fault.Target = d.layout.Zones[d.random.IntN(len(d.layout.Zones))]
 	}
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -14,6 +14,10 @@
 	// endsToQuarantine is the number of servers that must have ended under a content: one or
 	// two may end by themselves while they run it.
 	endsToQuarantine = 3
+	// alonesToQuarantine is the number of servers that got a content alone, and ended at moments
+	// apart, that speak against it whatever else ended then: where sixteen contents that end
+	// servers come at a time, each voided the others' reviews, and one was sent on four times.
+	alonesToQuarantine = 2
 	// reviewTime is how long other nodes' findings are awaited before a content is
 	// quarantined: four times the longest way between regions on the users' sites (24 ms).
 	reviewTime = 100 * time.Millisecond
@@ -105,8 +109,12 @@
 	ends map[Life]bool // whether it was alone
 	// touched is when it was last evidence, or came while it was quarantined.
 	touched time.Duration
-	// aloneAt is when a server that got it alone was last seen or heard to have ended.
+	// aloneAt is when a server that got it alone was last seen or heard to have ended, and
+	// alones how often that was, at moments that lie a review or more apart.
 	aloneAt time.Duration
+	alones  int
+	// void says that the ends until now are no proof.
+	void bool
 	// reviewUntil is when a review ends; zero is that there is none.
 	reviewUntil time.Duration
 	quarantined bool
@@ -148,7 +156,7 @@
 	before := len(s.ends)
 	l.note(now, content, end)
 	s.witnessed = s.witnessed || end.Alone
-	if l.add(s, end) {
+	if l.add(now, s, end) {
 		l.consider(now, s)
 	}
 	switch {
@@ -196,7 +204,7 @@
 		if _, known := s.ends[end.Life]; !known {
 			l.note(now, finding.Content, end)
 		}
-		changed = l.add(s, end) || changed
+		changed = l.add(now, s, end) || changed
 	}
 	s.quarantined = s.quarantined || finding.Quarantined
 	s.told = s.told || finding.Wide
@@ -223,10 +231,9 @@
 		}
 		s := l.suspectOf(now, content)
 		s.quarantined, s.reviewUntil = false, 0
-		s.clearAlone()
-		s.witnessed = false
+		s.witnessed, s.alones, s.void = false, 0, true
 		for unknown := Life(0); len(s.ends) < endsToQuarantine-1; unknown++ {
-			l.add(s, End{Life: math.MaxUint64 - unknown}) // stands for an end that led to the record
+			l.add(now, s, End{Life: math.MaxUint64 - unknown}) // stands for an end that led to the record
 		}
 	}
 }
@@ -262,8 +269,8 @@
 			s.reviewUntil = 0
 			switch {
 			case !s.witnessed: // who saw the proof judges it, and tells
-			case l.othersEnded(content, s):
-				s.clearAlone() // it is to be tried again
+			case s.alones < alonesToQuarantine && l.othersEnded(content, s):
+				s.void = true // it is to be tried again
 			case l.proven(s):
 				s.quarantined = true
 				quarantined = append(quarantined, l.wideFinding(content, s))
@@ -293,9 +300,6 @@
 
 // note keeps an end among those of late.
 func (l *Ledger) note(now time.Duration, content Content, end End) {
-	if s := l.suspects[content]; s != nil && end.Alone {
-		s.aloneAt = now
-	}
 	old := 0
 	for old < len(l.recent) && (now-l.recent[old].at > 2*reviewTime || len(l.recent)-old >= mostRecent) {
 		old++
@@ -323,13 +327,6 @@
 	return false
 }
 
-// clearAlone makes the ends prove nothing any more.
-func (s *suspect) clearAlone() {
-	for life := range s.ends {
-		s.ends[life] = false
-	}
-}
-
 // consider begins a review where the evidence suffices.
 func (l *Ledger) consider(now time.Duration, s *suspect) {
 	s.touched = now
@@ -343,9 +340,14 @@
 }
 
 // proven reports whether enough servers ended under a content, one of them alone and under
-// no other suspected content.
+// no other suspected content, or several alone at different moments.
 func (l *Ledger) proven(s *suspect) bool {
-	if len(s.ends) < endsToQuarantine {
+	switch {
+	case len(s.ends) < endsToQuarantine:
+		return false
+	case s.alones >= alonesToQuarantine:
+		return true
+	case s.void:
 		return false
 	}
 	for life, alone := range s.ends {
@@ -368,8 +370,14 @@
 
 // add notes an end, and reports whether that is news. One that was alone takes the place of
 // another where there is no room.
-func (l *Ledger) add(s *suspect, end End) (news bool) {
+func (l *Ledger) add(now time.Duration, s *suspect, end End) (news bool) {
 	alone, known := s.ends[end.Life]
+	if end.Alone && !alone {
+		if s.alones == 0 || now-s.aloneAt > reviewTime {
+			s.alones++
+		}
+		s.aloneAt, s.void = now, false
+	}
 	switch {
 	case known:
 		s.ends[end.Life] = alone || end.Alone
