--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -116,6 +116,13 @@
 	staleShare  = 1.5
 )
 
+// invalidLines of entries that can't be read are logged in each invalidSpan: others may write
+// any number of them.
+const (
+	invalidLines = 10
+	invalidSpan  = 10 * time.Second
+)
+
 // Bounds of the pause after a failed reading.
 const (
 	leastRetryPause = 100 * time.Millisecond
@@ -126,8 +133,9 @@
 type Follower struct {
 	options FollowerOptions
 	epoch   time.Time
-	// invalid counts the entries that could not be read.
-	invalid atomic.Uint64
+	// invalid counts the entries that could not be read, and invalidLogger tells of some.
+	invalid       atomic.Uint64
+	invalidLogger zerolog.Logger
 	// telling is held from a change of what is believed until it has been told, so
 	// that Changed is called in order. It is locked before mutex.
 	telling sync.Mutex
@@ -176,10 +184,11 @@
 	}
 	options.View.OutageAfter = cmp.Or(options.View.OutageAfter, min(2*options.Pace, cmp.Or(options.LapseTime, 2*options.Pace)))
 	return &Follower{
-		options: options,
-		epoch:   time.Now(),
-		view:    NewView(options.View),
-		random:  rand.New(rand.NewPCG(options.Seed, hashOf(options.Self))),
+		options:       options,
+		invalidLogger: options.Logger.Sample(&zerolog.BurstSampler{Burst: invalidLines, Period: invalidSpan}),
+		epoch:         time.Now(),
+		view:          NewView(options.View),
+		random:        rand.New(rand.NewPCG(options.Seed, hashOf(options.Self))),
 	}
 }
 
--- a/discovery/intake.go
+++ b/discovery/intake.go
@@ -64,7 +64,7 @@
 func (f *Follower) noteInvalid(entries []InvalidEntry) {
 	f.invalid.Add(uint64(len(entries)))
 	for _, invalid := range entries {
-		f.options.Logger.Error().Str("entry", invalid.Name).Err(invalid.Err).Msg("entry can't be read, the last good one stays")
+		f.invalidLogger.Error().Str("entry", invalid.Name).Err(invalid.Err).Msg("entry is not taken")
 	}
 }
 
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -62,7 +62,7 @@
 	mutex sync.Mutex
 	// mutex guards pools; it is not held while I/O runs. Invariant: all idle
 	// connections to a server's incarnation lie in its one pool.
-	pools map[string]*pool
+	pools map[discovery.Incarnation]*pool
 }
 
 // pool holds the connections to one incarnation of a server.
@@ -83,7 +83,7 @@
 	if options.Dial == nil {
 		options.Dial = (&net.Dialer{}).DialContext
 	}
-	return &Client{options: options, pools: make(map[string]*pool)}
+	return &Client{options: options, pools: make(map[discovery.Incarnation]*pool)}
 }
 
 // Do sends the attempt and reads its whole answer, until its time is over or it is
@@ -98,7 +98,7 @@
 		return nil, fmt.Errorf("%w: %w", ErrNotDelivered, err)
 	}
 	if !attempt.carriedBy(conn) {
-		c.release(attempt.Server.ID, conn, true)
+		c.release(attempt.Server.Incarnation(), conn, true)
 		return nil, fmt.Errorf("%w: %w", ErrNotDelivered, errCancelled)
 	}
 	conn.bound(deadline)
@@ -107,21 +107,21 @@
 	if sound {
 		conn.bound(time.Time{})
 	}
-	c.release(attempt.Server.ID, conn, sound)
+	c.release(attempt.Server.Incarnation(), conn, sound)
 	return reply, err
 }
 
 // acquire returns an idle connection that is sound, or a new one.
 func (c *Client) acquire(attempt *Attempt, deadline time.Time) (*connection, error) {
 	for {
-		conn := c.takeIdle(attempt.Server.ID)
+		conn := c.takeIdle(attempt.Server.Incarnation())
 		if conn == nil {
 			return c.openFor(attempt, deadline)
 		}
 		if conn.quiet() {
 			return conn, nil
 		}
-		c.release(attempt.Server.ID, conn, false)
+		c.release(attempt.Server.Incarnation(), conn, false)
 	}
 }
 
@@ -130,27 +130,27 @@
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	if !attempt.dialing(cancel) {
-		c.uncount(attempt.Server.ID)
+		c.uncount(attempt.Server.Incarnation())
 		return nil, errCancelled
 	}
 	defer attempt.dialing(nil)
 	return c.open(ctx, attempt.Server)
 }
 
-func (c *Client) poolOf(id string) *pool {
-	p := c.pools[id]
+func (c *Client) poolOf(one discovery.Incarnation) *pool {
+	p := c.pools[one]
 	if p == nil {
 		p = new(pool)
-		c.pools[id] = p
+		c.pools[one] = p
 	}
 	return p
 }
 
 // takeIdle takes the connection used last; without one it counts one to be opened.
-func (c *Client) takeIdle(id string) *connection {
+func (c *Client) takeIdle(one discovery.Incarnation) *connection {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	p := c.poolOf(id)
+	p := c.poolOf(one)
 	last := len(p.idle) - 1
 	if last < 0 {
 		p.open++
@@ -168,37 +168,37 @@
 	defer cancel()
 	opened, err := c.options.Dial(ctx, "tcp", server.Address)
 	if err != nil {
-		c.uncount(server.ID)
+		c.uncount(server.Incarnation())
 		return nil, err
 	}
 	return newConnection(opened), nil
 }
 
-func (c *Client) uncount(id string) {
+func (c *Client) uncount(one discovery.Incarnation) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.uncountLocked(id)
+	c.uncountLocked(one)
 }
 
-func (c *Client) uncountLocked(id string) {
-	p := c.pools[id]
+func (c *Client) uncountLocked(one discovery.Incarnation) {
+	p := c.pools[one]
 	p.open--
 	if p.open == 0 {
-		delete(c.pools, id)
+		delete(c.pools, one)
 	}
 }
 
 // release gives a connection back, or closes it when it is not sound.
-func (c *Client) release(id string, conn *connection, sound bool) {
+func (c *Client) release(one discovery.Incarnation, conn *connection, sound bool) {
 	c.mutex.Lock()
-	p := c.pools[id]
+	p := c.pools[one]
 	if sound && !p.closed {
 		conn.idleSince = time.Now()
 		p.idle = append(p.idle, conn)
 		c.mutex.Unlock()
 		return
 	}
-	c.uncountLocked(id)
+	c.uncountLocked(one)
 	c.mutex.Unlock()
 	conn.close()
 }
@@ -207,7 +207,7 @@
 // ErrNotDelivered.
 func (c *Client) Warm(ctx context.Context, server discovery.Server) error {
 	c.mutex.Lock()
-	p := c.poolOf(server.ID)
+	p := c.poolOf(server.Incarnation())
 	if p.open > 0 {
 		c.mutex.Unlock()
 		return nil
@@ -220,13 +220,13 @@
 // Its error wraps ErrNotDelivered.
 func (c *Client) Open(ctx context.Context, server discovery.Server) error {
 	c.mutex.Lock()
-	c.poolOf(server.ID).open++
+	c.poolOf(server.Incarnation()).open++
 	c.mutex.Unlock()
 	conn, err := c.open(ctx, server)
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrNotDelivered, err)
 	}
-	c.release(server.ID, conn, true)
+	c.release(server.Incarnation(), conn, true)
 	return nil
 }
 
@@ -246,19 +246,19 @@
 // Retain closes the idle connections to servers that are not listed, and those
 // of the others that rested too long or were closed by the server. Of those that
 // rest beyond the surplus time it keeps so many to a server.
-func (c *Client) Retain(listed map[string]struct{}, resting int) {
+func (c *Client) Retain(listed map[discovery.Incarnation]struct{}, resting int) {
 	for _, conn := range c.takeStale(listed, resting) {
 		conn.close()
 	}
 }
 
-func (c *Client) takeStale(listed map[string]struct{}, resting int) []*connection {
+func (c *Client) takeStale(listed map[discovery.Incarnation]struct{}, resting int) []*connection {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	now := time.Now()
 	var stale []*connection
-	for id, p := range c.pools {
-		_, kept := listed[id]
+	for one, p := range c.pools {
+		_, kept := listed[one]
 		p.closed = !kept
 		keep := p.idle[:0]
 		for place, conn := range p.idle {
@@ -276,7 +276,7 @@
 		p.open -= len(p.idle) - len(keep)
 		p.idle = keep
 		if p.open == 0 {
-			delete(c.pools, id)
+			delete(c.pools, one)
 		}
 	}
 	return stale
--- a/gateway/connections.go
+++ b/gateway/connections.go
@@ -17,8 +17,8 @@
 // want keeps a connection ready to the servers that came, and forgets those that
 // went. The caller holds the mutex.
 func (g *Gateway) want(servers map[string]discovery.Server) {
-	for id := range servers {
-		if _, known := g.servers[id]; !known {
+	for id, server := range servers {
+		if known, listed := g.servers[id]; !listed || known.Incarnation() != server.Incarnation() {
 			g.wantedUntil[id] = g.now() + wantedFor
 		}
 	}
@@ -38,10 +38,10 @@
 	g.mutex.Lock()
 	servers := g.servers
 	g.mutex.Unlock()
-	listed := make(map[string]struct{}, len(servers))
-	for id, server := range servers {
+	listed := make(map[discovery.Incarnation]struct{}, len(servers))
+	for _, server := range servers {
 		if server.State == discovery.Ready {
-			listed[id] = struct{}{}
+			listed[server.Incarnation()] = struct{}{}
 		}
 	}
 	table := g.table.Load()
@@ -56,10 +56,11 @@
 	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	for id := range listed {
-		_, inUse := used[servers[id].Service]
-		if inUse && g.wantedUntil[id] > g.now() && !slices.Contains(g.evacuated, servers[id].Zone) {
-			g.run(func() { g.warm(servers[id]) })
+	for one := range listed {
+		server := servers[one.ID]
+		_, inUse := used[server.Service]
+		if inUse && g.wantedUntil[one.ID] > g.now() && !slices.Contains(g.evacuated, server.Zone) {
+			g.run(func() { g.warm(server) })
 		}
 	}
 }
@@ -67,7 +68,7 @@
 // warm opens a connection to a server that has none, and tells when it can't.
 func (g *Gateway) warm(server discovery.Server) {
 	if err := g.client.Warm(g.background, server); err != nil && g.background.Err() == nil {
-		g.step(routing.Unreached{Server: server.ID})
+		g.step(routing.Unreached{Server: server.Incarnation()})
 	}
 }
 
@@ -77,18 +78,18 @@
 
 // reach opens a connection to a server that could not be reached.
 func (g *Gateway) reach(server discovery.Server) {
-	for g.lists(server.ID) && clock.Sleep(g.background, reachPause) == nil {
+	for g.lists(server.Incarnation()) && clock.Sleep(g.background, reachPause) == nil {
 		if g.client.Open(g.background, server) == nil {
-			g.step(routing.Reached{Server: server.ID})
+			g.step(routing.Reached{Server: server.Incarnation()})
 			return
 		}
 	}
 }
 
 // lists reports whether the server may still be there.
-func (g *Gateway) lists(id string) bool {
+func (g *Gateway) lists(one discovery.Incarnation) bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	_, listed := g.servers[id]
-	return listed
+	server, listed := g.servers[one.ID]
+	return listed && server.Incarnation() == one
 }
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -4,7 +4,6 @@
 	"maps"
 	"math"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -47,10 +46,8 @@
 // Life names one life of a server, from its start to its end.
 type Life uint64
 
-// LifeOf names the life of a server that started at a time under an id.
-func LifeOf(id string, born int64) Life {
-	return Life(xxhash.Sum64String(id + "/" + strconv.FormatInt(born, 10)))
-}
+// LifeOf names the life of a server by what tells it from the server's other lives.
+func LifeOf(incarnation string) Life { return Life(xxhash.Sum64String(incarnation)) }
 
 // Finding is what a node tells others of a content.
 type Finding struct {
--- a/routing/darkzones_test.go
+++ b/routing/darkzones_test.go
@@ -89,7 +89,7 @@
 		}
 		w.pass(50 * time.Millisecond)
 	}
-	w.step(routing.Reached{Server: w.reached[0].ID})
+	w.step(routing.Reached{Server: w.reached[0].Incarnation()})
 	w.pass(10 * time.Second) // what was learned of the servers fades
 	used := false
 	for range 10 {
@@ -184,7 +184,7 @@
 	if len(w.order) != before {
 		t.Error("something was sent for a request that can't be served")
 	}
-	w.step(routing.Reached{Server: w.reached[0].ID})
+	w.step(routing.Reached{Server: w.reached[0].Incarnation()})
 	if w.unable {
 		t.Error("the node still says that it is cut off")
 	}
@@ -228,7 +228,7 @@
 	if len(w.reached) == before {
 		t.Fatal("no new server is tried")
 	}
-	w.step(routing.Reached{Server: w.reached[len(w.reached)-1].ID})
+	w.step(routing.Reached{Server: w.reached[len(w.reached)-1].Incarnation()})
 	if w.unable {
 		t.Error("the node still says that it is cut off")
 	}
--- a/routing/event.go
+++ b/routing/event.go
@@ -67,10 +67,10 @@
 }
 
 // Unreached reports that no connection to the server could be opened.
-type Unreached struct{ Server string }
+type Unreached struct{ Server discovery.Incarnation }
 
 // Reached reports that a connection to the server was opened after a Reach.
-type Reached struct{ Server string }
+type Reached struct{ Server discovery.Incarnation }
 
 // Woken reports that the time named by a Wake action has come.
 type Woken struct{}
--- a/routing/rollouts.go
+++ b/routing/rollouts.go
@@ -129,7 +129,7 @@
 	state := s.trial.State()
 	switch {
 	case a.server.Version == state.Target:
-		s.trial.Evidence().Target(q.asked.Route.Name, a.server.ID, answer)
+		s.trial.Evidence().Target(q.asked.Route.Name, a.server.Incarnation().String(), answer)
 	case state.Record != nil && slices.Contains(state.Record.Before, a.server.Version):
 		s.trial.Evidence().Before(q.asked.Route.Name, answer)
 	}
--- a/routing/router.go
+++ b/routing/router.go
@@ -101,9 +101,9 @@
 	case Woken:
 		r.wakeAt = never
 	case Unreached:
-		r.unreached(r.servers[event.Server])
+		r.unreached(r.living(event.Server))
 	case Reached:
-		r.reached(r.servers[event.Server])
+		r.reached(r.living(event.Server))
 	case ServersChanged:
 		r.serversChanged(event.Servers)
 	case ZonesChanged:
@@ -319,6 +319,14 @@
 	return a.Query().Owner().(*request)
 }
 
+// living is the server of an incarnation; nil when that is not there, or not any more.
+func (r *Router) living(one discovery.Incarnation) *server {
+	if s := r.servers[one.ID]; s != nil && s.Incarnation() == one {
+		return s
+	}
+	return nil
+}
+
 // serversChanged takes the servers that are there now. What was learned of a
 // server stays while it does.
 func (r *Router) serversChanged(listed []discovery.Server) {
@@ -329,10 +337,11 @@
 	}
 	for _, l := range listed {
 		known := before[l.ID]
-		if known == nil {
-			known = new(server)
+		isNew := known == nil || known.Incarnation() != l.Incarnation() || known.Address != l.Address
+		if isNew {
+			known = new(server) // also where another life had its ID: nothing of that one counts
 		}
-		known.takeWarmup(r.now, l, before[l.ID] != nil)
+		known.takeWarmup(r.now, l, !isNew)
 		known.Server = l
 		known.evacuated = r.isEvacuated(l.Zone)
 		known.way = r.zoneNamed(l.Zone)
@@ -341,7 +350,7 @@
 		s.servers = append(s.servers, known)
 	}
 	for id, known := range before {
-		known.gone = r.servers[id] == nil
+		known.gone = r.servers[id] != known
 	}
 	for _, s := range r.services {
 		r.setStandings(s)
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -172,7 +172,7 @@
 	if again := w.open(w.ask(r)); len(again) != 1 {
 		t.Errorf("%d sends while a server can't be reached", len(again))
 	}
-	w.step(routing.Reached{Server: open[0].Server.ID})
+	w.step(routing.Reached{Server: open[0].Server.Incarnation()})
 	if again := w.open(w.ask(r)); len(again) != 2 {
 		t.Errorf("%d sends after it was reached", len(again))
 	}
--- a/routing/suspects.go
+++ b/routing/suspects.go
@@ -54,7 +54,7 @@
 	if !ok {
 		return
 	}
-	end := quarantine.End{Life: quarantine.LifeOf(a.server.ID, a.server.Born), Alone: a.Alone}
+	end := quarantine.End{Life: quarantine.LifeOf(a.server.Incarnation().String()), Alone: a.Alone}
 	r.tell(r.ledger.Ended(r.now, content, end))
 	if standing, _ := r.ledger.Standing(r.now, content); standing >= quarantine.UnderReview {
 		q.query.GiveUpAll(r.now, gather.ReasonEndsServers)
