Callers are told of four nodes of their own zone, and of two of others

A caller of a lost zone tries each node that it knows there in vain; it was told of all 15 of them at 300 machines. TestAddressesOutlastALostZone passes.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -38,6 +38,11 @@
 	// enoughNear is the number of nodes in a caller's own zone that are enough for
 	// it: one of them may be lost before its entry goes.
 	enoughNear = 2
+	// mostNear is the number of nodes of its own zone that a caller is told of, another sample
+	// with each answer. A caller whose zone is lost tries each of them in vain, a second each,
+	// before it has found those of other zones, as no look-up of its own zone is answered any
+	// more: with all of 15, callers were unserved for 30 s at 300 machines, and for 5.5 s with 4.
+	mostNear = 4
 	// nodesElsewhere is the number of nodes of other zones beside those of the caller's own.
 	// One serves less when the zone is cut off (worth 0.72 of a day with two cuts; 0.76 with
 	// two, 0.78 with all of the region), all cost 0.04 on a day of high load with 1.4 ms
@@ -102,7 +107,25 @@
 	if len(inZone) < enoughNear {
 		return inRegion
 	}
-	return append(inZone, elsewhere(inRegion, caller.Zone)...)
+	others := elsewhere(inRegion, caller.Zone)
+	if len(others) > 0 {
+		inZone = sample(inZone, mostNear)
+	}
+	return append(inZone, others...)
+}
+
+// sample draws so many of the nodes, in their order.
+func sample(nodes []discovery.Node, most int) []discovery.Node {
+	if len(nodes) <= most {
+		return nodes
+	}
+	places := rand.Perm(len(nodes))[:most]
+	slices.Sort(places)
+	drawn := make([]discovery.Node, 0, most)
+	for _, place := range places {
+		drawn = append(drawn, nodes[place])
+	}
+	return drawn
 }
 
 // elsewhere draws the nodes of other zones that a caller is told of, each of another zone.
