Ages count on while a machine is suspended

The steady clock stands still then; CLOCK_BOOTTIME does not. Beliefs, windows, freshness and what is known of other nodes count by both. discovery.TestBeliefsAgeWhileTheMachineIsSuspended fails by the steady clock alone.

--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -76,6 +76,9 @@
 	// StaleAfter is the age from which a publication is not believed; default
 	// 1.5 times ReaderPace.
 	StaleAfter time.Duration
+	// Elapsed is the time since some moment, also while the machine is suspended; ages of
+	// beliefs count by it. Default is that since the follower was made.
+	Elapsed func() time.Duration
 	// ReaderPace and AskPace are the times between two readings of the registry
 	// by a reader, and between two askings by the others; default 1/2 and 4/9 of
 	// Pace, so that a belief is no older than when all nodes read by themselves.
@@ -132,7 +135,6 @@
 // Follower keeps a View true to a Source.
 type Follower struct {
 	options FollowerOptions
-	epoch   time.Time
 	// invalid counts the entries that could not be read, and invalidLogger tells of some.
 	invalid       atomic.Uint64
 	invalidLogger zerolog.Logger
@@ -165,6 +167,9 @@
 
 // NewFollower returns a follower that knows nothing.
 func NewFollower(options FollowerOptions) *Follower {
+	if options.Elapsed == nil {
+		options.Elapsed = clock.Begin().Elapsed
+	}
 	options.Pace = cmp.Or(options.Pace, DefaultPace)
 	options.ReadsPerSecond = cmp.Or(options.ReadsPerSecond, DefaultReadsPerSecond)
 	options.CallTimeout = cmp.Or(options.CallTimeout, DefaultCallTimeout)
@@ -186,7 +191,6 @@
 	return &Follower{
 		options:       options,
 		invalidLogger: options.Logger.Sample(&zerolog.BurstSampler{Burst: invalidLines, Period: invalidSpan}),
-		epoch:         time.Now(),
 		view:          NewView(options.View),
 		random:        rand.New(rand.NewPCG(options.Seed, hashOf(options.Self))),
 	}
@@ -284,7 +288,7 @@
 	return f.view.Nodes()
 }
 
-func (f *Follower) now() time.Duration { return time.Since(f.epoch) }
+func (f *Follower) now() time.Duration { return f.options.Elapsed() }
 
 // pace is the time between two readings of the registry where all nodes read, and
 // share what the registry allows.
@@ -399,7 +403,7 @@
 	directives := f.view.Directives()
 	for i := range directives {
 		if since, known := f.view.Since(directives[i].Key()); known {
-			directives[i].Since = f.epoch.Add(since)
+			directives[i].Since = time.Now().Add(since - f.now())
 		}
 	}
 	return directives
--- a/front/node.go
+++ b/front/node.go
@@ -21,6 +21,7 @@
 	"github.com/banksail/banksail/extrabudget"
 	"github.com/banksail/banksail/gateway"
 	"github.com/banksail/banksail/gossip"
+	"github.com/banksail/banksail/internal/clock"
 	"github.com/banksail/banksail/internal/traffic"
 	"github.com/banksail/banksail/mechanism"
 	"github.com/banksail/banksail/relay"
@@ -80,6 +81,8 @@
 	tend  chan struct{}
 	// load tells when others should help; only tendLoop uses it.
 	load loadMeter
+	// suspended is for how long the machine has been, as far as was told; only tendLoop uses it.
+	suspended time.Duration
 	// presence tells where the servers stand; nil until it is known.
 	presence atomic.Pointer[directory.Presence]
 	// serving are the nodes to which callers are sent; nil until it is known.
@@ -403,6 +406,7 @@
 		}
 		f.gateway.Tend()
 		f.lookAtLoad()
+		f.lookAtSuspension()
 	}
 }
 
@@ -415,6 +419,15 @@
 	f.agent.SetBusy(busy)
 }
 
+// lookAtSuspension tells when the machine has been suspended.
+func (f *Front) lookAtSuspension() {
+	total := clock.Suspended()
+	if missed := total - f.suspended; missed > 0 {
+		f.options.Logger.Warn().Dur("missed_ms", missed).Msg("the machine was suspended")
+	}
+	f.suspended = total
+}
+
 // watchNodes runs the agent that watches the other nodes. A node that can't listen for
 // their datagrams serves on without them.
 func (f *Front) watchNodes(ctx context.Context) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/banksail/banksail/discovery"
 	"github.com/banksail/banksail/exchange"
 	"github.com/banksail/banksail/gather"
+	"github.com/banksail/banksail/internal/clock"
 	"github.com/banksail/banksail/quarantine"
 	"github.com/banksail/banksail/route"
 	"github.com/banksail/banksail/routing"
@@ -85,7 +86,7 @@
 // goroutines.
 type Gateway struct {
 	options Options
-	epoch   time.Time
+	epoch   clock.Epoch
 	client  *exchange.Client
 	table   atomic.Pointer[route.Table]
 	// draining says that connections are to end with their next answer.
@@ -148,7 +149,7 @@
 		end:        end,
 
 		options:  options,
-		epoch:    time.Now(),
+		epoch:    clock.Begin(),
 		client:   exchange.NewClient(options.Exchange),
 		router:   routing.New(0, options.Routing),
 		known:    make(chan struct{}),
@@ -159,7 +160,9 @@
 	}
 }
 
-func (g *Gateway) now() time.Duration { return time.Since(g.epoch) }
+// now is the time since the start, also while the machine was suspended: windows of budgets and
+// the freshness of what is believed count by it.
+func (g *Gateway) now() time.Duration { return g.epoch.Elapsed() }
 
 // Table is the table in force; nil until there is one.
 func (g *Gateway) Table() *route.Table { return g.table.Load() }
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -8,7 +8,7 @@
 )
 
 // At is a time on the gateway's clock, by which SetRollouts is told of times.
-func (g *Gateway) At(when time.Time) time.Duration { return when.Sub(g.epoch) }
+func (g *Gateway) At(when time.Time) time.Duration { return g.now() - time.Since(when) }
 
 // SetRollouts tells what is known of the roll-outs of services, and until when that is fresh.
 func (g *Gateway) SetRollouts(states map[string]rollout.State, freshUntil time.Duration) {
--- a/gossip/agent.go
+++ b/gossip/agent.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/banksail/banksail/discovery"
+	"github.com/banksail/banksail/internal/clock"
 	"github.com/banksail/banksail/membership"
 )
 
@@ -20,7 +21,7 @@
 // may be called from several goroutines.
 type Agent struct {
 	options  Options
-	epoch    time.Time
+	epoch    clock.Epoch
 	counters *counters
 	// wake makes the loop look at the table at once; it holds one token.
 	wake chan struct{}
@@ -57,7 +58,7 @@
 	}
 	a := &Agent{
 		options: options,
-		epoch:   time.Now(),
+		epoch:   clock.Begin(),
 		self:    options.Self,
 		core:    newExchanger(membership.NewNodes(membershipOptions(self, options.Seed)), options.Seed|1<<63),
 		wake:    make(chan struct{}, 1),
@@ -68,7 +69,7 @@
 }
 
 // now is the time since the agent's epoch.
-func (a *Agent) now() time.Duration { return time.Since(a.epoch) }
+func (a *Agent) now() time.Duration { return a.epoch.Elapsed() }
 
 // Nodes lists the node itself and all others that are not gone, by ID. The list must
 // not be changed.
