--- /dev/null
+++ b/quarantine/finding.go
@@ -0,0 +1,42 @@
+package quarantine
+
+import "github.com/cespare/xxhash/v2"
+
+// Life names one life of a server, from its start to its end.
+type Life uint64
+
+// LifeOf names the life of a server by what tells it from the server's other lives.
+func LifeOf(incarnation string) Life { return Life(xxhash.Sum64String(incarnation)) }
+
+// Finding is what a node tells others of a content.
+type Finding struct {
+	Content Content
+	// Ends are the servers that ended under it, and whether each got it alone.
+	Ends []End
+	// Answered says that a server has answered it: earlier ends speak against it no more.
+	Answered bool
+	// Quarantined says that the node refuses it.
+	Quarantined bool
+	// Wide says that all nodes are told.
+	Wide bool
+}
+
+// End is the end of a server under a content.
+type End struct {
+	Life Life
+	// Alone says that the server got the content after an earlier end, with nothing else of
+	// the request in flight.
+	Alone bool
+}
+
+// Audience tells whom a finding concerns.
+type Audience int
+
+const (
+	// Nobody need be told.
+	Nobody Audience = iota
+	// Keepers are the few nodes that bring the findings on a content together.
+	Keepers
+	// Everybody is all nodes.
+	Everybody
+)
