--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -88,6 +88,11 @@
 	case DeadlyRequest:
 		f.sendDeadly(ctx, fault)
 		return nil
+	case OddEntries:
+		f.store.PutOddEntries()
+		wait()
+		f.store.RemoveOddEntries()
+		return nil
 	default:
 		return fmt.Errorf("%w: %s of %q", ErrFault, fault.Kind, fault.Target)
 	}
@@ -259,6 +264,8 @@
 		return f.bringBack(s, wait, warmup)
 	case ReuseAddress:
 		return f.reuse(s, wait)
+	case ReturnServer:
+		return f.returnServer(s, wait)
 	case schedule.Drain:
 		f.drain(s)
 		wait()
@@ -320,7 +327,29 @@
 	s.ended = true
 	f.mutex.Unlock()
 	s.Stop()
-	time.AfterFunc(lapseTime, func() { f.store.RemoveServer(s.ID) })
+	time.AfterFunc(lapseTime, func() {
+		if f.serverNamed(s.ID) == s { // else another life has written its entry
+			f.store.RemoveServer(s.ID)
+		}
+	})
+}
+
+// returnServer ends a server, which comes back under its ID and at its address. One that has
+// said that it is leaving stays away: what is judged of leaving servers goes by their IDs.
+func (f *fleet) returnServer(s *server, wait func()) error {
+	if f.hasEnded(s) || s.drainedAt > 0 {
+		return nil
+	}
+	f.crash(s)
+	s.link.set(linkState{reset: true})
+	wait()
+	f.mutex.Lock()
+	f.returned++
+	f.servers[fmt.Sprintf("%s, life %d", s.ID, f.returned)] = s
+	f.mutex.Unlock()
+	_, err := f.startServer(s.Service, s.number, s.set, s.shard, s.Version, s.link)
+	s.link.set(linkState{})
+	return err
 }
 
 // bringBack ends a server; another one of the same service comes once wait returns.
--- a/lab/soak/fleet.go
+++ b/lab/soak/fleet.go
@@ -62,6 +62,8 @@
 	link *link
 	// set and shard place it among the shards; set is zero for the ledger's.
 	set, shard int
+	// number is that by which its service names it.
+	number int
 	// drainedAt is when it began to drain; zero is never.
 	drainedAt time.Duration
 	ended     bool
@@ -112,7 +114,7 @@
 		return nil, errors.Join(err, listener.Close())
 	}
 	zone := f.layout.Zones[number%replicas]
-	s := &server{link: way, set: set, shard: shard}
+	s := &server{link: way, set: set, shard: shard, number: number}
 	s.Server = standin.StartVersion(f.store, standin.ServerName(service, number), service, zone, version,
 		addressed{listener, way.listener.Addr()})
 	f.mutex.Lock()
--- a/lab/soak/schedule.go
+++ b/lab/soak/schedule.go
@@ -46,6 +46,10 @@
 	ResetAnswers   schedule.Kind = "reset_answers"
 	// ReuseAddress ends a server; its address goes to a server of another service.
 	ReuseAddress schedule.Kind = "reuse_address"
+	// ReturnServer ends a server; it comes back under its ID and at its address.
+	ReturnServer schedule.Kind = "return_server"
+	// OddEntries writes entries that no server writes among those of the servers.
+	OddEntries schedule.Kind = "odd_entries"
 	// Configure writes a version of the configuration, ConfigureOften many in a row.
 	Configure      schedule.Kind = "configure"
 	ConfigureOften schedule.Kind = "configure_often"
@@ -66,7 +70,7 @@
 		StoreRefuse, StoreForget, StoreDeaf, schedule.KillServer, schedule.Straggle, schedule.Shed, schedule.ColdStart,
 		schedule.Drain, SilentLink, ResetLink, SlowServerLink, OneWayLink, Drip, LoseAnswers, FailAnswers, CutAnswers, DoubleAnswers,
 		EndlessAnswers, ResetAnswers, ReuseAddress, Configure, ConfigureOften, Reshard, Evacuate,
-		DeadlyRequest,
+		DeadlyRequest, ReturnServer, OddEntries,
 	}
 }
 
@@ -194,7 +198,7 @@
 		fault.Target = d.layout.Nodes[d.random.IntN(len(d.layout.Nodes))]
 	case schedule.KillServer, schedule.Straggle, schedule.Shed, schedule.ColdStart, schedule.Drain, SilentLink, ResetLink,
 		SlowServerLink, OneWayLink, Drip, LoseAnswers, FailAnswers, CutAnswers, DoubleAnswers, EndlessAnswers, ResetAnswers,
-		ReuseAddress:
+		ReuseAddress, ReturnServer:
 		fault.Target = d.layout.Servers[d.random.IntN(len(d.layout.Servers))]
 	case DeadlyRequest:
 		fault.Target = paths[d.random.IntN(len(paths))]
