--- /dev/null
+++ b/routing/suspects_test.go
@@ -0,0 +1,102 @@
+package routing_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/banksail/banksail/gather"
+	"github.com/banksail/banksail/mechanism"
+	"github.com/banksail/banksail/quarantine"
+	"github.com/banksail/banksail/routing"
+)
+
+const reviewTime = 100 * time.Millisecond
+
+func newShards(t *testing.T, options routing.Options) *world {
+	w := newWorld(t, options)
+	w.setTable(60, fiveShards...)
+	w.setServers(servers(3, fiveShards...))
+	return w
+}
+
+// A fan-out under which its servers end: one of each shard, and one that gets it alone. It is
+// refused for the time of a review, and for good after that.
+func TestRequestsThatEndServersAreRefused(t *testing.T) {
+	w := newShards(t, routing.Options{Seed: 1})
+	r := fanOut(1, fiveShards...)
+	first := w.askFor(r, "/deadly")
+	if ended := w.endAll(first); ended != len(fiveShards)+1 {
+		t.Errorf("%d servers ended", ended)
+	}
+	if got := w.finished[first]; got.Execution != gather.ExecutionUnknown || got.Reason != gather.ReasonEndsServers {
+		t.Errorf("it ended with %+v", got)
+	}
+	review := w.finished[w.askFor(r, "/deadly")]
+	if review.Execution != gather.ExecutionNotRun || review.RetryAfter <= 0 || review.RetryAfter > reviewTime {
+		t.Errorf("under review: %+v", review)
+	}
+	if other := w.askFor(r, "/other"); len(w.open(other)) != len(fiveShards) {
+		t.Errorf("another request was sent %d times", len(w.open(other)))
+	}
+	w.pass(reviewTime + time.Millisecond)
+	refused := w.finished[w.askFor(r, "/deadly")]
+	if refused.Execution != gather.ExecutionUnknown || refused.RetryAfter != 0 || refused.Sends != 0 {
+		t.Errorf("quarantined: %+v", refused)
+	}
+	if len(w.records) != 1 || w.again != 1 || len(w.told) < 3 || !w.told[len(w.told)-1].Finding.Quarantined {
+		t.Errorf("%d records, came again %d times, told %+v", len(w.records), w.again, w.told)
+	}
+}
+
+// A suspected request asks one server, and the others once that one has answered.
+func TestSuspectedRequestsGoAloneAndAreCleared(t *testing.T) {
+	w := newShards(t, routing.Options{Seed: 1})
+	r := fanOut(1, fiveShards...)
+	content := quarantine.ContentOf("GET", "host", "/suspected", nil)
+	w.step(routing.FindingHeard{Finding: quarantine.Finding{Content: content, Ends: []quarantine.End{{Life: 7}}}})
+	id := w.askFor(r, "/suspected")
+	if open := w.open(id); len(open) != 1 {
+		t.Fatalf("%d sends", len(open))
+	}
+	w.end(w.open(id)[0].Attempt, gather.ReplyDone)
+	if open := w.open(id); len(open) != len(fiveShards)-1 {
+		t.Errorf("%d sends after an answer", len(open))
+	}
+	if next := w.askFor(r, "/suspected"); len(w.open(next)) != len(fiveShards) {
+		t.Errorf("%d sends of a request that was cleared", len(w.open(next)))
+	}
+	if len(w.told) != 1 || !w.told[0].Finding.Answered {
+		t.Errorf("told %+v", w.told)
+	}
+}
+
+// What the registry says holds from the moment at which it is known, and leaves a suspicion.
+func TestRecordedContentsAreRefused(t *testing.T) {
+	w := newShards(t, routing.Options{Seed: 1})
+	r := single("s1", true)
+	content := quarantine.ContentOf("GET", "host", "/recorded", nil)
+	w.step(routing.QuarantinesChanged{Contents: []quarantine.Content{content}})
+	if got := w.finished[w.askFor(r, "/recorded")]; got.Reason != gather.ReasonEndsServers || got.Sends != 0 {
+		t.Errorf("%+v", got)
+	}
+	w.step(routing.QuarantinesChanged{})
+	id := w.askFor(r, "/recorded")
+	if len(w.open(id)) != 1 {
+		t.Fatal("it is not tried")
+	}
+	w.fail(w.open(id)[0].Attempt, gather.ServerEnded)
+	if got := w.finished[id]; got.Reason != gather.ReasonEndsServers || len(w.open(id)) > 0 {
+		t.Errorf("after its server ended: %+v", got)
+	}
+}
+
+func TestWithoutTheMechanismNothingIsRefused(t *testing.T) {
+	w := newShards(t, routing.Options{Seed: 1, Off: mechanism.Without(mechanism.Quarantine)})
+	r := fanOut(1, fiveShards...)
+	w.endAll(w.askFor(r, "/deadly"))
+	w.step(routing.QuarantinesChanged{Contents: []quarantine.Content{quarantine.ContentOf("GET", "host", "/deadly", nil)}})
+	w.pass(2 * reviewTime)
+	if id := w.askFor(r, "/deadly"); len(w.open(id)) != len(fiveShards) {
+		t.Errorf("%d sends", len(w.open(id)))
+	}
+}
--- a/routing/world_test.go
+++ b/routing/world_test.go
@@ -8,6 +8,7 @@
 	"github.com/banksail/banksail/discovery"
 	"github.com/banksail/banksail/extrabudget"
 	"github.com/banksail/banksail/gather"
+	"github.com/banksail/banksail/quarantine"
 	"github.com/banksail/banksail/route"
 	"github.com/banksail/banksail/routing"
 )
@@ -24,6 +25,9 @@
 	unable   bool
 	wakeAt   time.Duration
 	last     routing.RequestID
+	told     []routing.Tell
+	records  []quarantine.Content
+	again    int
 }
 
 const testAim = 100 * time.Millisecond
@@ -61,6 +65,12 @@
 				w.t.Errorf("told twice that able is %v", action.Able)
 			}
 			w.unable = !action.Able
+		case routing.Tell:
+			w.told = append(w.told, action)
+		case routing.Quarantine:
+			w.records = append(w.records, action.Content)
+		case routing.CameAgain:
+			w.again++
 		case routing.Wake:
 			w.wakeAt = action.At
 		}
@@ -139,6 +149,27 @@
 	return w.last
 }
 
+// askFor lets a request for a target arrive and returns its ID.
+func (w *world) askFor(r *route.Route, target string) routing.RequestID {
+	w.last++
+	w.step(routing.Arrived{Request: routing.Request{
+		ID: w.last, Route: r, Remaining: r.Timeout,
+		Content: func() quarantine.Content { return quarantine.ContentOf("GET", "host", target, nil) },
+	}})
+	return w.last
+}
+
+// endAll ends the servers of all attempts of a request, until none is left, and counts them.
+func (w *world) endAll(id routing.RequestID) (ended int) {
+	for open := w.open(id); len(open) > 0; open = w.open(id) {
+		for _, send := range open {
+			ended++
+			w.fail(send.Attempt, gather.ServerEnded)
+		}
+	}
+	return ended
+}
+
 func (w *world) reply(id gather.AttemptID, status gather.ReplyStatus) {
 	w.step(routing.Replied{Attempt: id, Status: status, Body: id})
 }
