--- /dev/null
+++ b/rollout/world_nodes_test.go
@@ -0,0 +1,161 @@
+package rollout
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// step lets a node learn, report and decide.
+func (w *world) step(n *simNode) {
+	w.learn(n)
+	if n.state.Order != 0 && w.now >= n.reportAt && n.linked(w.now) && n.stuckUntil <= w.now {
+		n.reportAt = w.now + reportGap
+		if n.trial.Hurried(w.now) {
+			n.reportAt = w.now + reportGap/2
+		}
+		w.report(n)
+	}
+	place := slices.IndexFunc(w.leaders(), func(l *simNode) bool { return l == n })
+	if place < 0 || !n.heard {
+		return
+	}
+	world := World{
+		State: n.state, Duration: w.duration, RecordRevision: n.belief.record, Versions: []string{oldOne, newOne}, Known: true,
+		Place: place, Nodes: w.names(), Serving: w.names(), GreatestAge: 1600 * time.Millisecond,
+	}
+	if w.bug == bugNobodyAsked {
+		world.Nodes = nil
+	}
+	if w.bug == bugNoTakeover && place > 0 {
+		world.Place = -1
+	}
+	if w.bug == bugEndIsNoEnd && n.state.current() && n.state.Record.Phase == Completed {
+		reopened := *n.state.Record
+		reopened.Phase = Moving
+		world.Record = &reopened
+	}
+	n.decider.Learn(w.now, world)
+	if due, ok := n.decider.Tick(w.now); ok && n.served(w.now) {
+		w.writes = append(w.writes, write{at: w.now + time.Duration(w.random.IntN(60))*time.Millisecond, what: due, by: n.decider})
+	}
+}
+
+// leaders are the first three that others see: nodes that are gone or cut off are passed
+// over after some time, which is left out here for those that are frozen or deaf.
+func (w *world) leaders() []*simNode {
+	var seen []*simNode
+	for _, n := range w.nodes {
+		if n.up(w.now) && n.cutUntil <= w.now && len(seen) < 3 {
+			seen = append(seen, n)
+		}
+	}
+	return seen
+}
+
+// names are those of the nodes that are not known to be gone.
+func (w *world) names() []string {
+	var names []string
+	for _, n := range w.nodes {
+		if n.up(w.now) && n.cutUntil <= w.now {
+			names = append(names, n.name)
+		}
+	}
+	return names
+}
+
+// learn brings a node's belief to what the registry held some time ago.
+func (w *world) learn(n *simNode) {
+	if w.now < n.heardAt+n.lag || !n.linked(w.now) || !w.registryThere() || n.stuckUntil > w.now {
+		return
+	}
+	before, heardBefore := n.heardAt, n.heard
+	n.heardAt, n.heard = w.now, true
+	n.lag = time.Duration(w.random.Float64() * float64(1400*time.Millisecond))
+	if n.deafUntil > w.now {
+		n.lag += 1500 * time.Millisecond // others tell it
+	}
+	if w.store.order != n.belief.order {
+		n.state.SinceKnown = false
+		switch {
+		case heardBefore && before >= w.orderAt-2*w.unheard:
+			n.state.Since, n.state.SinceKnown = w.orderAt-w.unheard, true // a reader's figure
+		case heardBefore:
+			n.state.Since, n.state.SinceKnown = before, true
+		default:
+			w.askAge(n)
+		}
+	}
+	if w.store.record != n.belief.record {
+		n.state.RecordKnownAt = w.now
+	}
+	if w.bug == bugEndsNotHeard && w.store.value.Phase == RolledBack && n.number%2 == 1 {
+		w.takeTrial(n)
+		return
+	}
+	n.belief = w.store
+	n.state.Alarm = w.store.alarm
+	if w.store.alarm {
+		n.state.AlarmSeenAt = w.now
+	}
+	n.state.Order, n.state.Target = w.store.order, newOne
+	if n.belief.record != 0 {
+		record := n.belief.value
+		n.state.Record = &record
+	}
+	w.takeTrial(n)
+}
+
+// takeTrial tells a node's trial what is known.
+func (w *world) takeTrial(n *simNode) {
+	n.state.Granted = n.state.Grant(w.now, n.name, w.now-n.startedAt)
+	if n.state.current() && w.bug == bugWholeGrantForEach {
+		n.state.Granted = 42
+	}
+	n.trial.Take(n.state, n.heardAt+w.bounds.FreshTime())
+}
+
+// askAge lets a node take over the order's age from one that knows it.
+func (w *world) askAge(n *simNode) {
+	if w.bug == bugAgeResetByRestart {
+		n.state.Since, n.state.SinceKnown = w.now, true
+		return
+	}
+	for _, other := range w.nodes {
+		if other != n && other.linked(w.now) && other.state.SinceKnown && other.state.Order == w.store.order {
+			n.state.Since, n.state.SinceKnown = other.state.Since, true
+			return
+		}
+	}
+}
+
+// report tells the deciders what a node has seen.
+func (w *world) report(n *simNode) {
+	n.inFlight = slices.DeleteFunc(n.inFlight, func(until time.Duration) bool { return until <= w.now })
+	target, before := n.trial.Evidence().Cells()
+	told := Report{
+		Node: n.name, Process: fmt.Sprint(n.process), Service: "service", Order: n.state.Order,
+		Moved: n.trial.Moved(w.now), Remaining: len(n.inFlight), Target: target, Before: before,
+	}
+	if n.lies {
+		told.Target = slices.Clone(target)
+		for i := range told.Target {
+			told.Target[i].Failed, told.Target[i].Slow = told.Target[i].Answers, 0
+		}
+	}
+	switch w.bug {
+	case bugEvidenceTwice:
+		told.Process += fmt.Sprint(w.now)
+	case bugNodesNotToldApart:
+		told.Node += fmt.Sprint(w.random.Uint32())
+	}
+	for _, leader := range w.leaders() {
+		if !leader.linked(w.now) {
+			continue
+		}
+		leader.decider.Hear(w.now, told)
+		if leader.decider.Halt() && w.bug != bugEndsNotHeard {
+			n.trial.Halt(told.Order)
+		}
+	}
+}
