--- a/bench/days.sh
+++ b/bench/days.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays every day of bench/days on the given sites and prints one row each.
+# Plays every day of deploy/days on the given sites and prints one row each.
 # Usage: FLEETBENCH=path bench/days.sh SITE...
 set -euo pipefail
 : "${FLEETBENCH:?must name the bench}"
@@ -22,5 +22,5 @@
 export -f play
 
 for site in "$@"; do
-  printf '%s\n' bench/days/*.toml | xargs -P "$jobs" -I{} bash -c 'play "$0" "$1"' "$site" {}
+  printf '%s\n' deploy/days/*.toml | xargs -P "$jobs" -I{} bash -c 'play "$0" "$1"' "$site" {}
 done
