Sight: log lines tell milliseconds, and the content of requests whose connections broke

A request whose server broke the connection off without a word had no content on its line, so the ends of one content that were taken for lost connections could not be counted.

--- a/gateway/attempts.go
+++ b/gateway/attempts.go
@@ -87,16 +87,20 @@
 	return event
 }
 
-// serverEnded is the end of an attempt whose server was not there any more when its
-// connection was lost.
-const serverEnded = "server_ended"
+const (
+	// serverEnded is the end of an attempt whose server was not there any more when its
+	// connection was lost.
+	serverEnded = "server_ended"
+	// connectionLost is that of one whose server was still there.
+	connectionLost = "connection_lost"
+)
 
 func failureName(err error, ended bool) string {
 	switch {
 	case ended:
 		return serverEnded
 	case errors.Is(err, exchange.ErrConnectionLost):
-		return "connection_lost"
+		return connectionLost
 	case errors.Is(err, exchange.ErrNotDelivered):
 		return "not_delivered"
 	case errors.Is(err, exchange.ErrMalformed):
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -34,7 +34,7 @@
 	if line == nil {
 		return
 	}
-	if endedServers(outcome.Attempts) > 0 || outcome.Reason == gather.ReasonEndsServers {
+	if lostServers(outcome.Attempts) > 0 || outcome.Reason == gather.ReasonEndsServers {
 		line.Stringer("content", contentOf(asked.outgoing)).Str("caller", asked.caller)
 	}
 	line.Str(telemetry.FieldRequestID, asked.outgoing.AttemptID).Str("route", asked.route.Name).
@@ -48,10 +48,10 @@
 		Msg("request answered")
 }
 
-// endedServers counts the attempts with which their servers ended.
-func endedServers(attempts []routing.AttemptRecord) (count int) {
+// lostServers counts the attempts whose servers ended, or broke the connection off.
+func lostServers(attempts []routing.AttemptRecord) (count int) {
 	for _, one := range attempts {
-		if one.End == serverEnded {
+		if one.End == serverEnded || one.End == connectionLost {
 			count++
 		}
 	}
--- a/telemetry/logger.go
+++ b/telemetry/logger.go
@@ -21,11 +21,23 @@
 	FieldClass     = "class"
 )
 
+// timeFormat gives the times of log lines: most bounds are a few seconds, and what breaks them is
+// told apart by milliseconds.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
+// stamp puts the time on each line.
+type stamp struct{}
+
+// Run implements zerolog.Hook.
+func (stamp) Run(line *zerolog.Event, _ zerolog.Level, _ string) {
+	line.Str(zerolog.TimestampFieldName, zerolog.TimestampFunc().Format(timeFormat))
+}
+
 // NewLogger writes JSON lines of the given level and above.
 func NewLogger(output io.Writer, level, node string) (zerolog.Logger, error) {
 	parsed, err := zerolog.ParseLevel(level)
 	if err != nil || parsed == zerolog.NoLevel {
 		return zerolog.Nop(), fmt.Errorf("%w: %q", ErrLevel, level)
 	}
-	return zerolog.New(output).Level(parsed).With().Timestamp().Str(FieldNode, node).Logger(), nil
+	return zerolog.New(output).Level(parsed).With().Str(FieldNode, node).Logger().Hook(stamp{}), nil
 }
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"net/http/httptest"
+	"regexp"
 	"strconv"
 	"strings"
 	"testing"
@@ -81,6 +82,19 @@
 	}
 }
 
+// A bound of seconds can't be judged by lines that tell whole seconds.
+func TestLinesTellMilliseconds(t *testing.T) {
+	var output bytes.Buffer
+	logger, err := NewLogger(&output, "info", "node-1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	logger.Info().Msg("line")
+	if !regexp.MustCompile(`"time":"[0-9-]+T[0-9:]+\.[0-9]{3}(Z|[+-])`).Match(output.Bytes()) {
+		t.Errorf("log %s", output.String())
+	}
+}
+
 func TestNodesHaveMetricsOfTheirOwn(t *testing.T) {
 	first, second := NewMetrics(), NewMetrics()
 	first.Revision.Set(7)
