Soak: the judge sees a version in force where its routes have no server

No caller was worse off.

Cause: the judge. The judge took a refusal for no answer and dropped what it had learned before in the same look.

Ruled out: that the table told in force did not serve yet (the request's line names the table by which it was answered, every 150 ms).

Change: a refusal between two answers by a table counts as the route being there, as a table without it says 404; what a look has learned is noted at once. A table that is held back, and refusals of everything, are still told apart (soak.TestProbesSeeWhatIsInForce).

--- a/lab/soak/callers.go
+++ b/lab/soak/callers.go
@@ -302,9 +302,10 @@
 	fleet *fleet
 	node  *node
 	http  *http.Client
-	// process is the one that reached a version.
+	// process is the one that reached a version, and byTable says that it has answered by one.
 	process *process
 	reached int
+	byTable bool
 }
 
 // look finds the newest version in force; one that was in force must be still.
@@ -314,7 +315,7 @@
 		return
 	}
 	if process != p.process {
-		p.process, p.reached = process, 0
+		p.process, p.reached, p.byTable = process, 0, false
 	}
 	newest := p.fleet.newestVersion()
 	first := max(p.reached, newest-markersKept+1)
@@ -326,6 +327,7 @@
 			return
 		}
 		if is {
+			p.found(middle)
 			low = middle
 		} else {
 			high = middle - 1
@@ -344,8 +346,13 @@
 			return
 		}
 	}
-	p.reached = low
-	p.note(low)
+	p.found(low)
+}
+
+// found notes a version that is in force.
+func (p *prober) found(version int) {
+	p.reached = version
+	p.note(version)
 }
 
 func (p *prober) note(version int) {
@@ -353,21 +360,37 @@
 	p.fleet.recorder.Edit(func(h *history.History) { h.InForce = append(h.InForce, seen) })
 }
 
-// inForce asks for the route of a version; known is that the node told.
+// inForce asks for the route of a version; known is that the node told. Between two answers by a
+// table a refusal tells that the route is there: the table says so where it is not.
 func (p *prober) inForce(version int) (is, known bool) {
-	call := history.Call{
-		RequestID: p.fleet.nextRequest(), Node: p.node.name, Service: singleService, Class: markerPath(version), Repeatable: true, Abandoned: true,
-	}
-	id := p.fleet.recorder.Call(call)
-	answer := p.fleet.ask(p.http, p.node, call.Class, call.RequestID, deadline)
-	answer.Call = id
-	p.fleet.recorder.Answer(answer)
+	answer := p.ask(markerPath(version))
 	switch {
 	case answer.Reason == noRoute:
+		p.byTable = true
 		return false, true
 	case answer.Kind == history.AnswerResult || answer.Execution == history.ExecutionUnknown && answer.Kind == history.AnswerRefusal:
+		p.byTable = true
 		return true, true
+	case answer.Kind == history.AnswerRefusal:
+		before := p.byTable
+		p.byTable = p.ask(markerPath(neverWritten)).Reason == noRoute
+		return true, before && p.byTable
 	default:
 		return false, false // no answer, or one that may come before any configuration is known
 	}
 }
+
+// neverWritten is a version that no configuration has.
+const neverWritten = 0
+
+// ask sends a request to the node and records it with its answer.
+func (p *prober) ask(path string) history.Answer {
+	call := history.Call{
+		RequestID: p.fleet.nextRequest(), Node: p.node.name, Service: singleService, Class: path, Repeatable: true, Abandoned: true,
+	}
+	id := p.fleet.recorder.Call(call)
+	answer := p.fleet.ask(p.http, p.node, call.Class, call.RequestID, deadline)
+	answer.Call = id
+	p.fleet.recorder.Answer(answer)
+	return answer
+}
