A look after a lost connection pauses before its last try

The last of them now comes 10 ms later (exchange.TestConnectionsThatBreakAtOnce, which failed); a server that resets each connection still gets three at most.

--- a/exchange/ended_test.go
+++ b/exchange/ended_test.go
@@ -37,3 +37,40 @@
 		}
 	})
 }
+
+// What stands in front of a server takes connections and breaks them at once, for a while after the
+// server has gone; one that has too many connections does so for longer, and has not ended.
+func TestConnectionsThatBreakAtOnce(t *testing.T) {
+	for what, test := range map[string]struct {
+		breaksFor time.Duration
+		ended     bool
+	}{
+		"gone":                  {breaksFor: 8 * time.Millisecond, ended: true},
+		"too many connections":  {breaksFor: time.Minute},
+		"back after one resets": {breaksFor: 0},
+	} {
+		t.Run(what, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				began, dials := time.Now(), 0
+				var server net.Conn
+				client := exchange.NewClient(exchange.Options{Headers: testHeaders, Dial: func(context.Context, string, string) (net.Conn, error) {
+					dials++
+					near, far := net.Pipe()
+					switch {
+					case dials == 1 || time.Since(began) < test.breaksFor:
+						_ = far.Close()
+					case test.ended:
+						return nil, syscall.ECONNREFUSED
+					}
+					server = far
+					return near, nil
+				}})
+				if got := client.HasEnded(discovery.Server{ID: "server-1"}); got != test.ended || dials > 3 {
+					t.Errorf("ended %v after %d connections, want %v", got, dials, test.ended)
+				}
+				client.Retain(nil, 0)
+				_ = server.Close()
+			})
+		})
+	}
+}
--- a/exchange/look.go
+++ b/exchange/look.go
@@ -18,6 +18,9 @@
 	leavingTime = 20 * time.Millisecond
 	// mostLooks bounds the connections of one look: a server that has too many resets each.
 	mostLooks = 3
+	// lookPause lies before the last of them: what listens in front of a server may take
+	// connections, and break them, for some milliseconds after the server has gone.
+	lookPause = 10 * time.Millisecond
 )
 
 // Look finds out whether a server is still there whose connection was lost.
@@ -49,9 +52,13 @@
 		broken := l.conn.breaksWithin(leavingTime)
 		l.client.release(l.server.Incarnation(), l.conn, !broken)
 		l.conn = nil
-		if broken && l.looks < mostLooks {
-			l.dial()
+		if !broken || l.looks == mostLooks {
+			break
 		}
+		if l.looks == mostLooks-1 {
+			time.Sleep(lookPause)
+		}
+		l.dial()
 	}
 	return l.ended
 }
