Requests that end servers: a fan-out that nobody answers is told at once, and is proof when all its servers ended

What callers saw: one such request took the service down for seconds, though all nodes refused it soon after.

Change: three ends of one fan-out, one after the other, with no answer, are told to all nodes; until its outcome is known (250 ms) they refuse the content with when to come back, and send nothing more of one that they run. A fan-out of eight parts and more all of whose servers ended, 75 ms apart, is proof without a send alone, under the same review and unless other servers ended beside it.

--- a/gather/caution.go
+++ b/gather/caution.go
@@ -15,10 +15,48 @@
 // with it, after which the query is known.
 func (q *Query) cautious() bool { return !q.survived && (q.options.Suspected || q.ends > 0) }
 
+const (
+	// endsApart is the least time between the first and the last of the ends that speak against a
+	// query: servers that crash together end at one moment.
+	endsApart = 2 * time.Millisecond
+	// decisiveEnds, of servers that all got the query, are proof without one that gets it alone,
+	// if they are decisiveApart. News of one moment is less apart: a broken connection and the look
+	// after its server take three ways, of 24 ms at most between regions.
+	decisiveEnds  = 8
+	decisiveApart = 75 * time.Millisecond
+)
+
+// noteEnd counts the end of a server.
+func (q *Query) noteEnd() {
+	if q.ends == 0 {
+		q.firstEndAt = q.now
+	}
+	q.ends++
+	q.lastEndAt = q.now
+}
+
+// Endangers reports whether several servers have ended under the query, one after the other, and
+// none has answered it.
+func (q *Query) Endangers() bool { return q.haveEnded(mostEnds, endsApart) }
+
+// Ends reports whether it is proven that servers end under the query.
+func (q *Query) Ends() bool { return q.finished && q.endsServers() }
+
+// endsServers reports whether that is so once nothing is in flight.
+func (q *Query) endsServers() bool { return q.haveEnded(decisiveEnds, decisiveApart) }
+
+func (q *Query) haveEnded(ends int, apart time.Duration) bool {
+	return !q.survived && q.ends >= ends && q.lastEndAt-q.firstEndAt >= apart
+}
+
+// Suspect tells that servers have ended under such a query elsewhere: what is in flight goes on,
+// and nothing more is sent beside it.
+func (q *Query) Suspect() { q.options.Suspected = true }
+
 // serverEnded handles an attempt whose server ended with it.
 func (q *Query) serverEnded(a *Attempt, what string) {
-	q.ends++
-	if a.Alone && q.ends >= mostEnds {
+	q.noteEnd()
+	if a.Alone && q.ends >= mostEnds || q.endsServers() && q.liveCount() == 1 {
 		q.explain(what, a)
 		q.unknown = true
 		q.finish(ReasonEndsServers)
@@ -30,13 +68,13 @@
 // Settle tells whether the server of an attempt that had failed in doubt has ended.
 func (q *Query) Settle(now time.Duration, ended bool) {
 	q.doubts--
-	if ended {
-		q.ends++
-	}
 	if q.finished {
 		return
 	}
 	q.now = now
+	if ended {
+		q.noteEnd()
+	}
 	q.conclude()
 }
 
@@ -83,6 +121,10 @@
 // releaseHeld sends what is held: all of it once a server has run a part and lives, or no doubt
 // is left, else a single sub-request once nothing is in flight.
 func (q *Query) releaseHeld() {
+	if !q.finished && len(q.held) > 0 && q.liveCount() == 0 && q.endsServers() {
+		q.finish(ReasonEndsServers)
+		return
+	}
 	for !q.finished && len(q.held) > 0 && !q.mustWait(q.held[0].kind) {
 		s := q.held[0]
 		q.held = slices.Delete(q.held, 0, 1)
--- a/gather/caution_test.go
+++ b/gather/caution_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/banksail/banksail/coverage"
 	"github.com/banksail/banksail/gather"
 )
 
@@ -160,3 +161,74 @@
 		t.Fatalf("%d sent once it is known that nothing ended", len(f.sent))
 	}
 }
+
+// manyParts is an environment of more parts.
+type manyParts struct {
+	fixed
+	parts int
+}
+
+func (m *manyParts) Targets(coverage.Range) []gather.Target {
+	var targets []gather.Target
+	for part := range uint64(m.parts) {
+		targets = append(targets, gather.Target{Range: coverage.Range{Start: part * 10, End: (part + 1) * 10}, Group: int(part)})
+	}
+	return targets
+}
+
+// endParts ends the servers of all parts of a query but the first so many, each so long after the
+// one before, and returns the query.
+func endParts(parts, spared int, apart time.Duration) (*manyParts, *gather.Query) {
+	m := &manyParts{parts: parts, fixed: fixed{budget: 100}}
+	options := repeatable(false)
+	options.Space = coverage.Range{End: uint64(parts) * 10}
+	q := gather.New(options, m)
+	q.Start(0)
+	for place, a := range m.sent[spared:parts] {
+		q.Failed(time.Duration(place+1)*apart, a, gather.ServerEnded, "")
+	}
+	return m, q
+}
+
+// Where all servers of a fan-out have ended, one after the other, nothing more is sent: a send
+// alone would take the last server of its part with it. Ends at one moment, or of a few parts, are
+// no proof: servers crash.
+func TestFanOutsThatEndAllServersAreProven(t *testing.T) {
+	for what, test := range map[string]struct {
+		parts  int
+		apart  time.Duration
+		proven bool
+	}{
+		"one after the other": {10, 10 * time.Millisecond, true},
+		"at one moment":       {10, time.Millisecond, false},
+		"of a few parts":      {6, 20 * time.Millisecond, false},
+	} {
+		t.Run(what, func(t *testing.T) {
+			m, q := endParts(test.parts, 0, test.apart)
+			if q.Ends() != test.proven {
+				t.Errorf("proven %v", q.Ends())
+			}
+			if alone := len(m.sent) - test.parts; test.proven && alone != 0 || !test.proven && alone != 1 {
+				t.Errorf("%d sent after all have ended", alone)
+			}
+		})
+	}
+}
+
+// Three ends, one after the other, speak against a query that nobody has answered.
+func TestQueriesEndangerServersUntilOneAnswers(t *testing.T) {
+	if _, q := endParts(10, 8, 10*time.Millisecond); q.Endangers() {
+		t.Error("two ends speak against it")
+	}
+	if _, q := endParts(10, 7, 100*time.Microsecond); q.Endangers() {
+		t.Error("ends at one moment speak against it")
+	}
+	m, q := endParts(10, 7, 10*time.Millisecond)
+	if !q.Endangers() {
+		t.Error("three ends, one after the other, don't speak against it")
+	}
+	q.Replied(40*time.Millisecond, m.sent[0], done(m.sent[0]))
+	if q.Endangers() {
+		t.Error("they speak against it though a server has answered")
+	}
+}
--- a/gather/query.go
+++ b/gather/query.go
@@ -58,7 +58,9 @@
 	held        []*Segment // that wait until nothing is in flight
 	ends        int        // servers that ended with a sub-request
 	doubts      int        // servers that may have, which is told soon
-	survived    bool       // a server ran a sub-request and lives
+	firstEndAt  time.Duration
+	lastEndAt   time.Duration
+	survived    bool // a server ran a sub-request and lives
 	restarts    int
 	// ran says that a server certainly ran a sub-request.
 	ran bool
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -28,6 +28,8 @@
 		return true
 	case s.void:
 		return false
+	case s.endedAll:
+		return true
 	}
 	for life, alone := range s.ends {
 		if alone && l.claims[life] == 1 {
--- a/quarantine/finding.go
+++ b/quarantine/finding.go
@@ -1,6 +1,10 @@
 package quarantine
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Life names one life of a server, from its start to its end.
 type Life uint64
@@ -21,6 +25,12 @@
 	Wide bool
 }
 
+// unanswered reports whether the finding is of a fan-out whose outcome is awaited.
+func (f Finding) unanswered() bool {
+	alone := slices.ContainsFunc(f.Ends, func(end End) bool { return end.Alone })
+	return f.Wide && !f.Quarantined && !alone && len(f.Ends) >= endsToQuarantine
+}
+
 // End is the end of a server under a content.
 type End struct {
 	Life Life
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -16,6 +16,8 @@
 	// reviewTime is how long other nodes' findings are awaited before a content is
 	// quarantined: four times the longest way between regions on the users' sites (24 ms).
 	reviewTime = 100 * time.Millisecond
+	// outcomeTime is how long it is awaited what becomes of a fan-out under which servers end.
+	outcomeTime = 250 * time.Millisecond
 	// memory is how long a suspicion lasts after its last evidence, and a quarantine that no
 	// registry keeps after the content came last.
 	memory = 10 * time.Minute
@@ -71,9 +73,13 @@
 	void bool
 	// reviewUntil is when a review ends; zero is that there is none.
 	reviewUntil time.Duration
-	quarantined bool
+	// awaitedUntil is until when the outcome of a fan-out is awaited.
+	awaitedUntil time.Duration
+	quarantined  bool
 	// told says that all nodes were told of it.
 	told bool
+	// endedAll says that all servers ended to which this node had sent it at once.
+	endedAll bool
 	// witnessed says that a server to which this node sent it alone ended.
 	witnessed bool
 }
@@ -125,6 +131,30 @@
 	}
 }
 
+// Unanswered tells all nodes of a content that was sent to several servers at once, of which some
+// have ended, one after the other, and none has answered yet. It is under review until the others
+// have answered or ended.
+func (l *Ledger) Unanswered(now time.Duration, content Content) (Finding, Audience) {
+	s := l.suspects[content]
+	if s == nil || s.told {
+		return Finding{}, Nobody
+	}
+	s.awaitedUntil = now + outcomeTime
+	return l.wideFinding(content, s), Everybody
+}
+
+// EndedAll notes that all servers have ended to which a content was sent at once, one after the
+// other: that is proof as if one had got it alone.
+func (l *Ledger) EndedAll(now time.Duration, content Content) (Finding, Audience) {
+	s := l.suspects[content]
+	if s == nil || s.quarantined || s.endedAll {
+		return Finding{}, Nobody
+	}
+	s.endedAll, s.witnessed, s.aloneAt, s.void = true, true, now, false
+	l.consider(now, s)
+	return l.wideFinding(content, s), Everybody
+}
+
 // Answered notes that a server ran a content and answered. What is quarantined stays so: the
 // answer may be older than the ends.
 func (l *Ledger) Answered(content Content) (Finding, Audience) {
@@ -161,6 +191,9 @@
 		changed = l.add(now, s, end) || changed
 	}
 	s.quarantined = s.quarantined || finding.Quarantined
+	if finding.unanswered() && !s.told {
+		s.awaitedUntil = now + outcomeTime
+	}
 	s.told = s.told || finding.Wide
 	if changed {
 		l.consider(now, s)
@@ -204,13 +237,20 @@
 	case s.quarantined:
 		s.touched = now
 		return Quarantined, 0
-	case now < s.reviewUntil:
-		return UnderReview, s.reviewUntil - now
+	case now < max(s.reviewUntil, s.awaitedUntil):
+		return UnderReview, max(s.reviewUntil, s.awaitedUntil) - now
 	default:
 		return Suspected, 0
 	}
 }
 
+// Proven reports whether the evidence against a content suffices, also while it is reviewed.
+func (l *Ledger) Proven(content Content) bool {
+	_, recorded := l.recorded[content]
+	s := l.suspects[content]
+	return recorded || s != nil && (s.quarantined || s.reviewUntil > 0)
+}
+
 // Tick ends the reviews that are over by now, forgets what is old, and returns what all nodes
 // are to be told of the contents that this node has quarantined by that.
 func (l *Ledger) Tick(now time.Duration) (quarantined []Finding) {
--- a/quarantine/ledger_test.go
+++ b/quarantine/ledger_test.go
@@ -258,3 +258,72 @@
 	}
 	return "quarantined without an end"
 }
+
+const outcome = 250 * time.Millisecond
+
+// unanswered is a ledger that has seen three servers of a fan-out end.
+func unanswered(deadly quarantine.Content) (*quarantine.Ledger, quarantine.Finding) {
+	l := quarantine.NewLedger()
+	for server := range 3 {
+		l.Ended(0, deadly, life(10+server))
+	}
+	finding, _ := l.Unanswered(0, deadly)
+	return l, finding
+}
+
+// While it is awaited what becomes of a fan-out under which servers end, its content is refused
+// everywhere: sent alone it would end one more server at each node. Then it is tried alone.
+func TestTheOutcomeOfAFanOutIsAwaited(t *testing.T) {
+	deadly := contentOf(1)
+	l, finding := unanswered(deadly)
+	if !finding.Wide || len(finding.Ends) != 3 {
+		t.Fatalf("told %+v", finding)
+	}
+	if _, audience := l.Unanswered(0, deadly); audience != quarantine.Nobody {
+		t.Error("it is told twice")
+	}
+	other := quarantine.NewLedger()
+	other.Heard(time.Millisecond, finding)
+	other.Heard(2*time.Millisecond, finding) // it is told several times
+	for _, one := range []*quarantine.Ledger{l, other} {
+		wantStanding(t, one, outcome-time.Millisecond, deadly, quarantine.UnderReview)
+		one.Tick(outcome + 2*time.Millisecond)
+		wantStanding(t, one, outcome+2*time.Millisecond, deadly, quarantine.Suspected)
+	}
+	answered, audience := l.Answered(deadly)
+	if audience != quarantine.Everybody {
+		t.Errorf("the answer is told to %d", audience)
+	}
+	other.Heard(outcome, answered)
+	for _, one := range []*quarantine.Ledger{l, other} {
+		wantStanding(t, one, outcome+2*time.Millisecond, deadly, quarantine.Clear)
+	}
+}
+
+// A fan-out of which all servers have ended is proof, unless others ended beside it.
+func TestFanOutsThatEndAllServersAreQuarantined(t *testing.T) {
+	for what, beside := range map[string]bool{"nothing else ended": false, "others ended": true} {
+		t.Run(what, func(t *testing.T) {
+			deadly := contentOf(1)
+			l, _ := unanswered(deadly)
+			if beside {
+				l.Ended(50*time.Millisecond, contentOf(2), life(70))
+			}
+			const ended = 100 * time.Millisecond
+			if _, audience := l.EndedAll(ended, deadly); audience != quarantine.Everybody {
+				t.Errorf("told to %d", audience)
+			}
+			if !l.Proven(deadly) {
+				t.Error("it is not reviewed")
+			}
+			if told := l.Tick(ended + review); (len(told) == 1) == beside {
+				t.Errorf("told %+v", told)
+			}
+			want := quarantine.Quarantined
+			if beside {
+				want = quarantine.Suspected
+			}
+			wantStanding(t, l, time.Second, deadly, want)
+		})
+	}
+}
--- a/routing/router.go
+++ b/routing/router.go
@@ -291,6 +291,7 @@
 		a.server.Learn(r.now, failedSlowness)
 	}
 	q.query.Failed(r.now, a.Attempt, event.Delivery, event.Reason)
+	r.spread(q)
 	r.schedule(q)
 	r.pump(a.Segment.Group.(*service))
 }
--- a/routing/suspects.go
+++ b/routing/suspects.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/banksail/banksail/gather"
@@ -53,11 +55,27 @@
 	}
 	end := quarantine.End{Life: quarantine.LifeOf(a.server.Incarnation().String()), Alone: a.Alone}
 	r.tell(r.ledger.Ended(r.now, content, end))
-	if standing, _ := r.ledger.Standing(r.now, content); standing >= quarantine.UnderReview {
+	if r.ledger.Proven(content) {
 		q.query.GiveUpAll(r.now, gather.ReasonEndsServers)
 	}
 }
 
+// spread tells all nodes of a request that has ended several servers, one after the other.
+func (r *Router) spread(q *request) {
+	if !q.query.Endangers() {
+		return
+	}
+	content, ok := r.contentOf(&q.asked)
+	if !ok {
+		return
+	}
+	if q.query.Ends() {
+		r.tell(r.ledger.EndedAll(r.now, content))
+	} else {
+		r.tell(r.ledger.Unanswered(r.now, content))
+	}
+}
+
 // settled takes whether the server of an attempt has ended that had failed in doubt. Where
 // another one has run the request and lives, its end speaks against the request no more.
 func (r *Router) settled(event Settled) {
@@ -71,6 +89,7 @@
 		r.serverEnded(a, q)
 	}
 	q.query.Settle(r.now, event.Ended)
+	r.spread(q)
 	if !q.query.Finished() {
 		r.schedule(q)
 	}
@@ -90,6 +109,28 @@
 func (r *Router) findingHeard(finding quarantine.Finding) {
 	if r.on(mechanism.Quarantine) {
 		r.tell(r.ledger.Heard(r.now, finding))
+		if finding.Wide {
+			r.warn(finding.Content)
+		}
+	}
+}
+
+// warn lets the requests that run with a content go on as its standing asks.
+func (r *Router) warn(content quarantine.Content) {
+	standing, _ := r.ledger.Standing(r.now, content)
+	if standing == quarantine.Clear {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(r.running)) {
+		q := r.running[id]
+		if own, ok := r.contentOf(&q.asked); !ok || own != content {
+			continue
+		}
+		if standing == quarantine.Quarantined {
+			q.query.GiveUpAll(r.now, gather.ReasonEndsServers)
+		} else {
+			q.query.Suspect()
+		}
 	}
 }
 
--- a/routing/suspects_test.go
+++ b/routing/suspects_test.go
@@ -70,6 +70,58 @@
 	}
 }
 
+// tenShards are those of a fan-out that tells by itself whether it ends its servers.
+var tenShards = []string{"s1", "s2", "s3", "s4", "s5", "s6", "s7", "s8", "s9", "s10"}
+
+// A fan-out ended a copy of each shard within 0.1 s, and others of its content, which came to other
+// nodes 50 to 120 ms after the first end, the other copies: of 41 servers that ended on one day 35
+// did so under the first two tries (their ends 34 to 124 ms after they were sent, "wide" findings
+// only after that). The third end without an answer is told to all nodes now.
+func TestFanOutsThatNobodyAnswersAreToldAtOnce(t *testing.T) {
+	newNode := func() *world {
+		w := newWorld(t, routing.Options{Seed: 1})
+		w.setTable(60, tenShards...)
+		w.setServers(servers(2, tenShards...))
+		return w
+	}
+	w, other := newNode(), newNode()
+	r := fanOut(0.5, tenShards...)
+	id, running := w.askFor(r, "/deadly"), other.askFor(r, "/deadly")
+	sends := w.open(id)
+	for place, send := range sends {
+		w.pass(10 * time.Millisecond)
+		if place == 3 {
+			told := w.told[len(w.told)-1].Finding
+			if !told.Wide || len(told.Ends) != 3 {
+				t.Fatalf("after three ends: told %+v", told)
+			}
+			other.step(routing.FindingHeard{Finding: told})
+			for _, node := range []*world{w, other} {
+				if got := node.finished[node.askFor(r, "/deadly")]; got.Execution != gather.ExecutionNotRun || got.RetryAfter <= 0 {
+					t.Errorf("while the outcome is awaited: %+v", got)
+				}
+			}
+		}
+		w.fail(send.Attempt, gather.ServerEnded)
+	}
+	if got := w.finished[id]; got.Reason != gather.ReasonEndsServers || got.Sends != len(tenShards) {
+		t.Errorf("it ended with %+v", got)
+	}
+	before := len(other.open(running))
+	other.fail(other.open(running)[0].Attempt, gather.DeliveryUnknown)
+	if after := len(other.open(running)); after != before-1 {
+		t.Errorf("%d in flight of one that runs elsewhere, %d before one failed", after, before)
+	}
+	w.pass(reviewTime + time.Millisecond)
+	if got := w.finished[w.askFor(r, "/deadly")]; got.Execution != gather.ExecutionUnknown || got.Sends != 0 {
+		t.Errorf("after the review: %+v", got)
+	}
+	other.step(routing.FindingHeard{Finding: w.told[len(w.told)-1].Finding})
+	if got := other.finished[running]; got.Reason != gather.ReasonEndsServers {
+		t.Errorf("what runs elsewhere: %+v", got)
+	}
+}
+
 // A server that listened when its connection was lost, and has ended since, counts against the
 // request, also when that has its final answer; not where another server has answered it.
 func TestEndsThatAreSeenLaterCount(t *testing.T) {
