Soak: what a seed draws of one kind does not depend on which others there are

Each kind has a generator of its own, seeded by seed and name, where none are named; named kinds are drawn as before, so that all entries of regressions.txt keep what they drew (pinned for 9102 in soak.TestNamedKindsKeepTheirSchedules).

--- a/lab/soak/schedule.go
+++ b/lab/soak/schedule.go
@@ -1,12 +1,15 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/banksail/banksail/lab/schedule"
 )
 
@@ -142,20 +145,26 @@
 	// shortestOrder is the least duration of a roll-out. It ends before the soak does.
 	shortestOrder = 13 * time.Second
 	longestOrder  = 24 * time.Second
+	// kindGap is the mean time between two faults of one kind where all kinds are drawn from: with
+	// the kinds that there are, one fault starts every 2 s.
+	kindGap = 80 * time.Second
 	// rolloutShare is the part of the schedules that hold a roll-out.
 	rolloutShare = 0.7
-	// randomStream parts the schedule's random numbers from other users of a seed.
-	randomStream = 0x736f616b
+	// randomStream parts the schedule's random numbers from other users of a seed, and
+	// rolloutStream those of the roll-out from those of the kinds.
+	randomStream  = 0x736f616b
+	rolloutStream = 0x726f6c6c
 )
 
 // ShortestDuration is the least length of a soak: one fault must fit.
 const ShortestDuration = leadTime + tailTime + 2*time.Second
 
 // Draw draws the schedule of a seed over nodes and servers; the same arguments give the same
-// schedule. Whichever kinds are named are drawn; none is all.
+// schedule. Whichever kinds are named are drawn; none is all, each by itself, so that a seed keeps
+// what it draws of the others when a kind is added.
 func Draw(seed uint64, duration time.Duration, layout Layout, kinds ...schedule.Kind) Schedule {
 	if len(kinds) == 0 {
-		kinds = Kinds()
+		return drawEach(seed, duration, layout, Kinds())
 	}
 	random := rand.New(rand.NewPCG(seed, randomStream))
 	d := drawer{random: random, layout: layout, until: duration - tailTime}
@@ -171,12 +180,34 @@
 	return result
 }
 
+// drawEach draws the faults of each kind from a generator of its own.
+func drawEach(seed uint64, duration time.Duration, layout Layout, kinds []schedule.Kind) Schedule {
+	result := Schedule{Seed: seed, Duration: duration}
+	orders := drawer{random: rand.New(rand.NewPCG(seed, rolloutStream)), layout: layout, until: duration - tailTime}
+	if orders.random.Float64() < rolloutShare {
+		result.Order = orders.order(duration)
+	}
+	for _, kind := range kinds {
+		d := drawer{random: rand.New(rand.NewPCG(seed, xxhash.Sum64String(string(kind)))), layout: layout, until: duration - tailTime}
+		for at := leadTime + d.pause(); at < d.until; at += d.pause() {
+			result.Faults = append(result.Faults, d.fault(kind, at))
+		}
+	}
+	slices.SortStableFunc(result.Faults, func(a, b schedule.Fault) int { return cmp.Compare(a.At, b.At) })
+	return result
+}
+
 type drawer struct {
 	random *rand.Rand
 	layout Layout
 	until  time.Duration
 }
 
+// pause is the time between two faults of one kind.
+func (d *drawer) pause() time.Duration {
+	return time.Duration(d.random.ExpFloat64() * float64(kindGap))
+}
+
 func (d *drawer) between(low, high time.Duration) time.Duration {
 	if high <= low {
 		return low
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -137,6 +137,53 @@
 	}
 }
 
+// What a seed draws of one kind does not depend on which others there are: 307 of all kinds was
+// another day once a kind had come in.
+func TestSeedsKeepWhatTheyDraw(t *testing.T) {
+	layout, kinds := DefaultLayout(), Kinds()
+	for seed := range uint64(20) {
+		all := Draw(seed, time.Minute, layout)
+		fewer := drawEach(seed, time.Minute, layout, kinds[:len(kinds)-3])
+		if all.Order != fewer.Order {
+			t.Errorf("seed %d: roll-outs %+v and %+v", seed, all.Order, fewer.Order)
+		}
+		for _, kind := range kinds[:len(kinds)-3] {
+			if one, other := faultsOf(all, kind), faultsOf(fewer, kind); !slices.Equal(one, other) {
+				t.Errorf("seed %d: %v and %v", seed, one, other)
+			}
+		}
+	}
+}
+
+func faultsOf(drawn Schedule, kind schedule.Kind) (faults []string) {
+	for _, fault := range drawn.Faults {
+		if fault.Kind == kind {
+			faults = append(faults, fault.String())
+		}
+	}
+	return faults
+}
+
+// Seeds with kinds that are named draw what they drew when they found something.
+func TestNamedKindsKeepTheirSchedules(t *testing.T) {
+	drawn := Draw(9102, 40*time.Second, DefaultLayout(), DeadlyRequest, Configure, ConfigureOften)
+	const known = `seed 9102, 40s
+5s roll-out within 21.933s, bad: "fails_later", replaced: false
+5s..8.947s configure_often   0s
+6.486s..24s deadly_request /page/  0s
+9.624s..11.308s configure   0s
+12.705s..24s deadly_request /enter/  0s
+13.248s..16.339s configure   0s
+16.26s..17.844s configure   0s
+18.245s..21.794s configure   0s
+20.423s..24s deadly_request /page/  0s
+22.711s..23.775s configure   0s
+`
+	if drawn.String() != known {
+		t.Errorf("drawn:\n%s", drawn)
+	}
+}
+
 // Options that can't be followed get an error that names them.
 func TestOptions(t *testing.T) {
 	good := Options{Duration: ShortestDuration, Program: "x", Directory: t.TempDir()}
