What proves that a request ends servers is told by the query that gave up for it

Eight ends and a deadline are no proof: a fan-out whose other servers are silent could be quarantined as if all of them had ended. A record that an operator has lifted leaves nothing of such a proof.

--- a/gather/caution.go
+++ b/gather/caution.go
@@ -39,11 +39,18 @@
 // none has answered it.
 func (q *Query) Endangers() bool { return q.haveEnded(mostEnds, endsApart) }
 
-// Ends reports whether it is proven that servers end under the query.
-func (q *Query) Ends() bool { return q.finished && q.endsServers() }
+// EndedAll reports whether all servers have ended that got the query, so many and so far apart
+// that it is proof.
+func (q *Query) EndedAll() bool { return q.endedAll }
 
-// endsServers reports whether that is so once nothing is in flight.
-func (q *Query) endsServers() bool { return q.haveEnded(decisiveEnds, decisiveApart) }
+// isProven reports whether that is so with so many sub-requests in flight.
+func (q *Query) isProven(live int) bool { return live == 0 && q.haveEnded(decisiveEnds, decisiveApart) }
+
+// giveUpProven finishes a query of which that is so.
+func (q *Query) giveUpProven() {
+	q.endedAll, q.unknown = true, true
+	q.finish(ReasonEndsServers)
+}
 
 func (q *Query) haveEnded(ends int, apart time.Duration) bool {
 	return !q.survived && q.ends >= ends && q.lastEndAt-q.firstEndAt >= apart
@@ -56,12 +63,17 @@
 // serverEnded handles an attempt whose server ended with it.
 func (q *Query) serverEnded(a *Attempt, what string) {
 	q.noteEnd()
-	if a.Alone && q.ends >= mostEnds || q.endsServers() && q.liveCount() == 1 {
+	if a.Alone && q.ends >= mostEnds {
 		q.explain(what, a)
 		q.unknown = true
 		q.finish(ReasonEndsServers)
 		return
 	}
+	if q.isProven(q.liveCount() - 1) {
+		q.explain(what, a)
+		q.giveUpProven()
+		return
+	}
 	q.mayHaveRun(a, what, ReasonServerError)
 }
 
@@ -121,8 +133,8 @@
 // releaseHeld sends what is held: all of it once a server has run a part and lives, or no doubt
 // is left, else a single sub-request once nothing is in flight.
 func (q *Query) releaseHeld() {
-	if !q.finished && len(q.held) > 0 && q.liveCount() == 0 && q.endsServers() {
-		q.finish(ReasonEndsServers)
+	if !q.finished && len(q.held) > 0 && q.isProven(q.liveCount()) {
+		q.giveUpProven()
 		return
 	}
 	for !q.finished && len(q.held) > 0 && !q.mustWait(q.held[0].kind) {
--- a/gather/caution_test.go
+++ b/gather/caution_test.go
@@ -205,8 +205,8 @@
 	} {
 		t.Run(what, func(t *testing.T) {
 			m, q := endParts(test.parts, 0, test.apart)
-			if q.Ends() != test.proven {
-				t.Errorf("proven %v", q.Ends())
+			if q.EndedAll() != test.proven {
+				t.Errorf("proven %v", q.EndedAll())
 			}
 			if alone := len(m.sent) - test.parts; test.proven && alone != 0 || !test.proven && alone != 1 {
 				t.Errorf("%d sent after all have ended", alone)
@@ -215,6 +215,15 @@
 	}
 }
 
+// Servers that say nothing have not ended: nothing is proven of a fan-out that runs into its deadline.
+func TestServersThatAreSilentProveNothing(t *testing.T) {
+	m, q := endParts(12, 1, 10*time.Millisecond)
+	q.Tick(time.Second)
+	if m.outcome == nil || m.outcome.Reason != gather.ReasonDeadline || q.EndedAll() {
+		t.Errorf("outcome %+v, proven %v", m.outcome, q.EndedAll())
+	}
+}
+
 // Three ends, one after the other, speak against a query that nobody has answered.
 func TestQueriesEndangerServersUntilOneAnswers(t *testing.T) {
 	if _, q := endParts(10, 8, 10*time.Millisecond); q.Endangers() {
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -218,7 +218,7 @@
 		}
 		s := l.suspectOf(now, content)
 		s.quarantined, s.reviewUntil = false, 0
-		s.witnessed, s.alones, s.void = false, 0, true
+		s.witnessed, s.endedAll, s.alones, s.void = false, false, 0, true
 		for unknown := Life(0); len(s.ends) < endsToQuarantine-1; unknown++ {
 			l.add(now, s, End{Life: math.MaxUint64 - unknown}) // stands for an end that led to the record
 		}
--- a/routing/suspects.go
+++ b/routing/suspects.go
@@ -69,7 +69,7 @@
 	if !ok {
 		return
 	}
-	if q.query.Ends() {
+	if q.query.EndedAll() {
 		r.tell(r.ledger.EndedAll(r.now, content))
 	} else {
 		r.tell(r.ledger.Unanswered(r.now, content))
