--- a/gather/query.go
+++ b/gather/query.go
@@ -60,7 +60,7 @@
 	doubts      int        // servers that may have, which is told soon
 	firstEndAt  time.Duration
 	lastEndAt   time.Duration
-	endedAll    bool // it was given up for that
+	endedAll    bool // it was given up as all servers had ended that got it
 	survived    bool // a server ran a sub-request and lives
 	restarts    int
 	// ran says that a server certainly ran a sub-request.
