--- a/review/platform/client.go
+++ b/review/platform/client.go
@@ -103,6 +103,10 @@
 	for i := range body {
 		body[i] = id[i%len(id)]
 	}
+	how := "kept"
+	if c.conn == nil {
+		how = "new"
+	}
 	if c.conn == nil && !c.connect() {
 		c.log.add("noconn", id, c.kind.name, "")
 		return answer{}, 100 * time.Millisecond
@@ -112,7 +116,7 @@
 	if c.kind.method != http.MethodGet {
 		head += fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	}
-	c.log.add("sent", id, c.kind.name, fmt.Sprintf("%s %s %s to %s", c.kind.method, path, digest(body), c.address))
+	c.log.add("sent", id, c.kind.name, fmt.Sprintf("%s %s %s to %s, %s connection", c.kind.method, path, digest(body), c.address, how))
 	_ = c.conn.SetDeadline(deadline)
 	_, err := c.conn.Write(append([]byte(head+"\r\n"), body...))
 	if err == nil {
--- a/review/platform/flood.go
+++ b/review/platform/flood.go
@@ -4,9 +4,9 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -46,16 +46,19 @@
 	return b
 }
 
-// sendNoAnswer sends bytes that are not an answer until the connection is closed.
-func (l *link) sendNoAnswer(conn net.Conn) {
+// sendNoAnswer sends bytes that are not an answer until the connection is closed. It returns their
+// number.
+func (l *link) sendNoAnswer(conn net.Conn) (length int) {
 	block := make([]byte, 64<<10)
 	for i := range block {
 		block[i] = 'x'
 	}
 	for {
 		l.wait(len(block))
-		if _, err := conn.Write(block); err != nil {
-			return
+		written, err := conn.Write(block)
+		length += written
+		if err != nil {
+			return length
 		}
 	}
 }
@@ -96,41 +99,37 @@
 	}
 }
 
-// playFlood: entries that must not be repeated. The disruption: one server of three sends bytes
-// that are not an answer in place of a part of its answers.
+// playFlood: entries that must not be repeated. The disruption: two servers of five send
+// bytes that are not an answer in place of a part of their answers.
 func playFlood(w *world) ([]string, error) {
 	w.zones = []string{"zone-a", "zone-b"}
 	if err := w.startStore(); err != nil {
 		return nil, err
 	}
-	options := serverOptions{service: "stain-log", slots: 3, queue: 12, workTime: 20 * time.Millisecond}
-	if err := w.startServers(options, 3); err != nil {
+	options := serverOptions{service: "member-ledger", slots: 3, queue: 12, workTime: 90 * time.Millisecond}
+	if err := w.startServers(options, 5); err != nil {
 		return nil, err
 	}
-	faulty := w.servers[0]
-	faulty.link = new(link)
-	if w.trouble {
-		faulty.faults = func() string {
-			if rand.Float64() < 0.04 {
-				return "noanswer"
-			}
-			return ""
+	faulty := w.servers[:2] // one in each zone
+	for _, s := range faulty {
+		if w.trouble {
+			s.link, s.noAnswerShare = new(link), 0.04
 		}
 	}
 	entry := requestKind{name: "return-entry", method: "POST", prefix: "/returns/", deadline: 6 * time.Second, bodyBytes: 300}
-	w.putConfig(3, []map[string]any{entry.route("stain-log", 1, 400, 2)}, map[string]int{"stain-log": 110})
-	if err := w.startNodes(3); err != nil {
+	w.putConfig(3, []map[string]any{entry.route("member-ledger", 1, 400, 2)}, map[string]int{"member-ledger": 110})
+	if err := w.startNodes(4); err != nil {
 		return nil, err
 	}
 	time.Sleep(2 * time.Second)
-	w.addClients(24, entry, 400*time.Millisecond)
+	w.addClients(24, entry, 250*time.Millisecond)
 	end := make(chan struct{})
 	kills, peaks := make([]int, len(w.nodes)), make([]int, len(w.nodes))
 	var watching sync.WaitGroup
 	for index, n := range w.nodes {
 		watching.Go(func() { kills[index], peaks[index] = w.holdToLimit(n, end) })
 	}
-	w.runClients(60 * time.Second)
+	w.runClients(50 * time.Second)
 	close(end)
 	watching.Wait()
 	lines := broken(w.log.list(), w.kinds)
@@ -145,5 +144,25 @@
 	if three >= 2 {
 		lines = append(lines, fmt.Sprintf("FAULT processes went over memory_mb three times or more on %d of %d machines: %v", three, len(w.nodes), kills))
 	}
+	if lost := cutAtSoundServers(w.log.list(), faulty); len(lost) > 3 {
+		lines = append(lines, fmt.Sprintf("LOST %d requests from kept connections were passed on to sound servers, and got no answer: %s", len(lost), strings.Join(lost, ", ")))
+	}
 	return lines, nil
 }
+
+// cutAtSoundServers returns the requests from kept connections that a sound server ran and whose
+// connection ended without an answer.
+func cutAtSoundServers(events []event, faulty []*server) (ids []string) {
+	kept, ran := make(map[string]bool), make(map[string]bool)
+	for _, e := range events {
+		switch {
+		case e.kind == "sent":
+			kept[e.id] = strings.HasSuffix(e.text, "kept connection")
+		case e.kind == "ran" && !slices.ContainsFunc(faulty, func(s *server) bool { return s.id == e.who }):
+			ran[e.id] = true
+		case e.kind == "lost" && kept[e.id] && ran[e.id] && !strings.Contains(e.text, "timeout"):
+			ids = append(ids, e.id)
+		}
+	}
+	return ids
+}
--- a/review/platform/journal.go
+++ b/review/platform/journal.go
@@ -33,6 +33,9 @@
 	j.events = append(j.events, event{time.Since(j.began), kind, id, who, text})
 }
 
+// sinceStart returns the time on the journal's clock.
+func (j *journal) sinceStart() time.Duration { return time.Since(j.began) }
+
 // list returns the events so far.
 func (j *journal) list() []event {
 	j.mutex.Lock()
--- a/review/platform/server.go
+++ b/review/platform/server.go
@@ -41,8 +41,9 @@
 	// the place where the next answer on the connection is due.
 	surplusShare float64
 	partBytes    int // length of a part; zero: the answer names the request
-	// faults draws the fault of an answer; nil: none.
-	faults func() string
+	// noAnswerShare is the share of a faulty server's answers in whose place it sends bytes that
+	// are not an answer. It needs a link.
+	noAnswerShare float64
 }
 
 // server is a server of the users' platform.
@@ -60,7 +61,7 @@
 	sequence int
 	born     int64
 	stopped  chan struct{}
-	link     *link
+	link     *link // of a server that sends bytes that are not an answer
 }
 
 func startServer(options serverOptions, id, zone string, store *standin.Store, log *journal) (*server, error) {
@@ -130,28 +131,10 @@
 		if err != nil {
 			return
 		}
-		fault := ""
-		if s.faults != nil && request.URL.Path != healthPath {
-			fault = s.faults()
-		}
-		if fault == "early" && request.ContentLength > 1000 {
-			s.log.add("early", request.Header.Get(attemptHeader), s.id, "")
-			if _, err := conn.Write(encode(http.StatusServiceUnavailable, request.Header.Get(attemptHeader), []string{notExecutedHeader + ": 1"}, nil)); err != nil {
-				return
-			}
-			time.Sleep(time.Duration(rand.IntN(60)) * time.Millisecond)
-			if _, err := io.Copy(io.Discard, request.Body); err != nil {
-				return
-			}
-			continue
-		}
 		body, err := io.ReadAll(request.Body)
 		if err != nil {
 			return
 		}
-		if fault != "" {
-			s.log.add("fault", request.Header.Get(attemptHeader), s.id, fault)
-		}
 		if surplus != nil {
 			s.log.add("surplus", request.Header.Get(attemptHeader), s.id, "")
 			if _, err := conn.Write(surplus); err != nil {
@@ -160,11 +143,13 @@
 			surplus = nil
 		}
 		answer := s.answer(request, body)
-		if fault == "noanswer" {
-			s.link.sendNoAnswer(conn)
+		if s.link != nil && request.URL.Path != healthPath && rand.Float64() < s.noAnswerShare {
+			began := s.log.sinceStart()
+			length := s.link.sendNoAnswer(conn)
+			s.log.add("noanswer", request.Header.Get(attemptHeader), s.id, fmt.Sprintf("%d MB that are no answer from %.4f on", length>>20, began.Seconds()))
 			return
 		}
-		if !writeAnswer(conn, answer, fault) {
+		if _, err := conn.Write(answer); err != nil {
 			return
 		}
 		if request.URL.Path != healthPath && rand.Float64() < s.surplusShare {
@@ -281,61 +266,3 @@
 	answer.Write(body)
 	return answer.Bytes()
 }
-
-// writeAnswer writes an answer with a fault. It reports whether the connection stays open.
-func writeAnswer(conn net.Conn, answer []byte, fault string) bool {
-	reset := func() { _ = conn.(*net.TCPConn).SetLinger(0) }
-	switch fault {
-	case "lost":
-		return false
-	case "reset":
-		reset()
-		return false
-	case "cut":
-		_, _ = conn.Write(answer[:len(answer)-rand.IntN(min(len(answer), 40))-1])
-		return false
-	case "cutreset":
-		_, _ = conn.Write(answer[:len(answer)-rand.IntN(min(len(answer), 40))-1])
-		time.Sleep(time.Duration(rand.IntN(10)) * time.Millisecond)
-		reset()
-		return false
-	case "garbage":
-		_, _ = conn.Write([]byte("\x00\x01garbage\r\n\r\n"))
-		return rand.IntN(2) == 0
-	case "twice":
-		_, _ = conn.Write(append(append([]byte{}, answer...), answer...))
-		return true
-	case "more":
-		_, _ = conn.Write(answer)
-		time.Sleep(time.Duration(rand.IntN(40)) * time.Millisecond)
-		_, err := conn.Write([]byte("xyz more bytes"))
-		return err == nil
-	case "late":
-		_, _ = conn.Write(answer)
-		time.Sleep(time.Duration(rand.IntN(60)) * time.Millisecond)
-		_, err := conn.Write(answer)
-		return err == nil
-	case "unframed":
-		text := bytes.Replace(answer, []byte("Content-Length: "), []byte("X-Length: "), 1)
-		_, _ = conn.Write(text)
-		return false
-	case "unframedreset":
-		text := bytes.Replace(answer, []byte("Content-Length: "), []byte("X-Length: "), 1)
-		_, _ = conn.Write(text[:len(text)-rand.IntN(min(len(answer), 40))-1])
-		time.Sleep(time.Duration(rand.IntN(10)) * time.Millisecond)
-		reset()
-		return false
-	case "interim":
-		_, _ = conn.Write([]byte("HTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\n"))
-	case "closing":
-		text := bytes.Replace(answer, []byte("Content-Length: "), []byte("Connection: close\r\nContent-Length: "), 1)
-		_, _ = conn.Write(text)
-		return false
-	case "slow":
-		time.Sleep(time.Duration(rand.IntN(800)) * time.Millisecond)
-	case "hang":
-		time.Sleep(4 * time.Second)
-	}
-	_, err := conn.Write(answer)
-	return err == nil
-}
