--- a/review/platform/main.go
+++ b/review/platform/main.go
@@ -50,7 +50,7 @@
 		w.close()
 		os.Exit(2)
 	}()
-	lines, err := play(w)
+	lines, err := playSafely(w, play)
 	w.close()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -73,6 +73,16 @@
 	}
 }
 
+// playSafely plays a case. A panic becomes an error, so that no process is left behind.
+func playSafely(w *world, play func(*world) ([]string, error)) (lines []string, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = fmt.Errorf("the case failed: %v", cause)
+		}
+	}()
+	return play(w)
+}
+
 // scenarios are the cases by name. Each returns one line for each break of a rule.
 var scenarios = map[string]func(*world) ([]string, error){}
 
--- a/review/platform/server.go
+++ b/review/platform/server.go
@@ -37,8 +37,8 @@
 	slots    int
 	queue    int // requests that may wait for a slot
 	workTime time.Duration
-	// surplusShare is the share of a faulty server's answers that are sent a second time, in
-	// the place where the next answer on the connection is due.
+	// surplusShare is the share of a server's refusals (503) that are sent a second time, in the
+	// place where the next answer on the connection is due.
 	surplusShare float64
 	partBytes    int // length of a part; zero: the answer names the request
 	// noAnswerShare is the share of a faulty server's answers in whose place it sends bytes that
@@ -152,7 +152,7 @@
 		if _, err := conn.Write(answer); err != nil {
 			return
 		}
-		if request.URL.Path != healthPath && rand.Float64() < s.surplusShare {
+		if bytes.HasPrefix(answer, []byte("HTTP/1.1 503")) && rand.Float64() < s.surplusShare {
 			surplus = answer
 		}
 	}
--- a/review/platform/surplus.go
+++ b/review/platform/surplus.go
@@ -7,7 +7,7 @@
 func init() { scenarios["surplus"] = playSurplus }
 
 // playSurplus: requests that must not be repeated, at a service whose servers are full now and
-// then. The disruption: a part of the servers' answers come a second time, late.
+// then. The disruption: 15 of 100 refusals, some 5 of 100 answers, come a second time, late.
 func playSurplus(w *world) ([]string, error) {
 	w.zones = []string{"zone-a", "zone-b"}
 	if err := w.startStore(); err != nil {
@@ -15,9 +15,9 @@
 	}
 	share := 0.0
 	if w.trouble {
-		share = 0.06
+		share = 0.15
 	}
-	options := serverOptions{service: "docket", slots: 2, queue: 2, workTime: 15 * time.Millisecond, surplusShare: share}
+	options := serverOptions{service: "docket", slots: 2, queue: 2, workTime: 10 * time.Millisecond, surplusShare: share}
 	if err := w.startServers(options, 2); err != nil {
 		return nil, err
 	}
@@ -27,7 +27,7 @@
 		return nil, err
 	}
 	time.Sleep(2 * time.Second)
-	w.addClients(13, fetch, 0)
+	w.addClients(14, fetch, 0)
 	for _, c := range w.clients {
 		c.wave = 150 * time.Millisecond
 	}
