exchange: bound the headers, the bodies and the memory of servers' replies

Cause: exchange reads status line and header with http.ReadResponse on the bare connection, which reads lines of any length. An attempt that must not be repeated was read until the request's deadline.

Change: one allowance of 64 KiB for all headers of an attempt, interim responses and strays included; a body's buffer grows with what arrives; long bodies share a quarter of memory_mb until their requests are answered; nothing is read after an error. Calls between banksaild nodes get the header limit that the other transports have.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -26,6 +26,12 @@
 	// ErrMalformed: the bytes received are not a valid reply to the request. The server may
 	// have run the request.
 	ErrMalformed = errors.New("exchange: malformed reply")
+	// ErrReplyTooLarge: the header or the body of the reply exceeds its limit. It is wrapped
+	// together with ErrMalformed.
+	ErrReplyTooLarge = errors.New("exchange: reply too large")
+	// ErrReplyMemoryExhausted: other replies use the memory that the body needs. It is wrapped
+	// together with ErrOutcomeUnknown.
+	ErrReplyMemoryExhausted = errors.New("exchange: no memory left for reply bodies")
 )
 
 // Options configures a Client. Zero fields are replaced by defaults, except Headers.
@@ -43,8 +49,14 @@
 	// that PruneIdle keeps; default 1.5 s. A machine that loses power leaves its
 	// connections open at the servers, which reduces the number available to other nodes.
 	SurplusIdleTimeout time.Duration
+	// MaxHeaderBytes bounds the headers that are read for one attempt, including those of interim
+	// responses and of replies to other attempts; default 64 KiB.
+	MaxHeaderBytes int64
 	// MaxBodyBytes bounds the body of a reply; default 8 MiB.
 	MaxBodyBytes int64
+	// MaxBufferedBytes bounds the memory for the bodies of all replies that have not been
+	// released; default 64 MiB. Bodies of up to 64 KiB do not count.
+	MaxBufferedBytes int64
 }
 
 // Defaults of Options.
@@ -52,12 +64,15 @@
 	DefaultDialTimeout        = 300 * time.Millisecond
 	DefaultIdleTimeout        = 20 * time.Second
 	DefaultSurplusIdleTimeout = 1500 * time.Millisecond
+	DefaultMaxHeaderBytes     = 64 << 10
 	DefaultMaxBodyBytes       = 8 << 20
+	DefaultMaxBufferedBytes   = 64 << 20
 )
 
 // Client sends requests to servers. It is safe for concurrent use.
 type Client struct {
 	options Options
+	memory  replyMemory
 
 	mutex sync.Mutex
 	// mutex guards pools and is not held during I/O. Invariant: all idle connections to
@@ -79,15 +94,22 @@
 	options.DialTimeout = cmp.Or(options.DialTimeout, DefaultDialTimeout)
 	options.IdleTimeout = cmp.Or(options.IdleTimeout, DefaultIdleTimeout)
 	options.SurplusIdleTimeout = cmp.Or(options.SurplusIdleTimeout, DefaultSurplusIdleTimeout)
+	options.MaxHeaderBytes = cmp.Or(options.MaxHeaderBytes, DefaultMaxHeaderBytes)
 	options.MaxBodyBytes = cmp.Or(options.MaxBodyBytes, DefaultMaxBodyBytes)
+	options.MaxBufferedBytes = cmp.Or(options.MaxBufferedBytes, DefaultMaxBufferedBytes)
 	if options.Dial == nil {
 		options.Dial = (&net.Dialer{}).DialContext
 	}
-	return &Client{options: options, pools: make(map[discovery.Incarnation]*pool)}
+	return &Client{
+		options: options,
+		memory:  replyMemory{limit: options.MaxBufferedBytes},
+		pools:   make(map[discovery.Incarnation]*pool),
+	}
 }
 
 // Do sends the attempt and reads the complete reply. When the attempt's time runs out or it is
-// cancelled, the connection is closed, which signals the server to stop.
+// cancelled, the connection is closed, which signals the server to stop. The caller must call
+// Release of the reply.
 //
 // Deadlines and cancellation do not use a context, and attempts of one request share its encoded
 // head: a fan-out over 129 servers on loopback then needs 4,075 allocations and 24.6 µs per
@@ -104,7 +126,7 @@
 		return nil, fmt.Errorf("%w: %w", ErrNotDelivered, errCancelled)
 	}
 	conn.setDeadline(deadline)
-	reply, err := conn.exchange(attempt, c.encode(attempt, time.Until(deadline)), c.options)
+	reply, err := conn.exchange(attempt, c.encode(attempt, time.Until(deadline)), c.options, &c.memory)
 	reusable := attempt.setConnection(nil) && err == nil && conn.reusable
 	if reusable {
 		conn.setDeadline(time.Time{})
--- a/exchange/connection.go
+++ b/exchange/connection.go
@@ -42,6 +42,7 @@
 // connection is an HTTP/1.1 connection to a server. It carries one request at a time.
 type connection struct {
 	conn   net.Conn
+	source *headerReader // what reader reads from
 	reader *bufio.Reader
 	// idleSince and keepAlive bound how long the connection may stay idle.
 	idleSince time.Time
@@ -62,7 +63,8 @@
 
 func newConnection(conn net.Conn) *connection {
 	_ = usertimeout.Set(conn, unacknowledgedTimeout) // if it fails, only the attempts' deadlines detect a silent connection
-	c := &connection{conn: conn, reader: bufio.NewReaderSize(conn, readBufferSize), keepAlive: unlimitedKeepAlive}
+	source := &headerReader{conn: conn}
+	c := &connection{conn: conn, source: source, reader: bufio.NewReaderSize(source, readBufferSize), keepAlive: unlimitedKeepAlive}
 	if syscallConn, ok := conn.(syscall.Conn); ok {
 		c.rawConn, _ = syscallConn.SyscallConn() // if it fails, data received while idle is noticed only with the next reply
 	}
@@ -96,7 +98,7 @@
 }
 
 // exchange writes the encoded request and reads the reply to it.
-func (c *connection) exchange(a *Attempt, encoded []byte, options Options) (*Reply, error) {
+func (c *connection) exchange(a *Attempt, encoded []byte, options Options, memory *replyMemory) (*Reply, error) {
 	c.reusable = false
 	length, writeDone, err := c.write(encoded)
 	if err != nil {
@@ -105,7 +107,7 @@
 		}
 		return nil, fmt.Errorf("%w: writing request: %w", ErrOutcomeUnknown, err)
 	}
-	reply, keepOpen, err := c.readReply(a, options)
+	reply, keepOpen, err := c.readReply(a, options, memory)
 	if err != nil {
 		return nil, err
 	}
@@ -145,16 +147,18 @@
 
 // readReply reads replies until the one to the attempt. keepOpen reports whether the connection
 // may carry another request.
-func (c *connection) readReply(a *Attempt, options Options) (reply *Reply, keepOpen bool, err error) {
+func (c *connection) readReply(a *Attempt, options Options, memory *replyMemory) (reply *Reply, keepOpen bool, err error) {
+	c.source.remaining = options.MaxHeaderBytes
 	strays := 0
 	for {
-		reply, keepOpen, err = c.readNextReply(a, options)
+		reply, keepOpen, err = c.readNextReply(a, options, memory)
 		if err != nil {
 			return nil, false, err
 		}
 		if !options.Headers.isStray(reply.Header, a.Request.AttemptID) {
 			return reply, keepOpen && strays == 0, nil
 		}
+		reply.Release()
 		strays++
 		if !keepOpen || strays > maxStrayReplies {
 			return nil, false, fmt.Errorf("%w: reply belongs to another attempt", ErrMalformed)
@@ -163,24 +167,25 @@
 }
 
 // readNextReply reads one complete reply. keepOpen reports whether another one may follow it.
-func (c *connection) readNextReply(a *Attempt, options Options) (reply *Reply, keepOpen bool, err error) {
+func (c *connection) readNextReply(a *Attempt, options Options, memory *replyMemory) (reply *Reply, keepOpen bool, err error) {
 	response, err := c.readHeader(a.Request.Method)
 	if err != nil {
 		return nil, false, err
 	}
-	body, err := readBody(response, options.MaxBodyBytes)
-	if err != nil {
+	reply = &Reply{Status: response.StatusCode, Header: response.Header, body: body{memory: memory}}
+	if err := reply.body.read(response, options.MaxBodyBytes); err != nil {
 		return nil, false, err
 	}
+	reply.Body = reply.body.data
 	c.updateKeepAlive(response.Header)
-	keepOpen = !response.Close
-	header := response.Header
-	StripHopByHopHeaders(header)
-	return &Reply{Status: response.StatusCode, Header: header, Body: body}, keepOpen, nil
+	StripHopByHopHeaders(reply.Header)
+	return reply, !response.Close, nil
 }
 
 // readHeader reads the header of the next final response, skipping interim ones.
 func (c *connection) readHeader(method string) (*http.Response, error) {
+	c.source.limited = true
+	defer func() { c.source.limited = false }()
 	if _, err := c.reader.Peek(1); isDisconnect(err) {
 		return nil, fmt.Errorf("%w: %w: %w", ErrOutcomeUnknown, ErrConnectionLost, err)
 	}
@@ -212,29 +217,6 @@
 		errors.Is(err, io.ErrClosedPipe) || errors.As(err, &netErr)
 }
 
-func readBody(response *http.Response, limit int64) ([]byte, error) {
-	defer func() { _ = response.Body.Close() }()
-	if response.ContentLength > limit {
-		return nil, fmt.Errorf("%w: body of %d bytes exceeds limit of %d", ErrMalformed, response.ContentLength, limit)
-	}
-	if response.ContentLength >= 0 {
-		body := make([]byte, response.ContentLength)
-		if _, err := io.ReadFull(response.Body, body); err != nil {
-			return nil, fmt.Errorf("%w: reading reply body: %w", ErrOutcomeUnknown, err)
-		}
-		return body, nil
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
-	switch {
-	case err != nil:
-		return nil, fmt.Errorf("%w: reading reply body: %w", ErrOutcomeUnknown, err)
-	case int64(len(body)) > limit:
-		return nil, fmt.Errorf("%w: body exceeds limit of %d bytes", ErrMalformed, limit)
-	default:
-		return body, nil
-	}
-}
-
 // updateKeepAlive records the timeout of the server's Keep-Alive header, less keepAliveMargin.
 func (c *connection) updateKeepAlive(header http.Header) {
 	for field := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -67,6 +67,18 @@
 	Status int
 	Header http.Header
 	Body   []byte
+
+	body body // holds Body and its share of the client's memory
+}
+
+// HoldsMemory reports whether the reply counts towards Options.MaxBufferedBytes.
+func (r *Reply) HoldsMemory() bool { return r.body.reserved > 0 }
+
+// Release ends the reply's share of Options.MaxBufferedBytes. The body must not be used any more.
+func (r *Reply) Release() {
+	if r.HoldsMemory() {
+		r.body.release()
+	}
 }
 
 // hopByHopHeaders are headers that apply to a single connection and are not forwarded.
--- a/front/node.go
+++ b/front/node.go
@@ -134,6 +134,9 @@
 	// pollShare is the registry poll interval as a share of the shortest bound on the adoption of
 	// changes. One read may fail, and the next one still falls within the bound.
 	pollShare = 0.6
+	// replyMemoryShare is the share of the process's memory that long bodies of replies may use. A
+	// body that grows is copied, and garbage remains until the next collection.
+	replyMemoryShare = 0.25
 	// maxHeaderBytes limits request headers on all listeners; headerTimeout and idleTimeout apply
 	// to all listeners but the callers'.
 	maxHeaderBytes = 64 << 10
@@ -188,7 +191,10 @@
 		Headers:       options.Headers,
 		AnswerHeaders: options.AnswerHeaders,
 		Logger:        options.Logger,
-		Exchange:      exchange.Options{Dial: f.meter.Dial(traffic.Servers, options.Dial)},
+		Exchange: exchange.Options{
+			Dial:             f.meter.Dial(traffic.Servers, options.Dial),
+			MaxBufferedBytes: int64(replyMemoryShare * float64(settings.MemoryBytes)),
+		},
 		Routing: routing.Options{
 			Seed:    options.Seed,
 			Zone:    settings.Zone,
--- a/front/settings.go
+++ b/front/settings.go
@@ -14,6 +14,8 @@
 	Regions map[string]string
 	// Capacity is the node's processor capacity in cores; zero means unknown.
 	Capacity float64
+	// MemoryBytes is the process's memory limit; zero means unknown.
+	MemoryBytes int64
 	// FirstStart is set if no node has ever run before.
 	FirstStart bool
 	// EntryTTL is how long a server may send no heartbeat before its registry entry expires; zero means
--- a/gateway/attempts.go
+++ b/gateway/attempts.go
@@ -32,7 +32,7 @@
 func (g *Gateway) runAttempt(attempt *exchange.Attempt, pending *pendingRequest, action routing.Send) {
 	reply, err := g.client.Do(attempt)
 	check := g.startCrashCheck(err, action)
-	g.completeAttempt(action, g.resultEvent(pending.route, action, reply, err, check))
+	g.completeAttempt(action, reply, g.resultEvent(pending.route, action, reply, err, check))
 	if check != nil && !check.IsComplete() {
 		g.awaitCrashCheck(pending, action, check)
 	}
@@ -52,10 +52,14 @@
 	return check
 }
 
-// completeAttempt removes an attempt and reports its result to the router.
-func (g *Gateway) completeAttempt(action routing.Send, event routing.Event) {
+// completeAttempt removes an attempt and reports its result to the router. The reply is nil if none
+// was received.
+func (g *Gateway) completeAttempt(action routing.Send, reply *exchange.Reply, event routing.Event) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	if reply != nil && reply.HoldsMemory() {
+		g.keepReplyLocked(action.Request, reply)
+	}
 	if running := g.attempts[action.Attempt]; running.stragglerTimer != nil {
 		running.stragglerTimer.Stop()
 	}
@@ -64,6 +68,16 @@
 	g.stepLocked(event)
 }
 
+// keepReplyLocked keeps the reply's memory until its request has been answered. The caller holds
+// the mutex.
+func (g *Gateway) keepReplyLocked(request routing.RequestID, reply *exchange.Reply) {
+	if pending := g.pending[request]; pending != nil {
+		pending.longReplies = append(pending.longReplies, reply)
+		return
+	}
+	reply.Release()
+}
+
 // awaitCrashCheck waits for the result of a crash check and reports it to the router.
 func (g *Gateway) awaitCrashCheck(pending *pendingRequest, action routing.Send, check *exchange.CrashCheck) {
 	start := time.Now()
@@ -143,6 +157,10 @@
 		return reasonConnectionLost
 	case errors.Is(err, exchange.ErrNotDelivered):
 		return "not_delivered"
+	case errors.Is(err, exchange.ErrReplyTooLarge):
+		return "reply_too_large"
+	case errors.Is(err, exchange.ErrReplyMemoryExhausted):
+		return "reply_memory_exhausted"
 	case errors.Is(err, exchange.ErrMalformed):
 		return "malformed"
 	default:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -132,6 +132,8 @@
 	latency       callerLatency
 	arrived       time.Time
 	outcome       chan routing.Outcome // has a buffer for its only value
+	// longReplies are received replies that hold memory; they are released after the answer.
+	longReplies []*exchange.Reply
 }
 
 // New returns a Gateway without a route table and servers.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -63,6 +63,7 @@
 	g.bufferedBytes.Add(int64(len(outgoing.Body)))
 	defer g.bufferedBytes.Add(-int64(len(outgoing.Body)))
 	pending := &pendingRequest{outgoing: outgoing, callerAddress: incoming.RemoteAddr, route: matched, header: parsedHeader, latency: latency, arrived: arrived, outcome: make(chan routing.Outcome, 1)}
+	defer pending.releaseReplies()
 	outcome := g.execute(incoming, pending)
 	if outcome.RetryElsewhere {
 		writer.Header().Set("Connection", "close")
@@ -71,6 +72,13 @@
 	g.logRequest(pending, table, outcome)
 }
 
+// releaseReplies releases the memory of the replies. It is called after the answer.
+func (r *pendingRequest) releaseReplies() {
+	for _, reply := range r.longReplies {
+		reply.Release()
+	}
+}
+
 // awaitTable returns the route table in force. A node that has just started is about to receive
 // its first table, and its callers may have no retry left, so their requests wait for it until
 // TableWaitTimeout after the start. Without a table it returns nil.
--- a/node/node.go
+++ b/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/banksail/banksail/backend"
 	"github.com/banksail/banksail/caller"
 	"github.com/banksail/banksail/dispatch"
+	"github.com/banksail/banksail/internal/httpcall"
 	"github.com/banksail/banksail/membership"
 	"github.com/banksail/banksail/operator"
 	"github.com/banksail/banksail/peer"
@@ -150,6 +151,8 @@
 		MaxIdleConnsPerHost: 1,
 		IdleConnTimeout:     peerIdleTimeout,
 		MaxIdleConns:        0,
+
+		MaxResponseHeaderBytes: httpcall.MaximumHeaderBytes,
 	}}
 	n.agent = peer.NewAgent(peer.AgentOptions{
 		Self: membership.Member{
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -12,6 +12,7 @@
 
 	"github.com/banksail/banksail/backend"
 	"github.com/banksail/banksail/internal/delivery"
+	"github.com/banksail/banksail/internal/httpcall"
 )
 
 // ForwardOutcome says how far a forwarded sub-request got.
@@ -116,6 +117,8 @@
 		MaxIdleConnsPerHost: idleForwardConnectionsPerOwner,
 		IdleConnTimeout:     forwardIdleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: httpcall.MaximumHeaderBytes,
 	}
 	return &Forwarder{
 		transport: transport,
