exchange: send no two attempts of a request on one connection

Cause: a reply is matched to a request by the attempt ID alone, which the caller sets and all attempts of the request share. After the back-off the request went out again on the connection used last, where the second copy of its own refusal was taken for the reply to the new attempt, which the server ran. Ruled out: copies that wait before the send (the check for waiting bytes closes such a connection), replies to other attempts (skipped by their ID).

Change: a request remembers the connections that have carried it and does not use them again; a request without an ID, to which any surplus reply would pass for its own, needs a connection that has carried nothing. If only such connections are idle, one of them is replaced, so that servers see no more connections than before.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -125,6 +126,7 @@
 		c.release(attempt.Server.Incarnation(), conn, true)
 		return nil, fmt.Errorf("%w: %w", ErrNotDelivered, errCancelled)
 	}
+	attempt.Request.addCarrier(conn)
 	conn.setDeadline(deadline)
 	reply, err := conn.exchange(attempt, c.encode(attempt, time.Until(deadline)), c.options, &c.memory)
 	reusable := attempt.setConnection(nil) && err == nil && conn.reusable
@@ -138,7 +140,10 @@
 // acquire returns a usable idle connection, or dials a new one.
 func (c *Client) acquire(attempt *Attempt, deadline time.Time) (*connection, error) {
 	for {
-		conn := c.popIdleOrReserve(attempt.Server.Incarnation())
+		conn, replaced := c.popIdleOrReserve(attempt)
+		if replaced != nil {
+			replaced.close()
+		}
 		if conn == nil {
 			return c.dialAttempt(attempt, deadline)
 		}
@@ -170,21 +175,27 @@
 	return p
 }
 
-// popIdleOrReserve removes and returns the most recently used idle connection. If there is none
-// it reserves a connection, which the caller must dial, and returns nil.
-func (c *Client) popIdleOrReserve(incarnation discovery.Incarnation) *connection {
+// popIdleOrReserve removes and returns the most recently used idle connection that the attempt's
+// request can use. If there is none it reserves a connection, which the caller must dial, and
+// returns nil. The reserved connection takes the place of an idle one, if there is any: the caller
+// must close replaced, so that the number of open connections stays the same.
+func (c *Client) popIdleOrReserve(attempt *Attempt) (conn, replaced *connection) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	p := c.poolFor(incarnation)
-	last := len(p.idle) - 1
-	if last < 0 {
+	p := c.poolFor(attempt.Server.Incarnation())
+	for index, conn := range slices.Backward(p.idle) {
+		if attempt.Request.canUse(conn) {
+			p.idle = slices.Delete(p.idle, index, index+1)
+			return conn, nil
+		}
+	}
+	if len(p.idle) == 0 {
 		p.open++
-		return nil
+		return nil, nil
 	}
-	conn := p.idle[last]
-	p.idle[last] = nil
-	p.idle = p.idle[:last]
-	return conn
+	replaced = p.idle[0]
+	p.idle = slices.Delete(p.idle, 0, 1)
+	return nil, replaced
 }
 
 // dial opens a reserved connection. On failure it drops the reservation.
--- a/exchange/connection.go
+++ b/exchange/connection.go
@@ -47,6 +47,8 @@
 	// idleSince and keepAlive bound how long the connection may stay idle.
 	idleSince time.Time
 	keepAlive time.Duration
+	// used is set once an attempt has been sent.
+	used bool
 	// reusable reports whether the last exchange left the connection in a clean state.
 	reusable  bool
 	closeOnce sync.Once
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"net/http"
 	"net/textproto"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -41,6 +42,31 @@
 	// head is the part that all attempts share; it is encoded once, by the first of them.
 	head     []byte
 	headOnce sync.Once
+
+	mutex sync.Mutex
+	// mutex guards carriers, the connections on which attempts of the request were sent.
+	carriers []*connection
+}
+
+// canUse reports whether the reply to another attempt of the request could be told apart, on the
+// given connection, from surplus replies to what the connection has carried before. A surplus
+// reply may arrive after any later request was sent, and all attempts of the request have the same
+// ID.
+func (r *Request) canUse(conn *connection) bool {
+	if r.AttemptID == "" {
+		return !conn.used
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return !slices.Contains(r.carriers, conn)
+}
+
+// addCarrier records that an attempt of the request is sent on the connection.
+func (r *Request) addCarrier(conn *connection) {
+	conn.used = true
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.carriers = append(r.carriers, conn)
 }
 
 // encodedHead returns the encoded request up to the headers that differ between attempts.
