gateway: inspect each request's own header, whatever body precedes it

Cause: the gateway inspects the bytes of a header beside net/http, and took all bytes after an answer for the next header. net/http reads the rest of a refused request's body after the handler has returned. Ruled out: requests that are answered after their body was read, and short bodies that come with their header.

Change: the inspection follows the messages, from header through body to the next header, and each request takes the findings of its own header. A message whose end is not known, and a request that was not seen, get 400 and their connection closes.

--- a/front/listeners.go
+++ b/front/listeners.go
@@ -114,6 +114,7 @@
 	if connContext != nil {
 		listener = f.gateway.WrapListener(listener)
 		server.ConnContext = connContext
+		server.DisableGeneralOptionsHandler = true
 		server.ReadHeaderTimeout, server.IdleTimeout = callerHeaderTimeout, callerIdleTimeout
 	}
 	go func() { _ = server.Serve(listener) }() // returns when the server is closed
--- a/gateway/connection_test.go
+++ b/gateway/connection_test.go
@@ -22,7 +22,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := &http.Server{Handler: g, ConnContext: g.ConnContext, ReadHeaderTimeout: testTimeout}
+	server := &http.Server{Handler: g, ConnContext: g.ConnContext, ReadHeaderTimeout: testTimeout, DisableGeneralOptionsHandler: true}
 	go func() { _ = server.Serve(g.WrapListener(listener)) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return listener.Addr().String()
--- a/gateway/framing.go
+++ b/gateway/framing.go
@@ -2,76 +2,230 @@
 
 import (
 	"bytes"
+	"slices"
+	"strconv"
 	"sync"
 )
 
-// framing inspects the header of each request on a connection. net/http does not report a header
-// with both Content-Length and Transfer-Encoding, whose end another parser might place elsewhere,
-// and its limit on the header size cannot change at run time.
+// framing follows the messages on a caller's connection, from header through body to the next
+// header, and inspects each header. net/http does not report a header with both Content-Length and
+// Transfer-Encoding, whose end another parser might place elsewhere, and its limit on the header
+// size cannot change at run time.
+//
+// It relies on net/http to reject messages that are malformed: both then close the connection. It
+// must see where a message ends exactly as net/http does, also if the body is discarded after the
+// answer or the next request arrives before it.
 type framing struct {
 	mutex sync.Mutex
 	// mutex guards the fields below: net/http reads in the background while a handler runs.
-	line                           []byte // the current line, up to maxNameLength bytes
-	lineCount, size                int
-	complete                       bool
-	hasLength, hasTransferEncoding bool
-	requestCount                   int
+	part      messagePart // of the next byte
+	remaining int64       // bytes left of the body or chunk
+	line      []byte      // the current line, up to maxLineBytes bytes
+	truncated bool        // the current line is longer than maxLineBytes
+	header    messageHeader
+	// complete holds the headers of requests that have not begun, in order.
+	complete []headerInfo
+	// running is set while a request is handled.
+	running      bool
+	requestCount int
 }
 
-// maxNameLength is the length of the longest header name that is inspected, with its colon.
-const maxNameLength = len("transfer-encoding:")
-
-// headerProgress is how much of a request's header has been received.
-type headerProgress int
+// messagePart is a part of a message.
+type messagePart int
 
 const (
-	// headerNotStarted: no byte has been received.
-	headerNotStarted headerProgress = iota
-	// headerStarted: a part has been received.
-	headerStarted
-	// headerComplete: the whole header has been received.
-	headerComplete
+	// partHeader: the header, or nothing of a message yet.
+	partHeader messagePart = iota
+	// partBody: a body with a length.
+	partBody
+	// partChunkSize, partChunkData and partChunkEnd: a chunk's size line, its content, and the line
+	// end that follows.
+	partChunkSize
+	partChunkData
+	partChunkEnd
+	// partTrailer: the trailer of a chunked body.
+	partTrailer
+	// partUnknown: the message's end cannot be determined, so nothing after its header is
+	// inspected. The connection must not carry another request.
+	partUnknown
 )
 
-// consume inspects bytes read from the caller and returns the progress of the request's header.
-// Bytes after the header are ignored.
-func (f *framing) consume(data []byte) headerProgress {
+// maxLineBytes bounds the part of a line that is inspected. It holds every valid Content-Length
+// field and chunk size.
+const maxLineBytes = 128
+
+// messageHeader is the state of a header that is being received.
+type messageHeader struct {
+	size, lineCount                int
+	length                         int64
+	hasLength, hasTransferEncoding bool
+	invalidLength                  bool
+	// framingLine is set while the current field is one of the two that determine the framing.
+	framingLine bool
+}
+
+// consume inspects bytes read from the caller.
+func (f *framing) consume(data []byte) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	for _, b := range data {
-		if f.complete {
-			return headerComplete
-		}
-		f.size++
-		if b == '\n' {
-			f.endLine()
+	for len(data) > 0 && f.part != partUnknown {
+		if f.part == partBody || f.part == partChunkData {
+			data = data[f.consumeContent(int64(len(data))):]
 			continue
 		}
-		if b != '\r' && len(f.line) < maxNameLength {
-			f.line = append(f.line, b)
+		data = data[f.consumeLine(data):]
+	}
+}
+
+// consumeContent consumes up to the given number of bytes of a body or chunk and returns how many
+// they are.
+func (f *framing) consumeContent(available int64) int64 {
+	consumed := min(available, f.remaining)
+	f.remaining -= consumed
+	switch {
+	case f.remaining > 0:
+	case f.part == partChunkData:
+		f.part = partChunkEnd
+	default:
+		f.part = partHeader
+	}
+	return consumed
+}
+
+// consumeLine consumes bytes up to the next line end and returns how many they are.
+func (f *framing) consumeLine(data []byte) int {
+	length := bytes.IndexByte(data, '\n')
+	text, consumed := data, len(data)
+	if length >= 0 {
+		text, consumed = data[:length], length+1
+	}
+	room := maxLineBytes - len(f.line)
+	f.truncated = f.truncated || len(text) > room
+	f.line = append(f.line, text[:min(len(text), room)]...)
+	isBlank := len(bytes.Trim(f.line, "\r")) == 0
+	if f.part == partHeader && (!isBlank || f.header.size > 0) { // blank lines before a message do not belong to it
+		f.header.size += consumed
+	}
+	if length >= 0 {
+		f.endLine(bytes.TrimSuffix(f.line, []byte("\r")))
+		f.line, f.truncated = f.line[:0], false
+	}
+	return consumed
+}
+
+// endLine handles a complete line.
+func (f *framing) endLine(line []byte) {
+	switch f.part {
+	case partHeader:
+		f.endHeaderLine(line)
+	case partChunkSize:
+		f.startChunk(line)
+	case partChunkEnd:
+		f.part = partChunkSize
+		if len(line) > 0 {
+			f.part = partUnknown
+		}
+	case partTrailer:
+		if len(line) == 0 {
+			f.part = partHeader
 		}
+	case partBody, partChunkData, partUnknown: // have no lines
+	}
+}
+
+func (f *framing) endHeaderLine(line []byte) {
+	if f.header.size == 0 {
+		return
 	}
+	f.header.lineCount++
 	switch {
-	case f.complete:
-		return headerComplete
-	case f.size > 0:
-		return headerStarted
+	case len(line) == 0:
+		f.endHeader()
+	case f.header.lineCount > 1:
+		f.header.inspectField(line, f.truncated)
+	}
+}
+
+// inspectField inspects one line of the fields. truncated reports that only its start is given.
+func (h *messageHeader) inspectField(line []byte, truncated bool) {
+	if line[0] == ' ' || line[0] == '\t' { // continues the field of the line before
+		h.invalidLength = h.invalidLength || h.framingLine
+		return
+	}
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	isLength := bytes.EqualFold(name, []byte("Content-Length"))
+	isTransferEncoding := bytes.EqualFold(name, []byte("Transfer-Encoding"))
+	h.framingLine = isLength || isTransferEncoding
+	h.hasTransferEncoding = h.hasTransferEncoding || isTransferEncoding
+	if !isLength {
+		return
+	}
+	length, err := strconv.ParseInt(string(bytes.Trim(value, " \t")), 10, 64)
+	if err != nil || length < 0 || truncated || h.hasLength && length != h.length {
+		h.invalidLength = true
+	}
+	h.hasLength, h.length = true, length
+}
+
+// endHeader records the complete header and determines what follows it.
+func (f *framing) endHeader() {
+	header := f.header
+	f.header = messageHeader{}
+	f.requestCount++
+	info := headerInfo{
+		size:      int64(header.size),
+		ambiguous: header.invalidLength || header.hasLength && header.hasTransferEncoding,
+		isChunked: header.hasTransferEncoding,
+		isFirst:   f.requestCount == 1,
+	}
+	f.complete = append(f.complete, info)
+	switch {
+	case info.ambiguous:
+		f.part = partUnknown
+	case header.hasTransferEncoding:
+		f.part = partChunkSize
+	case header.length > 0:
+		f.part, f.remaining = partBody, header.length
+	}
+}
+
+// startChunk handles a chunk's size line. The chunk of size zero ends the body.
+func (f *framing) startChunk(line []byte) {
+	digits, _, _ := bytes.Cut(line, []byte(";"))
+	size, err := strconv.ParseUint(string(bytes.TrimRight(digits, " \t")), 16, 63)
+	switch {
+	case err != nil:
+		f.part = partUnknown
+	case size == 0:
+		f.part = partTrailer
 	default:
-		return headerNotStarted
+		f.part, f.remaining = partChunkData, int64(size)
 	}
 }
 
-func (f *framing) endLine() {
-	name := bytes.ToLower(f.line)
-	f.line = f.line[:0]
-	f.lineCount++
+// requestProgress is how much of the caller's next request has been received.
+type requestProgress int
+
+const (
+	// requestNotStarted: nothing, as far as it is not the rest of an earlier request.
+	requestNotStarted requestProgress = iota
+	// requestStarted: a part of the header.
+	requestStarted
+	// requestReceived: the whole header, or an earlier request is still being handled.
+	requestReceived
+)
+
+// progress returns how much of the next request has been received.
+func (f *framing) progress() requestProgress {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	switch {
-	case len(name) == 0 && f.lineCount > 1:
-		f.complete = true
-	case bytes.HasPrefix(name, []byte("content-length:")):
-		f.hasLength = true
-	case bytes.HasPrefix(name, []byte("transfer-encoding:")):
-		f.hasTransferEncoding = true
+	case f.running || len(f.complete) > 0:
+		return requestReceived
+	case f.header.size > 0:
+		return requestStarted
+	default:
+		return requestNotStarted
 	}
 }
 
@@ -79,25 +233,30 @@
 type headerInfo struct {
 	// size is the size in bytes, including the request line.
 	size int64
-	// ambiguous reports that the header has both Content-Length and Transfer-Encoding.
+	// ambiguous reports that two parsers might place the end of the message differently.
 	ambiguous bool
+	// isChunked reports that the header has a Transfer-Encoding.
+	isChunked bool
 	// isFirst reports that the request is the first of its connection.
 	isFirst bool
 }
 
-// beginRequest returns the header of the current request and counts the request.
+// beginRequest returns the header of the next request, which is about to be handled.
 func (f *framing) beginRequest() headerInfo {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.requestCount++
-	return headerInfo{size: int64(f.size), ambiguous: f.hasLength && f.hasTransferEncoding, isFirst: f.requestCount == 1}
+	f.running = true
+	if len(f.complete) == 0 {
+		return headerInfo{ambiguous: true} // net/http found a request where none was seen
+	}
+	info := f.complete[0]
+	f.complete = slices.Delete(f.complete, 0, 1)
+	return info
 }
 
-// reset prepares for the header of the next request.
-func (f *framing) reset() {
+// endRequest records that the request has been handled. Its body may not have been read yet.
+func (f *framing) endRequest() {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.line = f.line[:0]
-	f.lineCount, f.size = 0, 0
-	f.complete, f.hasLength, f.hasTransferEncoding = false, false, false
+	f.running = false
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -28,9 +28,8 @@
 	var parsedHeader headerInfo
 	latency := g.defaultCallerLatency()
 	if watched, ok := incoming.Context().Value(connectionKey{}).(*watchedConn); ok {
-		parsedHeader = watched.framing.beginRequest()
+		parsedHeader = watched.beginRequest()
 		latency = g.measureCallerLatency(watched)
-		watched.setState(stateActive)
 		defer watched.finishRequest()
 	}
 	if g.draining.Load() {
@@ -45,7 +44,7 @@
 		g.rejectUnavailable(writer, incoming, gather.ReasonNoConfiguration, noTableRetryAfter)
 		return
 	}
-	if status := headerStatus(parsedHeader, table.Limits); status != 0 {
+	if status := headerStatus(incoming, parsedHeader, table.Limits); status != 0 {
 		writer.Header().Set("Connection", "close")
 		g.reject(writer, incoming, status, "header")
 		return
@@ -100,10 +99,12 @@
 }
 
 // headerStatus returns the status for a header that must be rejected, or zero.
-func headerStatus(header headerInfo, limits route.Limits) int {
+func headerStatus(incoming *http.Request, header headerInfo, limits route.Limits) int {
 	switch {
 	case header.ambiguous:
 		return http.StatusBadRequest
+	case header.isChunked && !incoming.ProtoAtLeast(1, 1): // net/http ignores the encoding there
+		return http.StatusBadRequest
 	case header.size > limits.HeaderBytes:
 		return http.StatusRequestHeaderFieldsTooLarge
 	default:
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -24,7 +24,8 @@
 
 // WrapListener returns a listener whose connections let the gateway inspect the framing of
 // requests. They are closed when a caller exceeds the table's limits on the time to send a header
-// or to stay idle.
+// or to stay idle. The http.Server must pass every request to the gateway, so it must have
+// DisableGeneralOptionsHandler set.
 func (g *Gateway) WrapListener(listener net.Listener) net.Listener {
 	return &watchedListener{Listener: listener, limits: g.callerLimits}
 }
@@ -42,7 +43,9 @@
 		return nil, err
 	}
 	watched := &watchedConn{Conn: conn, limits: l.limits}
-	watched.setState(stateHeader)
+	watched.mutex.Lock()
+	defer watched.mutex.Unlock()
+	watched.setStateLocked(stateHeader)
 	return watched, nil
 }
 
@@ -74,12 +77,11 @@
 // Read implements net.Conn.
 func (c *watchedConn) Read(data []byte) (int, error) {
 	count, err := c.Conn.Read(data)
-	switch c.framing.consume(data[:count]) {
-	case headerStarted:
-		c.setState(stateHeader)
-	case headerComplete:
-		c.setState(stateActive)
-	case headerNotStarted:
+	c.framing.consume(data[:count])
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if progress := c.framing.progress(); progress != requestNotStarted { // the rest of a body does not extend the idle timeout
+		c.setStateLocked(stateOf(progress))
 	}
 	return count, err
 }
@@ -93,17 +95,39 @@
 	return c.Conn.Close()
 }
 
-// finishRequest records that the current request has been answered.
-func (c *watchedConn) finishRequest() {
-	c.framing.reset()
-	c.setState(stateIdle)
+// beginRequest records that the next request is being handled and returns its header.
+func (c *watchedConn) beginRequest() headerInfo {
+	info := c.framing.beginRequest()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.setStateLocked(stateActive)
+	return info
 }
 
-// setState changes the state and starts its timeout. If the state is unchanged, the running timeout
-// is not extended.
-func (c *watchedConn) setState(state connState) {
+// finishRequest records that the current request has been answered. The next one may have been
+// received already.
+func (c *watchedConn) finishRequest() {
+	c.framing.endRequest()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.setStateLocked(stateOf(c.framing.progress()))
+}
+
+// stateOf returns the state of a connection whose next request has progressed so far.
+func stateOf(progress requestProgress) connState {
+	switch progress {
+	case requestNotStarted:
+		return stateIdle
+	case requestStarted:
+		return stateHeader
+	default:
+		return stateActive
+	}
+}
+
+// setStateLocked changes the state and starts its timeout. If the state is unchanged, the running
+// timeout is not extended. The caller holds the mutex.
+func (c *watchedConn) setStateLocked(state connState) {
 	if c.state == state || c.closed {
 		return
 	}
