exchange: lower the limit on reply headers to 16 KiB

Parsed, a header of 64 KiB with short fields takes 995 KiB and allocates 1.7 MB (http.ReadResponse, 20 times), and a faulty server can fill the headers of all connections to it at once: 220 connections to two servers come close to memory_mb. 16 KiB take 262 KiB, so 220 take 58 MB.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -51,7 +51,8 @@
 	// connections open at the servers, which reduces the number available to other nodes.
 	SurplusIdleTimeout time.Duration
 	// MaxHeaderBytes bounds the headers that are read for one attempt, including those of interim
-	// responses and of replies to other attempts; default 64 KiB.
+	// responses and of replies to other attempts; default 16 KiB. Parsed headers need up to 16
+	// times as much memory.
 	MaxHeaderBytes int64
 	// MaxBodyBytes bounds the body of a reply; default 8 MiB.
 	MaxBodyBytes int64
@@ -65,7 +66,7 @@
 	DefaultDialTimeout        = 300 * time.Millisecond
 	DefaultIdleTimeout        = 20 * time.Second
 	DefaultSurplusIdleTimeout = 1500 * time.Millisecond
-	DefaultMaxHeaderBytes     = 64 << 10
+	DefaultMaxHeaderBytes     = 16 << 10
 	DefaultMaxBodyBytes       = 8 << 20
 	DefaultMaxBufferedBytes   = 64 << 20
 )
--- a/exchange/limits_test.go
+++ b/exchange/limits_test.go
@@ -44,9 +44,10 @@
 		start  = status + "Attempt: one\r\nStamp: s\r\n"
 	)
 	headers := strings.Repeat("Name: value\r\n", 1000)
-	interim := "HTTP/1.1 103 Early Hints\r\nLink: " + strings.Repeat("x", 60<<10) + "\r\n\r\n"
+	long := strings.Repeat("x", exchange.DefaultMaxHeaderBytes*3/4)
+	interim := "HTTP/1.1 103 Early Hints\r\nLink: " + long + "\r\n\r\n"
 	chunk := "10000\r\n" + floodBlock + "\r\n"
-	stray := "HTTP/1.1 200 OK\r\nAttempt: other\r\nLong: " + strings.Repeat("x", 60<<10) + "\r\nContent-Length: 0\r\n\r\n"
+	stray := "HTTP/1.1 200 OK\r\nAttempt: other\r\nLong: " + long + "\r\nContent-Length: 0\r\n\r\n"
 	for name, test := range map[string]struct {
 		prefix, block string
 		// bodyBytes is the part of the allowed bytes that belongs to a body.
