--- a/gateway/connection_test.go
+++ b/gateway/connection_test.go
@@ -147,3 +147,25 @@
 		}
 	}
 }
+
+// A caller that closes its sending half after a request counts as gone: net/http cannot tell it
+// from one that has closed its connection, and what it asked for is stopped.
+func TestCallerThatClosesItsSendingHalf(t *testing.T) {
+	running, stopped := make(chan struct{}), make(chan struct{})
+	g := newGateway(t, func(_ http.ResponseWriter, request *http.Request) {
+		_, _ = io.Copy(io.Discard, request.Body)
+		close(running)
+		<-request.Context().Done()
+		close(stopped)
+	})
+	c := newRawCaller(t, listen(t, g))
+	c.write(withLength("/once/x", "entry"))
+	<-running
+	if err := c.conn.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	<-stopped
+	if status := c.readStatus(); status == http.StatusOK {
+		t.Error("the server's answer was delivered after it had been stopped")
+	}
+}
