--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -1,11 +1,14 @@
 package caller
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -252,6 +255,39 @@
 	}
 }
 
+// A request that is refused before its body has been read must not affect the next one on the
+// connection, also if that one has been sent with it.
+func TestRequestAfterUnreadBody(t *testing.T) {
+	node := &nodeStub{result: Result{Outcome: dispatch.Outcome{Execution: dispatch.ExecutionDone}}}
+	server := httptest.NewServer(NewHandler(Options{Node: node, BodyBytes: maxTestBodyBytes}))
+	defer server.Close()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	unread := strings.Repeat("entry\r\nContent-Length: 7\r\nTransfer-Encoding: chunked\r\n", 1000)
+	request := func(path, body string) string {
+		return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
+	}
+	go func() {
+		for range 3 {
+			_, _ = io.WriteString(conn, request("/v2/anything", unread)+request("/v1/services/catalog/queries", validBody))
+		}
+	}()
+	reader := bufio.NewReader(conn)
+	for number := range 6 {
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		if want := []int{http.StatusNotFound, http.StatusOK}[number%2]; response.StatusCode != want {
+			t.Errorf("response %d: status %d, want %d", number, response.StatusCode, want)
+		}
+	}
+}
+
 func FuzzParseRequest(f *testing.F) {
 	f.Add([]byte(validBody))
 	f.Add([]byte(`{"request_id":"r","class":"c","repeatable":false,"body":null,"deadline_ms":1e308}`))
