soak: draw bytes without end, late copies of refusals and removed routes

Three kinds of faults draw them now: a server of single requests sends bytes without end in one of seven forms, at the pace of a link, while callers wait 6 s for requests that may run once; servers refuse half of the requests and send each refusal again, up to 300 ms later or where the next answer is due; a configuration removes a route while callers send bodies of 30 kB on it, with lines that look like headers, and other requests in between on kept connections.

New for the judge: memory (a process holds more than the memory_mb of its settings) and, under denied, answers of 400, 413 and 431.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 
 # test is the target that README and CI run: format check, vet, linter, tests, demos, a short
 # fault run that checks only invariants that do not depend on the speed of the machine, and
-# three short soak runs.
+# four short soak runs.
 test: lint unit demo fault-run-short soak-short
 
 unit:
@@ -48,6 +48,7 @@
 
 soak-short: build
 	bin/banksail-lab soak --seed 2,11,12 --for 26s
+	bin/banksail-lab soak --seed 1 --for 26s --faults flood_answers,late_copies,remove_route
 
 soak-regressions: build
 	bin/banksail-lab soak --regressions lab/soak/regressions.txt
--- a/lab/soak/callers.go
+++ b/lab/soak/callers.go
@@ -164,12 +164,12 @@
 
 // sendRequest sends a request whose target and body contain its ID, and returns the answer.
 func (f *fleet) sendRequest(client *http.Client, target *node, path, id string, timeout time.Duration) history.Answer {
-	return f.sendRequestTo(client, target, path, path+id, id, id, timeout)
+	return f.sendRequestTo(client, target, path, path+id, id, id, requestTimeout, timeout)
 }
 
 // sendRequestTo sends a request with the given target and body, which need not contain its ID, and
-// returns the answer.
-func (f *fleet) sendRequestTo(client *http.Client, target *node, path, requestPath, requestBody, id string, timeout time.Duration) history.Answer {
+// returns the answer. It tells the node the deadline and waits until the timeout.
+func (f *fleet) sendRequestTo(client *http.Client, target *node, path, requestPath, requestBody, id string, deadline, timeout time.Duration) history.Answer {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	address := url.URL{Scheme: "http", Host: net.JoinHostPort(target.host, strconv.Itoa(callersPort)), Path: requestPath}
@@ -179,7 +179,7 @@
 	}
 	request.Host = host
 	request.Header.Set(standin.AttemptIDHeader, id)
-	request.Header.Set(standin.TimeoutHeader, strconv.FormatInt(requestTimeout.Milliseconds(), 10))
+	request.Header.Set(standin.TimeoutHeader, strconv.FormatInt(deadline.Milliseconds(), 10))
 	reply, err := client.Do(request)
 	if err != nil {
 		return history.AnswerFromError(err)
@@ -200,6 +200,8 @@
 		return history.Answer{Kind: history.AnswerRefusal, Execution: history.ExecutionNotRun, Detail: reply.Status}
 	case http.StatusNotFound:
 		return history.Answer{Kind: history.AnswerRefusal, Execution: history.ExecutionNotRun, Reason: reasonNoRoute}
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusRequestHeaderFieldsTooLarge:
+		return history.Answer{Kind: history.AnswerRefusal, Execution: history.ExecutionNotRun, Reason: reasonInvalid, Detail: reply.Status}
 	default:
 		return history.Answer{Kind: history.AnswerRefusal, Execution: history.ExecutionUnknown, Detail: reply.Status}
 	}
@@ -216,8 +218,12 @@
 	return answer
 }
 
-// reasonNoRoute is the reason of an answer to a request that no route matches.
-const reasonNoRoute = "no_route"
+const (
+	// reasonNoRoute is the reason of an answer to a request that no route matches.
+	reasonNoRoute = "no_route"
+	// reasonInvalid is the reason of an answer that says that the request is invalid or too large.
+	reasonInvalid = "invalid"
+)
 
 // singleRange is the key range that a single request covers.
 var singleRange = coverage.Range{Start: 0, End: 1}
--- a/lab/soak/checker.go
+++ b/lab/soak/checker.go
@@ -19,7 +19,7 @@
 	// zero.
 	UnexpectedExit history.Invariant = "own_end"
 	// RouteNotFound: no caller is told that a route does not exist which all configurations
-	// contain.
+	// contain, or that its request is invalid.
 	RouteNotFound history.Invariant = "denied"
 	// Budget: the attempts after the first one of each request stay within the budget of each
 	// service.
@@ -36,11 +36,13 @@
 	RepeatedCrashes history.Invariant = "repeats"
 	// Resources: processes release file descriptors and memory after the load has ended.
 	Resources history.Invariant = "resources"
+	// Memory: no process exceeds the memory limit in its settings.
+	Memory history.Invariant = "memory"
 )
 
 // Invariants lists all invariants that a soak checks, in the order of reports.
 func Invariants() []history.Invariant {
-	return append(history.Invariants(), UnexpectedExit, RouteNotFound, Budget, Exposure, RolloutEnd, Evacuation, RepeatedCrashes, Resources)
+	return append(history.Invariants(), UnexpectedExit, RouteNotFound, Budget, Exposure, RolloutEnd, Evacuation, RepeatedCrashes, Resources, Memory)
 }
 
 // Violation is one violation of an invariant with its evidence.
@@ -210,7 +212,10 @@
 	}
 	for _, answer := range c.history.Answers {
 		call := calls[answer.Call]
-		if strings.HasPrefix(call.Class, markerPrefix) {
+		if answer.Reason == reasonInvalid {
+			c.addViolation(RouteNotFound, call.RequestID, "%s at %s, sent at %s: %s", call.Class, call.Node, call.At, answer.Detail)
+		}
+		if strings.HasPrefix(call.Class, markerPrefix) || call.Class == optionalPath {
 			continue
 		}
 		c.checked[RouteNotFound]++
--- a/lab/soak/crashes.go
+++ b/lab/soak/crashes.go
@@ -45,7 +45,7 @@
 			call.Service, call.MinimumCoverage = searchService, minimumCoverage
 		}
 		id := f.recorder.Call(call)
-		answer := f.sendRequestTo(client, n, fault.Target, target, "deadly", call.RequestID, requestTimeout+lateAnswerTimeout)
+		answer := f.sendRequestTo(client, n, fault.Target, target, "deadly", call.RequestID, requestTimeout, requestTimeout+lateAnswerTimeout)
 		answer.Call = id
 		f.recorder.Answer(answer)
 		_ = clock.Sleep(ctx, crashRequestInterval) // the loop condition checks ctx
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -99,6 +99,14 @@
 	case CrashRequest:
 		f.sendCrashRequests(ctx, fault)
 		return nil
+	case RepeatRejections:
+		f.setRepeatRejections(true)
+		wait()
+		f.setRepeatRejections(false)
+		return nil
+	case RemoveRoute:
+		f.removeOptionalRoute(ctx, fault)
+		return nil
 	case InvalidEntries:
 		f.store.PutInvalidEntries()
 		wait()
@@ -180,6 +188,15 @@
 	}
 }
 
+// setRepeatRejections sets whether the servers of single requests repeat rejections.
+func (f *fleet) setRepeatRejections(repeats bool) {
+	for _, s := range f.allServers() {
+		if s.Service == ledgerService {
+			s.Set(func() { s.RepeatRejections = repeats })
+		}
+	}
+}
+
 // replaceNode kills a node for good and starts another one in the same zone at another address.
 func (f *fleet) replaceNode(n *node, wait func()) error {
 	n.mutex.Lock()
@@ -271,6 +288,10 @@
 		return nil
 	}
 	switch fault.Kind {
+	case FloodResponses:
+		s.Set(func() { s.Fault = standin.Endless })
+		f.sendPatientRequests(fault.Until)
+		s.Set(func() { s.Fault = standin.NoFault })
 	case schedule.KillServer:
 		return f.replaceServer(s, wait, 0)
 	case schedule.ColdStart:
--- a/lab/soak/fleet.go
+++ b/lab/soak/fleet.go
@@ -42,8 +42,12 @@
 	// and replacedNodes and restartedServers count replacements and restarts.
 	set, setCount, replacedNodes, restartedServers int
 	longestPause                                   time.Duration
+	// memorySamples counts the comparisons of a process's memory with its limit.
+	memorySamples int
 	// defects holds the defects of versions, which also apply to replacement servers.
 	defects map[string]standin.Defect
+	// optionalRouteRemoved is set while configurations lack the optional route.
+	optionalRouteRemoved bool
 	// crashTargets are the prefixes of request targets under which servers crash.
 	crashTargets []string
 	// crashTimes holds the times at which servers crashed under such requests, by request target.
@@ -280,6 +284,10 @@
 	searchPath = "/search/"
 	pagePath   = "/page/"
 	enterPath  = "/enter/"
+	// optionalPath is the path prefix of a route that some configurations lack.
+	optionalPath = "/optional/"
+	// patientPath is the path prefix of requests that may run once and wait for patientTimeout.
+	patientPath = "/patient/"
 )
 
 // paths are the path prefixes of the routes that all configurations contain.
@@ -293,6 +301,7 @@
 
 const (
 	routeTimeout       = 1500 * time.Millisecond
+	patientTimeout     = 6 * time.Second
 	routeTargetLatency = 100 * time.Millisecond
 	topRecords         = 5
 	minimumCoverage    = 0.5
@@ -304,7 +313,7 @@
 func (f *fleet) writeConfiguration() {
 	f.mutex.Lock()
 	f.version++
-	version, set := f.version, f.set
+	version, set, optionalRouteRemoved := f.version, f.set, f.optionalRouteRemoved
 	f.mutex.Unlock()
 	route := func(name, path, kind string, priority int) standin.Route {
 		return standin.Route{
@@ -315,8 +324,15 @@
 	search := route("search", searchPath, standin.Repeatable, 1)
 	search.Gather, search.TopK, search.MinimumCoverage = shardNames(set), topRecords, minimumCoverage
 	page, enter := route("page", pagePath, standin.Repeatable, 2), route("enter", enterPath, standin.NotRepeatable, 2)
-	page.Service, enter.Service = ledgerService, ledgerService
-	config := standin.Config{Version: version, Routes: []standin.Route{search, page, enter}}
+	patient := route("patient", patientPath, standin.NotRepeatable, 2)
+	patient.TimeoutMS = patientTimeout.Milliseconds()
+	page.Service, enter.Service, patient.Service = ledgerService, ledgerService, ledgerService
+	config := standin.Config{Version: version, Routes: []standin.Route{search, page, enter, patient}}
+	if !optionalRouteRemoved {
+		optional := route("optional", optionalPath, standin.Repeatable, 2)
+		optional.Service = ledgerService
+		config.Routes = append(config.Routes, optional)
+	}
 	for markedVersion := max(version-maxMarkers+1, 1); markedVersion <= version; markedVersion++ {
 		marker := route(fmt.Sprintf("marker-%d", markedVersion), markerPath(markedVersion), standin.Repeatable, 3)
 		marker.Service = ledgerService
--- a/lab/soak/node.go
+++ b/lab/soak/node.go
@@ -106,7 +106,7 @@
 // nodeSettings returns the settings that the platform writes for the node.
 func (n *node) nodeSettings(bootstrap bool) standin.NodeSettings {
 	settings := standin.NodeSettings{
-		NodeName: n.name, Zone: n.zone, Zones: n.fleet.layout.Zones, Host: n.host, Bootstrap: bootstrap, GraceSeconds: graceSeconds, EnableRollouts: true,
+		NodeName: n.name, Zone: n.zone, Zones: n.fleet.layout.Zones, Host: n.host, Bootstrap: bootstrap, GraceSeconds: graceSeconds, EnableRollouts: true, MemoryMB: n.fleet.options.MemoryMB,
 		CallerPort: callersPort, ReadyPort: readyPort, DirectoryPort: directoryPort, ControlPort: controlPort, InternalPort: gossipPort,
 		StoreAddress: n.store.address(), ApplyMS: n.fleet.options.NodeApplyBound.Milliseconds(),
 	}
--- a/lab/soak/schedule.go
+++ b/lab/soak/schedule.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/banksail/banksail/lab/schedule"
+	"github.com/banksail/banksail/platform/standin"
 )
 
 // Kinds of faults that only a soak injects; it also injects some of package schedule's.
@@ -67,6 +68,15 @@
 	Reshard schedule.Kind = "reshard"
 	// Evacuate evacuates a zone until Until.
 	Evacuate schedule.Kind = "evacuate"
+	// FloodResponses replaces some responses of a server of single requests by bytes without end,
+	// while callers send requests that may run once and wait for long.
+	FloodResponses schedule.Kind = "flood_answers"
+	// RepeatRejections makes all servers of single requests reject a part of the requests and send
+	// each rejection a second time, late.
+	RepeatRejections schedule.Kind = "late_copies"
+	// RemoveRoute removes the optional route until Until, while callers send requests with long
+	// bodies on it and others in between, on kept connections.
+	RemoveRoute schedule.Kind = "remove_route"
 	// CrashRequest sends a request repeatedly, to all nodes in turn, that crashes the servers that
 	// run it.
 	CrashRequest schedule.Kind = "deadly_request"
@@ -80,7 +90,7 @@
 		StoreRejection, StoreDropHistory, StoreMuteWatches, schedule.KillServer, schedule.SlowServer, schedule.Shed, schedule.ColdStart,
 		schedule.Drain, SilentLink, ResetLink, SlowServerLink, OneWayLink, TrickleLink, DropResponses, FailRequests, TruncateResponses, DuplicateResponses,
 		OmitResponseLength, ResetResponses, ReuseAddress, Configure, ConfigureBurst, Reshard, Evacuate,
-		CrashRequest, RestartServer, InvalidEntries, StoreRestore,
+		CrashRequest, RestartServer, InvalidEntries, StoreRestore, FloodResponses, RepeatRejections, RemoveRoute,
 	}
 }
 
@@ -245,6 +255,8 @@
 		SlowServerLink, OneWayLink, TrickleLink, DropResponses, FailRequests, TruncateResponses, DuplicateResponses, OmitResponseLength, ResetResponses,
 		ReuseAddress, RestartServer:
 		fault.Target = d.layout.Servers[d.random.IntN(len(d.layout.Servers))]
+	case FloodResponses:
+		fault.Target = standin.ServerName(ledgerService, d.random.IntN(ledgerServerCount))
 	case CrashRequest:
 		fault.Target = paths[d.random.IntN(len(paths))]
 		fault.Until = max(d.lastFaultEnd, fault.At+minFaultDuration) // it is only checked after reconnectTime has passed
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -39,6 +39,9 @@
 	// NodeApplyBound is the bound for applying a configuration that is configured at the nodes, if
 	// it is to differ from the one that is checked; zero means that it does not differ.
 	NodeApplyBound time.Duration
+	// MemoryMB is the memory limit of each process, which is configured and checked; default
+	// DefaultMemoryMB.
+	MemoryMB int
 	// ReportProgress receives a line of text for each event; nil discards them.
 	ReportProgress func(format string, arguments ...any)
 }
@@ -58,12 +61,16 @@
 	if info, err := os.Stat(o.Directory); err != nil || !info.IsDir() {
 		return fmt.Errorf("%w: directory: %q is not a directory", ErrInvalidOptions, o.Directory)
 	}
+	o.MemoryMB = cmp.Or(o.MemoryMB, DefaultMemoryMB)
 	if o.ReportProgress == nil {
 		o.ReportProgress = func(string, ...any) {}
 	}
 	return nil
 }
 
+// DefaultMemoryMB is the default of Options.MemoryMB.
+const DefaultMemoryMB = 284
+
 // Run runs one soak and checks it. It ends every process that it started, also if ctx ends.
 func Run(ctx context.Context, options Options) (*Report, error) {
 	if err := options.validate(); err != nil {
@@ -92,6 +99,7 @@
 	var load, faults sync.WaitGroup
 	var failures errorList
 	load.Go(func() { f.watchPauses(ctx) })
+	load.Go(func() { f.watchMemory(ctx) })
 	f.forEachNode(func(n *node) { load.Go(func() { f.probeNode(ctx, n) }) })
 	for number := range callerCount {
 		load.Go(func() { f.newCaller(number).run(ctx) })
@@ -125,7 +133,7 @@
 		Schedule: generated, Checked: checked, Violations: append(violations, f.violations...), SentRequests: len(observed.history.Calls),
 		ReceivedRequests: len(observed.arrivals), Configurations: len(observed.history.Accepted), LongestPause: f.longestPause,
 	}
-	checked[UnexpectedExit], checked[Resources] = len(observed.history.Runs), checkedResources
+	checked[UnexpectedExit], checked[Resources], checked[Memory] = len(observed.history.Runs), checkedResources, f.memorySamples
 	for _, answer := range observed.history.Answers {
 		if answer.Kind == history.AnswerResult {
 			report.Succeeded++
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -66,7 +66,7 @@
 	t.Helper()
 	report, err := Run(context.Background(), Options{
 		Seed: 1, Duration: MinDuration, Program: os.Args[0], Environment: []string{nodeBugVariable + "=" + bug},
-		Directory: t.TempDir(), Kinds: kinds,
+		Directory: t.TempDir(), Kinds: kinds, MemoryMB: 1,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -79,7 +79,7 @@
 }
 
 // A soak must detect processes that exit unasked, ignore a stop or exit with an error, and nodes
-// that do not put configurations in force.
+// that do not put configurations in force or exceed their memory limit.
 func TestSoakDetectsFaultyProcesses(t *testing.T) {
 	for bug, evidence := range map[string]string{
 		exitsOnHangup: "ended by itself",
@@ -94,6 +94,9 @@
 			}) {
 				t.Errorf("violation was not detected; violations: %v", report.Violations)
 			}
+			if !report.hasViolation(Memory) {
+				t.Errorf("processes with more than 1 MB of memory were not detected; violations: %v", report.Violations)
+			}
 			if !report.hasViolation(history.Configuration) {
 				t.Errorf("configuration that is in force at no node was not detected; violations: %v", report.Violations)
 			}
@@ -236,6 +239,14 @@
 			r.history.Calls = append(r.history.Calls, history.Call{ID: 1, RequestID: "x", Class: searchPath, Abandoned: true})
 			r.history.Answers = append(r.history.Answers, history.Answer{Call: 1, Kind: history.AnswerRefusal, Reason: reasonNoRoute})
 		}, RouteNotFound},
+		"a request that is called invalid": {func(r *record) {
+			r.history.Calls = append(r.history.Calls, history.Call{ID: 1, RequestID: "x", Class: optionalPath, Abandoned: true})
+			r.history.Answers = append(r.history.Answers, history.Answer{Call: 1, Kind: history.AnswerRefusal, Reason: reasonInvalid})
+		}, RouteNotFound},
+		"a removed route": {func(r *record) {
+			r.history.Calls = append(r.history.Calls, history.Call{ID: 1, RequestID: "x", Class: optionalPath, Abandoned: true})
+			r.history.Answers = append(r.history.Answers, history.Answer{Call: 1, Kind: history.AnswerRefusal, Reason: reasonNoRoute})
+		}, ""},
 		"repeats over the budget": {func(r *record) {
 			for index := range budgetExtra + 5 {
 				repeated := r.arrivals[20]
--- a/lab/soak/watch.go
+++ b/lab/soak/watch.go
@@ -35,6 +35,34 @@
 	}
 }
 
+// memoryCheckInterval is the time between two readings of a process's memory.
+const memoryCheckInterval = 20 * time.Millisecond
+
+// watchMemory compares the memory of all processes with their limit until ctx ends. It records one
+// violation for each process.
+func (f *fleet) watchMemory(ctx context.Context) {
+	reported := make(map[*process]bool)
+	for clock.Sleep(ctx, memoryCheckInterval) == nil {
+		for _, n := range f.allNodes() {
+			p := n.current()
+			if p == nil || reported[p] {
+				continue
+			}
+			memoryKB, err := processMemory(p.command.Process.Pid)
+			if err != nil {
+				continue // the process has just exited
+			}
+			f.mutex.Lock()
+			f.memorySamples++
+			f.mutex.Unlock()
+			if limit := f.options.MemoryMB; memoryKB > limit<<10 {
+				reported[p] = true
+				f.addViolation(Memory, n.name, "%d kB at %s, limit %d MB", memoryKB, f.recorder.Now(), limit)
+			}
+		}
+	}
+}
+
 // waitUntil waits until the given time since the start of the soak.
 func waitUntil(ctx context.Context, recorder *history.Recorder, until time.Duration) error {
 	return clock.Sleep(ctx, until-recorder.Now())
@@ -98,16 +126,22 @@
 		return held, err
 	}
 	held.openFiles = len(openFiles)
+	held.memoryKB, err = processMemory(pid)
+	return held, err
+}
+
+// processMemory reads the resident memory of a process, in KiB, from /proc.
+func processMemory(pid int) (memoryKB int, err error) {
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
-		return held, err
+		return 0, err
 	}
 	for line := range bytes.Lines(status) {
 		if rest, found := bytes.CutPrefix(line, []byte("VmRSS:")); found {
-			held.memoryKB, err = strconv.Atoi(string(bytes.Fields(rest)[0]))
+			memoryKB, err = strconv.Atoi(string(bytes.Fields(rest)[0]))
 		}
 	}
-	return held, err
+	return memoryKB, err
 }
 
 // checkResources compares the resources that processes hold after the load has ended with those
