--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -290,7 +290,7 @@
 	switch fault.Kind {
 	case FloodResponses:
 		s.Set(func() { s.Fault = standin.Endless })
-		f.sendPatientRequests(fault.Until)
+		f.sendLongTimeoutRequests(fault.Until)
 		s.Set(func() { s.Fault = standin.NoFault })
 	case schedule.KillServer:
 		return f.replaceServer(s, wait, 0)
--- a/lab/soak/fleet.go
+++ b/lab/soak/fleet.go
@@ -286,8 +286,8 @@
 	enterPath  = "/enter/"
 	// optionalPath is the path prefix of a route that some configurations lack.
 	optionalPath = "/optional/"
-	// patientPath is the path prefix of requests that may run once and wait for patientTimeout.
-	patientPath = "/patient/"
+	// longTimeoutPath is the path prefix of requests that may run once and wait for longTimeout.
+	longTimeoutPath = "/long-timeout/"
 )
 
 // paths are the path prefixes of the routes that all configurations contain.
@@ -301,7 +301,7 @@
 
 const (
 	routeTimeout       = 1500 * time.Millisecond
-	patientTimeout     = 6 * time.Second
+	longTimeout        = 6 * time.Second
 	routeTargetLatency = 100 * time.Millisecond
 	topRecords         = 5
 	minimumCoverage    = 0.5
@@ -324,10 +324,10 @@
 	search := route("search", searchPath, standin.Repeatable, 1)
 	search.Gather, search.TopK, search.MinimumCoverage = shardNames(set), topRecords, minimumCoverage
 	page, enter := route("page", pagePath, standin.Repeatable, 2), route("enter", enterPath, standin.NotRepeatable, 2)
-	patient := route("patient", patientPath, standin.NotRepeatable, 2)
-	patient.TimeoutMS = patientTimeout.Milliseconds()
-	page.Service, enter.Service, patient.Service = ledgerService, ledgerService, ledgerService
-	config := standin.Config{Version: version, Routes: []standin.Route{search, page, enter, patient}}
+	longRoute := route("long-timeout", longTimeoutPath, standin.NotRepeatable, 2)
+	longRoute.TimeoutMS = longTimeout.Milliseconds()
+	page.Service, enter.Service, longRoute.Service = ledgerService, ledgerService, ledgerService
+	config := standin.Config{Version: version, Routes: []standin.Route{search, page, enter, longRoute}}
 	if !optionalRouteRemoved {
 		optional := route("optional", optionalPath, standin.Repeatable, 2)
 		optional.Service = ledgerService
