review: case 4, a completed roll-out is rolled back to a version without servers

After a drill of the store and a kill of all processes no process remembers the end, and the first decider rolls back, though the servers of the version before have stopped: RECOVER. With the stand-ins of all cases, which carry a build tag.

--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the cases 4 to 8, the project's own among them, into target/. Run it after the
+# build of the deploy file; it adds no dependency.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+go build -buildvcs=false -tags review2 -o target/standins-2 ./review/standins-2/platform
