--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,9 +1,9 @@
 #!/usr/bin/env bash
-# Plays case 8 with the programs that the deploy file and review/build-2.sh have built. Exits with
-# 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves out the
-# crashes of the servers; the final fault stays.
+# Plays case 8 with the programs that the build of the deploy file and review/build-2.sh have made. Exits
+# with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves out
+# the crashes of the servers; the final fault stays.
 cd "$(dirname "$0")/../.." || exit 2
-for program in target/banksail-front target/review/crash-loop target/review/server; do
-  [ -x "$program" ] || { echo "build first: the deploy file, review/build-2.sh"; exit 2; }
+for program in target/banksail-front target/standins-3; do
+  [ -x "$program" ] || { echo "$program is missing: build as the deploy file says, then run review/build-2.sh"; exit 2; }
 done
-exec target/review/crash-loop
+exec target/standins-3 crash-loop
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,3 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 go build -buildvcs=false -tags review2 -o target/standins-2 ./review/standins-2/platform
+go build -buildvcs=false -tags review3 -o target/standins-3 ./review/standins-3/platform
--- a/review/standins-3/server/main.go
+++ b/review/standins-3/platform/server.go
@@ -1,10 +1,9 @@
-// Command server is a sound server of one service, as a process of its own that a case can kill. It
-// prints a line for each request that it begins to run. Its entry in the store is kept by the case.
+//go:build review3
+
 package main
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -16,26 +15,36 @@
 	"github.com/banksail/banksail/platform/standin"
 )
 
-// queueLength is the number of requests that the server queues.
-const queueLength = 12
+const (
+	// serverCommand is the command of a server process.
+	serverCommand = "server"
+	// queueLength is the number of requests that a server queues.
+	queueLength = 12
+	// expectedServerHeader and notExecutedHeader are headers between nodes and servers.
+	expectedServerHeader = "X-Banksail-Target-Instance"
+	notExecutedHeader    = "X-Banksail-Not-Executed"
+)
 
+// server is a sound server of one service. It prints a line for each request that it begins to run.
+// Its entry in the store is kept by the case.
 type server struct {
-	id             string
-	work           time.Duration
-	queued, active chan struct{}
+	id   string
+	work time.Duration
+	// queued holds a token for each request that runs or waits, running one for each that runs.
+	queued, running chan struct{}
 }
 
-func main() {
-	id := flag.String("id", "", "ID of the server")
-	address := flag.String("address", "", "IP number and port")
-	work := flag.Duration("work", 5*time.Millisecond, "how long a request runs")
-	capacity := flag.Int("capacity", 3, "requests that run at a time")
-	flag.Parse()
-	s := &server{id: *id, work: *work, queued: make(chan struct{}, *capacity+queueLength), active: make(chan struct{}, *capacity)}
-	if err := http.ListenAndServe(*address, s); !errors.Is(err, http.ErrServerClosed) {
-		_, _ = fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
+// serve runs a server until it is killed.
+func serve(arguments []string) int {
+	flags := flag.NewFlagSet(serverCommand, flag.ExitOnError)
+	id := flags.String("id", "", "ID of the server")
+	address := flags.String("address", "", "IP number and port")
+	work := flags.Duration("work", 0, "how long a request runs")
+	capacity := flags.Int("capacity", 1, "requests that run at a time")
+	_ = flags.Parse(arguments) // exits on errors
+	s := &server{id: *id, work: *work, queued: make(chan struct{}, *capacity+queueLength), running: make(chan struct{}, *capacity)}
+	_, _ = fmt.Fprintln(os.Stderr, http.ListenAndServe(*address, s))
+	return exitCannotRun
 }
 
 // ServeHTTP implements http.Handler.
@@ -49,7 +58,7 @@
 	if _, err := io.Copy(io.Discard, request.Body); err != nil {
 		return
 	}
-	if expected := request.Header.Get("X-Banksail-Target-Instance"); expected != "" && expected != s.id {
+	if expected := request.Header.Get(expectedServerHeader); expected != "" && expected != s.id {
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -60,11 +69,11 @@
 		defer cancel()
 	}
 	if id == "" || !s.enter(ctx) {
-		writer.Header().Set("X-Banksail-Not-Executed", "1")
+		writer.Header().Set(notExecutedHeader, "1")
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	defer func() { <-s.active; <-s.queued }()
+	defer func() { <-s.running; <-s.queued }()
 	_, _ = fmt.Printf("%d runs %s %s of attempt %s\n", time.Now().UnixMilli(), request.Method, request.RequestURI, id)
 	select {
 	case <-time.After(s.work):
@@ -84,7 +93,7 @@
 		return false
 	}
 	select {
-	case s.active <- struct{}{}:
+	case s.running <- struct{}{}:
 		return true
 	case <-ctx.Done():
 		<-s.queued
