--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -5,4 +5,4 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 [ -x target/banksail-front ] && [ -x target/standins-2 ] || { echo "run the build of the deploy file and review/build-2.sh first"; exit 2; }
-exec target/standins-2 crash "$folder/record.txt"
+exec target/standins-2 rollout "$folder/record.txt"
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,9 +1,8 @@
 #!/usr/bin/env bash
-# Plays case 8 with the programs that the build of the deploy file and review/build-2.sh have made. Exits
-# with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves out
-# the crashes of the servers; the final fault stays.
-cd "$(dirname "$0")/../.." || exit 2
-for program in target/banksail-front target/standins-3; do
-  [ -x "$program" ] || { echo "$program is missing: build as the deploy file says, then run review/build-2.sh"; exit 2; }
-done
-exec target/standins-3 crash-loop
+# Plays the case; see claim.txt. Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could
+# not run. With TROUBLE=0 there is no disruption. Needs the build of the deploy file and build-2.sh.
+set -u
+folder=$(cd "$(dirname "$0")" && pwd) || exit 2
+cd "$folder/../.." || exit 2
+[ -x target/banksail-front ] && [ -x target/standins-2 ] || { echo "run the build of the deploy file and review/build-2.sh first"; exit 2; }
+exec target/standins-2 refused "$folder/record.txt"
--- a/review/standins-3/platform/crash_loop.go
+++ b/review/standins-3/platform/crash_loop.go
@@ -13,7 +13,7 @@
 	"github.com/banksail/banksail/platform/standin"
 )
 
-// Case 8: all servers of a service crash several times in a row while sound requests run there, and are
+// The case crash-loop: all servers of a service crash several times in a row while sound requests run there, and are
 // well again. All processes of the system are killed later. The requests must be served again.
 const (
 	// statementTime is how long a server works on a request.
@@ -54,12 +54,12 @@
 	requests []sentRequest
 }
 
-func playCrashLoop() int {
+func playCrashLoop(recordPath string) int {
 	route := standin.Route{
 		Name: "statement", Host: host, PathPrefix: "/statement/", Type: standin.Repeatable, TimeoutMS: deadline.Milliseconds(),
 		TargetLatencyMS: (2 * statementTime).Milliseconds(), Priority: 2, MaxAttempts: 2, Service: "ledger",
 	}
-	d, err := startDeployment("review/8/record.txt", []service{{"ledger", statementTime}}, []standin.Route{route})
+	d, err := startDeployment(recordPath, []service{{"ledger", statementTime}}, []standin.Route{route})
 	defer d.close()
 	if err != nil {
 		return cannotRun(err)
--- a/review/standins-3/platform/large_bodies.go
+++ b/review/standins-3/platform/large_bodies.go
@@ -14,7 +14,7 @@
 	"github.com/banksail/banksail/platform/standin"
 )
 
-// Case 7: clients send many large bodies of legal size, whole, on a route whose requests must not be
+// The case large-bodies: clients send many large bodies of legal size, whole, on a route whose requests must not be
 // repeated, while now and then a request of another route takes long. The nodes must stay within the
 // memory of their machines. The case plays the platform, which kills a process over its memory and
 // starts it again.
@@ -69,14 +69,14 @@
 	bodies, reports, ordinary tally
 }
 
-func playLargeBodies() int {
+func playLargeBodies(recordPath string) int {
 	route := standin.Route{Host: host, TimeoutMS: deadline.Milliseconds(), Type: standin.Repeatable, MaxAttempts: 1, Priority: 2}
 	file, fetch, report := route, route, route
 	file.Name, file.PathPrefix, file.Service, file.Type = "notice-file", "/file/", "docket", standin.NotRepeatable
 	fetch.Name, fetch.PathPrefix, fetch.Service, fetch.TargetLatencyMS = "notice-fetch", "/notice/", "mailroom", 1000
 	report.Name, report.PathPrefix, report.Service = "fee-report", "/report/", "ledger"
 	services := []service{{"docket", workTime}, {"mailroom", workTime}, {"ledger", reportTime}}
-	d, err := startDeployment("review/7/record.txt", services, []standin.Route{file, fetch, report})
+	d, err := startDeployment(recordPath, services, []standin.Route{file, fetch, report})
 	defer d.close()
 	if err != nil {
 		return cannotRun(err)
--- a/review/standins-3/platform/main.go
+++ b/review/standins-3/platform/main.go
@@ -1,11 +1,11 @@
 //go:build review3
 
-// Command standins-3 plays the cases 7 and 8 of the second independent review: it starts servers and
-// the node program as separate processes, plays the platform and the clients, and judges what was
-// seen. The store is the project's own stand-in.
+// Command standins-3 plays two cases of the second independent review: it starts servers and the node
+// program as separate processes, plays the platform and the clients, and judges what was seen. The
+// store is the project's own stand-in.
 //
-//	standins-3 large-bodies | crash-loop    plays a case; TROUBLE=0 leaves the disruption out
-//	standins-3 server FLAGS                 is one server
+//	standins-3 CASE RECORD      plays a case (large-bodies or crash-loop); TROUBLE=0 leaves the disruption out
+//	standins-3 server FLAGS     is one server
 package main
 
 import (
@@ -21,21 +21,15 @@
 )
 
 func main() {
-	name := ""
-	if len(os.Args) > 1 {
-		name = os.Args[1]
-	}
-	switch name {
-	case "large-bodies":
-		os.Exit(playLargeBodies())
-	case "crash-loop":
-		os.Exit(playCrashLoop())
-	case serverCommand:
+	if len(os.Args) > 1 && os.Args[1] == serverCommand {
 		os.Exit(serve(os.Args[2:]))
-	default:
-		_, _ = fmt.Fprintf(os.Stderr, "unknown command %q\n", name)
+	}
+	cases := map[string]func(recordPath string) (exitCode int){"large-bodies": playLargeBodies, "crash-loop": playCrashLoop}
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		_, _ = fmt.Fprintln(os.Stderr, "usage: standins-3 CASE RECORD")
 		os.Exit(exitCannotRun)
 	}
+	os.Exit(cases[os.Args[1]](os.Args[2]))
 }
 
 func cannotRun(err error) int {
