--- a/review/standins-3/platform/deployment.go
+++ b/review/standins-3/platform/deployment.go
@@ -18,8 +18,6 @@
 )
 
 const (
-	// loopback is the address of everything that a case starts.
-	loopback = "127.0.0.1"
 	// host is the host name of all routes.
 	host = "hall.example"
 	// deadline is that of tsb-search's notice-fetch: the route's timeout and the clients'.
@@ -33,6 +31,17 @@
 	maxConnections = 110
 )
 
+// loopback returns a loopback address of this play's own, so that plays do not take each other's ports.
+// The store and the servers have number 1, the nodes the following numbers.
+func loopback(number int) string {
+	const addressByte = 0xff
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>8%addressByte, pid&addressByte, number)
+}
+
+// platformNumber is the number of the address of the store and the servers.
+const platformNumber = 1
+
 // zones are the zones of the deployment, with one machine each.
 var zones = []string{"worcester-hall", "lowell-hall"}
 
@@ -62,7 +71,7 @@
 	if d.folder, err = os.MkdirTemp("", "review-case-"); err != nil {
 		return d, err
 	}
-	listener, err := net.Listen("tcp", loopback+":0")
+	listener, err := net.Listen("tcp", addressOf(loopback(platformNumber), 0))
 	if err != nil {
 		return d, err
 	}
@@ -86,13 +95,13 @@
 func (d *deployment) startServers(services []service, routes []standin.Route) error {
 	config := standin.Config{Version: 1, Routes: routes}
 	for _, s := range services {
-		ports, err := freePorts(serversPerService)
+		ports, err := freePorts(loopback(platformNumber), serversPerService)
 		if err != nil {
 			return err
 		}
 		for number, port := range ports {
 			started := &serverProcess{
-				id: standin.ServerName(s.name, number), service: s.name, zone: zones[number%len(zones)], address: addressOf(port),
+				id: standin.ServerName(s.name, number), service: s.name, zone: zones[number%len(zones)], address: addressOf(loopback(platformNumber), port),
 				work: s.work, capacity: serverCapacity, store: d.store, record: d.record, folder: d.folder,
 			}
 			d.servers = append(d.servers, started)
@@ -110,16 +119,17 @@
 	var all []nodeSettings
 	var seeds []string
 	const portsPerNode = 5
-	for _, zone := range zones {
-		free, err := freePorts(portsPerNode)
+	for index, zone := range zones {
+		address := loopback(platformNumber + 1 + index)
+		free, err := freePorts(address, portsPerNode)
 		if err != nil {
 			return err
 		}
 		all = append(all, nodeSettings{
-			name: "front-" + zone + "-1", zone: zone, store: store, zones: zones,
+			name: "front-" + zone + "-1", zone: zone, address: address, store: store, zones: zones,
 			callers: free[0], ready: free[1], directory: free[2], control: free[3], gossiping: free[4],
 		})
-		seeds = append(seeds, addressOf(free[3]))
+		seeds = append(seeds, addressOf(address, free[3]))
 	}
 	for _, settings := range all {
 		settings.seeds = seeds
@@ -180,7 +190,7 @@
 func send(ctx context.Context, client *http.Client, n *node, method, path, id string, body []byte, timeout time.Duration) answer {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+addressOf(n.settings.callers)+path, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+addressOf(n.settings.address, n.settings.callers)+path, bytes.NewReader(body))
 	if err != nil {
 		return answer{err: err}
 	}
@@ -200,13 +210,13 @@
 }
 
 // addressOf returns the address of a port.
-func addressOf(port int) string { return fmt.Sprintf("%s:%d", loopback, port) }
+func addressOf(address string, port int) string { return fmt.Sprintf("%s:%d", address, port) }
 
-// freePorts returns ports that nobody uses at present.
-func freePorts(count int) ([]int, error) {
+// freePorts returns ports of an address that nobody uses at present.
+func freePorts(address string, count int) ([]int, error) {
 	var ports []int
 	for range count {
-		listener, err := net.Listen("tcp", loopback+":0")
+		listener, err := net.Listen("tcp", addressOf(address, 0))
 		if err != nil {
 			return nil, err
 		}
--- a/review/standins-3/platform/node.go
+++ b/review/standins-3/platform/node.go
@@ -32,7 +32,7 @@
 
 // nodeSettings has the fields of the settings file that differ between machines and starts.
 type nodeSettings struct {
-	name, zone, store                             string
+	name, zone, address, store                    string
 	zones, seeds                                  []string
 	callers, ready, directory, control, gossiping int
 }
@@ -96,8 +96,8 @@
 	for _, zone := range s.zones {
 		_, _ = fmt.Fprintf(zones, "%s = %q\n", zone, region)
 	}
-	return fmt.Sprintf(settingsFormat, s.name, loopback, s.zone, region, s.gossiping, strings.Join(s.seeds, `", "`), firstStart, zones,
-		addressOf(s.callers), addressOf(s.ready), addressOf(s.control), addressOf(s.directory), memoryMB, s.store)
+	return fmt.Sprintf(settingsFormat, s.name, s.address, s.zone, region, s.gossiping, strings.Join(s.seeds, `", "`), firstStart, zones,
+		addressOf(s.address, s.callers), addressOf(s.address, s.ready), addressOf(s.address, s.control), addressOf(s.address, s.directory), memoryMB, s.store)
 }
 
 // node is a node process, which can be killed and started again. It is safe for concurrent use.
@@ -182,7 +182,7 @@
 func (n *node) awaitReady(timeout time.Duration) error {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for deadline := time.Now().Add(timeout); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
-		response, err := client.Get("http://" + addressOf(n.settings.ready) + "/banksail/readiness")
+		response, err := client.Get("http://" + addressOf(n.settings.address, n.settings.ready) + "/banksail/readiness")
 		if err != nil {
 			continue
 		}
