rollout: an order whose end a restore has lost is not rolled back to a version without servers

Cause: the copy held the phase "moving". The deciders had started since and knew of no end; they took the deadline as passed, the missing confirmations for nodes that had not moved, and rolled back. The platform had stopped the previous servers, and the target, the only version left, was blocked.

Change: a decider that did not follow the registry until the restore ends nothing until the entries of gone servers have expired, and then takes the end from the servers that are left. One that was suspended or had a write refused waits for a newer view; an end is not written by a view older than 1.5 s, unless the target is bad. An own end is kept over a restore. A completed order stays completed on nodes that know it. A node doesn't block the only version of a service for longer than 8 s once the order has ended.

The simulation now reports to deciders only while an order is active and tells rejected writes, as the node does.

discovery.TestRolloutRecordsSurviveRestore asserted that a roll-back of a completed order takes effect when it comes from the copy or the new epoch. That is this fault: an ended order is never changed. The three cases stay with a later order, and four were added for the same order.

--- a/discovery/directives.go
+++ b/discovery/directives.go
@@ -43,7 +43,7 @@
 	known.position = position
 	switch {
 	case sameDirective(known.value, update):
-	case update.Kind == RolloutRecord && update.Number < known.value.Number:
+	case update.Kind == RolloutRecord && (update.Number < known.value.Number || known.value.Record.Reopened(update.Record)):
 		if !update.Lost {
 			known.markLost(update.StoredAt) // the nodes' record is newer than the registry's
 		}
--- a/discovery/epoch_test.go
+++ b/discovery/epoch_test.go
@@ -311,9 +311,14 @@
 }
 
 // Roll-out records are never reverted by a restore: the nodes' record is marked as lost until it is
-// written again, whichever way later states arrive. A record of the new epoch, or one in the backup
-// that this node did not know, takes effect.
+// written again, whichever way later states arrive. A record of a later order, whether of the new epoch
+// or one in the backup that this node did not know, takes effect. One that contradicts a completed order
+// does not: it was written by a node that did not know of the end, when the previous servers had stopped.
 func TestRolloutRecordsSurviveRestore(t *testing.T) {
+	ofOrder := func(order uint64, directive discovery.Directive) discovery.Directive {
+		directive.Record.Order = order
+		return directive
+	}
 	for name, test := range map[string]struct {
 		update discovery.Directive
 		want   rollout.Phase
@@ -321,9 +326,13 @@
 	}{
 		"the copy has it":              {newRecord(1, rollout.Completed, epochPosition(2, 50)), rollout.Completed, false},
 		"the copy has an earlier one":  {newRecord(1, rollout.Moving, epochPosition(2, 40)), rollout.Completed, true},
-		"the copy has a later one":     {newRecord(1, rollout.RolledBack, epochPosition(2, 51)), rollout.RolledBack, false},
-		"written in the new epoch":     {newRecord(2, rollout.RolledBack, epochPosition(2, 30)), rollout.RolledBack, false},
-		"written at the same revision": {newRecord(2, rollout.RolledBack, epochPosition(2, 50)), rollout.RolledBack, false},
+		"the copy has a later one":     {ofOrder(8, newRecord(1, rollout.RolledBack, epochPosition(2, 51))), rollout.RolledBack, false},
+		"written in the new epoch":     {ofOrder(8, newRecord(2, rollout.RolledBack, epochPosition(2, 30))), rollout.RolledBack, false},
+		"written at the same revision": {ofOrder(8, newRecord(2, rollout.RolledBack, epochPosition(2, 50))), rollout.RolledBack, false},
+		"rolled back in the copy":      {newRecord(1, rollout.RolledBack, epochPosition(2, 51)), rollout.Completed, true},
+		"rolled back in the new epoch": {newRecord(2, rollout.RolledBack, epochPosition(2, 30)), rollout.Completed, true},
+		"moving in the new epoch":      {newRecord(2, rollout.Moving, epochPosition(2, 60)), rollout.Completed, true},
+		"completed again":              {newRecord(2, rollout.Completed, epochPosition(2, 60)), rollout.Completed, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			view := discovery.NewView(discovery.Options{})
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -93,6 +93,8 @@
 	Table *route.Table
 	// Directives are the directives in force.
 	Directives []Directive
+	// Epoch is the epoch of the registry as of this state. It is not published.
+	Epoch Epoch
 }
 
 // equal reports whether two states are the same as far as other nodes are concerned.
@@ -126,10 +128,19 @@
 	invalidLogPeriod = 10 * time.Second
 )
 
-// expirySlack is added to EntryTTL for the default RestoreGrace: within it a node has learned that
-// an entry from the registry's backup expired.
+// expirySlack is added to the entries' time to live for the default RestoreGrace: within it a node
+// has learned that an entry from the registry's backup expired.
 const expirySlack = time.Second
 
+// RestoreGrace returns how long after a restore the registry may list servers that had left before,
+// if entries expire after entryTTL without a heartbeat; zero is unknown.
+func RestoreGrace(entryTTL time.Duration) time.Duration {
+	if entryTTL <= 0 {
+		return DefaultRestoreGrace
+	}
+	return entryTTL + expirySlack
+}
+
 // Bounds of the back-off after a failed read.
 const (
 	minRetryPause = 100 * time.Millisecond
@@ -192,9 +203,7 @@
 	if options.OnAdopted == nil {
 		options.OnAdopted = func(time.Duration) {}
 	}
-	if options.EntryTTL > 0 {
-		options.View.RestoreGrace = cmp.Or(options.View.RestoreGrace, options.EntryTTL+expirySlack)
-	}
+	options.View.RestoreGrace = cmp.Or(options.View.RestoreGrace, RestoreGrace(options.EntryTTL))
 	options.View.OutageAfter = cmp.Or(options.View.OutageAfter, min(2*options.PollInterval, cmp.Or(options.EntryTTL, 2*options.PollInterval)))
 	return &Follower{
 		options:       options,
@@ -409,7 +418,7 @@
 		f.history.add(f.published, published)
 		f.published = published
 	}
-	state := ClusterState{Servers: f.view.Servers(), Nodes: f.view.Nodes(), Table: f.table, Directives: directives}
+	state := ClusterState{Servers: f.view.Servers(), Nodes: f.view.Nodes(), Table: f.table, Directives: directives, Epoch: f.position.Epoch}
 	f.mutex.Unlock()
 	f.options.OnChanged(state)
 	return changed
--- a/front/rollouts.go
+++ b/front/rollouts.go
@@ -66,6 +66,7 @@
 	alarmSeenAt   map[string]time.Duration // when the alarm was last seen, by service
 	deciders      map[string]*rollout.Decider
 	viewAgePeaks  [2]viewAgePeak // current window and the one before
+	history       viewHistory
 	reportedAt    time.Time
 	// loggedPhases holds the last logged phase of each service's roll-out.
 	loggedPhases map[string]rollout.Phase
@@ -106,6 +107,7 @@
 		return
 	}
 	r.mutex.Lock()
+	r.history.recordView(r.now(), r.front.gateway.SinceStart(syncedAt), state.Epoch)
 	r.updateDirectives(state.Directives)
 	r.updateServices(state)
 	states := maps.Clone(r.states)
@@ -221,10 +223,17 @@
 }
 
 func (r *rolloutManager) runActive(ctx context.Context) {
+	r.mutex.Lock()
+	r.history.startPasses(r.now())
+	r.mutex.Unlock()
 	active := true
 	for active && clock.Sleep(ctx, rolloutInterval) == nil {
 		r.mutex.Lock()
+		r.history.recordPass(r.now())
 		active = r.hasActive()
+		if !active {
+			r.history.endPasses()
+		}
 		r.mutex.Unlock()
 		r.recordViewAge()
 		r.sendReports(ctx)
@@ -239,6 +248,7 @@
 	age, now := r.front.viewAge(), time.Now()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	r.history.recordSync(r.now() - age)
 	if now.Sub(r.viewAgePeaks[0].since) > viewAgeWindow {
 		r.viewAgePeaks[1] = r.viewAgePeaks[0]
 		r.viewAgePeaks[0] = viewAgePeak{since: now}
@@ -338,6 +348,7 @@
 		DeciderIndex: nodeIndex(r.front.self.ID, discovery.HighestRanked(nodes, deciderCount)),
 		Nodes:        nodeIDs(nodes),
 		MaxViewAge:   max(r.viewAgePeaks[0].maxAge, r.viewAgePeaks[1].maxAge),
+		History:      r.history.forDecider(now, discovery.RestoreGrace(r.front.options.Settings.EntryTTL)),
 	}
 	if serving := r.front.servingNodes.Load(); serving != nil {
 		input.ServingNodes = nodeIDs(*serving)
@@ -395,6 +406,7 @@
 		Dur("elapsed_ms", write.Record.Elapsed).Int("answers", answers).Int("bad", bad)
 	if errors.Is(err, ErrConflict) {
 		r.deciderFor(write.Service).WriteRejected()
+		r.history.recordConflict(r.now())
 	}
 	if err != nil {
 		line.Err(err).Msg("decision on a roll-out not written")
--- a/rollout/canary.go
+++ b/rollout/canary.go
@@ -149,6 +149,9 @@
 	// targetIsSole says that it is the order's target, so that there is nothing to move.
 	soleVersion  string
 	targetIsSole bool
+	// allBlockedSince is since when all of the service's servers have been blocked, if allBlocked.
+	allBlocked      bool
+	allBlockedSince time.Duration
 	// moveSeenAt is when this node learned of the move. It is not updated when the record is rewritten.
 	moveSeenAt time.Duration
 	// freshUntil is when the node's view of the registry becomes too old to send to the target.
@@ -177,11 +180,18 @@
 }
 
 // SetVersions sets the versions of the service's servers that accept work.
-func (c *Canary) SetVersions(versions []string) {
+func (c *Canary) SetVersions(now time.Duration, versions []string) {
 	c.soleVersion = ""
 	if len(versions) == 1 {
 		c.soleVersion = versions[0]
 	}
+	wereBlocked := c.allBlocked
+	c.allBlocked = len(versions) > 0 && !c.Active() && !slices.ContainsFunc(versions, func(version string) bool {
+		return c.assignedTrafficMode(now, version) != Blocked
+	})
+	if c.allBlocked && !wereBlocked {
+		c.allBlockedSince = now
+	}
 }
 
 // State returns the state set by the last call of Update.
@@ -200,8 +210,20 @@
 	return c.state.Order != 0 && !c.state.Ended()
 }
 
+// soleVersionGrace is for how long all servers of a service may be blocked. Crashed servers of another
+// version are back by then; if none is, the blocked ones are all that the service has left.
+const soleVersionGrace = 8 * time.Second
+
 // TrafficMode returns what traffic the servers of a version may receive now.
 func (c *Canary) TrafficMode(now time.Duration, version string) TrafficMode {
+	if c.allBlocked && now-c.allBlockedSince >= soleVersionGrace {
+		return Unrestricted
+	}
+	return c.assignedTrafficMode(now, version)
+}
+
+// assignedTrafficMode returns the traffic mode that follows from the order and its record.
+func (c *Canary) assignedTrafficMode(now time.Duration, version string) TrafficMode {
 	record := c.state.Record
 	if c.Active() && version == c.state.Target {
 		return c.targetTrafficMode(now)
--- a/rollout/canary_test.go
+++ b/rollout/canary_test.go
@@ -59,7 +59,7 @@
 		want     TrafficMode
 	}{{[]string{"v2"}, Unrestricted}, {[]string{"v1", "v2"}, Blocked}, {nil, Blocked}} {
 		canary := NewCanary(testBounds, 0)
-		canary.SetVersions(test.versions)
+		canary.SetVersions(0, test.versions)
 		canary.Update(State{Order: 7, Target: "v2"}, time.Hour)
 		if got := canary.TrafficMode(time.Second, "v2"); got != test.want {
 			t.Errorf("versions %v: traffic mode of the target is %d, want %d", test.versions, got, test.want)
--- a/rollout/decider.go
+++ b/rollout/decider.go
@@ -30,6 +30,8 @@
 	// in its place since the registry was restored from a backup; zero means that there is none.
 	Epoch          uint64
 	RecordRevision uint64
+	// History says what this node has seen of the registry's past.
+	History RegistryHistory
 	// Versions lists the versions of the service's servers that accept work, sorted.
 	Versions []string
 	// ServiceKnown says that the service is defined in the active routing table.
@@ -74,6 +76,10 @@
 	lastWritten uint64
 	// retryAt is until when the result of a write is awaited.
 	retryAt time.Duration
+	// sent is the write that was sent last, until the view shows a change at its keys.
+	sent *Write
+	// doubt is what the decider knows of an order that may have ended unseen.
+	doubt doubt
 }
 
 // NewDecider returns a decider for a service.
@@ -84,8 +90,15 @@
 // Observe updates the decider with the current state of the service and nodes.
 func (d *Decider) Observe(now time.Duration, input DeciderInput) {
 	if input.Order != d.order {
-		d.order, d.judge = input.Order, NewJudge()
+		d.order, d.judge, d.doubt = input.Order, NewJudge(), doubt{}
 	}
+	d.observeSent(input)
+	d.observeRestore(now, &input)
+	d.apply(input)
+}
+
+// apply replaces the known state. A record that this decider has written may be newer than the view's.
+func (d *Decider) apply(input DeciderInput) {
 	if input.Epoch == d.input.Epoch && input.RecordRevision < d.input.RecordRevision && input.Order == d.input.Order {
 		input.Record, input.RecordRevision, input.RecordLost = d.input.Record, d.input.RecordRevision, d.input.RecordLost // the view does not include the last write yet
 	}
@@ -121,10 +134,10 @@
 }
 
 // WriteRejected handles the response that order or record are at other revisions. What this decider
-// assumed to be written may not be, so the next observed state counts.
+// assumed to be written may not be, so the next observed state counts. The owner must observe a view from
+// after the response, or one marked as outdated.
 func (d *Decider) WriteRejected() {
-	d.lastWritten = 0
-	d.input.Record, d.input.RecordRevision = nil, 0
+	d.lastWritten, d.input.RecordRevision = 0, 0
 }
 
 // WriteAccepted handles the response that the registry holds the record as requested, at the given
@@ -137,7 +150,7 @@
 	d.lastWritten = revision
 	input := d.input
 	input.Record, input.RecordRevision, input.RecordLost, input.RecordSeenAt = &write.Record, revision, false, now
-	d.Observe(now, input)
+	d.apply(input)
 }
 
 // Judge returns the judge of the current order.
@@ -149,7 +162,7 @@
 // Tick returns the write that this node should send now; ok is false if there is none.
 func (d *Decider) Tick(now time.Duration) (write Write, ok bool) {
 	record, pending := d.nextRecord(now)
-	if !pending || d.input.DeciderIndex < 0 {
+	if !pending || d.input.DeciderIndex < 0 || !d.viewAllows(record) {
 		d.hasPending = false
 		return Write{}, false
 	}
@@ -171,6 +184,7 @@
 	if record.Phase == Running && record.HasAlarm {
 		write.AlarmTTL = record.DecisionAt - record.Elapsed
 	}
+	d.sent = &write
 	return write, true
 }
 
@@ -201,7 +215,7 @@
 func (d *Decider) unchangedRecord(now time.Duration) Record {
 	record := *d.input.Record
 	if !record.Phase.Ended() {
-		record.Elapsed = d.input.Age(now)
+		record.Elapsed, record.Rewritten = d.input.Age(now), true
 	}
 	return record
 }
@@ -215,11 +229,19 @@
 		return d.endRecord(now, RolledBack, "the order was taken back"), true
 	case !d.input.hasCurrentRecord():
 		return d.firstRecord(now), true
-	case d.input.Record.Phase == Moving:
-		return d.decideMoving(now)
+	case d.mayHaveEnded():
+		return d.decideByServers(now)
 	default:
-		return d.decideRunning(now)
+		return d.decidePhase(now)
+	}
+}
+
+// decidePhase decides by the rules of the order's phase.
+func (d *Decider) decidePhase(now time.Duration) (record Record, due bool) {
+	if d.input.Record.Phase == Moving {
+		return d.decideMoving(now)
 	}
+	return d.decideRunning(now)
 }
 
 // endRecord returns the record with a final phase.
@@ -376,11 +398,11 @@
 	case verdict == Bad:
 		return d.endRecord(now, RolledBack, reason), true
 	case d.judge.Suspicious() && age >= d.input.Duration-moveDecisionMargin:
-		return d.endRecord(now, RolledBack, "the latest answers are worse than before"), true
+		return d.endUnprovenMove(now, "the latest answers are worse than before")
 	case d.judge.Suspicious():
 		return Record{}, false
 	case verdict != ProvenHealthy && age >= d.input.Duration-moveDecisionMargin && !d.boundAllowsRest(now, age):
-		return d.endRecord(now, RolledBack, "more requests came than the bound bears: "+reason), true
+		return d.endUnprovenMove(now, "more requests came than the bound bears: "+reason)
 	case verdict != ProvenHealthy && d.allConfirmed() && age < d.input.Duration-moveDecisionMargin:
 		return Record{}, false // keep observing the target with all traffic
 	case settled:
@@ -388,7 +410,7 @@
 	case age >= d.input.Duration-endWriteMargin && d.allConfirmed():
 		return d.endRecord(now, Completed, "all nodes have moved, the deadline is near"), true
 	case age >= d.input.Duration-endWriteMargin:
-		return d.endRecord(now, RolledBack, d.moveProgress()), true
+		return d.endUnprovenMove(now, d.moveProgress())
 	default:
 		return Record{}, false
 	}
--- a/rollout/order.go
+++ b/rollout/order.go
@@ -46,6 +46,8 @@
 	// Order.
 	Epoch         uint64 `json:"epoch,omitempty"`
 	OrderRevision uint64 `json:"order_revision,omitempty"`
+	// Rewritten says that the registry had lost the record, which had not ended as far as its writer knew.
+	Rewritten bool `json:"rewritten,omitempty"`
 	// Target is the order's version.
 	Target string `json:"target"`
 	Phase  Phase  `json:"phase"`
@@ -74,3 +76,9 @@
 
 // orderRevision returns the registry's revision of the order when the record was written.
 func (r *Record) orderRevision() uint64 { return cmp.Or(r.OrderRevision, r.Order) }
+
+// Reopened reports whether a later record contradicts this one, after which the previous servers have
+// stopped: its order was completed. It was written by a node that did not know of the end.
+func (r *Record) Reopened(later *Record) bool {
+	return r.Phase == Completed && later != nil && later.Order == r.Order && later.Phase != Completed
+}
--- a/rollout/simulation_nodes_test.go
+++ b/rollout/simulation_nodes_test.go
@@ -9,7 +9,7 @@
 // step lets a node update its view, report and decide.
 func (c *cluster) step(n *simNode) {
 	c.refreshView(n)
-	if n.state.Order != 0 && c.now >= n.reportAt && n.reachesNodes(c.now) && n.stalledUntil <= c.now {
+	if n.canary.Active() && c.now >= n.reportAt && n.reachesNodes(c.now) && n.stalledUntil <= c.now {
 		n.reportAt = c.now + reportInterval
 		if n.canary.NeedsFrequentReports(c.now) {
 			n.reportAt = c.now + reportInterval/2
@@ -21,8 +21,8 @@
 		return
 	}
 	cluster := DeciderInput{
-		State: n.state, RecordRevision: n.view.record, Versions: []string{previousVersion, targetVersion}, ServiceKnown: true,
-		DeciderIndex: index, Nodes: c.nodeNames(), ServingNodes: c.nodeNames(), MaxViewAge: 1600 * time.Millisecond,
+		State: n.state, Epoch: n.view.epoch, RecordRevision: n.view.record, Versions: c.listedVersions(), ServiceKnown: true,
+		History: n.history(c.now), DeciderIndex: index, Nodes: c.nodeNames(), ServingNodes: c.nodeNames(), MaxViewAge: 1600 * time.Millisecond,
 	}
 	if c.bug == bugNoConfirmations {
 		cluster.Nodes = nil
@@ -37,7 +37,7 @@
 	}
 	n.decider.Observe(c.now, cluster)
 	if due, ok := n.decider.Tick(c.now); ok && n.reachesRegistry(c.now) {
-		c.writes = append(c.writes, write{at: c.now + time.Duration(c.random.IntN(60))*time.Millisecond, what: due, by: n.decider})
+		c.writes = append(c.writes, write{at: c.now + time.Duration(c.random.IntN(60))*time.Millisecond, what: due, by: n.decider, from: n})
 	}
 }
 
@@ -76,6 +76,13 @@
 	if n.registryCutUntil > c.now {
 		n.lag += 1500 * time.Millisecond // learned from other nodes
 	}
+	if !hadView || c.store.epoch > n.view.epoch {
+		n.sawRestore, n.epochSeenAt = hadView && lastViewAt >= max(n.frozenUntil, n.outdatedAt), c.now
+	}
+	if hadView && c.store.epoch > 0 {
+		c.refreshAfterRestore(n)
+		return
+	}
 	if c.store.order != n.view.order {
 		n.state.OrderTimeKnown = false
 		switch {
@@ -98,17 +105,20 @@
 		c.updateCanary(n)
 		return
 	}
-	n.view = c.store
+	n.view, n.recordNumber = c.store, c.store.recordNumber()
 	n.state.AlarmHeld = c.store.alarm
 	if c.store.alarm {
 		n.state.AlarmSeenAt = c.now
 	}
-	n.state.Order, n.state.OrderRevision, n.state.Target = c.store.order, c.store.order, targetVersion
+	n.state.Order, n.state.OrderRevision, n.state.Target = c.store.orderNumber(), c.store.order, targetVersion
 	n.state.Duration = c.duration
 	if n.view.record != 0 {
 		record := n.view.value
 		n.state.Record = &record
 	}
+	if n.state.RecordMatchesRestoredOrder() {
+		n.state.Order = n.state.Record.Order
+	}
 	c.updateCanary(n)
 }
 
@@ -118,6 +128,7 @@
 	if n.state.hasCurrentRecord() && c.bug == bugFullGrantForEach {
 		n.state.Granted = 42
 	}
+	n.canary.SetVersions(c.now, c.listedVersions())
 	n.canary.Update(n.state, n.viewAt+c.bounds.MaxViewAge())
 }
 
--- a/rollout/simulation_test.go
+++ b/rollout/simulation_test.go
@@ -52,6 +52,7 @@
 
 // registryState is the content of the simulated registry.
 type registryState struct {
+	epoch         uint64
 	order, record uint64 // revisions
 	value         Record
 	alarmUntil    time.Duration
@@ -71,6 +72,10 @@
 	// registry works.
 	stalledUntil time.Duration
 	frozenUntil  time.Duration
+	outdatedAt   time.Duration // when a write was last rejected
+	recordNumber uint64        // number of the record that the node knows
+	epochSeenAt  time.Duration
+	sawRestore   bool // the node followed the registry until the current epoch began
 	view         registryState
 	viewAt       time.Duration
 	hasView      bool
@@ -91,6 +96,7 @@
 	at   time.Duration
 	what Write
 	by   *Decider
+	from *simNode
 }
 
 // cluster simulates a cluster with one service and one order.
@@ -117,6 +123,8 @@
 	slowFrom, slowUntil time.Duration
 	badServer           bool // one of the target's servers is faulty
 	longRegistryCut     bool
+	// restore is the restore of the registry from a backup; nil if there is none.
+	restore *restorePlan
 
 	// Observed results.
 	requests, targetRequests, badAnswers int
@@ -217,6 +225,7 @@
 func (c *cluster) start(n *simNode) {
 	n.process++
 	n.startedAt, n.hasView, n.view, n.state = c.now, false, registryState{}, State{}
+	n.frozenUntil, n.outdatedAt = min(n.frozenUntil, 0), 0
 	n.canary, n.decider = NewCanary(c.bounds, c.random.Float64()), NewDecider("service", c.bounds)
 	n.lag = time.Duration(c.random.Float64() * float64(1400*time.Millisecond))
 	n.reportAt, n.inFlight = c.now+time.Duration(c.random.Float64()*float64(reportInterval)), nil
@@ -247,9 +256,13 @@
 
 func (c *cluster) registryUp() bool { return c.now < c.outage[0] || c.now >= c.outage[1] }
 
-// run simulates until 3 s after the deadline.
+// run simulates until 3 s after the deadline, or until the recovery after a restore.
 func (c *cluster) run() {
-	for c.now < c.orderAt+c.duration+3*time.Second {
+	until := c.orderAt + c.duration + 3*time.Second
+	if c.restore != nil {
+		until = max(until, c.restore.judgedUntil())
+	}
+	for c.now < until {
 		c.now += tick
 		c.injectFaults()
 		c.write()
@@ -263,8 +276,11 @@
 }
 
 func (c *cluster) injectFaults() {
+	if c.restore != nil {
+		c.restore.apply(c)
+	}
 	c.store.alarm = c.store.alarm && c.now < c.store.alarmUntil
-	if c.now >= c.orderAt && c.store.order == 0 {
+	if c.now >= c.orderAt && c.store.order == 0 && (c.restore == nil || c.restore.operatorWrites(c.now)) {
 		c.revision++
 		c.store.order = c.revision
 	}
@@ -290,6 +306,9 @@
 // write applies the writes that have reached the registry.
 func (c *cluster) write() {
 	if !c.registryUp() {
+		if c.restore != nil {
+			c.writes = slices.DeleteFunc(c.writes, func(one write) bool { return one.at <= c.now }) // not received
+		}
 		return
 	}
 	c.writes = slices.DeleteFunc(c.writes, func(one write) bool {
@@ -298,6 +317,8 @@
 		}
 		met := one.what.OrderRevision == c.store.order && one.what.RecordRevision == c.store.record
 		if !met && c.bug != bugNoCondition {
+			one.by.WriteRejected()
+			one.from.outdatedAt = c.now
 			return true
 		}
 		if c.end != "" && c.store.value.Order == c.store.order && c.store.value.Phase.Ended() {
--- a/rollout/simulation_traffic_test.go
+++ b/rollout/simulation_traffic_test.go
@@ -25,6 +25,9 @@
 	route := c.routes[int(float64(len(c.routes))*c.random.Float64()*c.random.Float64())]
 	toTarget := n.canary.TrafficMode(c.now, targetVersion) == Unrestricted && n.canary.TrafficMode(c.now, previousVersion) == Blocked || n.canary.ShouldSendToTarget(c.now, route)
 	n.canary.CountFirstSend(route, toTarget)
+	if c.restore != nil {
+		c.restore.count(c, n, toTarget)
+	}
 	if !toTarget {
 		c.sendToPrevious(n, route)
 		return
--- a/routing/rollouts.go
+++ b/routing/rollouts.go
@@ -65,7 +65,7 @@
 			versions = append(versions, srv.Version)
 		}
 	}
-	s.canary.SetVersions(versions)
+	s.canary.SetVersions(r.now, versions)
 	for _, srv := range s.servers {
 		srv.trafficMode = s.canary.TrafficMode(r.now, srv.Version)
 	}
