gateway: a server's 408, 429 or 503 is not passed on as a promise

To callers 408, 421, 429 and 503 promise that the request has not run, so they send it again, and it runs twice.

Cause: a server in trouble ran the request and answered 503 without the header that says "not executed". The gateway took it for a failure of a request that has run, but passed it on with its status.

Change: such a status without that header counts as a failure of a request that has run, and callers get 502 in its place, without the server's stamp (a failure with a stamp must keep the server's status) and without its Retry-After. 408 and 429 are no final answers any more where the request may be repeated.

--- a/gateway/reply.go
+++ b/gateway/reply.go
@@ -27,13 +27,24 @@
 		return 0, "encoded"
 	case success:
 		return gather.ReplyDone, ""
-	case r.Target.IsFanOut() || reply.Status >= http.StatusInternalServerError:
+	case r.Target.IsFanOut() || reply.Status >= http.StatusInternalServerError || promisesNotRun(reply.Status):
 		return gather.ReplyError, ""
 	default:
 		return gather.ReplyDone, ""
 	}
 }
 
+// promisesNotRun reports whether callers take a status as a promise that the request has not run and
+// never will. Servers make that promise with the NotExecuted header only.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // loadFields is the number of fields of the load header that are read.
 const loadFields = 3
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -197,7 +197,7 @@
 	case outcome.Execution == gather.ExecutionNotRun:
 		writeRejection(writer, outcome.RetryAfter)
 	case outcome.Failure != nil:
-		g.writeReply(writer, outcome.Failure.(*exchange.Reply))
+		g.writeFailure(writer, outcome.Failure.(*exchange.Reply))
 	case outcome.Reason == gather.ReasonDeadline:
 		writeEmpty(writer, http.StatusGatewayTimeout)
 	default:
@@ -205,6 +205,16 @@
 	}
 }
 
+// writeFailure forwards a server's failure. One whose status would promise that the request has not run is
+// replaced, without the server's stamp, which must not come with another status than the server's.
+func (g *Gateway) writeFailure(writer http.ResponseWriter, reply *exchange.Reply) {
+	if promisesNotRun(reply.Status) {
+		writeEmpty(writer, http.StatusBadGateway)
+		return
+	}
+	g.writeReply(writer, reply)
+}
+
 // writeMerged writes the top records of all parts that were received.
 func (g *Gateway) writeMerged(writer http.ResponseWriter, pending *pendingRequest, outcome routing.Outcome) {
 	stamps := make([]string, 0, len(outcome.Parts))
