exchange: a connection that ends anywhere within a reply is a lost one

Cause: ErrConnectionLost, the reason to look whether the server has crashed, was told only for an end before the first byte of a reply. After an interim response, in the header or in the body the outcome was unknown or the reply malformed, and no crash was ever recorded.

Change: the reader of a connection records that the server has closed or reset it, and an attempt that fails then has lost its connection, whatever the parser says. So has one whose request was reset while it was written. Servers that break off and live on are told apart by the crash check, as before.

TestLostConnections asserted that a connection cut off in the header is not lost: that is this fault.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -21,8 +21,8 @@
 	ErrNotDelivered = errors.New("exchange: not delivered")
 	// ErrOutcomeUnknown: the server may have run the request, but no complete reply was received.
 	ErrOutcomeUnknown = errors.New("exchange: outcome unknown")
-	// ErrConnectionLost: the server closed or reset the connection before the first byte of a
-	// reply. It is wrapped together with ErrOutcomeUnknown.
+	// ErrConnectionLost: the server closed or reset the connection before the end of the reply. It
+	// is wrapped together with ErrOutcomeUnknown.
 	ErrConnectionLost = errors.New("exchange: connection lost")
 	// ErrMalformed: the bytes received are not a valid reply to the request. The server may
 	// have run the request.
--- a/exchange/client_test.go
+++ b/exchange/client_test.go
@@ -167,21 +167,51 @@
 	})
 }
 
-// ErrConnectionLost is reported only if the server closes the connection before the first byte of
-// a reply; not if it stays silent, closes it within a reply, or the node itself closes it.
+// Guards against a crash that nobody looks for. A request that crashed servers after the first byte of their
+// replies was never found out, as only a connection that ended before it counted as lost. The server may end
+// at any moment of its reply. A server that stays silent and a node that closes the connection itself are no
+// such end.
 func TestLostConnections(t *testing.T) {
+	endAfter := func(sent string) scriptedReply {
+		return func(_ *http.Request, conn net.Conn) {
+			write(conn, sent)
+			_ = conn.Close()
+		}
+	}
+	const head = "HTTP/1.1 200 OK\r\nAttempt: one\r\nStamp: s\r\n"
 	cases := map[string]struct {
 		reply  scriptedReply
 		cancel bool
 		lost   bool
 	}{
-		"ended": {reply: func(_ *http.Request, conn net.Conn) { _ = conn.Close() }, lost: true},
-		"cut off in the answer": {reply: func(_ *http.Request, conn net.Conn) {
-			write(conn, "HTTP/1.1 200")
-			_ = conn.Close()
+		"before the reply":          {reply: endAfter(""), lost: true},
+		"after an interim response": {reply: endAfter("HTTP/1.1 100 Continue\r\n\r\n"), lost: true},
+		"in an interim response":    {reply: endAfter("HTTP/1.1 103 Early Hints\r\nLink: x"), lost: true},
+		"in the status line":        {reply: endAfter("HTTP/1.1 200"), lost: true},
+		"in a header line":          {reply: endAfter(head + "Content-Le"), lost: true},
+		"after a header line":       {reply: endAfter(head), lost: true},
+		"after the header":          {reply: endAfter(head + "Content-Length: 10\r\n\r\n"), lost: true},
+		"in the body":               {reply: endAfter(head + "Content-Length: 10\r\n\r\nbody"), lost: true},
+		"in a chunk":                {reply: endAfter(head + "Transfer-Encoding: chunked\r\n\r\n8\r\nbody"), lost: true},
+		"after a chunk":             {reply: endAfter(head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n"), lost: true},
+		"in the length of a chunk":  {reply: endAfter(head + "Transfer-Encoding: chunked\r\n\r\n4"), lost: true},
+		"in the trailer":            {reply: endAfter(head + "Transfer-Encoding: chunked\r\n\r\n0\r\nTrai"), lost: true},
+		"after another one's reply": {reply: endAfter(replyTo("other")), lost: true},
+		"silent":                    {reply: func(*http.Request, net.Conn) { time.Sleep(2 * time.Second) }},
+		"silent in the header":      {reply: func(_ *http.Request, conn net.Conn) { write(conn, head); time.Sleep(2 * time.Second) }},
+		"silent in the body": {reply: func(_ *http.Request, conn net.Conn) {
+			write(conn, head+"Content-Length: 10\r\n\r\nbody")
+			time.Sleep(2 * time.Second)
 		}},
-		"silent":    {reply: func(*http.Request, net.Conn) { time.Sleep(2 * time.Second) }},
 		"cancelled": {reply: func(*http.Request, net.Conn) { time.Sleep(2 * time.Second) }, cancel: true},
+		"cancelled in the body": {reply: func(_ *http.Request, conn net.Conn) {
+			write(conn, head+"Content-Length: 10\r\n\r\nbody")
+			time.Sleep(2 * time.Second)
+		}, cancel: true},
+		"cancelled after interim one": {reply: func(_ *http.Request, conn net.Conn) {
+			write(conn, "HTTP/1.1 100 Continue\r\n\r\n")
+			time.Sleep(2 * time.Second)
+		}, cancel: true},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/exchange/connection.go
+++ b/exchange/connection.go
@@ -42,7 +42,7 @@
 // connection is an HTTP/1.1 connection to a server. It carries one request at a time.
 type connection struct {
 	conn   net.Conn
-	source *headerReader // what reader reads from
+	source *replyReader // what reader reads from
 	reader *bufio.Reader
 	// idleSince and keepAlive bound how long the connection may stay idle.
 	idleSince time.Time
@@ -65,7 +65,7 @@
 
 func newConnection(conn net.Conn) *connection {
 	_ = usertimeout.Set(conn, unacknowledgedTimeout) // if it fails, only the attempts' deadlines detect a silent connection
-	source := &headerReader{conn: conn}
+	source := &replyReader{conn: conn}
 	c := &connection{conn: conn, source: source, reader: bufio.NewReaderSize(source, readBufferSize), keepAlive: unlimitedKeepAlive}
 	if syscallConn, ok := conn.(syscall.Conn); ok {
 		c.rawConn, _ = syscallConn.SyscallConn() // if it fails, data received while idle is noticed only with the next reply
@@ -107,16 +107,29 @@
 		if length == 0 {
 			return nil, fmt.Errorf("%w: %w", ErrNotDelivered, err)
 		}
-		return nil, fmt.Errorf("%w: writing request: %w", ErrOutcomeUnknown, err)
+		return nil, unknownOutcome(isDisconnect(err), fmt.Errorf("writing request: %w", err))
 	}
 	reply, keepOpen, err := c.readReply(a, options, memory)
-	if err != nil {
+	switch {
+	case err != nil && c.source.ended:
+		return nil, unknownOutcome(true, err) // whatever the parser makes of what came before the end
+	case err != nil:
 		return nil, err
 	}
+	reply.EndedWithConnection = c.source.ended
 	c.reusable = keepOpen && writeSucceeded(writeDone) && c.reader.Buffered() == 0
 	return reply, nil
 }
 
+// unknownOutcome wraps the error of an attempt that the server may have run. lost says that the server
+// closed or reset the connection.
+func unknownOutcome(lost bool, err error) error {
+	if lost {
+		return fmt.Errorf("%w: %w: %w", ErrOutcomeUnknown, ErrConnectionLost, err)
+	}
+	return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+}
+
 // writeSucceeded reports whether the whole request has been written. If the reply arrives before
 // that, the connection must not be reused: the server would parse the rest of the request as
 // another one.
@@ -207,9 +220,6 @@
 func (c *connection) readHeader(method string) (*http.Response, error) {
 	c.source.limited = true
 	defer func() { c.source.limited = false }()
-	if _, err := c.reader.Peek(1); isDisconnect(err) {
-		return nil, fmt.Errorf("%w: %w: %w", ErrOutcomeUnknown, ErrConnectionLost, err)
-	}
 	for range maxInterimResponses {
 		c.parsedFor.Method = method
 		response, err := http.ReadResponse(c.reader, &c.parsedFor)
--- a/exchange/limits.go
+++ b/exchange/limits.go
@@ -5,24 +5,29 @@
 	"sync/atomic"
 )
 
-// headerReader reads from a connection. While it is limited it fails with ErrReplyTooLarge instead
-// of reading beyond the limit: net/http reads header lines of any length into memory.
-type headerReader struct {
+// replyReader reads from a connection. While it is limited it fails with ErrReplyTooLarge instead of
+// reading beyond the limit: net/http reads header lines of any length into memory.
+type replyReader struct {
 	conn      net.Conn
 	limited   bool
 	remaining int64 // in bytes, while limited
+	// ended says that the server has closed or reset the connection. The parser's errors don't tell: a
+	// header line that ends with the connection is malformed to it.
+	ended bool
 }
 
 // Read implements io.Reader.
-func (r *headerReader) Read(data []byte) (int, error) {
-	if !r.limited {
-		return r.conn.Read(data)
-	}
-	if r.remaining <= 0 {
+func (r *replyReader) Read(data []byte) (count int, err error) {
+	switch {
+	case !r.limited:
+		count, err = r.conn.Read(data)
+	case r.remaining <= 0:
 		return 0, ErrReplyTooLarge
+	default:
+		count, err = r.conn.Read(data[:min(int64(len(data)), r.remaining)])
+		r.remaining -= int64(count)
 	}
-	count, err := r.conn.Read(data[:min(int64(len(data)), r.remaining)])
-	r.remaining -= int64(count)
+	r.ended = r.ended || isDisconnect(err)
 	return count, err
 }
 
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -93,6 +93,9 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// EndedWithConnection says that the body has no length and ended when the server closed the
+	// connection, which it may have done because it crashed.
+	EndedWithConnection bool
 
 	body body // holds Body and its share of the client's memory
 }
