gateway: a reply that ends with its connection does not prove that its server survived

Callers saw: nothing wrong with the reply itself. A request whose servers crash at the end of a reply without a length was answered, counted as survived, and so sent on for as long as it came.

Cause: such a reply ends when its connection closes, which a crash does as well. It cleared the request of all suspicion.

Change: after such a reply the gateway looks whether the server still listens, in the background, as the reply is ready; it clears the request only then. A request that is sent alone is looked at before its reply is reported.

--- a/gateway/attempts.go
+++ b/gateway/attempts.go
@@ -32,10 +32,31 @@
 func (g *Gateway) runAttempt(attempt *exchange.Attempt, pending *pendingRequest, action routing.Send) {
 	reply, err := g.client.Do(attempt)
 	check := g.startCrashCheck(err, action)
-	g.completeAttempt(action, reply, g.resultEvent(pending.route, action, reply, err, check))
-	if check != nil && !check.IsComplete() {
+	event := g.resultEvent(pending.route, action, reply, err, check)
+	endedWithReply := err == nil && reply.EndedWithConnection
+	if replied, ok := event.(routing.Replied); ok && endedWithReply {
+		replied.CrashUnchecked = !action.Alone
+		replied.Crashed = action.Alone && g.client.HasCrashed(action.Server)
+		event = replied
+	}
+	g.completeAttempt(action, reply, event)
+	switch {
+	case check != nil && !check.IsComplete():
 		g.awaitCrashCheck(pending, action, check)
+	case endedWithReply && !action.Alone:
+		g.checkSurvival(pending, action)
+	}
+}
+
+// checkSurvival checks whether a server crashed whose reply ended with its connection, and reports it to
+// the router. The reply has been reported before, as most such servers go on.
+func (g *Gateway) checkSurvival(pending *pendingRequest, action routing.Send) {
+	content, crashed := fingerprintOf(pending.outgoing), g.client.HasCrashed(action.Server)
+	if crashed {
+		g.counters.lateDetectedCrashes.Inc()
+		g.options.Logger.Info().Stringer("content", content).Str("server", action.Server.ID).Msg("server ended at the end of its answer")
 	}
+	g.step(routing.SurvivalChecked{Content: content, Server: action.Server.Incarnation(), Crashed: crashed})
 }
 
 // startCrashCheck starts a crash check if the attempt's error is a lost connection, and returns nil
--- a/gather/attempts.go
+++ b/gather/attempts.go
@@ -14,6 +14,9 @@
 		return
 	}
 	q.now = now
+	if reply.Crashed {
+		q.recordCrash()
+	}
 	switch reply.Status {
 	case ReplyDone:
 		q.recordAnswer(a, reply)
@@ -26,7 +29,7 @@
 	case ReplyDraining:
 		q.handleNotExecuted(a, "draining", ReasonNoServer, 0)
 	default:
-		q.hasSurvivor = true
+		q.hasSurvivor = q.hasSurvivor || !reply.Crashed
 		q.handleUnknownOutcome(a, "error", ReasonServerError)
 	}
 	q.finishIfDone()
@@ -76,7 +79,7 @@
 		return
 	}
 	q.recordStep("answered", a)
-	q.executed, q.hasSurvivor = true, true
+	q.executed, q.hasSurvivor = true, q.hasSurvivor || !reply.Crashed
 	s := a.Segment
 	s.removeAttempt(a)
 	q.cancelPending(s)
--- a/gather/message.go
+++ b/gather/message.go
@@ -67,6 +67,8 @@
 	Range    coverage.Range
 	// Body is the owner's opaque reference to the result.
 	Body any
+	// Crashed says that the server crashed when it had replied.
+	Crashed bool
 	// Snapshots lists the snapshots that the server holds; empty if not reported.
 	Snapshots []snapshot.ID
 	// Load is the server's reported load; zero if not reported.
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -135,6 +135,17 @@
 	}
 }
 
+// CrashedAfterReply records that a server crashed when it had replied to a request, whose reply has been
+// delivered. Once several have, it returns a finding for all nodes: each would send the request to several
+// servers at once, as it was answered.
+func (t *Tracker) CrashedAfterReply(now time.Duration, fingerprint Fingerprint, server Incarnation) (Finding, Audience) {
+	finding, audience := t.ServerCrashed(now, fingerprint, Crash{ServerIncarnation: server})
+	if s := t.suspects[fingerprint]; len(s.crashes) >= minCrashes && !s.broadcast {
+		return t.AwaitFanOut(now, fingerprint)
+	}
+	return finding, audience
+}
+
 // AwaitFanOut puts under review a request that was sent to several servers at once, of which some
 // have crashed one after the other and none has answered yet. The review lasts until the others
 // have answered or crashed, at most fanOutTimeout. It returns a finding for all nodes.
--- a/routing/event.go
+++ b/routing/event.go
@@ -53,6 +53,9 @@
 	LoadKnown bool
 	// RetryAfter is the pause that a server asked for when it shed the request.
 	RetryAfter time.Duration
+	// Crashed says that the server crashed when it had replied. CrashUnchecked says that this is not known
+	// yet; a SurvivalChecked event follows.
+	Crashed, CrashUnchecked bool
 }
 
 // Load is the load that a server reports: running and queued requests, and its number of execution
@@ -77,6 +80,14 @@
 	Crashed bool
 }
 
+// SurvivalChecked reports whether the server whose reply to an attempt was reported with CrashUnchecked
+// crashed when it had replied.
+type SurvivalChecked struct {
+	Content quarantine.Fingerprint
+	Server  discovery.Incarnation
+	Crashed bool
+}
+
 // ConnectFailed reports that no connection to the server could be opened. Refused distinguishes a
 // refused connection (nothing listens at the address) from a timeout.
 type ConnectFailed struct {
@@ -134,6 +145,7 @@
 func (Replied) event()                 {}
 func (Failed) event()                  {}
 func (CrashCheckCompleted) event()     {}
+func (SurvivalChecked) event()         {}
 func (TimerFired) event()              {}
 func (ConnectFailed) event()           {}
 func (Connected) event()               {}
--- a/routing/quarantine.go
+++ b/routing/quarantine.go
@@ -100,6 +100,17 @@
 	}
 }
 
+// handleSurvivalCheck records whether a server that had replied to a request crashed then.
+func (r *Router) handleSurvivalCheck(event SurvivalChecked) {
+	switch {
+	case !r.enabled(mechanism.Quarantine):
+	case event.Crashed:
+		r.publish(r.tracker.CrashedAfterReply(r.now, event.Content, quarantine.IncarnationOf(event.Server.String())))
+	default:
+		r.publish(r.tracker.Answered(event.Content))
+	}
+}
+
 // recordSurvival records that a server executed a request and survived.
 func (r *Router) recordSurvival(q *request, status gather.ReplyStatus) {
 	if r.tracker.IsEmpty() || status != gather.ReplyDone && status != gather.ReplyError {
--- a/routing/router.go
+++ b/routing/router.go
@@ -110,6 +110,8 @@
 		r.handleFailure(event)
 	case CrashCheckCompleted:
 		r.handleCrashCheck(event)
+	case SurvivalChecked:
+		r.handleSurvivalCheck(event)
 	case TimerFired:
 		r.timerAt = never
 	case ConnectFailed:
@@ -208,7 +210,9 @@
 	r.recordZoneReply(a.server.zone)
 	q.recordEnd(a, StatusName(event.Status))
 	r.recordReplyEvidence(a, q, event.Status)
-	r.recordSurvival(q, event.Status)
+	if !event.Crashed && !event.CrashUnchecked {
+		r.recordSurvival(q, event.Status)
+	}
 	if event.LoadKnown && r.enabled(mechanism.ReportedLoad) {
 		a.server.ObserveLoad(r.now, event.Load.Running, event.Load.Waiting)
 	}
@@ -228,7 +232,12 @@
 		Snapshot: a.Snapshot,
 		Range:    a.Range,
 		Body:     event.Body,
+		Crashed:  event.Crashed,
 	})
+	if event.Crashed {
+		r.recordCrash(a, q)
+		r.publishCrashes(q)
+	}
 	r.schedule(q)
 	r.dispatchQueued(a.Segment.Group.(*service))
 }
