exchange: a status outside 100 to 599 is no reply, and an interim response has no body

Callers saw: a 200 that no server had given, taken from the body of a response of status 000; a status of 600 or more passed on; and requests that waited until their deadline for a server that had answered with a status below 100.

Cause: every status below 200 counted as interim, whatever it was, and what followed its header was parsed as the next response, also the body that it announced.

Change: such statuses, and interim responses with a length or an encoding, make the reply malformed. The attempt fails at once and its connection is closed.

--- a/exchange/client_test.go
+++ b/exchange/client_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -130,6 +131,68 @@
 	}
 }
 
+// Guards against bytes that are no response and are taken for an answer. A status that no RFC knows was taken for
+// an interim response: the attempt waited until its deadline, and what followed, such as the body of that
+// response, was parsed as the answer. An interim response has no body either. The attempt must fail at once, and
+// its connection must be closed.
+func TestUnknownStatusesAreNoReplies(t *testing.T) {
+	smuggled := replyTo("one")
+	replies := map[string]string{
+		"interim response with a length":    fmt.Sprintf("HTTP/1.1 103 Early Hints\r\nContent-Length: %d\r\n\r\n%s", len(smuggled), smuggled),
+		"interim response of length 0":      "HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\n" + smuggled,
+		"interim response in chunks":        "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n" + smuggled,
+		"switch of protocols":               "HTTP/1.1 101 Switching Protocols\r\n\r\n" + smuggled,
+		"unknown status after interim one":  "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Trouble\r\n\r\n" + smuggled,
+		"unknown status with another ID":    "HTTP/1.1 600 Trouble\r\nAttempt: other\r\nContent-Length: 0\r\n\r\n" + smuggled,
+		"unknown status without any header": "HTTP/1.1 000 \r\n\r\n",
+	}
+	for _, status := range []string{"000", "001", "012", "099", "+99", "-01", "600", "601", "700", "999", "1000", "20", "2e2", "abc"} {
+		head := fmt.Sprintf("HTTP/1.1 %s Trouble\r\nAttempt: one\r\nStamp: s\r\n", status)
+		replies["status "+status] = head + "Content-Length: 4\r\n\r\nbody"
+		replies["status "+status+", a reply in its body"] = head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(smuggled), smuggled)
+		replies["status "+status+", without a length"] = head + "\r\n"
+	}
+	for name, sent := range replies {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				dials := 0
+				client := exchange.NewClient(exchange.Options{Headers: testHeaders, Dial: dialScript(0, func(_ *http.Request, conn net.Conn) {
+					write(conn, sent) // the connection stays open
+				}, &dials)})
+				start := time.Now()
+				reply, err := client.Do(newAttempt("one", time.Second))
+				if !errors.Is(err, exchange.ErrMalformed) {
+					t.Errorf("got reply %+v, error %v, want ErrMalformed", reply, err)
+				}
+				if elapsed := time.Since(start); elapsed > 0 {
+					t.Errorf("Do took %s", elapsed)
+				}
+				if client.ConnectionCount() != 0 {
+					t.Errorf("%d connections remain open", client.ConnectionCount())
+				}
+				client.PruneIdle(nil, 0)
+			})
+		})
+	}
+}
+
+// Statuses of all known classes are replies, also those that have no name.
+func TestStatusesOfKnownClassesAreReplies(t *testing.T) {
+	for _, status := range []int{200, 204, 206, 299, 304, 308, 400, 418, 421, 429, 451, 499, 500, 503, 599} {
+		synctest.Test(t, func(t *testing.T) {
+			dials := 0
+			client := exchange.NewClient(exchange.Options{Headers: testHeaders, Dial: dialScript(0, func(_ *http.Request, conn net.Conn) {
+				write(conn, fmt.Sprintf("HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 199 x\r\n\r\nHTTP/1.1 %d x\r\nAttempt: one\r\nContent-Length: 0\r\n\r\n", status))
+			}, &dials)})
+			reply, err := client.Do(newAttempt("one", time.Second))
+			if err != nil || reply.Status != status {
+				t.Errorf("status %d: got %+v, %v", status, reply, err)
+			}
+			client.PruneIdle(nil, 0)
+		})
+	}
+}
+
 // A late reply to an earlier attempt is skipped, and its connection is not reused.
 func TestStrayReplyIsSkipped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/exchange/connection.go
+++ b/exchange/connection.go
@@ -29,6 +29,8 @@
 	maxStrayReplies = 2
 	// maxInterimResponses bounds the 1xx responses before a final one.
 	maxInterimResponses = 4
+	// maxStatus is the greatest status code of HTTP (RFC 9110, section 15).
+	maxStatus = 599
 	// unacknowledgedTimeout is how long sent data may remain unacknowledged before the
 	// connection fails; it covers many round trips and several lost packets. Nothing else
 	// detects a connection that goes silent without a reset while new ones work.
@@ -228,15 +230,25 @@
 			return nil, fmt.Errorf("%w: reading reply: %w", ErrOutcomeUnknown, err)
 		case err != nil:
 			return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
+		case response.StatusCode < http.StatusContinue || response.StatusCode > maxStatus:
+			return nil, fmt.Errorf("%w: status %03d", ErrMalformed, response.StatusCode)
 		case response.StatusCode >= http.StatusOK:
 			return response, nil
 		case response.StatusCode == http.StatusSwitchingProtocols:
 			return nil, fmt.Errorf("%w: unexpected protocol switch", ErrMalformed)
+		case announcesBody(response):
+			return nil, fmt.Errorf("%w: interim response with a body", ErrMalformed)
 		}
 	}
 	return nil, fmt.Errorf("%w: too many interim responses", ErrMalformed)
 }
 
+// announcesBody reports whether the header of a response has a length or an encoding. Interim responses
+// have no body, so the bytes of one would be parsed as the next response.
+func announcesBody(response *http.Response) bool {
+	return response.Header.Get("Content-Length") != "" || len(response.TransferEncoding) > 0 || response.Header.Get("Transfer-Encoding") != ""
+}
+
 // isDisconnect reports whether an error shows that the other side closed or reset the connection.
 func isDisconnect(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
