routing: a node that shuts down rejects requests that would outlast it

Callers saw: with servers that need seconds, requests that came late in the grace of a planned stop were passed on, ran, and got 502 at its end, also those that must not be repeated. None was cut without an answer.

Cause: a stopping node took every request until 2.9 s after the signal, whatever it needs.

Change: it rejects at once, as not run, what the route's median says it cannot finish (twice the median for requests that must not be repeated); another node can serve it.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -261,8 +261,12 @@
 // ApplySettings applies new values of limits that can change at run time.
 func (g *Gateway) ApplySettings(settings routing.SettingsChanged) { g.step(settings) }
 
-// Drain makes every caller's connection close with its next answer.
-func (g *Gateway) Drain() { g.draining.Store(true) }
+// Drain makes every caller's connection close with its next answer, and rejects requests that would
+// probably outlast abortAfter, after which AbortPending follows.
+func (g *Gateway) Drain(abortAfter time.Duration) {
+	g.draining.Store(true)
+	g.step(routing.Draining{AbortAt: g.now() + abortAfter})
+}
 
 // RejectRequests makes the gateway reject all new requests; other nodes can serve them.
 func (g *Gateway) RejectRequests() { g.rejecting.Store(true) }
--- a/routing/admission.go
+++ b/routing/admission.go
@@ -19,7 +19,7 @@
 func (r *Router) rejectionReason(q *request) gather.Reason {
 	bound := float64(r.options.MaxInFlightRequests) * max(1-priorityStep*float64(q.asked.Route.Priority), priorityStep)
 	switch {
-	case r.stopping:
+	case r.stopping || r.outlastsShutdown(q):
 		return gather.ReasonStopping
 	case q.asked.Remaining <= 0:
 		return gather.ReasonDeadline
@@ -34,6 +34,23 @@
 	}
 }
 
+// unrepeatableTimeFactor is how many times the median latency must be left before the node shuts down for
+// a request that must not be repeated: its caller cannot ask again if it is aborted.
+const unrepeatableTimeFactor = 2
+
+// outlastsShutdown reports whether the request would probably be aborted when the node shuts down. Another
+// node can still serve it.
+func (r *Router) outlastsShutdown(q *request) bool {
+	if r.abortAt == 0 {
+		return false
+	}
+	needed := q.stats.median()
+	if !q.asked.Route.Repeatable {
+		needed *= unrepeatableTimeFactor
+	}
+	return needed > r.abortAt-r.now
+}
+
 // reject sends the final answer to a request of which nothing was sent. That this node cannot
 // reach enough servers does not mean that others can: the caller is redirected only if another
 // node is known to serve.
@@ -41,7 +58,7 @@
 	elsewhere := reason == gather.ReasonNoServer && r.cannotServe && r.peerAvailable
 	retryAfter := r.options.OverloadRetryAfter
 	switch {
-	case elsewhere:
+	case elsewhere || reason == gather.ReasonStopping:
 		retryAfter = r.options.RedirectRetryAfter
 	case reason == gather.ReasonNoServer:
 		retryAfter = r.outageRetryAfter(q)
--- a/routing/event.go
+++ b/routing/event.go
@@ -133,11 +133,16 @@
 // according to the registry.
 type QuarantinesChanged struct{ Contents []quarantine.Fingerprint }
 
+// Draining reports that the node is about to shut down: Stopping follows at AbortAt. Requests that cannot
+// be answered by then are rejected.
+type Draining struct{ AbortAt time.Duration }
+
 // Stopping reports that the node is shutting down: all in-flight requests get their final answer
 // now, and later ones are rejected.
 type Stopping struct{}
 
 func (Arrived) event()                 {}
+func (Draining) event()                {}
 func (Stopping) event()                {}
 func (SettingsChanged) event()         {}
 func (PeerAvailabilityChanged) event() {}
--- a/routing/router.go
+++ b/routing/router.go
@@ -66,7 +66,9 @@
 
 	timers  *priority.Queue[timer]
 	timerAt time.Duration
-	// stopping is set once the node shuts down.
+	// abortAt is when the pending requests of a node that shuts down get their final answer; zero means
+	// that it does not shut down. stopping is set then.
+	abortAt  time.Duration
 	stopping bool
 }
 
@@ -138,6 +140,8 @@
 		r.handleFinding(event.Finding)
 	case QuarantinesChanged:
 		r.updateQuarantines(event.Contents)
+	case Draining:
+		r.abortAt = event.AbortAt
 	case Stopping:
 		r.shutDown()
 	}
@@ -201,84 +205,6 @@
 	return a
 }
 
-func (r *Router) handleReply(event Replied) {
-	a := r.takeAttempt(event.Attempt)
-	if a == nil {
-		return
-	}
-	q := r.requestOf(a)
-	r.recordZoneReply(a.server.zone)
-	q.recordEnd(a, StatusName(event.Status))
-	r.recordReplyEvidence(a, q, event.Status)
-	if !event.Crashed && !event.CrashUnchecked {
-		r.recordSurvival(q, event.Status)
-	}
-	if event.LoadKnown && r.enabled(mechanism.ReportedLoad) {
-		a.server.ObserveLoad(r.now, event.Load.Running, event.Load.Waiting)
-	}
-	switch event.Status {
-	case gather.ReplyDone:
-		r.learnLatency(q, a)
-	case gather.ReplyShed:
-		a.server.SetShedUntil(r.now + max(event.RetryAfter, minShedPause))
-	case gather.ReplyNotOwner, gather.ReplyDraining:
-		a.server.State = discovery.Draining
-	default:
-		q.lastFailure = event.Body
-		a.server.ObserveSlowness(r.now, errorReplySlowness)
-	}
-	q.query.HandleReply(r.now, a.Attempt, gather.Reply{
-		Status:   event.Status,
-		Snapshot: a.Snapshot,
-		Range:    a.Range,
-		Body:     event.Body,
-		Crashed:  event.Crashed,
-	})
-	if event.Crashed {
-		r.recordCrash(a, q)
-		r.publishCrashes(q)
-	}
-	r.schedule(q)
-	r.dispatchQueued(a.Segment.Group.(*service))
-}
-
-// StatusName returns the name of a reply status in records and metrics.
-func StatusName(status gather.ReplyStatus) string {
-	switch status {
-	case gather.ReplyDone:
-		return "answered"
-	case gather.ReplyShed:
-		return "shed"
-	case gather.ReplyNotOwner:
-		return "not_expected_server"
-	case gather.ReplyDraining:
-		return "draining"
-	default:
-		return "server_error"
-	}
-}
-
-// minShedPause is the minimum time for which nothing is sent to a server after it shed a request.
-const minShedPause = 10 * time.Millisecond
-
-// learnLatency adds the latency of a successful reply to the statistics of the route and the
-// server.
-func (r *Router) learnLatency(q *request, a *attempt) {
-	latency := r.sinceSent(a)
-	if !a.toLimitedVersion { // an unproven version must not shift the route's baseline
-		q.stats.add(latency)
-	}
-	median := q.stats.median()
-	if median == 0 {
-		return
-	}
-	slowness := float64(latency) / float64(median)
-	if a.server.Cold(r.now) && !a.toLimitedVersion {
-		r.starts.Observe(slowness)
-	}
-	a.server.ObserveSlowness(r.now, slowness)
-}
-
 // handleFailure handles the end of an attempt without a reply.
 func (r *Router) handleFailure(event Failed) {
 	a := r.takeAttempt(event.Attempt)
