exchange: test that trickled replies end with the attempt

Bytes without end that come slowly reach no limit on their number; they end with the attempt's deadline or cancellation, and the connection is closed then. Passes on the code before.

--- a/exchange/limits_test.go
+++ b/exchange/limits_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/banksail/banksail/exchange"
@@ -175,3 +176,56 @@
 		t.Errorf("got error %v, want ErrReplyMemoryExhausted", err)
 	}
 }
+
+// Bytes without end may also come slowly, so that no limit on their number is reached. They must end with the
+// attempt's time or its cancellation, and the connection must be closed then.
+func TestTrickledRepliesEndWithTheAttempt(t *testing.T) {
+	const (
+		pause     = 20 * time.Millisecond
+		remaining = 2 * time.Second
+		start     = "HTTP/1.1 200 OK\r\nAttempt: one\r\nStamp: s\r\n"
+		stray     = "HTTP/1.1 200 OK\r\nAttempt: other\r\nContent-Length: 0\r\n\r\n"
+	)
+	for name, test := range map[string]struct{ prefix, block string }{
+		"no reply at all":       {"", "x"},
+		"header line":           {start + "Long: ", "x"},
+		"header lines":          {start, "Name: value\r\n"},
+		"interim response":      {"HTTP/1.1 103 Early Hints\r\nLink: ", "x"},
+		"announced body":        {start + "Content-Length: 100000\r\n\r\n", "x"},
+		"body without a length": {start + "Connection: close\r\n\r\n", "x"},
+		"chunks":                {start + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+		"trailer line":          {start + "Transfer-Encoding: chunked\r\n\r\n0\r\nLong: ", "x"},
+		"after another's reply": {stray + start + "Long: ", "x"},
+	} {
+		for _, cancelAfter := range []time.Duration{0, time.Second} {
+			t.Run(fmt.Sprintf("%s, cancelled after %s", name, cancelAfter), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					dials := 0
+					closed := make(chan struct{})
+					client := exchange.NewClient(exchange.Options{Headers: testHeaders, Dial: dialScript(0, func(_ *http.Request, conn net.Conn) {
+						defer close(closed)
+						_, err := conn.Write([]byte(test.prefix))
+						for err == nil {
+							time.Sleep(pause)
+							_, err = conn.Write([]byte(test.block))
+						}
+					}, &dials)})
+					began, want := time.Now(), remaining
+					attempt := newAttempt("one", remaining)
+					if cancelAfter > 0 {
+						want = cancelAfter
+						time.AfterFunc(cancelAfter, attempt.Cancel)
+					}
+					_, err := client.Do(attempt)
+					if took := time.Since(began); err == nil || took != want {
+						t.Errorf("ended after %s with error %v, want %s", took, err, want)
+					}
+					<-closed
+					if took := time.Since(began); took > want+pause || client.ConnectionCount() != 0 {
+						t.Errorf("the connection was closed after %s, %d remain", took, client.ConnectionCount())
+					}
+				})
+			})
+		}
+	}
+}
