front: a suspension within a pass over the roll-outs counts as well

The age of the view was read before the time that it was deducted from, so a suspension between the two made a view from before it look newer; and one between the beginning of a pass and its decisions was noticed only by the next pass. From reading; no test holds the two apart.

--- a/front/rollouts.go
+++ b/front/rollouts.go
@@ -245,10 +245,13 @@
 
 // recordViewAge tracks the recent maximum age of the node's view of the registry.
 func (r *rolloutManager) recordViewAge() {
-	age, now := r.front.viewAge(), time.Now()
+	now, passTime := time.Now(), r.now() // before the age, which must not be too low if the process is suspended here
+	age := r.front.viewAge()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.history.recordSync(r.now() - age)
+	if age >= 0 {
+		r.history.recordSync(passTime - age)
+	}
 	if now.Sub(r.viewAgePeaks[0].since) > viewAgeWindow {
 		r.viewAgePeaks[1] = r.viewAgePeaks[0]
 		r.viewAgePeaks[0] = viewAgePeak{since: now}
@@ -343,6 +346,7 @@
 		return nil
 	}
 	now := r.now()
+	r.history.recordPass(now)
 	nodes := r.front.agent.Nodes()
 	input := rollout.DeciderInput{
 		DeciderIndex: nodeIndex(r.front.self.ID, discovery.HighestRanked(nodes, deciderCount)),
--- a/front/stop.go
+++ b/front/stop.go
@@ -20,8 +20,9 @@
 
 // stop shuts the node down gracefully. It is no longer ready, the directory leaves it out, and
 // persistent connections end with their next answer. Requests that would outlast the grace period are
-// rejected at once, and after drainDelay, or half the grace period if that is shorter, all new ones are. Requests that are still pending near the end of the
-// grace period get their final answer then. It returns as soon as no request is pending.
+// rejected at once, and after drainDelay, or half the grace period if that is shorter, all new ones are.
+// Requests that are still pending near the end of the grace period get their final answer then. It
+// returns as soon as no request is pending.
 func (f *Front) stop(callers *http.Server) {
 	startedAt := time.Now()
 	grace := time.Duration(f.gracePeriod.Load())
