--- a/rollout/simulation_test.go
+++ b/rollout/simulation_test.go
@@ -306,9 +306,6 @@
 // write applies the writes that have reached the registry.
 func (c *cluster) write() {
 	if !c.registryUp() {
-		if c.restore != nil {
-			c.writes = slices.DeleteFunc(c.writes, func(one write) bool { return one.at <= c.now }) // not received
-		}
 		return
 	}
 	c.writes = slices.DeleteFunc(c.writes, func(one write) bool {
